--- /dev/null
+++ b/src/base/TestMain.cc
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE hickorylift
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/src/calls/Entry.cpp
@@ -0,0 +1,650 @@
+#include "calls/Entry.h"
+
+#include "gate/KeyJudge.h"
+
+#include <algorithm>
+#include <charconv>
+
+// A call is at one gate at a time. It goes to another only if the gate that
+// had it said "not run", or if the call was never sent, or if its route says
+// that it may run twice and nothing of its answer has reached the caller. A
+// lost link proves nothing: the call is then Searching, and the same
+// incarnation of the same gate is asked about it over a new link. Another
+// incarnation has forgotten it, and the outcome is unknown.
+//
+// Only refusals of the gate are retried here, never an answer, whatever its
+// status: if the answer is a refusal from deeper down, the hop next to that
+// refusal has tried already, and a second try at each of thirteen hops would
+// multiply.
+
+namespace hickorylift {
+
+namespace {
+
+const char StepEntry[] = "entry";
+const char StepLink[] = "gate-link";
+const char KeyHeader[] = "Idempotency-Key";
+const char ClassHeader[] = "Hickorylift-Caller-Class";
+const char BudgetHeader[] = "Hickorylift-Budget-Ms";
+constexpr size_t MaxKeyLength = 256;
+constexpr size_t MaxHeaderFields = 128;
+constexpr size_t MaxHeaderBytes = 64 * 1024;
+constexpr unsigned NotFoundStatus = 404;
+constexpr unsigned BadRequestStatus = 400;
+constexpr unsigned TooLargeStatus = 431;
+
+// What is left of the caller's own deadline, if it says so. Unreadable is no
+// deadline: the route's own holds.
+std::optional<Millis> callerBudget(const RequestHead &Head) {
+  std::string Text = findHeader(Head.Headers, BudgetHeader);
+  uint32_t Ms = 0;
+  auto [Stop, Code] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Ms);
+  if (Text.empty() || Code != std::errc() || *Stop != '\0')
+    return std::nullopt;
+  return Millis(Ms);
+}
+
+size_t headerBytes(const RequestHead &Head) {
+  size_t Sum = Head.Path.size();
+  for (const HeaderField &One : Head.Headers)
+    Sum += One.Name.size() + One.Value.size();
+  return Sum;
+}
+
+} // namespace
+
+Entry::Entry(Options GivenOpts, Hooks Hooks, const Membership &Fleet)
+    : Opts(std::move(GivenOpts)), Hook(std::move(Hooks)), Fleet(Fleet),
+      Choose(this->Opts.Choose, this->Opts.DataCentre, this->Opts.Self,
+             this->Opts.Seed) {}
+
+Refusal Entry::refusal(Outcome What, const std::string &Reason,
+                       const std::string &Step, const std::string &Peer) const {
+  Refusal Why;
+  Why.What = What;
+  Why.Reason = Reason;
+  Why.Step = Step;
+  Why.Peer = Peer.empty() ? this->Opts.Self : Peer;
+  return Why;
+}
+
+void Entry::membersChanged(TimePoint) {
+  std::set<std::string> Listed;
+  if (this->InForce)
+    for (const auto &[Name, One] : this->InForce->services())
+      for (const Instance *Up : this->Fleet.upstreams(Name))
+        Listed.insert(Up->Name);
+  this->Choose.keepOnly(Listed);
+}
+
+std::optional<Refusal> Entry::check(CallerId, const RequestHead &Head,
+                                    TimePoint Now) const {
+  auto NotRun = [&](const char *Reason, unsigned Status) {
+    Refusal Why = this->refusal(Outcome::NotRun, Reason, StepEntry, "");
+    Why.Status = Status;
+    if (!Status)
+      Why.RetryAfter = Millis(1000);
+    return Why;
+  };
+  if (this->Draining)
+    return NotRun("entry-draining", 0);
+  if (!this->InForce)
+    return NotRun("no-configuration", 0);
+  if (this->Calls.size() >= this->Opts.MaxCalls)
+    return NotRun("entry-full", 0);
+  if (Head.Headers.size() > MaxHeaderFields ||
+      headerBytes(Head) > MaxHeaderBytes)
+    return NotRun("headers-too-large", TooLargeStatus);
+  const Route *Taken = this->InForce->findRoute(Head.Method, Head.Path);
+  if (!Taken)
+    return NotRun("no-route", NotFoundStatus);
+  std::string Key = findHeader(Head.Headers, KeyHeader);
+  bool NeedsKey = Taken->Key == KeyRule::Required &&
+                  !Taken->isIdempotent(Head.Method) && Key.empty();
+  if (NeedsKey)
+    return NotRun("idempotency-key-required", BadRequestStatus);
+  if (Key.size() > MaxKeyLength)
+    return NotRun("idempotency-key-too-long", BadRequestStatus);
+  if (Now < this->GraceUntil && !Taken->isIdempotent(Head.Method))
+    return NotRun("paused", 0);
+  return std::nullopt;
+}
+
+Entry::Call Entry::makeCall(const RequestHead &Head, const Route &Taken,
+                            TimePoint Now) {
+  Call One(this->Opts.Window);
+  One.Head = Head;
+  One.Head.Headers = endToEndHeaders(Head.Headers);
+  One.Under = this->InForce;
+  One.Taken = &Taken;
+  One.Key = findHeader(Head.Headers, KeyHeader);
+  One.Class = findHeader(Head.Headers, ClassHeader);
+  One.Idempotent = Taken.isIdempotent(Head.Method);
+  Millis Budget = Taken.Timeout;
+  if (std::optional<Millis> Asked = callerBudget(Head))
+    Budget = std::min(Budget, *Asked);
+  One.Deadline = Now + Budget;
+  return One;
+}
+
+void Entry::request(CallerId Caller, const RequestHead &Head, TimePoint Now) {
+  ++this->Counts.Requests;
+  if (std::optional<Refusal> Why = this->check(Caller, Head, Now)) {
+    ++this->Counts.RefusedBy[Why->Reason];
+    return this->Hook.Refuse(Caller, *Why);
+  }
+  const Route *Taken = this->InForce->findRoute(Head.Method, Head.Path);
+  Call &One = this->Calls.emplace(Caller, this->makeCall(Head, *Taken, Now))
+                  .first->second;
+  this->Budgets[Taken->Target->Name].firstTry(Taken->Retry->BudgetPercent);
+  if (Head.Length == 0)
+    One.Request.finish();
+  this->route(Caller, Now);
+}
+
+// A keyed call has one place to go: the gate that remembers the key.
+const Instance *Entry::chooseGate(const Call &One, TimePoint Now) {
+  const auto &Upstreams = this->Fleet.upstreams(One.Taken->Target->Name);
+  if (One.Key.empty() || One.Idempotent)
+    return this->Choose.pick(Upstreams, One.Tried, Now);
+  const Instance *Home = keyHome(One.Key, Upstreams);
+  return Home && One.Tried.count(Home->Name) ? nullptr : Home;
+}
+
+void Entry::route(CallerId Caller, TimePoint Now) {
+  Call &One = this->Calls.at(Caller);
+  const Instance *Gate = this->chooseGate(One, Now);
+  if (Gate)
+    return this->assign(Caller, One, *Gate, Now);
+  if (One.LastRefusal)
+    return this->giveUp(Caller, *One.LastRefusal, Now);
+  const auto &Upstreams = this->Fleet.upstreams(One.Taken->Target->Name);
+  Refusal Why = this->refusal(Outcome::NotRun,
+                              Upstreams.empty() ? "no-upstream" : "overload",
+                              "choose-gate", "");
+  Why.RetryAfter = this->Choose.soonest(Upstreams, Now);
+  this->giveUp(Caller, Why, Now);
+}
+
+void Entry::assign(CallerId Caller, Call &One, const Instance &Gate,
+                   TimePoint Now) {
+  One.Now = State::Connecting;
+  One.Gate = Gate.Name;
+  One.Tried.insert(Gate.Name);
+  One.StartedAt = Now;
+  ++One.Attempts;
+  // A new id for each gate: a late copy at the last one is never this one.
+  One.Id = {this->Opts.Incarnation, ++this->LastSeq};
+  this->BySeq[One.Id.Seq] = Caller;
+  this->Choose.started(Gate.Name);
+  Link &On = this->Links[Gate.Name];
+  On.Calls.insert(Caller);
+  On.UsedAt = Now;
+  if (On.Up)
+    this->open(Caller, One, /*Resume=*/false, Now);
+  else
+    this->connect(Gate.Name, On, Now);
+}
+
+void Entry::connect(const std::string &Gate, Link &On, TimePoint Now) {
+  if (On.Connecting || On.Up)
+    return;
+  const Instance *Known = this->Fleet.find(Gate);
+  if (!Known)
+    return this->loseLink(Gate, On, Now);
+  On.Connecting = true;
+  this->Hook.Connect(*Known);
+}
+
+void Entry::open(CallerId, Call &One, bool Resume, TimePoint Now) {
+  wire::OpenT Open;
+  Open.seq = One.Id.Seq;
+  Open.entry = One.Id.Entry;
+  Open.resume = Resume;
+  Open.answer_received = One.Response.received();
+  Open.have_head = One.HaveHead;
+  Open.service = One.Taken->Target->Name;
+  Open.budget_ms = static_cast<uint32_t>(
+      std::max<int64_t>(0, toMillis(One.Deadline - Now).count()));
+  if (!Resume) {
+    Open.method = One.Head.Method;
+    Open.path = One.Head.Path;
+    Open.headers = toWire(One.Head.Headers);
+    Open.idempotent = One.Idempotent;
+    Open.idempotency_key = One.Key;
+    Open.length = One.Head.Length;
+    Open.caller_class = One.Class;
+    Open.limit = One.Taken->Bound ? One.Taken->Bound->Name : "";
+    auto Class = One.Taken->ClassPriority.find(One.Class);
+    Open.priority = Class == One.Taken->ClassPriority.end()
+                        ? One.Taken->Priority
+                        : Class->second;
+  }
+  One.Now = State::Sent;
+  One.GateIncarnation = this->Links[One.Gate].Incarnation;
+  this->Hook.Send(One.Gate, callFrame(std::move(Open)));
+  if (!Resume)
+    this->sendBody(One);
+}
+
+void Entry::sendBody(Call &One) {
+  if (One.Now != State::Sent)
+    return;
+  while (auto Piece = One.Request.next(this->Opts.PieceBytes)) {
+    wire::DataT Data;
+    Data.seq = One.Id.Seq;
+    Data.offset = Piece->Offset;
+    Data.bytes.assign(Piece->Bytes.begin(), Piece->Bytes.end());
+    Data.end = Piece->End;
+    this->Hook.Send(One.Gate, callFrame(std::move(Data)));
+  }
+}
+
+void Entry::body(CallerId Caller, std::string_view Bytes, TimePoint) {
+  auto Found = this->Calls.find(Caller);
+  if (Found == this->Calls.end())
+    return;
+  Call &One = Found->second;
+  One.Request.append(Bytes);
+  this->sendBody(One);
+  if (!One.RequestPaused && One.Request.buffered() >= this->Opts.Window) {
+    One.RequestPaused = true;
+    this->Hook.PauseRequest(Caller, true);
+  }
+}
+
+void Entry::bodyEnd(CallerId Caller, TimePoint) {
+  auto Found = this->Calls.find(Caller);
+  if (Found == this->Calls.end())
+    return;
+  Found->second.Request.finish();
+  this->sendBody(Found->second);
+}
+
+void Entry::callerConsumed(CallerId Caller, uint64_t Total, TimePoint) {
+  auto Found = this->Calls.find(Caller);
+  if (Found == this->Calls.end() || Found->second.Now != State::Sent)
+    return;
+  wire::CreditT Credit;
+  Credit.seq = Found->second.Id.Seq;
+  Credit.consumed = Total;
+  this->Hook.Send(Found->second.Gate, callFrame(std::move(Credit)));
+}
+
+void Entry::callerGone(CallerId Caller, TimePoint Now) {
+  auto Found = this->Calls.find(Caller);
+  if (Found == this->Calls.end())
+    return;
+  if (Found->second.Now == State::Sent) {
+    wire::CancelT Cancel;
+    Cancel.seq = Found->second.Id.Seq;
+    Cancel.reason = "caller-gone";
+    this->Hook.Send(Found->second.Gate, callFrame(std::move(Cancel)));
+  }
+  ++this->Counts.Aborted;
+  this->finish(Caller, Now);
+}
+
+void Entry::leaveGate(CallerId Caller, Call &One, bool Answered,
+                      TimePoint Now) {
+  if (One.Gate.empty())
+    return;
+  this->Choose.ended(One.Gate, Answered, Now - One.StartedAt, Now);
+  this->Links[One.Gate].Calls.erase(Caller);
+  this->Links[One.Gate].UsedAt = Now;
+  this->BySeq.erase(One.Id.Seq);
+  One.Gate.clear();
+}
+
+void Entry::finish(CallerId Caller, TimePoint Now) {
+  auto Found = this->Calls.find(Caller);
+  this->leaveGate(Caller, Found->second, /*Answered=*/true, Now);
+  this->Calls.erase(Found);
+}
+
+void Entry::refuse(CallerId Caller, const Refusal &Why) {
+  ++this->Counts.RefusedBy[Why.Reason];
+  if (Why.What == Outcome::Unknown)
+    ++this->Counts.Unknown;
+  this->Hook.Refuse(Caller, Why);
+}
+
+void Entry::giveUp(CallerId Caller, const Refusal &Why, TimePoint Now) {
+  Call &One = this->Calls.at(Caller);
+  bool HaveHead = One.HaveHead;
+  this->leaveGate(Caller, One, Why.What == Outcome::NotRun, Now);
+  this->Calls.erase(Caller);
+  if (HaveHead) {
+    ++this->Counts.Aborted;
+    return this->Hook.Abort(Caller, Why);
+  }
+  this->refuse(Caller, Why);
+}
+
+bool Entry::mayTryAnother(Call &One, const Refusal &Why, TimePoint Now) {
+  bool Harmless = Why.What == Outcome::NotRun || One.Idempotent;
+  if (!Harmless || One.HaveHead || !One.Request.replayable() ||
+      Now >= One.Deadline || One.Attempts >= One.Taken->Retry->Attempts)
+    return false;
+  // Another would refuse it too: these concern the call and not the gate.
+  if (Why.Status != 0)
+    return false;
+  return this->Budgets[One.Taken->Target->Name].retry(Now);
+}
+
+void Entry::tryAnother(CallerId Caller, const Refusal &Why, TimePoint Now) {
+  Call &One = this->Calls.at(Caller);
+  if (!this->mayTryAnother(One, Why, Now))
+    return this->giveUp(Caller, Why, Now);
+  ++this->Counts.Retries;
+  // An idempotent call that may have run keeps that as its outcome, should no
+  // other gate take it: "not run" would not be true any more.
+  if (!One.LastRefusal || One.LastRefusal->What == Outcome::NotRun)
+    One.LastRefusal = Why;
+  this->leaveGate(Caller, One, Why.What == Outcome::NotRun, Now);
+  One.Request.rewind(0);
+  this->route(Caller, Now);
+}
+
+std::optional<Entry::CallerId> Entry::callOn(const std::string &Gate,
+                                             uint64_t Seq) const {
+  auto Found = this->BySeq.find(Seq);
+  if (Found == this->BySeq.end())
+    return std::nullopt;
+  return this->Calls.at(Found->second).Gate == Gate
+             ? std::optional(Found->second)
+             : std::nullopt;
+}
+
+void Entry::gateUp(const std::string &Gate, TimePoint Now) {
+  Link &On = this->Links[Gate];
+  On.Connecting = false;
+  On.HeardAt = Now;
+  On.PingAt.reset();
+  wire::CallHelloT Hello;
+  Hello.node = this->Opts.Self;
+  Hello.incarnation = this->Opts.Incarnation;
+  this->Hook.Send(Gate, callFrame(std::move(Hello)));
+}
+
+void Entry::onHello(const std::string &Gate, Link &On,
+                    const wire::CallHelloT &Hello, TimePoint Now) {
+  On.Up = true;
+  On.Incarnation = Hello.incarnation;
+  On.LostAt.reset();
+  On.NextPing = Now + this->Opts.PingInterval;
+  this->Choose.ready(Gate);
+  std::set<CallerId> Waiting = On.Calls;
+  for (CallerId Caller : Waiting) {
+    Call &One = this->Calls.at(Caller);
+    if (One.Now == State::Connecting) {
+      this->open(Caller, One, /*Resume=*/false, Now);
+    } else if (One.GateIncarnation == Hello.incarnation) {
+      ++this->Counts.Resumed;
+      this->open(Caller, One, /*Resume=*/true, Now);
+    } else {
+      this->tryAnother(
+          Caller,
+          this->refusal(Outcome::Unknown, "gate-restarted", StepLink, Gate),
+          Now);
+    }
+  }
+}
+
+void Entry::gateDown(const std::string &Gate, TimePoint Now) {
+  Link &On = this->Links[Gate];
+  On.Up = false;
+  On.Connecting = false;
+  this->loseLink(Gate, On, Now);
+}
+
+// Calls that were never sent go elsewhere at once. The others wait for a new
+// link, for FindAgain or until their deadline.
+void Entry::loseLink(const std::string &Gate, Link &On, TimePoint Now) {
+  On.PingAt.reset();
+  if (!On.LostAt)
+    On.LostAt = Now;
+  std::set<CallerId> There = On.Calls;
+  for (CallerId Caller : There) {
+    Call &One = this->Calls.at(Caller);
+    if (One.Now == State::Connecting)
+      this->tryAnother(
+          Caller,
+          this->refusal(Outcome::NotRun, "gate-unreachable", StepLink, Gate),
+          Now);
+    else
+      One.Now = State::Searching;
+  }
+}
+
+// The link is condemned, not the gate: something between the two may have lost
+// track of this connection while a new one works.
+void Entry::condemn(const std::string &Gate, Link &On, TimePoint Now) {
+  this->Hook.Close(Gate);
+  On.Up = false;
+  On.Connecting = false;
+  this->loseLink(Gate, On, Now);
+}
+
+void Entry::driveLinks(TimePoint Now) {
+  std::vector<std::string> Names;
+  for (const auto &[Gate, On] : this->Links)
+    Names.push_back(Gate);
+  for (const std::string &Gate : Names) {
+    Link &On = this->Links[Gate];
+    if (On.Up && !On.Calls.empty() && !On.PingAt && Now >= On.NextPing) {
+      On.PingAt = Now;
+      On.NextPing = Now + this->Opts.PingInterval;
+      this->Hook.Send(Gate, callFrame(wire::PingT()));
+    }
+    if (On.PingAt && Now - *On.PingAt > this->Opts.SilenceLimit)
+      this->condemn(Gate, On, Now);
+    if (!On.Up && !On.Connecting && !On.Calls.empty()) {
+      if (On.LostAt && Now - *On.LostAt > this->Opts.FindAgain) {
+        std::set<CallerId> There = On.Calls;
+        for (CallerId Caller : There)
+          this->tryAnother(
+              Caller,
+              this->refusal(Outcome::Unknown, "gate-lost", StepLink, Gate),
+              Now);
+      } else {
+        this->connect(Gate, On, Now);
+      }
+    }
+    if (On.Calls.empty() && Now - On.UsedAt > this->Opts.IdleLink) {
+      this->Hook.Close(Gate);
+      this->Links.erase(Gate);
+    }
+  }
+}
+
+void Entry::frame(const std::string &Gate, const wire::CallFrameT &Frame,
+                  TimePoint Now) {
+  auto Found = this->Links.find(Gate);
+  if (Found == this->Links.end())
+    return;
+  Link &On = Found->second;
+  On.HeardAt = Now;
+  On.PingAt.reset();
+  if (const auto *Hello = Frame.payload.AsCallHello())
+    return this->onHello(Gate, On, *Hello, Now);
+  if (const auto *Head = Frame.payload.AsHead())
+    return this->onHead(Gate, *Head, Now);
+  if (const auto *Data = Frame.payload.AsData())
+    return this->onData(Gate, *Data, Now);
+  if (const auto *Failed = Frame.payload.AsFailed())
+    return this->onFailed(Gate, *Failed, Now);
+  if (const auto *Joined = Frame.payload.AsAdmitted())
+    return this->onAdmitted(Gate, *Joined, Now);
+  if (const auto *Credit = Frame.payload.AsCredit())
+    return this->onCredit(Gate, *Credit, Now);
+  if (Frame.payload.AsDraining())
+    return this->Choose.draining(Gate);
+  if (const auto *Pong = Frame.payload.AsPong()) {
+    if (Pong->load)
+      this->Choose.learn(Gate, *Pong->load, Now);
+    Pong->draining ? this->Choose.draining(Gate) : this->Choose.ready(Gate);
+    return;
+  }
+  if (const auto *Ping = Frame.payload.AsPing()) {
+    wire::PongT Pong;
+    Pong.nonce = Ping->nonce;
+    this->Hook.Send(Gate, callFrame(std::move(Pong)));
+  }
+}
+
+void Entry::onHead(const std::string &Gate, const wire::HeadT &Head,
+                   TimePoint Now) {
+  if (Head.load)
+    this->Choose.learn(Gate, *Head.load, Now);
+  std::optional<CallerId> Caller = this->callOn(Gate, Head.seq);
+  if (!Caller)
+    return;
+  Call &One = this->Calls.at(*Caller);
+  if (One.HaveHead)
+    return;
+  One.HaveHead = true;
+  ResponseHead Answer;
+  Answer.Status = Head.status;
+  Answer.Reason = Head.reason;
+  Answer.Headers = fromWire(Head.headers);
+  Answer.Length = Head.length;
+  this->Hook.Head(*Caller, Answer);
+}
+
+void Entry::onData(const std::string &Gate, const wire::DataT &Data,
+                   TimePoint Now) {
+  std::optional<CallerId> Caller = this->callOn(Gate, Data.seq);
+  if (!Caller)
+    return;
+  Call &One = this->Calls.at(*Caller);
+  std::string_view Bytes(reinterpret_cast<const char *>(Data.bytes.data()),
+                         Data.bytes.size());
+  std::optional<std::string_view> New =
+      One.Response.accept(Data.offset, Bytes, Data.end);
+  if (!New || !One.HaveHead)
+    return this->giveUp(
+        *Caller, this->refusal(Outcome::Unknown, "answer-gap", StepLink, Gate),
+        Now);
+  if (!New->empty())
+    this->Hook.Body(*Caller, *New);
+  // The hook may have found the caller gone.
+  auto Found = this->Calls.find(*Caller);
+  if (Found == this->Calls.end() || !Found->second.Response.ended())
+    return;
+  wire::CreditT Credit;
+  Credit.seq = Found->second.Id.Seq;
+  Credit.consumed = Found->second.Response.received();
+  this->Hook.Send(Gate, callFrame(std::move(Credit)));
+  ++this->Counts.Answered;
+  this->finish(*Caller, Now);
+  this->Hook.BodyEnd(*Caller);
+}
+
+void Entry::onFailed(const std::string &Gate, const wire::FailedT &Failed,
+                     TimePoint Now) {
+  if (Failed.load)
+    this->Choose.learn(Gate, *Failed.load, Now);
+  Refusal Why;
+  Why.What = Failed.outcome == wire::Outcome::NotRun ? Outcome::NotRun
+                                                     : Outcome::Unknown;
+  Why.Reason = Failed.reason;
+  Why.Step = Failed.step;
+  Why.Peer = Failed.peer;
+  Why.RetryAfter = Millis(Failed.retry_after_ms);
+  Why.Status = Failed.status;
+  if (Why.Reason == "draining")
+    this->Choose.draining(Gate);
+  if (Why.Reason == "overload")
+    this->Choose.refused(Gate, Why.RetryAfter, Now);
+  if (std::optional<CallerId> Caller = this->callOn(Gate, Failed.seq))
+    this->tryAnother(*Caller, Why, Now);
+}
+
+void Entry::onAdmitted(const std::string &Gate, const wire::AdmittedT &Joined,
+                       TimePoint Now) {
+  std::optional<CallerId> Caller = this->callOn(Gate, Joined.seq);
+  if (!Caller)
+    return;
+  Call &One = this->Calls.at(*Caller);
+  if (!One.Request.rewind(Joined.request_received))
+    return this->giveUp(
+        *Caller, this->refusal(Outcome::Unknown, "body-gap", StepLink, Gate),
+        Now);
+  this->sendBody(One);
+}
+
+void Entry::onCredit(const std::string &Gate, const wire::CreditT &Credit,
+                     TimePoint) {
+  std::optional<CallerId> Caller = this->callOn(Gate, Credit.seq);
+  if (!Caller)
+    return;
+  Call &One = this->Calls.at(*Caller);
+  One.Request.credit(Credit.consumed);
+  this->sendBody(One);
+  if (One.RequestPaused && One.Request.buffered() < this->Opts.Window) {
+    One.RequestPaused = false;
+    this->Hook.PauseRequest(*Caller, false);
+  }
+}
+
+void Entry::paused(TimePoint Now) {
+  this->GraceUntil = Now + this->Opts.PauseGrace;
+  // The links were not silent, we were: count from here.
+  for (auto &[Gate, On] : this->Links) {
+    if (On.PingAt)
+      On.PingAt = Now;
+    if (On.LostAt)
+      On.LostAt = Now;
+  }
+}
+
+void Entry::tick(TimePoint Now) {
+  std::vector<CallerId> Late;
+  for (const auto &[Caller, One] : this->Calls)
+    if (Now >= One.Deadline)
+      Late.push_back(Caller);
+  for (CallerId Caller : Late) {
+    Call &One = this->Calls.at(Caller);
+    bool Sent = One.Now != State::Connecting;
+    if (One.Now == State::Sent) {
+      wire::CancelT Cancel;
+      Cancel.seq = One.Id.Seq;
+      Cancel.reason = "deadline";
+      this->Hook.Send(One.Gate, callFrame(std::move(Cancel)));
+    }
+    bool MayHaveRun =
+        Sent || (One.LastRefusal && One.LastRefusal->What == Outcome::Unknown);
+    this->giveUp(Caller,
+                 this->refusal(MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+                               "deadline", StepEntry, One.Gate),
+                 Now);
+  }
+  this->driveLinks(Now);
+}
+
+Entry::Explanation Entry::explain(const RequestHead &Head, TimePoint Now) {
+  Explanation Out;
+  if (std::optional<Refusal> Why = this->check(0, Head, Now)) {
+    Out.Note = "refused here: " + Why->Reason;
+    return Out;
+  }
+  Out.Taken = this->InForce->findRoute(Head.Method, Head.Path);
+  Call One = this->makeCall(Head, *Out.Taken, Now);
+  Out.Candidates = this->Fleet.upstreams(Out.Taken->Target->Name);
+  Out.Chosen = this->chooseGate(One, Now);
+  if (!Out.Chosen)
+    Out.Note = "no upstream can take it now";
+  else if (!One.Key.empty() && !One.Idempotent)
+    Out.Note = "home of the idempotency key";
+  else if (Out.Chosen->Name == this->Opts.Self)
+    Out.Note = "this node's own upstream has room";
+  else if (Out.Chosen->DataCentre == this->Opts.DataCentre)
+    Out.Note = "drawn within the data centre";
+  else
+    Out.Note = "no upstream of this data centre can take it";
+  return Out;
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/calls/Entry.h
@@ -0,0 +1,216 @@
+#ifndef HICKORYLIFT_CALLS_ENTRY_H
+#define HICKORYLIFT_CALLS_ENTRY_H
+
+#include "calls/Body.h"
+#include "calls/Message.h"
+#include "config/Config.h"
+#include "membership/Membership.h"
+#include "routing/Chooser.h"
+
+#include <functional>
+#include <map>
+
+// The Entry takes requests from callers and carries each to one gate at a
+// time, until it is answered, proved not run, or its outcome is unknown.
+//
+//   Entry From(Options, Hooks, Fleet);
+//   From.configure(Config, Now);
+//   From.request(Caller, Head, Now);        // a caller's request
+//   From.body(Caller, Bytes, Now); From.bodyEnd(Caller, Now);
+//   From.gateUp("portal-2", Incarnation, Now);
+//   From.frame("portal-2", Frame, Now);
+//   From.tick(Now);
+
+namespace hickorylift {
+
+class Entry {
+public:
+  /// A caller's request at this entry; chosen by the HTTP side.
+  using CallerId = uint64_t;
+
+  struct Options {
+    std::string Self;
+    std::string DataCentre;
+    /// Must differ from that of every earlier process in this place: gates
+    /// remember calls by it.
+    uint64_t Incarnation = 1;
+    uint64_t Seed = 1;
+    uint64_t Window = 256 * 1024;
+    size_t PieceBytes = 32 * 1024;
+    /// Calls at once; more are refused as not run.
+    size_t MaxCalls = 4096;
+    /// Between two pings of a link that carries calls, and how long one may
+    /// stay unanswered before the link is condemned and another is tried.
+    Millis PingInterval{500};
+    Millis SilenceLimit{1500};
+    /// How long a gate that is gone is tried again, to find out what became
+    /// of the calls that it had.
+    Millis FindAgain{3000};
+    /// How long after a pause a call that must not repeat is refused: its
+    /// caller may have given up while the bytes lay in the socket.
+    Millis PauseGrace{50};
+    /// A link without calls is closed after this.
+    Millis IdleLink{60000};
+    Chooser::Options Choose;
+  };
+
+  struct Hooks {
+    /// Opens a call link to a gate; gateUp or gateDown follows.
+    std::function<void(const Instance &)> Connect;
+    std::function<void(const std::string &Gate, wire::CallFrameT)> Send;
+    /// Closes the link to a gate; gateDown does not follow.
+    std::function<void(const std::string &Gate)> Close;
+    std::function<void(CallerId, const ResponseHead &)> Head;
+    std::function<void(CallerId, std::string_view)> Body;
+    std::function<void(CallerId)> BodyEnd;
+    /// The answer breaks off after its head: cut the caller's connection.
+    std::function<void(CallerId, const Refusal &)> Abort;
+    std::function<void(CallerId, const Refusal &)> Refuse;
+    /// Stops or resumes reading the request's body from the caller.
+    std::function<void(CallerId, bool Paused)> PauseRequest;
+  };
+
+  struct Counters {
+    uint64_t Requests = 0;
+    uint64_t Answered = 0;
+    uint64_t Retries = 0;
+    uint64_t Resumed = 0;
+    uint64_t Unknown = 0;
+    uint64_t Aborted = 0;
+    std::map<std::string, uint64_t> RefusedBy;
+  };
+
+  Entry(Options Opts, Hooks Hooks, const Membership &Fleet);
+
+  void configure(const ConfigPtr &New) { this->InForce = New; }
+  void membersChanged(TimePoint Now);
+
+  void request(CallerId Caller, const RequestHead &Head, TimePoint Now);
+  void body(CallerId Caller, std::string_view Bytes, TimePoint Now);
+  void bodyEnd(CallerId Caller, TimePoint Now);
+  /// The caller took this much of the answer's body, in total.
+  void callerConsumed(CallerId Caller, uint64_t Total, TimePoint Now);
+  void callerGone(CallerId Caller, TimePoint Now);
+
+  /// Whom a request like this would go to, and why, for operators.
+  struct Explanation {
+    const Route *Taken = nullptr;
+    std::vector<const Instance *> Candidates;
+    const Instance *Chosen = nullptr;
+    std::string Note;
+  };
+  Explanation explain(const RequestHead &Head, TimePoint Now);
+
+  void gateUp(const std::string &Gate, TimePoint Now);
+  /// The link broke or could not be made.
+  void gateDown(const std::string &Gate, TimePoint Now);
+  void frame(const std::string &Gate, const wire::CallFrameT &Frame,
+             TimePoint Now);
+
+  /// Refuses new requests from now on; those under way go on.
+  void drain() { this->Draining = true; }
+  bool idle() const { return this->Calls.empty(); }
+  size_t calls() const { return this->Calls.size(); }
+  /// This process stood still, and what lies in its sockets is of unknown age.
+  void paused(TimePoint Now);
+  void tick(TimePoint Now);
+  const Counters &counters() const { return this->Counts; }
+  const Chooser &chooser() const { return this->Choose; }
+
+private:
+  enum class State {
+    /// Chosen a gate; nothing was sent to it.
+    Connecting,
+    /// Sent to a gate.
+    Sent,
+    /// The link is lost; waiting for another to ask about the call.
+    Searching,
+  };
+
+  struct Call {
+    State Now = State::Connecting;
+    CallId Id;
+    RequestHead Head;
+    ConfigPtr Under;
+    const Route *Taken = nullptr;
+    std::string Key;
+    std::string Class;
+    bool Idempotent = false;
+    TimePoint Deadline;
+    std::set<std::string> Tried;
+    uint32_t Attempts = 0;
+    std::string Gate;
+    uint64_t GateIncarnation = 0;
+    TimePoint StartedAt;
+    SendStream Request;
+    bool RequestPaused = false;
+    bool HaveHead = false;
+    ReceiveStream Response;
+    std::optional<Refusal> LastRefusal;
+
+    explicit Call(uint64_t Window) : Request(Window) {}
+  };
+
+  struct Link {
+    bool Up = false;
+    bool Connecting = false;
+    uint64_t Incarnation = 0;
+    TimePoint HeardAt;
+    TimePoint UsedAt;
+    std::optional<TimePoint> PingAt;
+    TimePoint NextPing;
+    std::optional<TimePoint> LostAt;
+    std::set<CallerId> Calls;
+  };
+
+  Refusal refusal(Outcome What, const std::string &Reason,
+                  const std::string &Step, const std::string &Peer) const;
+  std::optional<Refusal> check(CallerId Caller, const RequestHead &Head,
+                               TimePoint Now) const;
+  Call makeCall(const RequestHead &Head, const Route &Taken, TimePoint Now);
+  void route(CallerId Caller, TimePoint Now);
+  const Instance *chooseGate(const Call &One, TimePoint Now);
+  void assign(CallerId Caller, Call &One, const Instance &Gate, TimePoint Now);
+  void open(CallerId Caller, Call &One, bool Resume, TimePoint Now);
+  void sendBody(Call &One);
+  void leaveGate(CallerId Caller, Call &One, bool Answered, TimePoint Now);
+  void tryAnother(CallerId Caller, const Refusal &Why, TimePoint Now);
+  bool mayTryAnother(Call &One, const Refusal &Why, TimePoint Now);
+  void refuse(CallerId Caller, const Refusal &Why);
+  void giveUp(CallerId Caller, const Refusal &Why, TimePoint Now);
+  void finish(CallerId Caller, TimePoint Now);
+
+  void onHello(const std::string &Gate, Link &On, const wire::CallHelloT &Hello,
+               TimePoint Now);
+  void onHead(const std::string &Gate, const wire::HeadT &Head, TimePoint Now);
+  void onData(const std::string &Gate, const wire::DataT &Data, TimePoint Now);
+  void onFailed(const std::string &Gate, const wire::FailedT &Failed,
+                TimePoint Now);
+  void onAdmitted(const std::string &Gate, const wire::AdmittedT &Joined,
+                  TimePoint Now);
+  void onCredit(const std::string &Gate, const wire::CreditT &Credit,
+                TimePoint Now);
+  void connect(const std::string &Gate, Link &On, TimePoint Now);
+  void condemn(const std::string &Gate, Link &On, TimePoint Now);
+  void loseLink(const std::string &Gate, Link &On, TimePoint Now);
+  void driveLinks(TimePoint Now);
+  std::optional<CallerId> callOn(const std::string &Gate, uint64_t Seq) const;
+
+  Options Opts;
+  Hooks Hook;
+  const Membership &Fleet;
+  Chooser Choose;
+  ConfigPtr InForce;
+  std::map<CallerId, Call> Calls;
+  std::map<uint64_t, CallerId> BySeq;
+  std::map<std::string, Link> Links;
+  std::map<std::string, RetryBudget> Budgets;
+  uint64_t LastSeq = 0;
+  bool Draining = false;
+  TimePoint GraceUntil;
+  Counters Counts;
+};
+
+} // namespace hickorylift
+
+#endif
--- /dev/null
+++ b/src/calls/Gate.cpp
@@ -0,0 +1,549 @@
+#include "calls/Gate.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+
+// A call goes through Waiting, Running and Finished; one that never ran ends
+// in Refused. Its record stays until its deadline and RememberSlack have
+// passed, and that memory carries two promises.
+//
+// At most once: an entry whose link went silent asks for the same id over a
+// new link. A known id joins the call as it stands and is never started again.
+// An unknown id is entered as Refused before the answer "not run" goes out, so
+// that the first copy, should it still come out of the silent link, finds the
+// record and does not run.
+//
+// True refusals: a call may be told "not run" only from the states Waiting and
+// Refused. Start, the only step that cannot be taken back, is the last thing
+// start() does, after the deadline was checked against a fresh clock.
+
+namespace hickorylift {
+
+namespace {
+
+const char StepAdmission[] = "admission";
+const char StepUpstream[] = "upstream";
+constexpr unsigned ShedStatus = 503;
+// Pending answers of one call are read no further than this ahead.
+constexpr size_t AnswerHighWater = 2;
+
+Refusal because(Outcome What, const std::string &Reason,
+                const std::string &Step, const std::string &Peer) {
+  Refusal Why;
+  Why.What = What;
+  Why.Reason = Reason;
+  Why.Step = Step;
+  Why.Peer = Peer;
+  return Why;
+}
+
+} // namespace
+
+Gate::Gate(Options GivenOpts, Hooks Hooks)
+    : Opts(std::move(GivenOpts)), Hook(std::move(Hooks)),
+      Slots(this->Opts.Slots, this->Opts.Seed),
+      Judge(this->Opts.Keys, this->Opts.Self) {}
+
+void Gate::configure(const ConfigPtr &New, TimePoint Now) {
+  const Service *Named = New->findService(this->Opts.Service);
+  // The old configuration stays alive here until the new one is set.
+  ConfigPtr Old = std::exchange(this->InForce, New);
+  this->Of = Named;
+  if (Named)
+    this->Slots.configure(*Named, Now);
+  this->pump(Now);
+}
+
+void Gate::members(const std::vector<const Instance *> &Upstreams,
+                   TimePoint Now) {
+  this->Judge.members(Upstreams, Now);
+}
+
+void Gate::linkUp(LinkId Link, TimePoint) {
+  this->Links[Link];
+  wire::CallHelloT Hello;
+  Hello.node = this->Opts.Self;
+  Hello.incarnation = this->Opts.Incarnation;
+  this->Hook.Send(Link, callFrame(std::move(Hello)));
+  if (!this->draining())
+    return;
+  wire::DrainingT Said;
+  Said.by = this->drainedBy();
+  this->Hook.Send(Link, callFrame(std::move(Said)));
+}
+
+// The calls of a lost link go on: the entry may find them again over another.
+// Those that only wait are let go, for nobody could be told of their turn.
+void Gate::linkDown(LinkId Link, TimePoint Now) {
+  this->Links.erase(Link);
+  this->Entries.erase(Link);
+  for (auto &[Id, One] : this->Calls) {
+    if (!One.Linked || One.Link != Link)
+      continue;
+    One.Linked = false;
+    if (One.Now == State::Waiting)
+      this->refuse(
+          Id, One,
+          because(Outcome::NotRun, "link-lost", StepAdmission, this->Opts.Self),
+          Now);
+  }
+  this->pump(Now);
+}
+
+Gate::Call *Gate::find(const CallId &Id) {
+  auto Found = this->Calls.find(Id);
+  return Found == this->Calls.end() ? nullptr : &Found->second;
+}
+
+CallId Gate::idOn(LinkId Link, uint64_t Seq) const {
+  auto Found = this->Entries.find(Link);
+  return {Found == this->Entries.end() ? 0 : Found->second, Seq};
+}
+
+const Limit *Gate::limitNamed(const std::string &Name) const {
+  return this->InForce && !Name.empty() ? this->InForce->findLimit(Name)
+                                        : nullptr;
+}
+
+void Gate::frame(LinkId Link, const wire::CallFrameT &Frame, TimePoint Now) {
+  auto Found = this->Links.find(Link);
+  if (Found == this->Links.end())
+    return;
+  if (const auto *Hello = Frame.payload.AsCallHello()) {
+    this->Entries[Link] = Hello->incarnation;
+    return;
+  }
+  if (const auto *Open = Frame.payload.AsOpen())
+    return this->onOpen(Link, *Open, Now);
+  if (const auto *Data = Frame.payload.AsData())
+    return this->onData(Link, *Data, Now);
+  if (const auto *Credit = Frame.payload.AsCredit())
+    return this->onCredit(Link, *Credit, Now);
+  if (const auto *Cancel = Frame.payload.AsCancel())
+    return this->onCancel(Link, *Cancel, Now);
+  if (const auto *Ping = Frame.payload.AsPing()) {
+    wire::PongT Pong;
+    Pong.nonce = Ping->nonce;
+    Pong.load = std::make_unique<wire::Load>(this->load(Now));
+    Pong.draining = this->draining();
+    this->Hook.Send(Link, callFrame(std::move(Pong)));
+    return;
+  }
+  if (const auto *Pong = Frame.payload.AsPong())
+    if (Found->second.Barrier == Pong->nonce)
+      Found->second.Barrier.reset();
+}
+
+Gate::Call &Gate::enter(const CallId &Id, Millis Budget, LinkId Link,
+                        TimePoint Now) {
+  Call &One = this->Calls.emplace(Id, Call(this->Opts.Window)).first->second;
+  One.Link = Link;
+  One.Linked = true;
+  One.Deadline = Now + Budget;
+  this->Due.emplace(One.Deadline, Id);
+  return One;
+}
+
+void Gate::onOpen(LinkId Link, const wire::OpenT &Open, TimePoint Now) {
+  this->Entries.try_emplace(Link, Open.entry);
+  if (Open.resume)
+    return this->onResume(Link, Open, Now);
+  CallId Id{Open.entry, Open.seq};
+  if (this->find(Id))
+    return; // the late copy of a call that was asked for again
+  Call &One = this->enter(Id, Millis(Open.budget_ms), Link, Now);
+  One.Head.Method = Open.method;
+  One.Head.Path = Open.path;
+  One.Head.Headers = fromWire(Open.headers);
+  One.Head.Length = Open.length;
+  One.Key = Open.idempotency_key;
+  One.Idempotent = Open.idempotent;
+  this->judge(Id, One, Open, Now);
+}
+
+void Gate::judge(const CallId &Id, Call &One, const wire::OpenT &Open,
+                 TimePoint Now) {
+  auto NotRun = [&](const std::string &Reason) {
+    this->refuse(
+        Id, One,
+        because(Outcome::NotRun, Reason, StepAdmission, this->Opts.Self), Now);
+  };
+  // Bytes that lay in the socket while this process stood still: the budget
+  // that they name ran out without being counted. Run now, the call could
+  // follow one that its caller made instead.
+  if (this->Links[One.Link].Barrier)
+    return NotRun("paused");
+  if (Open.service != this->Opts.Service || !this->Of)
+    return NotRun("not-my-service");
+  if (this->Calls.size() > this->Opts.MaxRemembered)
+    return NotRun("memory-full");
+  Admission::Answer Room =
+      this->Slots.ask({Id, One.Deadline, Open.priority, Open.caller_class,
+                       this->limitNamed(Open.limit)},
+                      Now);
+  if (Room.What == Admission::Verdict::Refuse) {
+    Room.Why.Peer = this->Opts.Self;
+    return this->refuse(Id, One, Room.Why, Now);
+  }
+  if (Room.What == Admission::Verdict::Run)
+    this->start(Id, One, Now);
+}
+
+bool Gate::judgeKey(const CallId &Id, Call &One, TimePoint Now) {
+  if (One.Key.empty() || One.Idempotent)
+    return true;
+  uint64_t Fingerprint =
+      combineHash(contentHash(One.Head.Method), contentHash(One.Head.Path));
+  KeyJudge::Answer Known = this->Judge.ask(
+      One.Key, Fingerprint, this->Of->KeyWindow, this->Hook.ListAge(Now), Now);
+  if (Known.What == KeyJudge::Verdict::Run)
+    return true;
+  One.Key.clear(); // another call's: its end must not touch the record
+  this->Slots.finished(Id, /*Answered=*/false, Now);
+  if (Known.What == KeyJudge::Verdict::Replay)
+    this->replay(Id, One, std::move(Known), Now);
+  else
+    this->refuse(Id, One, Known.Why, Now);
+  return false;
+}
+
+void Gate::replay(const CallId &Id, Call &One, KeyJudge::Answer Known,
+                  TimePoint Now) {
+  One.Now = State::Finished;
+  One.HaveHead = true;
+  One.Answer = std::move(Known.Head);
+  One.Answer.Headers.push_back({"Hickorylift-Replayed", "true"});
+  One.Answer.Length = static_cast<int64_t>(Known.Body.size());
+  One.Response.append(Known.Body);
+  One.Response.finish();
+  this->sendHead(Id, One, Now);
+  this->sendAnswer(Id, One);
+}
+
+void Gate::start(const CallId &Id, Call &One, TimePoint Now) {
+  if (Now >= One.Deadline)
+    return this->refuse(
+        Id, One,
+        because(Outcome::NotRun, "deadline", StepAdmission, this->Opts.Self),
+        Now);
+  if (!this->judgeKey(Id, One, Now))
+    return;
+  One.Now = State::Running;
+  ++this->Counts.Started;
+  this->Hook.Start(Id, One.Head, One.Idempotent);
+  std::string Early = std::exchange(One.EarlyBody, "");
+  this->forwardBody(Id, One, Early);
+}
+
+void Gate::forwardBody(const CallId &Id, Call &One, std::string_view Bytes) {
+  if (!Bytes.empty())
+    this->Hook.Body(Id, Bytes);
+  if (One.Request.ended())
+    this->Hook.BodyEnd(Id);
+}
+
+void Gate::onData(LinkId Link, const wire::DataT &Data, TimePoint Now) {
+  CallId Id = this->idOn(Link, Data.seq);
+  Call *One = this->find(Id);
+  if (!One || One->Link != Link || One->Request.ended())
+    return;
+  std::string_view Bytes(reinterpret_cast<const char *>(Data.bytes.data()),
+                         Data.bytes.size());
+  std::optional<std::string_view> New =
+      One->Request.accept(Data.offset, Bytes, Data.end);
+  if (!New) {
+    if (One->Now == State::Running)
+      this->breakOff(
+          Id, *One,
+          because(Outcome::Unknown, "body-gap", StepAdmission, this->Opts.Self),
+          Now);
+    return;
+  }
+  if (One->Now == State::Running)
+    return this->forwardBody(Id, *One, *New);
+  if (One->Now == State::Waiting)
+    One->EarlyBody.append(*New);
+}
+
+void Gate::upstreamConsumed(const CallId &Id, uint64_t Total, TimePoint) {
+  Call *One = this->find(Id);
+  if (!One || !One->Linked)
+    return;
+  wire::CreditT Credit;
+  Credit.seq = Id.Seq;
+  Credit.consumed = Total;
+  this->Hook.Send(One->Link, callFrame(std::move(Credit)));
+}
+
+void Gate::onCredit(LinkId Link, const wire::CreditT &Credit, TimePoint) {
+  CallId Id = this->idOn(Link, Credit.seq);
+  Call *One = this->find(Id);
+  if (!One || One->Link != Link)
+    return;
+  One->Response.credit(Credit.consumed);
+  this->sendAnswer(Id, *One);
+  if (One->AnswerPaused && One->Response.buffered() <= this->Opts.Window) {
+    One->AnswerPaused = false;
+    this->Hook.PauseAnswer(Id, false);
+  }
+}
+
+void Gate::onCancel(LinkId Link, const wire::CancelT &Cancel, TimePoint Now) {
+  CallId Id = this->idOn(Link, Cancel.seq);
+  Call *One = this->find(Id);
+  if (!One)
+    return;
+  if (One->Now == State::Waiting)
+    this->refuse(
+        Id, *One,
+        because(Outcome::NotRun, "cancelled", StepAdmission, this->Opts.Self),
+        Now);
+  else if (One->Now == State::Running)
+    this->breakOff(
+        Id, *One,
+        because(Outcome::Unknown, "cancelled", StepUpstream, this->Opts.Self),
+        Now);
+  this->pump(Now);
+}
+
+void Gate::onResume(LinkId Link, const wire::OpenT &Open, TimePoint Now) {
+  CallId Id{Open.entry, Open.seq};
+  Call *One = this->find(Id);
+  if (!One) {
+    One = &this->enter(Id, Millis(Open.budget_ms), Link, Now);
+    return this->refuse(Id, *One,
+                        because(Outcome::NotRun, "never-arrived", StepAdmission,
+                                this->Opts.Self),
+                        Now);
+  }
+  One->Link = Link;
+  One->Linked = true;
+  if (One->Now == State::Refused)
+    return this->sendFailed(Id, *One, Now);
+  if (!One->Response.rewind(Open.answer_received)) {
+    return this->breakOff(Id, *One,
+                          because(Outcome::Unknown, "answer-lost",
+                                  StepAdmission, this->Opts.Self),
+                          Now);
+  }
+  wire::AdmittedT Joined;
+  Joined.seq = Id.Seq;
+  Joined.request_received = One->Request.received();
+  this->Hook.Send(Link, callFrame(std::move(Joined)));
+  if (One->HaveHead && !Open.have_head)
+    this->sendHead(Id, *One, Now);
+  this->sendAnswer(Id, *One);
+}
+
+void Gate::sendHead(const CallId &Id, const Call &One, TimePoint Now) {
+  if (!One.Linked)
+    return;
+  wire::HeadT Head;
+  Head.seq = Id.Seq;
+  Head.status = One.Answer.Status;
+  Head.reason = One.Answer.Reason;
+  Head.headers = toWire(One.Answer.Headers);
+  Head.length = One.Answer.Length;
+  Head.load = std::make_unique<wire::Load>(this->load(Now));
+  this->Hook.Send(One.Link, callFrame(std::move(Head)));
+}
+
+void Gate::sendAnswer(const CallId &Id, Call &One) {
+  if (!One.Linked)
+    return;
+  while (auto Piece = One.Response.next(this->Opts.PieceBytes)) {
+    wire::DataT Data;
+    Data.seq = Id.Seq;
+    Data.offset = Piece->Offset;
+    Data.bytes.assign(Piece->Bytes.begin(), Piece->Bytes.end());
+    Data.end = Piece->End;
+    this->Hook.Send(One.Link, callFrame(std::move(Data)));
+  }
+}
+
+void Gate::sendFailed(const CallId &Id, const Call &One, TimePoint Now) {
+  if (!One.Linked)
+    return;
+  wire::FailedT Failed;
+  Failed.seq = Id.Seq;
+  Failed.outcome = One.Why.What == Outcome::NotRun ? wire::Outcome::NotRun
+                                                   : wire::Outcome::Unknown;
+  Failed.reason = One.Why.Reason;
+  Failed.step = One.Why.Step;
+  Failed.peer = One.Why.Peer;
+  Failed.retry_after_ms = static_cast<uint32_t>(One.Why.RetryAfter.count());
+  Failed.status = One.Why.Status;
+  Failed.load = std::make_unique<wire::Load>(this->load(Now));
+  this->Hook.Send(One.Link, callFrame(std::move(Failed)));
+}
+
+void Gate::refuse(const CallId &Id, Call &One, Refusal Why, TimePoint Now) {
+  if (One.Now == State::Waiting || One.Now == State::Running)
+    this->Slots.finished(Id, /*Answered=*/false, Now);
+  ++this->Counts.RefusedBy[Why.Reason];
+  One.Now = State::Refused;
+  One.Why = std::move(Why);
+  One.EarlyBody.clear();
+  this->sendFailed(Id, One, Now);
+}
+
+// The call may have run: whatever it is told from here on is Unknown.
+void Gate::breakOff(const CallId &Id, Call &One, const Refusal &Why,
+                    TimePoint Now) {
+  if (One.Now == State::Running) {
+    this->Hook.Cancel(Id);
+    this->Slots.finished(Id, /*Answered=*/false, Now);
+  }
+  if (!One.Key.empty())
+    this->Judge.lost(One.Key, Now);
+  ++this->Counts.Unknown;
+  One.Now = State::Refused;
+  One.Why = Why;
+  this->sendFailed(Id, One, Now);
+}
+
+void Gate::upstreamHead(const CallId &Id, const ResponseHead &Head,
+                        TimePoint Now) {
+  Call *One = this->find(Id);
+  if (!One || One->Now != State::Running)
+    return;
+  if (Head.Status == ShedStatus)
+    this->Slots.shed(Now);
+  One->HaveHead = true;
+  One->Answer = Head;
+  this->sendHead(Id, *One, Now);
+}
+
+void Gate::upstreamData(const CallId &Id, std::string_view Bytes,
+                        TimePoint Now) {
+  Call *One = this->find(Id);
+  if (!One || One->Now != State::Running)
+    return;
+  if (!One->Key.empty() && One->Recordable) {
+    One->Recordable =
+        One->Recorded.size() + Bytes.size() <= this->Opts.Keys.MaxAnswerBytes;
+    One->Recorded.append(Bytes);
+  }
+  One->Response.append(Bytes);
+  this->sendAnswer(Id, *One);
+  if (!One->AnswerPaused &&
+      One->Response.buffered() > AnswerHighWater * this->Opts.Window) {
+    One->AnswerPaused = true;
+    this->Hook.PauseAnswer(Id, true);
+  }
+  (void)Now;
+}
+
+void Gate::upstreamEnd(const CallId &Id, TimePoint Now) {
+  Call *One = this->find(Id);
+  if (!One || One->Now != State::Running)
+    return;
+  One->Now = State::Finished;
+  ++this->Counts.Answered;
+  One->Response.finish();
+  if (!One->Key.empty()) {
+    std::string Body = std::exchange(One->Recorded, "");
+    // Too long to replay: judged by its size there.
+    this->Judge.answered(One->Key, One->Answer, std::move(Body), Now);
+  }
+  this->Slots.finished(Id, One->Answer.Status != ShedStatus, Now);
+  this->sendAnswer(Id, *One);
+  this->pump(Now);
+}
+
+void Gate::upstreamFailed(const CallId &Id, bool Sent, const Error &Why,
+                          TimePoint Now) {
+  Call *One = this->find(Id);
+  if (!One || One->Now != State::Running)
+    return;
+  std::string Reason = "upstream-" + Why.Code.message();
+  if (!Sent) {
+    if (!One->Key.empty())
+      this->Judge.notRun(One->Key);
+    this->refuse(Id, *One, because(Outcome::NotRun, Reason, Why.Step, Why.Peer),
+                 Now);
+  } else {
+    this->Slots.finished(Id, /*Answered=*/false, Now);
+    One->Now = State::Finished;
+    this->breakOff(Id, *One,
+                   because(Outcome::Unknown, Reason, Why.Step, Why.Peer), Now);
+  }
+  this->pump(Now);
+}
+
+void Gate::pump(TimePoint Now) {
+  Admission::Next Turn = this->Slots.next(Now);
+  for (Admission::Dropped &Late : Turn.Drop) {
+    Late.Why.Peer = this->Opts.Self;
+    if (Call *One = this->find(Late.Id))
+      this->refuse(Late.Id, *One, std::move(Late.Why), Now);
+  }
+  for (const CallId &Id : Turn.Run)
+    if (Call *One = this->find(Id))
+      this->start(Id, *One, Now);
+}
+
+void Gate::drain(const std::string &By, TimePoint Now) {
+  if (this->draining())
+    return;
+  this->Slots.drain(By);
+  for (const auto &[Link, State] : this->Links) {
+    wire::DrainingT Said;
+    Said.by = By;
+    this->Hook.Send(Link, callFrame(std::move(Said)));
+  }
+  this->pump(Now);
+}
+
+void Gate::reopen() { this->Slots.reopen(); }
+
+bool Gate::idle() const {
+  return std::all_of(
+      this->Calls.begin(), this->Calls.end(), [](const auto &One) {
+        const Call &Of = One.second;
+        bool Told =
+            !Of.Linked || Of.Now == State::Refused || Of.Response.done();
+        return Of.Now != State::Running && Of.Now != State::Waiting && Told;
+      });
+}
+
+void Gate::paused(TimePoint Now) {
+  if (!this->Opts.PauseBarrier)
+    return;
+  for (auto &[Link, State] : this->Links) {
+    wire::PingT Ping;
+    Ping.nonce = ++this->LastNonce;
+    State.Barrier = Ping.nonce;
+    this->Hook.Send(Link, callFrame(std::move(Ping)));
+  }
+  this->tick(Now);
+}
+
+void Gate::tick(TimePoint Now) {
+  while (!this->Due.empty() && this->Due.begin()->first <= Now) {
+    CallId Id = this->Due.begin()->second;
+    this->Due.erase(this->Due.begin());
+    this->onDue(Id, Now);
+  }
+  this->pump(Now);
+  this->Judge.expire(Now);
+}
+
+void Gate::onDue(const CallId &Id, TimePoint Now) {
+  Call *One = this->find(Id);
+  if (!One)
+    return;
+  if (One->Now == State::Running)
+    this->breakOff(
+        Id, *One,
+        because(Outcome::Unknown, "deadline", StepUpstream, this->Opts.Self),
+        Now);
+  TimePoint ForgetAt = One->Deadline + this->Opts.RememberSlack;
+  if (Now >= ForgetAt && One->Now != State::Waiting)
+    this->Calls.erase(Id);
+  else
+    this->Due.emplace(std::max(ForgetAt, Now + Millis(1)), Id);
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/calls/Gate.h
@@ -0,0 +1,182 @@
+#ifndef HICKORYLIFT_CALLS_GATE_H
+#define HICKORYLIFT_CALLS_GATE_H
+
+#include "calls/Body.h"
+#include "calls/Message.h"
+#include "config/Config.h"
+#include "gate/Admission.h"
+#include "gate/KeyJudge.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+// The Gate stands in front of one upstream and takes the calls that entries
+// send it. All work for the upstream goes through it.
+//
+//   Gate At(Options, Hooks);
+//   At.configure(Config, Now);             // at each version in force
+//   At.frame(Link, Frame, Now);            // from an entry
+//   At.upstreamHead(Id, Head, Now);        // from the upstream
+//   At.tick(Now);
+
+namespace hickorylift {
+
+class Gate {
+public:
+  using LinkId = uint64_t;
+
+  struct Options {
+    std::string Self;
+    std::string Service;
+    uint64_t Incarnation = 1;
+    uint64_t Seed = 1;
+    /// Bytes of a body that may be out without a credit, in each direction
+    /// of each call. Bounds the memory for one call.
+    uint64_t Window = 256 * 1024;
+    size_t PieceBytes = 32 * 1024;
+    /// Added to a call's deadline before its id is forgotten. Must cover the
+    /// longest that an entry tries to find a call again.
+    Millis RememberSlack{10000};
+    /// Ids remembered at once. New calls are refused when full.
+    size_t MaxRemembered = 100000;
+    /// Whether a pause makes what lay in the sockets suspect. Off only to
+    /// show what happens without.
+    bool PauseBarrier = true;
+    Admission::Options Slots;
+    KeyJudge::Options Keys;
+  };
+
+  /// What the upstream's side is to do.
+  struct Hooks {
+    std::function<void(LinkId, wire::CallFrameT)> Send;
+    /// Starts a call at the upstream. MayRepeat: a kept connection that dies
+    /// may be replaced and the call sent again.
+    std::function<void(const CallId &, const RequestHead &, bool MayRepeat)>
+        Start;
+    std::function<void(const CallId &, std::string_view)> Body;
+    std::function<void(const CallId &)> BodyEnd;
+    /// Breaks the call off: the upstream sees its connection close.
+    std::function<void(const CallId &)> Cancel;
+    /// Stops or resumes reading the upstream's answer.
+    std::function<void(const CallId &, bool Paused)> PauseAnswer;
+    std::function<std::optional<Millis>(TimePoint)> ListAge = [](TimePoint) {
+      return Millis(0);
+    };
+  };
+
+  struct Counters {
+    uint64_t Started = 0;
+    uint64_t Answered = 0;
+    uint64_t Unknown = 0;
+    std::map<std::string, uint64_t> RefusedBy;
+  };
+
+  Gate(Options Opts, Hooks Hooks);
+
+  void configure(const ConfigPtr &New, TimePoint Now);
+  void members(const std::vector<const Instance *> &Upstreams, TimePoint Now);
+  void linkUp(LinkId Link, TimePoint Now);
+  void linkDown(LinkId Link, TimePoint Now);
+  void frame(LinkId Link, const wire::CallFrameT &Frame, TimePoint Now);
+
+  void upstreamHead(const CallId &Id, const ResponseHead &Head, TimePoint Now);
+  void upstreamData(const CallId &Id, std::string_view Bytes, TimePoint Now);
+  void upstreamEnd(const CallId &Id, TimePoint Now);
+  /// Sent is false only where it is certain that no byte of the request
+  /// reached the upstream.
+  void upstreamFailed(const CallId &Id, bool Sent, const Error &Why,
+                      TimePoint Now);
+  /// The upstream's side has written this much of the request's body.
+  void upstreamConsumed(const CallId &Id, uint64_t Total, TimePoint Now);
+
+  /// Closes the gate to new work. Calls that wait are refused; those that run
+  /// go on.
+  void drain(const std::string &By, TimePoint Now);
+  void reopen();
+  bool draining() const { return this->Slots.draining(); }
+  const std::string &drainedBy() const { return this->Slots.drainedBy(); }
+  /// Whether nothing runs, waits, or still has to be told to an entry.
+  bool idle() const;
+
+  /// This process stood still, and what lies in its sockets is of unknown age.
+  void paused(TimePoint Now);
+  void tick(TimePoint Now);
+
+  wire::Load load(TimePoint Now) const { return this->Slots.load(Now); }
+  const Counters &counters() const { return this->Counts; }
+  size_t remembered() const { return this->Calls.size(); }
+
+private:
+  enum class State { Waiting, Running, Finished, Refused };
+
+  struct Call {
+    State Now = State::Waiting;
+    LinkId Link = 0;
+    bool Linked = false;
+    RequestHead Head;
+    std::string Key;
+    bool Idempotent = false;
+    TimePoint Deadline;
+    ReceiveStream Request;
+    std::string EarlyBody;
+    bool HaveHead = false;
+    ResponseHead Answer;
+    SendStream Response;
+    bool AnswerPaused = false;
+    Refusal Why;
+    std::string Recorded;
+    bool Recordable = true;
+
+    explicit Call(uint64_t Window) : Response(Window) {}
+  };
+
+  struct LinkState {
+    // Set while what arrives was sent before the end of our pause.
+    std::optional<uint64_t> Barrier;
+  };
+
+  void onOpen(LinkId Link, const wire::OpenT &Open, TimePoint Now);
+  void onResume(LinkId Link, const wire::OpenT &Open, TimePoint Now);
+  void judge(const CallId &Id, Call &One, const wire::OpenT &Open,
+             TimePoint Now);
+  bool judgeKey(const CallId &Id, Call &One, TimePoint Now);
+  void replay(const CallId &Id, Call &One, KeyJudge::Answer Known,
+              TimePoint Now);
+  void start(const CallId &Id, Call &One, TimePoint Now);
+  void onData(LinkId Link, const wire::DataT &Data, TimePoint Now);
+  void forwardBody(const CallId &Id, Call &One, std::string_view Bytes);
+  void onCredit(LinkId Link, const wire::CreditT &Credit, TimePoint Now);
+  void onCancel(LinkId Link, const wire::CancelT &Cancel, TimePoint Now);
+  void refuse(const CallId &Id, Call &One, Refusal Why, TimePoint Now);
+  void breakOff(const CallId &Id, Call &One, const Refusal &Why, TimePoint Now);
+  Call &enter(const CallId &Id, Millis Budget, LinkId Link, TimePoint Now);
+  void pump(TimePoint Now);
+  void sendHead(const CallId &Id, const Call &One, TimePoint Now);
+  void sendAnswer(const CallId &Id, Call &One);
+  void sendFailed(const CallId &Id, const Call &One, TimePoint Now);
+  void onDue(const CallId &Id, TimePoint Now);
+  Call *find(const CallId &Id);
+  CallId idOn(LinkId Link, uint64_t Seq) const;
+  const Limit *limitNamed(const std::string &Name) const;
+
+  Options Opts;
+  Hooks Hook;
+  Admission Slots;
+  KeyJudge Judge;
+  ConfigPtr InForce;
+  const Service *Of = nullptr;
+  std::map<CallId, Call> Calls;
+  // When each call is to be looked at next: first at its deadline, then when
+  // it may be forgotten.
+  std::multimap<TimePoint, CallId> Due;
+  std::map<LinkId, LinkState> Links;
+  // The entry at the other end of each link.
+  std::map<LinkId, uint64_t> Entries;
+  uint64_t LastNonce = 0;
+  Counters Counts;
+};
+
+} // namespace hickorylift
+
+#endif
--- /dev/null
+++ b/src/calls/Message.cpp
@@ -0,0 +1,103 @@
+#include "calls/Message.h"
+
+#include <array>
+
+#include <strings.h>
+
+namespace hickorylift {
+
+namespace {
+
+// Date is no such field, but the library writes one of its own into each
+// message, and two are not allowed.
+constexpr std::array<const char *, 11> ConnectionFields = {"Connection",
+                                                           "Keep-Alive",
+                                                           "Proxy-Connection",
+                                                           "TE",
+                                                           "Trailer",
+                                                           "Transfer-Encoding",
+                                                           "Upgrade",
+                                                           "Expect",
+                                                           "Content-Length",
+                                                           "Proxy-Authenticate",
+                                                           "Date"};
+
+bool sameName(std::string_view A, std::string_view B) {
+  return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
+}
+
+bool isConnectionField(std::string_view Name) {
+  for (const char *One : ConnectionFields)
+    if (sameName(Name, One))
+      return true;
+  return false;
+}
+
+} // namespace
+
+std::string CallId::text() const {
+  return std::to_string(this->Entry) + "-" + std::to_string(this->Seq);
+}
+
+std::string findHeader(const HeaderList &Headers, std::string_view Name) {
+  for (const HeaderField &One : Headers)
+    if (sameName(One.Name, Name))
+      return One.Value;
+  return "";
+}
+
+HeaderList endToEndHeaders(const HeaderList &Headers) {
+  HeaderList Out;
+  for (const HeaderField &One : Headers)
+    if (!isConnectionField(One.Name))
+      Out.push_back(One);
+  return Out;
+}
+
+unsigned statusOf(const Refusal &Why) {
+  if (Why.Status)
+    return Why.Status;
+  return Why.What == Outcome::NotRun ? 503 : 504;
+}
+
+const char *outcomeName(Outcome What) {
+  return What == Outcome::NotRun ? "not-run" : "unknown";
+}
+
+std::string encodeFrame(const wire::CallFrameT &Frame) {
+  flatbuffers::FlatBufferBuilder Builder;
+  Builder.Finish(wire::CallFrame::Pack(Builder, &Frame));
+  return {reinterpret_cast<const char *>(Builder.GetBufferPointer()),
+          Builder.GetSize()};
+}
+
+Result<wire::CallFrameT> decodeCallFrame(std::string_view Bytes) {
+  flatbuffers::Verifier Check(reinterpret_cast<const uint8_t *>(Bytes.data()),
+                              Bytes.size());
+  if (!wire::VerifyCallFrameBuffer(Check))
+    return Error{Errc::BadMessage, "decode-frame", "",
+                 "call frame does not verify"};
+  wire::CallFrameT Frame;
+  wire::GetCallFrame(Bytes.data())->UnPackTo(&Frame);
+  return Frame;
+}
+
+std::vector<std::unique_ptr<wire::HeaderT>> toWire(const HeaderList &Headers) {
+  std::vector<std::unique_ptr<wire::HeaderT>> Out;
+  for (const HeaderField &One : Headers) {
+    Out.push_back(std::make_unique<wire::HeaderT>());
+    Out.back()->name = One.Name;
+    Out.back()->value = One.Value;
+  }
+  return Out;
+}
+
+HeaderList
+fromWire(const std::vector<std::unique_ptr<wire::HeaderT>> &Headers) {
+  HeaderList Out;
+  for (const auto &One : Headers)
+    Out.push_back({One->name, One->value});
+  return Out;
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/calls/Message.h
@@ -0,0 +1,97 @@
+#ifndef HICKORYLIFT_CALLS_MESSAGE_H
+#define HICKORYLIFT_CALLS_MESSAGE_H
+
+#include "base/Error.h"
+#include "base/Time.h"
+#include "calls/Calls_generated.h"
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// What a call consists of, between the HTTP ends and the two deciders, Entry
+// and Gate.
+
+namespace hickorylift {
+
+/// A call's identity between entry and gate.
+struct CallId {
+  /// The entry's incarnation: another after each start of its process.
+  uint64_t Entry = 0;
+  uint64_t Seq = 0;
+
+  auto operator<=>(const CallId &) const = default;
+  std::string text() const;
+};
+
+struct HeaderField {
+  std::string Name;
+  std::string Value;
+};
+using HeaderList = std::vector<HeaderField>;
+
+/// Case-insensitive; empty if absent.
+std::string findHeader(const HeaderList &Headers, std::string_view Name);
+/// Without the fields that concern one connection only (RFC 9110, 7.6.1).
+HeaderList endToEndHeaders(const HeaderList &Headers);
+
+constexpr int64_t UnknownLength = -1;
+
+struct RequestHead {
+  std::string Method;
+  /// With the query.
+  std::string Path;
+  HeaderList Headers;
+  /// Of the body, in bytes; UnknownLength if it is chunked.
+  int64_t Length = 0;
+};
+
+struct ResponseHead {
+  unsigned Status = 0;
+  std::string Reason;
+  HeaderList Headers;
+  int64_t Length = UnknownLength;
+};
+
+/// What became of a call that has no answer.
+enum class Outcome {
+  /// Proved: no byte of it reached an upstream.
+  NotRun,
+  /// It may have run, in whole or in part.
+  Unknown,
+};
+
+/// Why a call has no answer, as the caller is told in the headers
+/// Hickorylift-Outcome, -Reason, -Step and -Peer.
+struct Refusal {
+  Outcome What = Outcome::NotRun;
+  /// "no-route", "overload", "draining", "deadline", ...
+  std::string Reason;
+  std::string Step;
+  std::string Peer;
+  /// When to come back; zero for no advice.
+  Millis RetryAfter{0};
+  /// The HTTP status, where it is not the outcome's usual one.
+  unsigned Status = 0;
+};
+
+/// 503 for what was not run, 504 for what may have run, or the refusal's own.
+unsigned statusOf(const Refusal &Why);
+const char *outcomeName(Outcome What);
+
+std::string encodeFrame(const wire::CallFrameT &Frame);
+Result<wire::CallFrameT> decodeCallFrame(std::string_view Bytes);
+
+template <typename PayloadT> wire::CallFrameT callFrame(PayloadT Payload) {
+  wire::CallFrameT Frame;
+  Frame.payload.Set(std::move(Payload));
+  return Frame;
+}
+
+std::vector<std::unique_ptr<wire::HeaderT>> toWire(const HeaderList &Headers);
+HeaderList fromWire(const std::vector<std::unique_ptr<wire::HeaderT>> &Headers);
+
+} // namespace hickorylift
+
+#endif
--- /dev/null
+++ b/src/cli/Http.cpp
@@ -0,0 +1,53 @@
+#include "cli/Http.h"
+
+#include "base/Json.h"
+
+#include <libsoup/soup.h>
+
+namespace hickorylift {
+
+Result<std::string> fetch(const std::string &Method, const std::string &Address,
+                          const std::string &Path, unsigned TimeoutSeconds) {
+  SoupSession *Session =
+      SOUP_SESSION(g_object_new(SOUP_TYPE_SESSION, "proxy-resolver", nullptr,
+                                "timeout", TimeoutSeconds, nullptr));
+  std::string Url = "http://" + Address + Path;
+  SoupMessage *Message = soup_message_new(Method.c_str(), Url.c_str());
+  if (!Message) {
+    g_object_unref(Session);
+    return Error{Errc::Invalid, "operator", Address, "not an address"};
+  }
+  GError *Why = nullptr;
+  GBytes *Body = soup_session_send_and_read(Session, Message, nullptr, &Why);
+  unsigned Status = soup_message_get_status(Message);
+  g_object_unref(Message);
+  g_object_unref(Session);
+  if (!Body) {
+    Error Out{Errc::Unreachable, "operator", Address, Why->message};
+    g_clear_error(&Why);
+    return Out;
+  }
+  gsize Size = 0;
+  const char *At = static_cast<const char *>(g_bytes_get_data(Body, &Size));
+  std::string Text(At ? At : "", Size);
+  g_bytes_unref(Body);
+  if (Status != 200)
+    return Error{Errc::Refused, "operator", Address,
+                 "status " + std::to_string(Status) + ": " + Text};
+  return Text;
+}
+
+Result<Json::Value> fetchJson(const std::string &Address,
+                              const std::string &Path,
+                              unsigned TimeoutSeconds) {
+  Result<std::string> Text = fetch("GET", Address, Path, TimeoutSeconds);
+  if (!Text)
+    return Text.error();
+  FaultList Faults;
+  std::optional<Json::Value> Root = parseJson(*Text, Path, Faults);
+  if (!Root)
+    return Error{Errc::BadMessage, "operator", Address, "answer is not JSON"};
+  return *Root;
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/config/Config.h
@@ -0,0 +1,153 @@
+#ifndef HICKORYLIFT_CONFIG_CONFIG_H
+#define HICKORYLIFT_CONFIG_CONFIG_H
+
+#include "base/Json.h"
+#include "base/Time.h"
+#include "config/Document.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+// A Config is a version of the configuration, compiled: checked whole and
+// ready to answer which route a request takes.
+//
+//   CompileResult Made = compileConfig(*Doc, CompileOptions());
+//   if (!Made.Compiled)
+//     for (const Fault &F : Made.Faults) ...       // all of them, nothing
+//     taken
+//   const Route *R = Made.Compiled->findRoute("GET", "/claims/17");
+//   // R->Target and all else that R points at live as long as the Config.
+//
+// docs/RECORDS.md describes the records.
+
+namespace hickorylift {
+
+struct CallerLimit {
+  /// Calls a second at one upstream; 0 for no limit.
+  double RatePerSecond = 0;
+  double Burst = 1;
+  /// Calls at once at one upstream; 0 for no limit.
+  uint32_t Concurrency = 0;
+};
+
+struct Limit {
+  std::string Name;
+  CallerLimit All;
+  std::map<std::string, CallerLimit> ByClass;
+};
+
+struct RetryPolicy {
+  std::string Name = "none";
+  /// Methods whose calls may run twice without harm.
+  std::set<std::string> IdempotentMethods{"GET", "HEAD", "OPTIONS"};
+  /// Tries in all, the first included.
+  uint32_t Attempts = 3;
+  /// Retries for each hundred first tries.
+  double BudgetPercent = 10;
+};
+
+struct Service {
+  std::string Name;
+  /// Calls that one upstream runs at once.
+  uint32_t Slots = 10;
+  /// Connections that one upstream accepts.
+  uint32_t Connections = 100;
+  /// Calls that may wait at one gate, and for how long.
+  uint32_t QueueLimit = 20;
+  Millis QueueWait{500};
+  /// How long a new upstream takes to reach all its slots.
+  Millis Warmup{0};
+  /// How long a leaving upstream may finish what it runs.
+  Millis Drain{30000};
+  /// How long a caller may repeat a call with the same idempotency key.
+  Millis KeyWindow{60000};
+};
+
+enum class KeyRule { Optional, Required };
+
+struct Route {
+  std::string Name;
+  std::string Prefix;
+  /// Empty for any.
+  std::set<std::string> Methods;
+  const Service *Target = nullptr;
+  const RetryPolicy *Retry = nullptr;
+  /// Null for none.
+  const Limit *Bound = nullptr;
+  Millis Timeout{5000};
+  /// 0 is the most urgent.
+  uint32_t Priority = 4;
+  std::map<std::string, uint32_t> ClassPriority;
+  KeyRule Key = KeyRule::Optional;
+
+  bool isIdempotent(const std::string &Method) const {
+    return this->Retry->IdempotentMethods.count(Method) != 0;
+  }
+};
+
+class Config {
+public:
+  const Stamp &stamp() const { return this->Place; }
+  const std::map<std::string, Service> &services() const {
+    return this->Services;
+  }
+  const std::map<std::string, Route> &routes() const { return this->Routes; }
+
+  /// The route with the longest prefix that ends at a '/' or at the path's
+  /// end and that takes the method; null if none. Cost: the path's segments.
+  const Route *findRoute(const std::string &Method,
+                         std::string_view Path) const;
+  /// The same by looking at every route: slow, and what tests compare with.
+  const Route *findRouteSlowly(const std::string &Method,
+                               std::string_view Path) const;
+  const Service *findService(const std::string &Name) const;
+  const Limit *findLimit(const std::string &Name) const;
+
+private:
+  friend class ConfigCompiler;
+
+  Stamp Place;
+  std::map<std::string, Service> Services;
+  std::map<std::string, RetryPolicy> Retries;
+  std::map<std::string, Limit> Limits;
+  std::map<std::string, Route> Routes;
+  std::map<std::string, std::vector<const Route *>, std::less<>> ByPrefix;
+  RetryPolicy DefaultRetry;
+};
+
+using ConfigPtr = std::shared_ptr<const Config>;
+
+struct CompileOptions {
+  /// Newest schema version of each kind that this build understands. Lowered
+  /// in tests to stand for an older build.
+  std::map<std::string, int64_t> NewestSchema{
+      {"route", 2}, {"service", 1}, {"limit", 1}, {"retry", 1}};
+  /// Records in one version.
+  size_t MaxRecords = 50000;
+  /// Bytes of one record: what the platform holds in one value.
+  size_t MaxRecordBytes = 1u << 20;
+  /// Faults after which the search ends.
+  size_t MaxFaults = 100;
+};
+
+struct CompileResult {
+  /// Null where there is any fault.
+  ConfigPtr Compiled;
+  FaultList Faults;
+};
+
+/// Checks and compiles all records of a document. The same document gives the
+/// same verdict on every node of the same build: nothing but the document and
+/// the options is looked at.
+CompileResult compileConfig(const Document &Doc, const CompileOptions &Options);
+
+/// The name of a record's entry in a document: "kind/name@schema".
+std::string recordEntryName(const std::string &Kind, const std::string &Name,
+                            int64_t Schema);
+
+} // namespace hickorylift
+
+#endif
--- /dev/null
+++ b/src/control/ControlPlane.cpp
@@ -0,0 +1,391 @@
+#include "control/ControlPlane.h"
+
+#include <algorithm>
+
+namespace hickorylift {
+
+namespace {
+
+constexpr Millis ExchangeInterval{2000};
+constexpr unsigned MaxBackoffShift = 10;
+
+wire::SpreadFrameT helloFrame(const ControlPlane::Options &Opts, Tie Kind) {
+  wire::HelloT Hello;
+  Hello.node = Opts.Self;
+  Hello.data_centre = Opts.DataCentre;
+  Hello.incarnation = Opts.Incarnation;
+  Hello.build = Opts.Build;
+  Hello.tie = static_cast<uint8_t>(Kind);
+  wire::SpreadFrameT Frame;
+  Frame.payload.Set(std::move(Hello));
+  return Frame;
+}
+
+std::vector<std::string> ownFirst(const std::string &Own,
+                                  const std::vector<std::string> &All) {
+  std::vector<std::string> Out{Own};
+  for (const std::string &One : All)
+    if (One != Own)
+      Out.push_back(One);
+  return Out;
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(Options GivenOpts, Platform &From, Hooks GivenHooks)
+    : Opts(std::move(GivenOpts)), Hook(std::move(GivenHooks)),
+      Trail(this->Opts.AuditCapacity, this->Hook.Audit),
+      Fleet(this->Opts.Members),
+      View(this->Opts.DataCentre, this->Opts.Self, this->Opts.Build,
+           this->Opts.ReportFreshness),
+      Spread(this->Opts.Spread, this->spreadHooks(), this->Opts.Seed),
+      Read(this->Opts.Read, From, this->readHooks(),
+           ownFirst(this->Opts.DataCentre, this->Opts.DataCentres),
+           this->Opts.Seed + 1),
+      Random(this->Opts.Seed + 2) {}
+
+Spreader::Hooks ControlPlane::spreadHooks() {
+  Spreader::Hooks Out;
+  Out.Send = [this](LinkId To, const wire::SpreadFrameT &Frame) {
+    this->Hook.Send(To, encodeFrame(Frame));
+  };
+  Out.Accept = [this](const Spreader::Arrival &Arrived, TimePoint Now) {
+    return this->accept(Arrived, Now);
+  };
+  Out.Condemn = [this](LinkId Link, const Error &Why) {
+    this->Trail.add(this->NowForHooks, "link-condemned", this->Peers[Link].Name,
+                    "heartbeat", Why.Detail);
+    this->drop(Link, this->NowForHooks);
+  };
+  Out.Report = [this](LinkId Link) -> std::unique_ptr<wire::FleetReportT> {
+    if (this->parentLink() != Link)
+      return nullptr;
+    return std::make_unique<wire::FleetReportT>(
+        this->View.report(this->NowForHooks));
+  };
+  return Out;
+}
+
+Reader::Hooks ControlPlane::readHooks() {
+  Reader::Hooks Out;
+  Out.Publish = [this](const std::string &Topic, const DocumentPtr &Doc,
+                       TimePoint Now) {
+    this->NowForHooks = Now;
+    DocumentPtr Held = this->Spread.held(Topic);
+    if (!this->Spread.publish(Topic, Doc, Now) && Held &&
+        Held->stamp() != Doc->stamp())
+      this->Trail.add(Now, "version-stale", Topic + " " + Doc->stamp().text(),
+                      "platform", "kept " + Held->stamp().text());
+  };
+  Out.Confirm = [this](const std::string &Topic, uint64_t Version,
+                       uint64_t Revision, TimePoint AskedAt) {
+    this->Spread.confirm(Topic, Version, Revision, AskedAt);
+  };
+  Out.Held = [this](const std::string &Topic) {
+    return this->Spread.held(Topic);
+  };
+  Out.Failed = [this](const Error &Why, TimePoint Now) {
+    // A long outage is one event, not one for each attempt.
+    if (Why.text() == this->LastReaderError)
+      return;
+    this->LastReaderError = Why.text();
+    this->Trail.add(Now, "platform-read", Why.Step, Why.Peer,
+                    Why.Code.message() + ": " + Why.Detail);
+  };
+  return Out;
+}
+
+void ControlPlane::tick(TimePoint Now) {
+  this->NowForHooks = Now;
+  if (!this->StartedAt)
+    this->StartedAt = Now;
+  // Here and not when a list arrives: the arrival is handled within a link
+  // that this may close.
+  if (std::exchange(this->NeedRetarget, false))
+    this->retarget(Now);
+  if (this->LastTick && Now - *this->LastTick > this->Opts.PauseThreshold) {
+    this->Trail.add(Now, "paused",
+                    std::to_string(toMillis(Now - *this->LastTick).count()) +
+                        "ms",
+                    "clock", "resynchronising");
+    // What the platform answered before the pause is of unknown age.
+    this->Read.tick(Now, Reader::Duty::None);
+  }
+  this->LastTick = Now;
+  this->Read.tick(Now, this->duty(Now));
+  this->Spread.tick(Now);
+  this->dialTargets(Now);
+  if (Now >= this->NextExchange) {
+    this->NextExchange = Now + ExchangeInterval;
+    this->exchangeReports(Now);
+  }
+}
+
+// Peers first: they answer from memory and there are many of them, while the
+// platform's rate is shared by the whole fleet. A node turns to the platform
+// only when its peers had time to answer and it still lacks what it needs.
+Reader::Duty ControlPlane::duty(TimePoint Now) {
+  bool HaveList =
+      this->Spread.held(listTopic(this->Opts.DataCentre)) != nullptr;
+  Millis Waited = toMillis(Now - *this->StartedAt);
+  if (!HaveList) {
+    bool MayAsk = this->Opts.Seeds.empty() || Waited >= this->Opts.PeersFirst;
+    return MayAsk ? Reader::Duty::List : Reader::Duty::None;
+  }
+  if (this->Fleet.isReader())
+    return Reader::Duty::Watch;
+  if (!this->InForce && Waited >= 3 * this->Opts.PeersFirst)
+    return Reader::Duty::Once;
+  return Reader::Duty::None;
+}
+
+void ControlPlane::retarget(TimePoint Now) {
+  std::map<std::string, Target> Wanted;
+  std::vector<LinkId> Outdated;
+  for (const Neighbour &One : this->Fleet.neighbours()) {
+    Target &New = Wanted[One.Who->Name];
+    New.Address = One.Who->Node;
+    New.Kind = One.Kind;
+    New.NextDial = Now;
+  }
+  // A node that knows no neighbour, or is the only one listed, keeps to its
+  // seeds: they may know more.
+  if (Wanted.empty() && this->Fleet.size() < 2)
+    for (const auto &[Name, Address] : this->Opts.Seeds) {
+      Target &New = Wanted[Name];
+      New.Address = Address;
+      New.Kind = Tie::Backup;
+      New.NextDial = Now;
+    }
+  for (auto &[Name, Old] : this->Targets) {
+    auto Kept = Wanted.find(Name);
+    if (Kept != Wanted.end() && Kept->second.Address == Old.Address &&
+        Kept->second.Kind == Old.Kind)
+      Kept->second = Old;
+    else if (Old.Link)
+      Outdated.push_back(*Old.Link);
+  }
+  this->Targets = std::move(Wanted);
+  for (LinkId Link : Outdated)
+    this->drop(Link, Now);
+}
+
+void ControlPlane::dialTargets(TimePoint Now) {
+  for (auto &[Name, To] : this->Targets) {
+    if (To.Link || To.Dialling || Now < To.NextDial)
+      continue;
+    To.Dialling = true;
+    this->Hook.Dial(Name, To.Address);
+  }
+}
+
+void ControlPlane::dialFailed(const std::string &Name, TimePoint Now) {
+  auto Found = this->Targets.find(Name);
+  if (Found == this->Targets.end())
+    return;
+  Target &To = Found->second;
+  To.Dialling = false;
+  Millis Longest = std::min(this->Opts.LongestRedial,
+                            this->Opts.FirstRedial *
+                                (1 << std::min(To.Failures, MaxBackoffShift)));
+  ++To.Failures;
+  To.NextDial =
+      Now + Longest / 2 + Millis(this->Random() % (Longest.count() / 2 + 1));
+}
+
+void ControlPlane::linkOpened(LinkId Link, const std::string &Dialled,
+                              TimePoint Now) {
+  this->NowForHooks = Now;
+  if (Dialled.empty() && this->Peers.size() >= this->Opts.MaxLinks)
+    return this->Hook.Close(Link);
+  Peer &New = this->Peers[Link];
+  New.Name = Dialled;
+  New.Dialled = !Dialled.empty();
+  if (!New.Dialled)
+    return;
+  auto Found = this->Targets.find(Dialled);
+  if (Found == this->Targets.end())
+    return this->drop(Link, Now);
+  Found->second.Dialling = false;
+  Found->second.Link = Link;
+  New.Kind = Found->second.Kind;
+  this->greet(Link, New);
+}
+
+void ControlPlane::greet(LinkId Link, const Peer &To) {
+  this->Hook.Send(Link, encodeFrame(helloFrame(this->Opts, To.Kind)));
+}
+
+void ControlPlane::onHello(LinkId Link, Peer &From, const wire::HelloT &Hello,
+                           TimePoint Now) {
+  if (From.Greeted)
+    return;
+  From.Greeted = true;
+  From.Name = Hello.node;
+  if (!From.Dialled) {
+    From.Kind = Hello.tie == 0   ? Tie::Tree
+                : Hello.tie == 2 ? Tie::Bridge
+                                 : Tie::Backup;
+    this->greet(Link, From);
+  } else if (auto Found = this->Targets.find(From.Name);
+             Found != this->Targets.end()) {
+    Found->second.Failures = 0;
+  }
+  this->Spread.linkUp(Link, From.Name, From.Kind == Tie::Tree, Now);
+}
+
+void ControlPlane::frame(LinkId Link, std::string_view Bytes, TimePoint Now) {
+  this->NowForHooks = Now;
+  auto Found = this->Peers.find(Link);
+  if (Found == this->Peers.end())
+    return;
+  Result<wire::SpreadFrameT> Frame = decodeSpreadFrame(Bytes);
+  if (!Frame) {
+    this->Trail.add(Now, "link-rubbish", Found->second.Name, "peer",
+                    Frame.error().Detail);
+    return this->drop(Link, Now);
+  }
+  if (const auto *Hello = Frame->payload.AsHello())
+    return this->onHello(Link, Found->second, *Hello, Now);
+  if (!Found->second.Greeted)
+    return;
+  if (Frame->payload.AsGoodbye())
+    return this->drop(Link, Now);
+  if (const auto *Said = Frame->payload.AsFleetExchange())
+    return this->View.exchange(*Said, Now);
+  if (const auto *Beat = Frame->payload.AsHeartbeat(); Beat && Beat->report)
+    this->onReport(Link, *Beat->report, Now);
+  this->Spread.receive(Link, *Frame, Now);
+}
+
+void ControlPlane::onReport(LinkId Link, const wire::FleetReportT &Report,
+                            TimePoint Now) {
+  if (Report.data_centre != this->Opts.DataCentre)
+    return;
+  wire::FleetReportT Before = this->View.report(Now);
+  this->View.childReport(Link, Report, Now);
+  if (!sameReport(Before, this->View.report(Now)))
+    this->reportSoon(Now);
+}
+
+std::optional<LinkId> ControlPlane::parentLink() const {
+  const Instance *Parent = this->Fleet.parent();
+  if (!Parent)
+    return std::nullopt;
+  auto Found = this->Targets.find(Parent->Name);
+  return Found == this->Targets.end() ? std::nullopt : Found->second.Link;
+}
+
+void ControlPlane::reportSoon(TimePoint Now) {
+  if (std::optional<LinkId> Up = this->parentLink())
+    this->Spread.hastenHeartbeat(*Up, Now + this->Opts.ReportBatch);
+}
+
+void ControlPlane::exchangeReports(TimePoint Now) {
+  const Instance *Root = this->Fleet.root(this->Opts.DataCentre);
+  if (!Root || Root->Name != this->Opts.Self)
+    return;
+  for (const auto &[Link, To] : this->Peers) {
+    if (!To.Greeted || To.Kind != Tie::Bridge)
+      continue;
+    wire::FleetExchangeT Said;
+    Said.reports.push_back(
+        std::make_unique<wire::FleetReportT>(this->View.report(Now)));
+    wire::SpreadFrameT Frame;
+    Frame.payload.Set(std::move(Said));
+    this->Hook.Send(Link, encodeFrame(Frame));
+  }
+}
+
+void ControlPlane::drop(LinkId Link, TimePoint Now) {
+  this->Hook.Close(Link);
+  this->linkClosed(Link, Now);
+}
+
+void ControlPlane::linkClosed(LinkId Link, TimePoint Now) {
+  this->NowForHooks = Now;
+  auto Found = this->Peers.find(Link);
+  if (Found == this->Peers.end())
+    return;
+  std::string Name = Found->second.Name;
+  bool Dialled = Found->second.Dialled;
+  this->Peers.erase(Found);
+  this->Spread.linkDown(Link);
+  this->View.dropChild(Link);
+  auto To = this->Targets.find(Name);
+  if (Dialled && To != this->Targets.end() && To->second.Link == Link) {
+    To->second.Link.reset();
+    this->dialFailed(Name, Now);
+  }
+}
+
+void ControlPlane::goodbye() {
+  wire::SpreadFrameT Frame;
+  Frame.payload.Set(wire::GoodbyeT());
+  for (const auto &[Link, To] : this->Peers)
+    if (To.Greeted)
+      this->Hook.Send(Link, encodeFrame(Frame));
+}
+
+bool ControlPlane::accept(const Spreader::Arrival &Arrived, TimePoint Now) {
+  if (Arrived.Topic == ConfigTopic)
+    return this->acceptConfig(Arrived, Now);
+  if (!listTopicDataCentre(Arrived.Topic).empty())
+    this->acceptList(Arrived, Now);
+  return true;
+}
+
+bool ControlPlane::acceptConfig(const Spreader::Arrival &Arrived,
+                                TimePoint Now) {
+  CompileResult Made = compileConfig(*Arrived.Held, this->Opts.Compile);
+  std::string Stamp = Arrived.Held->stamp().text();
+  if (!Made.Compiled) {
+    this->View.setRefusal(Arrived.Held->stamp(), Made.Faults.front().text());
+    for (const Fault &One : Made.Faults)
+      this->Trail.add(Now, "version-refused", Stamp, Arrived.From, One.text());
+    this->reportSoon(Now);
+    return false;
+  }
+  this->InForce = Made.Compiled;
+  this->InForceFrom = Arrived.From;
+  this->InForceSince = Now;
+  this->View.setInForce(Arrived.Held->stamp());
+  this->Trail.add(Now, "version-in-force", Stamp, Arrived.From, "taken");
+  this->Hook.ConfigChanged(this->InForce, Now);
+  this->reportSoon(Now);
+  return true;
+}
+
+void ControlPlane::acceptList(const Spreader::Arrival &Arrived, TimePoint Now) {
+  uint64_t Before = this->Fleet.generation();
+  this->Fleet.update(listTopicDataCentre(Arrived.Topic), *Arrived.Held);
+  if (this->Fleet.generation() == Before)
+    return;
+  this->Trail.add(Now, "list",
+                  Arrived.Topic + " " + Arrived.Held->stamp().text(),
+                  Arrived.From, "taken");
+  this->NeedRetarget = true;
+  this->Hook.MembersChanged(Now);
+}
+
+std::optional<Millis> ControlPlane::oldestListAge(TimePoint Now) const {
+  std::optional<Millis> Oldest;
+  for (const std::string &Name : this->Opts.DataCentres) {
+    std::optional<Millis> Age = this->Spread.age(listTopic(Name), Now);
+    if (!Age)
+      return std::nullopt;
+    if (!Oldest || *Age > *Oldest)
+      Oldest = Age;
+  }
+  return Oldest;
+}
+
+std::vector<std::string> ControlPlane::peers() const {
+  std::vector<std::string> Out;
+  for (const auto &[Link, One] : this->Peers)
+    if (One.Greeted)
+      Out.push_back(One.Name);
+  return Out;
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/control/ControlPlane.h
@@ -0,0 +1,160 @@
+#ifndef HICKORYLIFT_CONTROL_CONTROLPLANE_H
+#define HICKORYLIFT_CONTROL_CONTROLPLANE_H
+
+#include "audit/AuditTrail.h"
+#include "config/Config.h"
+#include "membership/Membership.h"
+#include "platform/Reader.h"
+#include "spread/FleetView.h"
+#include "spread/Spreader.h"
+
+// The ControlPlane is all that one node decides about configuration and
+// membership: whether to read the platform, whom to dial, what to put in
+// force. It has no socket and no clock.
+//
+//   ControlPlane Control(Options, Platform, Hooks);
+//   Control.tick(Now);                       // ten times a second
+//   Control.linkOpened(Link, "portal-2", Now);   // a dial succeeded
+//   Control.linkOpened(Link, "", Now);           // a peer dialled us
+//   Control.frame(Link, Bytes, Now);
+//   ConfigPtr InForce = Control.config();    // null until there is one
+
+namespace hickorylift {
+
+/// Rises when the frames between nodes change in a way worth telling apart.
+constexpr uint32_t BuildNumber = 1;
+
+class ControlPlane {
+public:
+  struct Options {
+    std::string Self;
+    std::string DataCentre;
+    /// All data centres of the deployment. A list of each is needed before an
+    /// idempotency key can be judged.
+    std::vector<std::string> DataCentres;
+    uint64_t Incarnation = 1;
+    uint32_t Build = BuildNumber;
+    uint64_t Seed = 1;
+    /// Peers to try before the platform's list is known: name to address.
+    std::map<std::string, std::string> Seeds;
+    /// How long a starting node waits for peers before it asks the platform.
+    Millis PeersFirst{1000};
+    /// Between two attempts to reach a neighbour; doubles, with jitter.
+    Millis FirstRedial{100};
+    Millis LongestRedial{5000};
+    /// Links accepted at once. More are closed at the handshake, and the peer
+    /// comes back later.
+    size_t MaxLinks = 256;
+    /// Reports older than this count as not heard.
+    Millis ReportFreshness{15000};
+    /// A changed report waits this long for others before it goes up.
+    Millis ReportBatch{100};
+    /// A jump of the clock between two ticks that counts as a pause.
+    Millis PauseThreshold{1500};
+    Membership::Options Members;
+    Spreader::Options Spread;
+    Reader::Options Read;
+    CompileOptions Compile;
+    size_t AuditCapacity = 1000;
+  };
+
+  struct Hooks {
+    std::function<void(const std::string &Peer, const std::string &Address)>
+        Dial;
+    std::function<void(LinkId, std::string Bytes)> Send;
+    std::function<void(LinkId)> Close;
+    std::function<void(const ConfigPtr &, TimePoint)> ConfigChanged =
+        [](const ConfigPtr &, TimePoint) {};
+    std::function<void(TimePoint)> MembersChanged = [](TimePoint) {};
+    AuditTrail::Hook Audit = [](const AuditEvent &) {};
+  };
+
+  ControlPlane(Options Opts, Platform &From, Hooks Hooks);
+
+  void tick(TimePoint Now);
+  /// Dialled is the peer's name where this node dialled; else empty.
+  void linkOpened(LinkId Link, const std::string &Dialled, TimePoint Now);
+  void dialFailed(const std::string &Peer, TimePoint Now);
+  void frame(LinkId Link, std::string_view Bytes, TimePoint Now);
+  void linkClosed(LinkId Link, TimePoint Now);
+  /// Tells the peers that this node stops as planned.
+  void goodbye();
+
+  ConfigPtr config() const { return this->InForce; }
+  /// Where the version in force came from, and when.
+  const std::string &configSource() const { return this->InForceFrom; }
+  std::optional<TimePoint> configSince() const { return this->InForceSince; }
+  const Membership &members() const { return this->Fleet; }
+  /// Age of the oldest list among all data centres; nullopt while any of them
+  /// is unknown or was never confirmed.
+  std::optional<Millis> oldestListAge(TimePoint Now) const;
+  std::vector<wire::FleetReportT> fleet(TimePoint Now) const {
+    return this->View.fleet(Now);
+  }
+  const AuditTrail &audit() const { return this->Trail; }
+  AuditTrail &audit() { return this->Trail; }
+  const Spreader &spreader() const { return this->Spread; }
+  const Reader &reader() const { return this->Read; }
+  /// Names of the peers with a control link.
+  std::vector<std::string> peers() const;
+
+private:
+  struct Target {
+    std::string Address;
+    Tie Kind = Tie::Tree;
+    std::optional<LinkId> Link;
+    bool Dialling = false;
+    unsigned Failures = 0;
+    TimePoint NextDial;
+    // A seed, kept until the list names neighbours.
+    bool Seed = false;
+  };
+
+  struct Peer {
+    std::string Name;
+    bool Greeted = false;
+    bool Dialled = false;
+    Tie Kind = Tie::Tree;
+  };
+
+  void retarget(TimePoint Now);
+  void dialTargets(TimePoint Now);
+  void greet(LinkId Link, const Peer &To);
+  void onHello(LinkId Link, Peer &From, const wire::HelloT &Hello,
+               TimePoint Now);
+  void onReport(LinkId Link, const wire::FleetReportT &Report, TimePoint Now);
+  void drop(LinkId Link, TimePoint Now);
+  bool accept(const Spreader::Arrival &Arrived, TimePoint Now);
+  bool acceptConfig(const Spreader::Arrival &Arrived, TimePoint Now);
+  void acceptList(const Spreader::Arrival &Arrived, TimePoint Now);
+  Reader::Duty duty(TimePoint Now);
+  void exchangeReports(TimePoint Now);
+  void reportSoon(TimePoint Now);
+  std::optional<LinkId> parentLink() const;
+  Spreader::Hooks spreadHooks();
+  Reader::Hooks readHooks();
+
+  Options Opts;
+  Hooks Hook;
+  AuditTrail Trail;
+  Membership Fleet;
+  FleetView View;
+  Spreader Spread;
+  Reader Read;
+  std::mt19937_64 Random;
+  std::map<std::string, Target> Targets;
+  std::map<LinkId, Peer> Peers;
+  ConfigPtr InForce;
+  std::string InForceFrom;
+  std::optional<TimePoint> InForceSince;
+  std::optional<TimePoint> StartedAt;
+  std::optional<TimePoint> LastTick;
+  bool NeedRetarget = true;
+  TimePoint NextExchange;
+  TimePoint NowForHooks;
+  std::string LastReaderError;
+};
+
+} // namespace hickorylift
+
+#endif
--- /dev/null
+++ b/src/gate/Admission.h
@@ -0,0 +1,145 @@
+#ifndef HICKORYLIFT_GATE_ADMISSION_H
+#define HICKORYLIFT_GATE_ADMISSION_H
+
+#include "base/TokenBucket.h"
+#include "calls/Message.h"
+#include "config/Config.h"
+
+#include <map>
+#include <random>
+#include <set>
+#include <vector>
+
+// Admission is the one judge of an upstream's slots. It sees every call for
+// the upstream, so the limits hold without any shared state.
+//
+//   Admission Slots(/*Seed=*/7);
+//   Slots.configure(Service, Now);
+//   Admission::Answer A = Slots.ask({Id, Deadline, Priority, Class, Limit},
+//   Now); if (A.What == Admission::Verdict::Run) start(Id);
+//   ...
+//   Slots.finished(Id, Now);
+//   for (CallId Next : Slots.next(Now).Run) start(Next);
+
+namespace hickorylift {
+
+class Admission {
+public:
+  struct Options {
+    /// Weight of the newest call in the mean run time.
+    double LatencyWeight = 0.1;
+    /// Assumed run time before the first call ended.
+    Millis FirstLatency{20};
+    /// A call is dropped when what is left of its deadline is less than this
+    /// share of the mean run time: it would most likely end too late.
+    double NeededShare = 1.0;
+    /// Slots given up when the upstream sheds, and regained for each answer.
+    double ShedFactor = 0.7;
+    double RegainPerAnswer = 0.05;
+    /// Bounds of the advice when to come back.
+    Millis ShortestRetry{20};
+    Millis LongestRetry{5000};
+  };
+
+  enum class Verdict { Run, Wait, Refuse };
+
+  struct Ask {
+    CallId Id;
+    TimePoint Deadline;
+    /// 0 is the most urgent.
+    uint32_t Priority = 4;
+    std::string Class;
+    /// The route's limit; null for none.
+    const Limit *Bound = nullptr;
+  };
+
+  struct Answer {
+    Verdict What = Verdict::Run;
+    Refusal Why;
+  };
+
+  struct Dropped {
+    CallId Id;
+    Refusal Why;
+  };
+
+  struct Next {
+    std::vector<CallId> Run;
+    std::vector<Dropped> Drop;
+  };
+
+  Admission(Options Opts, uint64_t Seed) : Opts(Opts), Random(Seed) {}
+
+  void configure(const Service &Of, TimePoint Now);
+  Answer ask(const Ask &One, TimePoint Now);
+  /// Ends a running or a waiting call. Answered is false where the run says
+  /// nothing about the upstream's speed.
+  void finished(const CallId &Id, bool Answered, TimePoint Now);
+  /// The upstream refused work for overload.
+  void shed(TimePoint Now);
+  /// Calls that may start now, and calls that waited in vain.
+  Next next(TimePoint Now);
+
+  /// The first reason closes the gate to new work; waiting calls are dropped
+  /// by the next call of next().
+  void drain(const std::string &By);
+  /// Opens the gate again: the leaving mark was taken back.
+  void reopen() { this->DrainedBy.clear(); }
+  bool draining() const { return !this->DrainedBy.empty(); }
+  const std::string &drainedBy() const { return this->DrainedBy; }
+
+  wire::Load load(TimePoint Now) const;
+  size_t running() const { return this->Running.size(); }
+  size_t waiting() const { return this->Queue.size(); }
+
+private:
+  struct RunningCall {
+    TimePoint Since;
+    std::string LimitKey;
+  };
+
+  struct Waiting {
+    Ask One;
+    TimePoint Since;
+    std::string LimitKey;
+  };
+
+  struct LimitState {
+    TokenBucket Rate;
+    uint32_t Concurrency = 0;
+    uint32_t Running = 0;
+  };
+
+  // Most urgent first, then the nearest deadline, then the order of arrival.
+  using QueueKey = std::tuple<uint32_t, TimePoint, CallId>;
+
+  Answer refuse(const std::string &Reason, Millis RetryAfter,
+                unsigned Status = 0);
+  size_t openSlots(TimePoint Now) const;
+  Clock::duration expectedWait(size_t Ahead, TimePoint Now) const;
+  Millis comeBack(Clock::duration Wait);
+  std::string limitKey(const Ask &One) const;
+  std::optional<Answer> checkLimit(const Ask &One, const std::string &Key,
+                                   TimePoint Now);
+  void release(const std::string &LimitKey);
+  bool inTime(const Ask &One, TimePoint Now) const;
+  size_t countAhead(const QueueKey &Key) const;
+
+  Options Opts;
+  std::mt19937_64 Random;
+  Service Of;
+  bool Configured = false;
+  TimePoint ReadySince;
+  // Learned from shedding; never above Of.Slots.
+  double Window = 1;
+  std::optional<Clock::duration> MeanRun;
+  std::map<CallId, RunningCall> Running;
+  std::map<QueueKey, Waiting> Queue;
+  std::map<CallId, QueueKey> Places;
+  std::map<std::string, LimitState> Limits;
+  std::string DrainedBy;
+};
+
+} // namespace hickorylift
+
+#endif
--- /dev/null
+++ b/src/membership/Membership.cpp
@@ -0,0 +1,241 @@
+#include "membership/Membership.h"
+
+#include "base/Hash.h"
+#include "base/NetAddress.h"
+
+#include <algorithm>
+
+// The spreading tree of a data centre is the k-ary heap over its instances,
+// ordered by the hash of a salt and the name: an instance's parent is at index
+// (i - 1) / k. Nothing has to be agreed on. A second tree with another salt
+// gives the backup links; an inner node of the first is most likely a leaf of
+// the second, so one death seldom cuts both.
+
+namespace hickorylift {
+
+namespace {
+
+const std::string TreeSalt = "tree";
+const std::string BackupSalt = "backup";
+const std::string ReaderSalt = "reader";
+const std::string ListPrefix = "instances/";
+
+std::string address(JsonObject &From, const std::string &Key) {
+  std::string Text = From.string(Key, std::nullopt);
+  if (!Text.empty() && !parseAddress(Text))
+    From.fault(Key, "expected an address \"ip:port\" that can be reached");
+  return Text;
+}
+
+} // namespace
+
+std::string listTopic(const std::string &DataCentre) {
+  return ListPrefix + DataCentre;
+}
+
+std::string listTopicDataCentre(const std::string &Topic) {
+  if (Topic.rfind(ListPrefix, 0) != 0)
+    return "";
+  return Topic.substr(ListPrefix.size());
+}
+
+std::string writeInstance(const Instance &One) {
+  Json::Value Out(Json::objectValue);
+  Out["name"] = One.Name;
+  Out["data_centre"] = One.DataCentre;
+  Out["service"] = One.Service;
+  Out["node"] = One.Node;
+  Out["operator"] = One.Operator;
+  Out["state"] = One.Leaving ? "leaving" : "live";
+  return writeJson(Out);
+}
+
+namespace {
+
+Instance readFields(JsonObject &Top) {
+  Instance One;
+  One.Name = Top.name("name");
+  One.DataCentre = Top.name("data_centre");
+  One.Service = Top.name("service");
+  One.Node = address(Top, "node");
+  One.Operator = address(Top, "operator");
+  One.Leaving =
+      Top.oneOf("state", std::nullopt, {"live", "leaving"}) == "leaving";
+  return One;
+}
+
+} // namespace
+
+std::optional<Instance> readInstance(const std::string &Text,
+                                     const std::string &File,
+                                     FaultList &Faults) {
+  size_t Before = Faults.size();
+  std::optional<Json::Value> Root = parseJson(Text, File, Faults);
+  if (!Root)
+    return std::nullopt;
+  JsonObject Top({File, Text, &Faults}, *Root, "");
+  Instance One = readFields(Top);
+  // Unknown keys are passed over: the platform may say more than we read.
+  if (Faults.size() != Before)
+    return std::nullopt;
+  return One;
+}
+
+Result<DocumentPtr> readInstanceList(const std::string &Text,
+                                     const std::string &DataCentre,
+                                     uint64_t Revision) {
+  FaultList Faults;
+  std::string File = listTopic(DataCentre);
+  std::optional<Json::Value> Root = parseJson(Text, File, Faults);
+  EntryMap Entries;
+  if (Root && !(*Root)["instances"].isArray())
+    Faults.push_back({File, 1, 1, "/instances", "expected a list"});
+  else if (Root)
+    for (Json::ArrayIndex I = 0; I < (*Root)["instances"].size(); ++I) {
+      JsonObject Top({File, Text, &Faults}, (*Root)["instances"][I],
+                     "/instances/" + std::to_string(I));
+      Instance One = readFields(Top);
+      if (One.DataCentre != DataCentre)
+        Top.fault("data_centre", "expected " + DataCentre);
+      Entries[One.Name] = makeEntry(One.Name, writeInstance(One));
+    }
+  if (!Faults.empty())
+    return Error{Errc::Invalid, "read-list", "platform", Faults.front().text()};
+  return Document::make(Revision, Revision, std::move(Entries));
+}
+
+void Membership::update(const std::string &DataCentre, const Document &List) {
+  std::map<std::string, Instance> Read;
+  for (const auto &[Name, Held] : List.entries()) {
+    FaultList Faults;
+    if (std::optional<Instance> One = readInstance(*Held.Bytes, Name, Faults))
+      Read[One->Name] = std::move(*One);
+  }
+  if (this->Lists[DataCentre] == Read)
+    return;
+  this->Lists[DataCentre] = std::move(Read);
+  this->rebuild();
+}
+
+void Membership::rebuild() {
+  ++this->Generation;
+  this->ByName.clear();
+  this->ByService.clear();
+  for (const auto &[DataCentre, List] : this->Lists)
+    for (const auto &[Name, One] : List)
+      this->ByName[Name] = &One;
+  for (const auto &[Name, One] : this->ByName)
+    this->ByService[One->Service].push_back(One);
+}
+
+const Instance *Membership::find(const std::string &Name) const {
+  auto Found = this->ByName.find(Name);
+  return Found == this->ByName.end() ? nullptr : Found->second;
+}
+
+const std::vector<const Instance *> &
+Membership::upstreams(const std::string &Service) const {
+  static const std::vector<const Instance *> None;
+  auto Found = this->ByService.find(Service);
+  return Found == this->ByService.end() ? None : Found->second;
+}
+
+std::vector<std::string> Membership::dataCentres() const {
+  std::vector<std::string> Out;
+  for (const auto &[Name, List] : this->Lists)
+    Out.push_back(Name);
+  return Out;
+}
+
+size_t Membership::size(const std::string &DataCentre) const {
+  auto Found = this->Lists.find(DataCentre);
+  return Found == this->Lists.end() ? 0 : Found->second.size();
+}
+
+std::vector<const Instance *>
+Membership::ordered(const std::string &DataCentre,
+                    const std::string &Salt) const {
+  auto Found = this->Lists.find(DataCentre);
+  if (Found == this->Lists.end())
+    return {};
+  std::vector<std::pair<uint64_t, const Instance *>> Ranked;
+  for (const auto &[Name, One] : Found->second)
+    Ranked.emplace_back(rendezvousScore(Salt, Name), &One);
+  std::sort(Ranked.begin(), Ranked.end(), [](const auto &A, const auto &B) {
+    return A.first != B.first ? A.first < B.first
+                              : A.second->Name < B.second->Name;
+  });
+  std::vector<const Instance *> Out;
+  for (const auto &[Score, One] : Ranked)
+    Out.push_back(One);
+  return Out;
+}
+
+bool Membership::isReader() const {
+  auto Ranked = this->ordered(this->Opts.DataCentre, ReaderSalt);
+  if (Ranked.empty())
+    return true;
+  size_t Left = this->Opts.Readers;
+  for (const Instance *One : Ranked) {
+    if (One->Leaving)
+      continue;
+    if (One->Name == this->Opts.Self)
+      return true;
+    if (--Left == 0)
+      return false;
+  }
+  return false;
+}
+
+const Instance *Membership::parentIn(const std::string &Salt) const {
+  auto Order = this->ordered(this->Opts.DataCentre, Salt);
+  uint64_t Own = rendezvousScore(Salt, this->Opts.Self);
+  // Our place, or the one that we shall have: the list lags, and a node that
+  // is not on it yet needs a parent all the same.
+  size_t Place = 0;
+  while (Place < Order.size() &&
+         rendezvousScore(Salt, Order[Place]->Name) < Own)
+    ++Place;
+  if (Place == 0)
+    return nullptr;
+  return Order[(Place - 1) / this->Opts.Fanout];
+}
+
+const Instance *Membership::parent() const { return this->parentIn(TreeSalt); }
+
+const Instance *Membership::root(const std::string &DataCentre) const {
+  auto Order = this->ordered(DataCentre, TreeSalt);
+  return Order.empty() ? nullptr : Order.front();
+}
+
+std::vector<Neighbour> Membership::neighbours() const {
+  std::vector<Neighbour> Out;
+  const Instance *Tree = this->parentIn(TreeSalt);
+  const Instance *Backup = this->parentIn(BackupSalt);
+  if (Tree)
+    Out.push_back({Tree, Tie::Tree});
+  if (Backup && Backup != Tree)
+    Out.push_back({Backup, Tie::Backup});
+  this->addBridges(Out);
+  return Out;
+}
+
+// The first few of each data centre's tree hold the links to the others. They
+// announce only: while the platform answers everywhere, each data centre's own
+// readers bring the documents, and nothing but heartbeats crosses.
+void Membership::addBridges(std::vector<Neighbour> &Out) const {
+  auto Own = this->ordered(this->Opts.DataCentre, TreeSalt);
+  for (size_t I = 0; I < Own.size() && I < this->Opts.Bridges; ++I) {
+    if (Own[I]->Name != this->Opts.Self)
+      continue;
+    for (const auto &[Other, List] : this->Lists) {
+      if (Other <= this->Opts.DataCentre)
+        continue;
+      auto Theirs = this->ordered(Other, TreeSalt);
+      if (!Theirs.empty())
+        Out.push_back({Theirs[std::min(I, Theirs.size() - 1)], Tie::Bridge});
+    }
+  }
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/membership/Membership.h
@@ -0,0 +1,124 @@
+#ifndef HICKORYLIFT_MEMBERSHIP_MEMBERSHIP_H
+#define HICKORYLIFT_MEMBERSHIP_MEMBERSHIP_H
+
+#include "base/Json.h"
+#include "config/Document.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+// Membership is what a node knows of the fleet: the platform's lists, one for
+// each data centre, as they came to it. It answers who reads the platform, who
+// links to whom, and who serves a service. Every node that has the same lists
+// gives the same answers; nodes whose lists differ for a while agree on most.
+//
+//   Membership Fleet({.Self = "portal-3", .DataCentre = "north"});
+//   Fleet.update("north", *ListDocument);
+//   if (Fleet.isReader()) ...
+//   for (const Neighbour &N : Fleet.neighbours()) dial(N.Who->Node);
+
+namespace hickorylift {
+
+/// One upstream with its node.
+struct Instance {
+  std::string Name;
+  std::string DataCentre;
+  std::string Service;
+  /// "ip:port" where the node accepts its peers.
+  std::string Node;
+  /// "ip:port" of the node's operator interface.
+  std::string Operator;
+  /// The platform marks it as about to go.
+  bool Leaving = false;
+
+  bool operator==(const Instance &) const = default;
+};
+
+/// The topic of a data centre's list.
+std::string listTopic(const std::string &DataCentre);
+/// The inverse; empty if Topic is none.
+std::string listTopicDataCentre(const std::string &Topic);
+
+/// An instance as a document's entry, and back.
+std::string writeInstance(const Instance &One);
+std::optional<Instance> readInstance(const std::string &Text,
+                                     const std::string &File,
+                                     FaultList &Faults);
+/// The platform's value for one data centre as a document. Any fault refuses
+/// the whole list.
+Result<DocumentPtr> readInstanceList(const std::string &Text,
+                                     const std::string &DataCentre,
+                                     uint64_t Revision);
+
+enum class Tie {
+  /// Documents are pushed along it.
+  Tree,
+  /// Documents are announced along it: the second tree, the ring of data
+  /// centres.
+  Backup,
+  Bridge,
+};
+
+struct Neighbour {
+  const Instance *Who = nullptr;
+  Tie Kind = Tie::Tree;
+};
+
+class Membership {
+public:
+  struct Options {
+    std::string Self;
+    std::string DataCentre;
+    /// Nodes that watch the platform, in each data centre.
+    size_t Readers = 2;
+    /// Children of one node in a spreading tree. More make the tree flatter
+    /// and load its inner nodes more.
+    size_t Fanout = 4;
+    /// Nodes of each data centre that link to the other data centres.
+    size_t Bridges = 2;
+  };
+
+  explicit Membership(Options Opts) : Opts(std::move(Opts)) {}
+
+  /// Takes a newer list of one data centre.
+  void update(const std::string &DataCentre, const Document &List);
+
+  /// Whether this node is among its data centre's readers. True while its own
+  /// list is empty: with nothing known, someone has to ask.
+  bool isReader() const;
+  /// Whom this node dials. Each link is dialled by one end only: by the child
+  /// in a tree, and between data centres by the one whose name sorts first.
+  std::vector<Neighbour> neighbours() const;
+  /// The parent in the spreading tree, to whom reports go; null at the root.
+  const Instance *parent() const;
+  /// The root of a data centre's tree; null if its list is unknown or empty.
+  const Instance *root(const std::string &DataCentre) const;
+
+  const Instance *find(const std::string &Name) const;
+  /// All of one service, of all data centres, in the order of their names.
+  const std::vector<const Instance *> &
+  upstreams(const std::string &Service) const;
+  std::vector<std::string> dataCentres() const;
+  size_t size() const { return this->ByName.size(); }
+  size_t size(const std::string &DataCentre) const;
+  /// Rises with every update that changed anything.
+  uint64_t generation() const { return this->Generation; }
+
+private:
+  std::vector<const Instance *> ordered(const std::string &DataCentre,
+                                        const std::string &Salt) const;
+  const Instance *parentIn(const std::string &Salt) const;
+  void addBridges(std::vector<Neighbour> &Out) const;
+  void rebuild();
+
+  Options Opts;
+  std::map<std::string, std::map<std::string, Instance>> Lists;
+  std::map<std::string, const Instance *> ByName;
+  std::map<std::string, std::vector<const Instance *>> ByService;
+  uint64_t Generation = 0;
+};
+
+} // namespace hickorylift
+
+#endif
--- /dev/null
+++ b/src/operator/OperatorServer.cpp
@@ -0,0 +1,238 @@
+#include "operator/OperatorServer.h"
+
+#include "node/Node.h"
+
+namespace hickorylift {
+
+namespace {
+
+constexpr unsigned Ok = 200;
+constexpr unsigned NotFound = 404;
+constexpr unsigned NotAllowed = 405;
+constexpr unsigned Unavailable = 503;
+
+Json::Value toJson(const Stamp &Of) {
+  Json::Value Out(Json::objectValue);
+  Out["version"] = Json::UInt64(Of.Version);
+  Out["revision"] = Json::UInt64(Of.Revision);
+  Out["stamp"] = Of.text();
+  return Out;
+}
+
+Json::Value toJson(const std::map<std::string, uint64_t> &Counts) {
+  Json::Value Out(Json::objectValue);
+  for (const auto &[Name, Count] : Counts)
+    Out[Name] = Json::UInt64(Count);
+  return Out;
+}
+
+void answer(SoupServerMessage *To, unsigned Status, const char *Type,
+            const std::string &Text) {
+  soup_server_message_set_status(To, Status, nullptr);
+  soup_server_message_set_response(To, Type, SOUP_MEMORY_COPY, Text.data(),
+                                   Text.size());
+}
+
+void answerJson(SoupServerMessage *To, const Json::Value &Value,
+                unsigned Status = Ok) {
+  answer(To, Status, "application/json", writeJson(Value) + "\n");
+}
+
+std::string queryValue(GHashTable *Query, const char *Key,
+                       const std::string &Default) {
+  const char *Found =
+      Query ? static_cast<const char *>(g_hash_table_lookup(Query, Key))
+            : nullptr;
+  return Found ? Found : Default;
+}
+
+} // namespace
+
+OperatorServer::OperatorServer(Node &Of)
+    : Of(Of), Server(soup_server_new(nullptr, nullptr)) {
+  soup_server_add_handler(this->Server, nullptr, onRequest, this, nullptr);
+}
+
+OperatorServer::~OperatorServer() {
+  soup_server_disconnect(this->Server);
+  g_object_unref(this->Server);
+}
+
+Result<bool> OperatorServer::listen(const NetAddress &At) {
+  GError *Why = nullptr;
+  GSocketAddress *Address =
+      g_inet_socket_address_new_from_string(At.Ip.c_str(), At.Port);
+  bool Listening = soup_server_listen(
+      this->Server, Address, static_cast<SoupServerListenOptions>(0), &Why);
+  g_object_unref(Address);
+  if (Listening)
+    return true;
+  Error Out{Errc::Refused, "listen-operator", At.text(), Why->message};
+  g_clear_error(&Why);
+  return Out;
+}
+
+void OperatorServer::onRequest(SoupServer *, SoupServerMessage *Message,
+                               const char *PathText, GHashTable *Query,
+                               gpointer Data) {
+  auto *Self = static_cast<OperatorServer *>(Data);
+  std::string Path = PathText;
+  std::string Method = soup_server_message_get_method(Message);
+  bool Changes = Path == "/drain" || Path == "/undrain";
+  if (Method != (Changes ? "POST" : "GET"))
+    return answer(Message, NotAllowed, "text/plain",
+                  Changes ? "use POST\n" : "use GET\n");
+  if (Path == "/status")
+    return answerJson(Message, Self->status());
+  if (Path == "/fleet")
+    return answerJson(Message, Self->fleet());
+  if (Path == "/audit")
+    return answerJson(Message, Self->audit());
+  if (Path == "/explain")
+    return answerJson(Message, Self->explain(Query));
+  if (Path == "/metrics")
+    return answer(Message, Ok, "text/plain; version=0.0.4",
+                  Self->Measured.text(Self->Of));
+  if (Path == "/ready")
+    return Self->Of.ready()
+               ? answer(Message, Ok, "text/plain", "ready\n")
+               : answer(Message, Unavailable, "text/plain", "not ready\n");
+  if (Path == "/drain") {
+    Self->Of.drainGate("operator");
+    return answer(Message, Ok, "text/plain", "draining\n");
+  }
+  if (Path == "/undrain") {
+    Self->Of.reopenGate();
+    return answer(Message, Ok, "text/plain",
+                  Self->Of.gate().draining() ? "draining\n" : "open\n");
+  }
+  answer(Message, NotFound, "text/plain",
+         "try /status /fleet /audit /explain /metrics /ready /drain\n");
+}
+
+Json::Value OperatorServer::status() {
+  TimePoint Now = this->Of.now();
+  ControlPlane &Control = this->Of.control();
+  Json::Value Out(Json::objectValue);
+  Out["name"] = this->Of.settings().Name;
+  Out["data_centre"] = this->Of.settings().DataCentre;
+  Out["service"] = this->Of.settings().Service;
+  Out["incarnation"] = Json::UInt64(this->Of.incarnation());
+  Out["build"] = BuildNumber;
+  Out["up_ms"] = Json::Int64(toMillis(Now - this->Of.startedAt()).count());
+  Out["ready"] = this->Of.ready();
+  if (ConfigPtr Held = Control.config()) {
+    Out["config"] = toJson(Held->stamp());
+    Out["config"]["from"] = Control.configSource();
+    Out["config"]["for_ms"] =
+        Json::Int64(toMillis(Now - *Control.configSince()).count());
+  }
+  if (DocumentPtr Newest = Control.spreader().held(ConfigTopic))
+    Out["newest_known"] = toJson(Newest->stamp());
+  if (std::optional<Millis> Age = Control.oldestListAge(Now))
+    Out["oldest_list_age_ms"] = Json::Int64(Age->count());
+  Out["instances"] = Json::UInt64(Control.members().size());
+  Out["reader"] = Control.members().isReader();
+  for (const std::string &Peer : Control.peers())
+    Out["peers"].append(Peer);
+  wire::Load Load = this->Of.gate().load(Now);
+  Json::Value &Upstream = Out["upstream"];
+  Upstream["reachable"] = this->Of.upstreamReachable();
+  Upstream["says"] = this->Of.upstreamSays();
+  Upstream["drained_by"] = this->Of.gate().drainedBy();
+  Upstream["running"] = Load.in_flight();
+  Upstream["waiting"] = Load.queued();
+  Upstream["slots"] = Load.slots();
+  Upstream["mean_run_us"] = Load.latency_us();
+  Out["entry"]["calls"] = Json::UInt64(this->Of.entry().calls());
+  Out["entry"]["refused"] = toJson(this->Of.entry().counters().RefusedBy);
+  Out["gate"]["refused"] = toJson(this->Of.gate().counters().RefusedBy);
+  return Out;
+}
+
+Json::Value OperatorServer::fleet() {
+  TimePoint Now = this->Of.now();
+  ControlPlane &Control = this->Of.control();
+  const Membership &Fleet = Control.members();
+  Json::Value Out(Json::objectValue);
+  const Instance *Root = Fleet.root(this->Of.settings().DataCentre);
+  bool IsRoot = !Root || Root->Name == this->Of.settings().Name;
+  Out["complete"] = IsRoot;
+  if (!IsRoot)
+    Out["root"] = Root->Operator;
+  for (const std::string &Name : Fleet.dataCentres())
+    Out["listed"][Name] = Json::UInt64(Fleet.size(Name));
+  Out["data_centres"] = Json::Value(Json::objectValue);
+  for (const wire::FleetReportT &Report : Control.fleet(Now)) {
+    Json::Value &Row = Out["data_centres"][Report.data_centre];
+    Row["heard"] = Report.heard;
+    for (const auto &Count : Report.counts) {
+      Json::Value One = toJson(stampFromWire(Count->stamp.get()));
+      One["build"] = Count->build;
+      One["nodes"] = Count->nodes;
+      Row["versions"].append(One);
+    }
+    for (const auto &Refused : Report.refusals) {
+      Json::Value One = toJson(stampFromWire(Refused->stamp.get()));
+      One["nodes"] = Refused->nodes;
+      One["sample_node"] = Refused->sample_node;
+      One["fault"] = Refused->fault;
+      Row["refusals"].append(One);
+    }
+  }
+  return Out;
+}
+
+Json::Value OperatorServer::audit() {
+  TimePoint Now = this->Of.now();
+  Json::Value Out(Json::arrayValue);
+  for (const AuditEvent &One : this->Of.control().audit().events()) {
+    Json::Value Row(Json::objectValue);
+    Row["number"] = Json::UInt64(One.Number);
+    Row["ago_ms"] = Json::Int64(toMillis(Now - One.At).count());
+    Row["what"] = One.What;
+    Row["subject"] = One.Subject;
+    Row["source"] = One.Source;
+    Row["outcome"] = One.Outcome;
+    Out.append(Row);
+  }
+  return Out;
+}
+
+Json::Value OperatorServer::explain(GHashTable *Query) {
+  RequestHead Head;
+  Head.Method = queryValue(Query, "method", "GET");
+  Head.Path = queryValue(Query, "path", "/");
+  std::string Key = queryValue(Query, "key", "");
+  if (!Key.empty())
+    Head.Headers.push_back({"Idempotency-Key", Key});
+  Entry::Explanation Found = this->Of.entry().explain(Head, this->Of.now());
+  Json::Value Out(Json::objectValue);
+  Out["method"] = Head.Method;
+  Out["path"] = Head.Path;
+  Out["note"] = Found.Note;
+  if (ConfigPtr Held = this->Of.control().config()) {
+    Out["config"] = toJson(Held->stamp());
+    Out["config"]["from"] = this->Of.control().configSource();
+  }
+  if (Found.Taken) {
+    Out["route"] = Found.Taken->Name;
+    Out["service"] = Found.Taken->Target->Name;
+    Out["idempotent"] = Found.Taken->isIdempotent(Head.Method);
+    Out["timeout_ms"] = Json::Int64(Found.Taken->Timeout.count());
+  }
+  for (const Instance *One : Found.Candidates) {
+    Json::Value Row(Json::objectValue);
+    Row["name"] = One->Name;
+    Row["data_centre"] = One->DataCentre;
+    Row["leaving"] = One->Leaving;
+    Row["ejected"] =
+        this->Of.entry().chooser().isEjected(One->Name, this->Of.now());
+    Out["candidates"].append(Row);
+  }
+  if (Found.Chosen)
+    Out["chosen"] = Found.Chosen->Name;
+  return Out;
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/peer/Transport.h
@@ -0,0 +1,127 @@
+#ifndef HICKORYLIFT_PEER_TRANSPORT_H
+#define HICKORYLIFT_PEER_TRANSPORT_H
+
+#include "base/Error.h"
+#include "base/NetAddress.h"
+#include "base/Time.h"
+
+#include <gio/gio.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+// A Transport carries frames between nodes over TCP, on the GLib loop. A frame
+// is four bytes of length, little-endian, and that many bytes.
+//
+//   Transport::Hooks Hooks;
+//   Hooks.Opened = [&](uint64_t Link, char Purpose, const std::string &Dialled,
+//                      TimePoint Now) { ... };
+//   Transport Net(Transport::Options(), Hooks, Clock);
+//   Net.listen(Address);
+//   Net.dial('C', "portal-2", Address);
+//   Net.send(Link, Bytes);
+
+namespace hickorylift {
+
+/// First byte of a connection: which plane it belongs to.
+constexpr char ControlPurpose = 'C';
+constexpr char CallPurpose = 'D';
+
+class Transport {
+public:
+  struct Options {
+    /// Longest frame that is read, in bytes; a longer one closes the link.
+    size_t MaxFrameBytes = 2u << 20;
+    /// Bytes that may wait to be written on one link. A peer that reads too
+    /// slowly for that is closed: its heartbeats could not get through either.
+    size_t MaxQueuedBytes = 32u << 20;
+    /// A dial that has not connected by then has failed.
+    Millis DialTimeout{2000};
+    /// Connections accepted in one turn of the loop; the rest wait.
+    size_t AcceptsPerTurn = 32;
+    /// Connections held at once.
+    size_t MaxLinks = 4096;
+  };
+
+  struct Hooks {
+    /// Dialled is empty where the peer dialled.
+    std::function<void(uint64_t Link, char Purpose, const std::string &Dialled,
+                       TimePoint)>
+        Opened;
+    std::function<void(char Purpose, const std::string &Dialled, const Error &,
+                       TimePoint)>
+        DialFailed;
+    std::function<void(uint64_t Link, char Purpose, std::string_view Bytes,
+                       TimePoint)>
+        Frame;
+    /// Not called for links that close() ended.
+    std::function<void(uint64_t Link, char Purpose, const Error &, TimePoint)>
+        Closed;
+  };
+
+  Transport(Options Opts, Hooks Hooks, std::function<TimePoint()> Clock);
+  ~Transport();
+
+  Result<bool> listen(const NetAddress &At);
+  /// Connects; Opened or DialFailed follows, never from within dial.
+  void dial(char Purpose, const std::string &Name, const NetAddress &To);
+  /// Queues a frame. False if the link is gone or its queue is full; it is
+  /// then closed and Closed follows.
+  bool send(uint64_t Link, std::string_view Bytes);
+  void close(uint64_t Link);
+
+  uint64_t bytesSent(char Purpose) const;
+  uint64_t bytesReceived(char Purpose) const;
+
+private:
+  struct Connection {
+    Transport *Owner = nullptr;
+    uint64_t Id = 0;
+    GSocket *Socket = nullptr;
+    GSource *In = nullptr;
+    GSource *Out = nullptr;
+    guint Timer = 0;
+    char Purpose = 0;
+    std::string Dialled;
+    std::string PeerText;
+    bool Connecting = false;
+    std::string Reading;
+    std::string Writing;
+    size_t Written = 0;
+  };
+
+  static gboolean onAccept(GSocket *Listener, GIOCondition, gpointer Self);
+  static gboolean onReadable(GSocket *, GIOCondition, gpointer Data);
+  static gboolean onWritable(GSocket *, GIOCondition, gpointer Data);
+  static gboolean onDialTimeout(gpointer Data);
+  static gboolean onReap(gpointer Self);
+
+  Connection &add(GSocket *Socket);
+  void watchRead(Connection &Of);
+  void watchWrite(Connection &Of);
+  void finishDial(Connection &Of);
+  bool readFrames(uint64_t Id);
+  void flush(Connection &Of);
+  void fail(Connection &Of, const Error &Why);
+  void release(Connection &Of);
+
+  Options Opts;
+  Hooks Hook;
+  std::function<TimePoint()> Now;
+  GSocket *Listener = nullptr;
+  GSource *Accepting = nullptr;
+  std::map<uint64_t, std::unique_ptr<Connection>> Links;
+  // Links that failed within a call from above, told from the loop.
+  std::vector<std::pair<uint64_t, Error>> Failed;
+  guint Reaper = 0;
+  uint64_t LastId = 0;
+  std::map<char, uint64_t> Sent;
+  std::map<char, uint64_t> Received;
+};
+
+} // namespace hickorylift
+
+#endif
--- /dev/null
+++ b/src/platform/HttpPlatform.h
@@ -0,0 +1,46 @@
+#ifndef HICKORYLIFT_PLATFORM_HTTPPLATFORM_H
+#define HICKORYLIFT_PLATFORM_HTTPPLATFORM_H
+
+#include "platform/Platform.h"
+
+#include <libsoup/soup.h>
+
+#include <functional>
+#include <memory>
+
+namespace hickorylift {
+
+/// The platform over HTTP, as docs/PLATFORM.md gives it. At most one value of
+/// MaxValueBytes is held for each call under way.
+class HttpPlatform final : public Platform {
+public:
+  struct Options {
+    /// "ip:port".
+    std::string Address;
+    Millis Timeout{3000};
+    size_t MaxValueBytes = 1u << 20;
+  };
+
+  /// Now gives the time at which an answer is handed on; the loop's clock.
+  HttpPlatform(Options Opts, std::function<TimePoint()> Now);
+  ~HttpPlatform() override;
+
+  void get(const std::string &Key, TimePoint Now, GotValue Done) override;
+  void watch(const std::vector<std::string> &Keys, uint64_t After, Millis Wait,
+             TimePoint Now, GotChanges Done) override;
+
+private:
+  using GotReply =
+      std::function<void(Result<std::pair<uint64_t, std::string>>, TimePoint)>;
+
+  void send(const std::string &Path, const std::string &Step, Millis Limit,
+            GotReply Done);
+
+  Options Opts;
+  std::function<TimePoint()> Now;
+  SoupSession *Session;
+};
+
+} // namespace hickorylift
+
+#endif
--- /dev/null
+++ b/src/platform/Platform.h
@@ -0,0 +1,50 @@
+#ifndef HICKORYLIFT_PLATFORM_PLATFORM_H
+#define HICKORYLIFT_PLATFORM_PLATFORM_H
+
+#include "base/Error.h"
+#include "base/Time.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+// Platform is the configuration service that we only read. Another service's
+// protocol is another subclass and nothing else; HttpPlatform.h speaks the
+// protocol of docs/PLATFORM.md.
+
+namespace hickorylift {
+
+struct PlatformValue {
+  uint64_t Revision = 0;
+  std::string Bytes;
+};
+
+struct PlatformChange {
+  std::string Key;
+  uint64_t Revision = 0;
+};
+
+struct PlatformChanges {
+  /// The platform's revision when it answered.
+  uint64_t Revision = 0;
+  /// Empty where nothing changed before the wait was over.
+  std::vector<PlatformChange> Changed;
+};
+
+class Platform {
+public:
+  using GotValue = std::function<void(Result<PlatformValue>, TimePoint)>;
+  using GotChanges = std::function<void(Result<PlatformChanges>, TimePoint)>;
+
+  virtual ~Platform() = default;
+
+  /// Reads one value. Done is called once, never from within get.
+  virtual void get(const std::string &Key, TimePoint Now, GotValue Done) = 0;
+  /// Waits until one of the keys has a revision after After, at most Wait.
+  virtual void watch(const std::vector<std::string> &Keys, uint64_t After,
+                     Millis Wait, TimePoint Now, GotChanges Done) = 0;
+};
+
+} // namespace hickorylift
+
+#endif
--- /dev/null
+++ b/src/platform/Reader.cpp
@@ -0,0 +1,319 @@
+#include "platform/Reader.h"
+
+#include "base/Hash.h"
+#include "membership/Membership.h"
+
+#include <algorithm>
+
+// One thing at a time: read the list, read the manifest, read the records that
+// are missing, then wait in one watch for a change of either and start over
+// with what changed. A manifest names its records by the hash of their bytes
+// and each record lies under its hash, so a read that crosses an update finds
+// either the right bytes or none: never a version made of two.
+
+namespace hickorylift {
+
+const char ConfigTopic[] = "config";
+
+namespace {
+
+const std::string ManifestKey = "config/manifest";
+const std::string RecordPrefix = "config/records/";
+
+} // namespace
+
+std::optional<Manifest> readManifest(const std::string &Text,
+                                     FaultList &Faults) {
+  size_t Before = Faults.size();
+  std::optional<Json::Value> Root = parseJson(Text, ManifestKey, Faults);
+  if (!Root)
+    return std::nullopt;
+  JsonObject Top({ManifestKey, Text, &Faults}, *Root, "");
+  Manifest Out;
+  Out.Version =
+      static_cast<uint64_t>(Top.integer("version", std::nullopt, 1, INT64_MAX));
+  if (std::optional<JsonObject> Records = Top.object("records", true)) {
+    for (const std::string &Name : Records->keys()) {
+      std::optional<uint64_t> Hash =
+          parseHexHash(Records->string(Name, std::nullopt));
+      if (!Hash)
+        Records->fault(Name, "expected a hash of sixteen hex digits");
+      Out.Records[Name] = Hash.value_or(0);
+    }
+  }
+  Top.finish();
+  if (Faults.size() != Before)
+    return std::nullopt;
+  return Out;
+}
+
+std::string writeManifest(const Manifest &Of) {
+  Json::Value Out(Json::objectValue);
+  Out["version"] = Json::UInt64(Of.Version);
+  Out["records"] = Json::Value(Json::objectValue);
+  for (const auto &[Name, Hash] : Of.Records)
+    Out["records"][Name] = hexHash(Hash);
+  return writeJson(Out);
+}
+
+Reader::Reader(Options Opts, Platform &From, Hooks Hooks,
+               std::vector<std::string> DataCentres, uint64_t Seed)
+    : Opts(Opts), From(From), Hook(std::move(Hooks)),
+      DataCentres(std::move(DataCentres)), Random(Seed),
+      Budget(Opts.ReadsPerSecond, Opts.ReadBurst) {}
+
+std::vector<std::string> Reader::watchedKeys() const {
+  std::vector<std::string> Out{ManifestKey};
+  for (const std::string &Name : this->DataCentres)
+    Out.push_back(listTopic(Name));
+  return Out;
+}
+
+void Reader::wantEverything() {
+  this->WantLists.clear();
+  if (this->Current == Duty::List)
+    this->WantLists = {listTopic(this->DataCentres.front())};
+  if (this->Current != Duty::Once && this->Current != Duty::Watch)
+    return;
+  this->WantManifest = true;
+  for (const std::string &Name : this->DataCentres)
+    this->WantLists.insert(listTopic(Name));
+}
+
+void Reader::tick(TimePoint Now, Duty Wanted) {
+  if (Wanted != this->Current) {
+    this->Current = Wanted;
+    ++*this->Epoch;
+    this->Busy = false;
+    this->InProgress.reset();
+    this->WantManifest = false;
+    this->wantEverything();
+    this->NotBefore =
+        Now + Millis(this->Random() % (this->Opts.StartJitter.count() + 1));
+  }
+  if (this->Current != Duty::None && !this->Busy && Now >= this->NotBefore)
+    this->step(Now);
+}
+
+// A token bucket in front of every call. The platform counts all readers
+// together and refuses what is over; a node that asked on regardless would
+// spend the others' share.
+bool Reader::spend(TimePoint Now) {
+  if (!this->Budget.take(Now))
+    return false;
+  ++this->Reads;
+  return true;
+}
+
+void Reader::step(TimePoint Now) {
+  if (this->InProgress)
+    return this->gather(Now);
+  if (!this->WantLists.empty())
+    return this->readList(*this->WantLists.begin(), Now);
+  if (this->WantManifest)
+    return this->readManifestValue(Now);
+  if (this->Current == Duty::Watch)
+    this->startWatch(Now);
+}
+
+Platform::GotValue Reader::guarded(
+    std::function<void(const Result<PlatformValue> &, TimePoint)> Then) {
+  return
+      [Then, Epoch = std::weak_ptr<uint64_t>(this->Epoch),
+       Started = *this->Epoch](const Result<PlatformValue> &Got, TimePoint At) {
+        auto Alive = Epoch.lock();
+        if (Alive && *Alive == Started)
+          Then(Got, At);
+      };
+}
+
+void Reader::fail(const Error &Why, TimePoint Now) {
+  this->Busy = false;
+  this->InProgress.reset();
+  this->wantEverything();
+  // Full jitter: of a herd that failed together, no two come back together.
+  Millis Longest =
+      std::min(this->Opts.LongestBackoff,
+               this->Opts.FirstBackoff * (1 << std::min(this->Failures, 10u)));
+  ++this->Failures;
+  this->NotBefore = Now + Millis(this->Random() % (Longest.count() + 1));
+  this->Hook.Failed(Why, Now);
+}
+
+void Reader::readList(const std::string &Key, TimePoint Now) {
+  if (!this->spend(Now))
+    return;
+  this->Busy = true;
+  this->From.get(
+      Key, Now,
+      this->guarded(
+          [this, Key, Now](const Result<PlatformValue> &Got, TimePoint At) {
+            this->onList(Key, Got, Now, At);
+          }));
+}
+
+void Reader::onList(const std::string &Key, const Result<PlatformValue> &Got,
+                    TimePoint AskedAt, TimePoint Now) {
+  if (!Got)
+    return this->fail(Got.error(), Now);
+  this->WantLists.erase(Key);
+  Result<DocumentPtr> List =
+      readInstanceList(Got->Bytes, listTopicDataCentre(Key), Got->Revision);
+  if (!List)
+    return this->refuseValue(Got->Revision, List.error(), Now);
+  this->Busy = false;
+  this->succeed();
+  this->ListRevisions[Key] = Got->Revision;
+  this->After = std::max(this->After, Got->Revision);
+  this->Hook.Publish(Key, *List, Now);
+  this->Hook.Confirm(Key, Got->Revision, Got->Revision, AskedAt);
+  this->step(Now);
+}
+
+void Reader::readManifestValue(TimePoint Now) {
+  if (!this->spend(Now))
+    return;
+  this->Busy = true;
+  this->From.get(ManifestKey, Now,
+                 this->guarded([this, Now](const Result<PlatformValue> &Got,
+                                           TimePoint At) {
+                   if (!Got)
+                     return this->fail(Got.error(), At);
+                   this->startGathering(*Got, Now, At);
+                 }));
+}
+
+// A value that cannot be read stays as it is until somebody publishes another:
+// reading it again would only cost reads, so go on and wait for a change.
+void Reader::refuseValue(uint64_t Revision, const Error &Why, TimePoint Now) {
+  this->Busy = false;
+  this->After = std::max(this->After, Revision);
+  this->Hook.Failed(Why, Now);
+  this->step(Now);
+}
+
+void Reader::startGathering(const PlatformValue &Value, TimePoint AskedAt,
+                            TimePoint Now) {
+  FaultList Faults;
+  std::optional<Manifest> Read = readManifest(Value.Bytes, Faults);
+  if (!Read) {
+    this->WantManifest = false;
+    return this->refuseValue(Value.Revision,
+                             Error{Errc::Invalid, "read-manifest", "platform",
+                                   Faults.front().text()},
+                             Now);
+  }
+  this->Busy = false;
+  this->WantManifest = false;
+  this->InProgress = std::make_unique<Gathering>();
+  this->InProgress->Revision = Value.Revision;
+  this->InProgress->AskedAt = AskedAt;
+  DocumentPtr Held = this->Hook.Held(ConfigTopic);
+  for (const auto &[Name, Hash] : Read->Records) {
+    if (Held) {
+      auto Old = Held->entries().find(Name);
+      if (Old != Held->entries().end() &&
+          contentHash(*Old->second.Bytes) == Hash) {
+        this->InProgress->Entries.insert(*Old);
+        continue;
+      }
+    }
+    this->InProgress->Missing.emplace_back(Name, Hash);
+  }
+  this->InProgress->Wanted = std::move(*Read);
+  this->gather(Now);
+}
+
+void Reader::gather(TimePoint Now) {
+  Gathering &Of = *this->InProgress;
+  while (!Of.Missing.empty() && Of.Running < this->Opts.Parallel) {
+    if (!this->spend(Now))
+      return;
+    auto [Name, Hash] = Of.Missing.back();
+    Of.Missing.pop_back();
+    ++Of.Running;
+    this->From.get(
+        RecordPrefix + hexHash(Hash), Now,
+        this->guarded([this, Name = Name, Hash = Hash](
+                          const Result<PlatformValue> &Got, TimePoint At) {
+          this->onRecord(Name, Hash, Got, At);
+        }));
+  }
+  if (!Of.Missing.empty() || Of.Running != 0)
+    return;
+  DocumentPtr Doc =
+      Document::make(Of.Wanted.Version, Of.Revision, std::move(Of.Entries));
+  this->ManifestVersion = Of.Wanted.Version;
+  this->ManifestRevision = Of.Revision;
+  this->After = std::max(this->After, Of.Revision);
+  TimePoint AskedAt = Of.AskedAt;
+  this->InProgress.reset();
+  this->succeed();
+  this->Hook.Publish(ConfigTopic, Doc, Now);
+  this->Hook.Confirm(ConfigTopic, this->ManifestVersion, this->ManifestRevision,
+                     AskedAt);
+  this->step(Now);
+}
+
+void Reader::onRecord(const std::string &Name, uint64_t Hash,
+                      const Result<PlatformValue> &Got, TimePoint Now) {
+  if (!this->InProgress)
+    return;
+  if (!Got || contentHash(Got->Bytes) != Hash) {
+    ++*this->Epoch; // drop the other answers of this gathering
+    return this->fail(Got ? Error{Errc::BadMessage, "read-record", "platform",
+                                  Name + " does not match its hash"}
+                          : Got.error(),
+                      Now);
+  }
+  this->InProgress->Entries[Name] = makeEntry(Name, Got->Bytes);
+  --this->InProgress->Running;
+  this->gather(Now);
+}
+
+void Reader::startWatch(TimePoint Now) {
+  if (!this->spend(Now))
+    return;
+  this->Busy = true;
+  this->From.watch(this->watchedKeys(), this->After, this->Opts.WatchWait, Now,
+                   [this, Now, Epoch = std::weak_ptr<uint64_t>(this->Epoch),
+                    Started = *this->Epoch](const Result<PlatformChanges> &Got,
+                                            TimePoint At) {
+                     auto Alive = Epoch.lock();
+                     if (Alive && *Alive == Started)
+                       this->onWatch(Got, Now, At);
+                   });
+}
+
+void Reader::onWatch(const Result<PlatformChanges> &Got, TimePoint AskedAt,
+                     TimePoint Now) {
+  if (!Got)
+    return this->fail(Got.error(), Now);
+  this->Busy = false;
+  this->succeed();
+  for (const PlatformChange &One : Got->Changed) {
+    if (One.Key == ManifestKey)
+      this->WantManifest = true;
+    else
+      this->WantLists.insert(One.Key);
+  }
+  // A platform that answers from an old copy confirms nothing. Wait before
+  // asking again: it may answer at once, over and over.
+  if (Got->Revision < this->After) {
+    this->NotBefore = Now + this->Opts.LongestBackoff;
+    return;
+  }
+  this->confirmAll(AskedAt);
+  this->step(Now);
+}
+
+void Reader::confirmAll(TimePoint AskedAt) {
+  if (!this->WantManifest)
+    this->Hook.Confirm(ConfigTopic, this->ManifestVersion,
+                       this->ManifestRevision, AskedAt);
+  for (const auto &[Key, Revision] : this->ListRevisions)
+    if (!this->WantLists.count(Key))
+      this->Hook.Confirm(Key, Revision, Revision, AskedAt);
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/platform/Reader.h
@@ -0,0 +1,149 @@
+#ifndef HICKORYLIFT_PLATFORM_READER_H
+#define HICKORYLIFT_PLATFORM_READER_H
+
+#include "base/Json.h"
+#include "base/TokenBucket.h"
+#include "config/Document.h"
+#include "platform/Platform.h"
+
+#include <memory>
+#include <random>
+#include <set>
+
+// A Reader brings documents from the platform to one node, for as long as the
+// node has the duty to.
+//
+//   Reader::Hooks Hooks;
+//   Hooks.Publish = [&](const std::string &Topic, DocumentPtr Doc, TimePoint)
+//   {}; Reader Read(Reader::Options(), Platform, Hooks, {"north", "south"},
+//               /*Seed=*/7);
+//   Read.tick(Now, Reader::Duty::Watch);     // a few times a second
+
+namespace hickorylift {
+
+extern const char ConfigTopic[];
+
+/// What a version consists of, as the platform publishes it.
+struct Manifest {
+  uint64_t Version = 0;
+  /// From a record's entry name to the hash of its bytes.
+  std::map<std::string, uint64_t> Records;
+};
+
+/// Reads a manifest; every fault is added and none is passed over.
+std::optional<Manifest> readManifest(const std::string &Text,
+                                     FaultList &Faults);
+std::string writeManifest(const Manifest &Of);
+
+class Reader {
+public:
+  enum class Duty {
+    /// Others read.
+    None,
+    /// Read the own data centre's list once, to find neighbours.
+    List,
+    /// Read everything once: no neighbour has anything.
+    Once,
+    /// Keep watching.
+    Watch,
+  };
+
+  struct Options {
+    /// How long one watch may wait at the platform. The age of what we hold
+    /// grows up to this while nothing changes.
+    Millis WatchWait{10000};
+    /// First wait after a failure; doubles up to the longest, with jitter.
+    Millis FirstBackoff{200};
+    Millis LongestBackoff{5000};
+    /// A new duty starts within this, at random: a herd that starts together
+    /// does not read together.
+    Millis StartJitter{300};
+    /// Reads a second, and at once.
+    double ReadsPerSecond = 100;
+    double ReadBurst = 200;
+    /// Records read at the same time.
+    size_t Parallel = 16;
+  };
+
+  struct Hooks {
+    std::function<void(const std::string &Topic, DocumentPtr, TimePoint)>
+        Publish;
+    /// Asked at AskedAt, the platform still named this version and revision.
+    std::function<void(const std::string &Topic, uint64_t Version,
+                       uint64_t Revision, TimePoint AskedAt)>
+        Confirm;
+    /// What this node holds already, so that only the rest is read.
+    std::function<DocumentPtr(const std::string &Topic)> Held;
+    std::function<void(const Error &, TimePoint)> Failed;
+  };
+
+  /// DataCentres: all of the deployment, this node's own first. Each reader
+  /// watches all lists, so that a data centre whose own readers are dead is
+  /// still known to the others.
+  Reader(Options Opts, Platform &From, Hooks Hooks,
+         std::vector<std::string> DataCentres, uint64_t Seed);
+
+  void tick(TimePoint Now, Duty Wanted);
+  uint64_t reads() const { return this->Reads; }
+  Duty duty() const { return this->Current; }
+
+private:
+  struct Gathering {
+    Manifest Wanted;
+    uint64_t Revision = 0;
+    EntryMap Entries;
+    std::vector<std::pair<std::string, uint64_t>> Missing;
+    size_t Running = 0;
+    TimePoint AskedAt;
+  };
+
+  bool spend(TimePoint Now);
+  void step(TimePoint Now);
+  void readList(const std::string &Key, TimePoint Now);
+  void readManifestValue(TimePoint Now);
+  void refuseValue(uint64_t Revision, const Error &Why, TimePoint Now);
+  void startGathering(const PlatformValue &Value, TimePoint AskedAt,
+                      TimePoint Now);
+  void gather(TimePoint Now);
+  void onRecord(const std::string &Name, uint64_t Hash,
+                const Result<PlatformValue> &Got, TimePoint Now);
+  void startWatch(TimePoint Now);
+  void onWatch(const Result<PlatformChanges> &Got, TimePoint AskedAt,
+               TimePoint Now);
+  void onList(const std::string &Key, const Result<PlatformValue> &Got,
+              TimePoint AskedAt, TimePoint Now);
+  void fail(const Error &Why, TimePoint Now);
+  void succeed() { this->Failures = 0; }
+  std::vector<std::string> watchedKeys() const;
+  void confirmAll(TimePoint AskedAt);
+  void wantEverything();
+  Platform::GotValue
+  guarded(std::function<void(const Result<PlatformValue> &, TimePoint)> Then);
+
+  Options Opts;
+  Platform &From;
+  Hooks Hook;
+  std::vector<std::string> DataCentres;
+  std::mt19937_64 Random;
+  Duty Current = Duty::None;
+  TimePoint NotBefore;
+  bool Busy = false;
+  // Keys of the lists to read.
+  std::set<std::string> WantLists;
+  bool WantManifest = false;
+  uint64_t After = 0;
+  // Last seen, for confirming.
+  std::map<std::string, uint64_t> ListRevisions;
+  uint64_t ManifestVersion = 0;
+  uint64_t ManifestRevision = 0;
+  std::unique_ptr<Gathering> InProgress;
+  unsigned Failures = 0;
+  TokenBucket Budget;
+  uint64_t Reads = 0;
+  // Answers to an older duty, or to an object that is gone, are dropped.
+  std::shared_ptr<uint64_t> Epoch = std::make_shared<uint64_t>(0);
+};
+
+} // namespace hickorylift
+
+#endif
--- /dev/null
+++ b/src/routing/Chooser.cpp
@@ -0,0 +1,182 @@
+#include "routing/Chooser.h"
+
+#include <algorithm>
+#include <cmath>
+
+// A few gates are drawn at random; among those with room the one that answered
+// fastest is taken, and if none has room the one with the least share of its
+// slots in use (the hot-cold rule of Prequal: Wydrowski et al., "Load is not
+// what you should balance", NSDI 2024). The load is what the gate wrote on its
+// last answer, plus what this entry has sent since: the load endpoints that
+// upstreams publish lag and mislead, and a gate knows its own slots.
+//
+// Drawing a few, and not looking for the best of all, keeps entries that learn
+// the same from running to the same gate together.
+
+namespace hickorylift {
+
+double Chooser::share(const State &Of, TimePoint Now) const {
+  bool Fresh = Of.LoadAt && Now - *Of.LoadAt <= this->Opts.LoadFresh;
+  if (!Fresh)
+    return Of.Outstanding;
+  double Slots = std::max<uint32_t>(1, Of.Load.slots());
+  double Known = Of.Load.in_flight() + Of.Load.queued();
+  return std::max<double>(Known, Of.Outstanding) / Slots;
+}
+
+bool Chooser::isEjected(const std::string &Gate, TimePoint Now) const {
+  auto Found = this->Gates.find(Gate);
+  return Found != this->Gates.end() && Now < Found->second.EjectedUntil;
+}
+
+std::vector<const Instance *>
+Chooser::usable(const std::vector<const Instance *> &Upstreams,
+                const std::set<std::string> &Tried, TimePoint Now) {
+  std::vector<const Instance *> Open, Ejected;
+  for (const Instance *One : Upstreams) {
+    const State &Of = this->Gates[One->Name];
+    if (One->Leaving || Of.Draining || Tried.count(One->Name) ||
+        Now < Of.FullUntil)
+      continue;
+    (Now < Of.EjectedUntil ? Ejected : Open).push_back(One);
+  }
+  // Failures of the network look like failures of every gate. If the bound is
+  // passed the verdicts prove nothing, and the ejected are asked again.
+  double Bound = this->Opts.MaxEjected * static_cast<double>(Upstreams.size());
+  if (static_cast<double>(Ejected.size()) > Bound || Open.empty())
+    Open.insert(Open.end(), Ejected.begin(), Ejected.end());
+  return Open;
+}
+
+const Instance *Chooser::pickOwn(const std::vector<const Instance *> &Among,
+                                 TimePoint Now) {
+  for (const Instance *One : Among)
+    if (One->Name == this->Self &&
+        this->share(this->Gates[One->Name], Now) < this->Opts.FullShare)
+      return One;
+  return nullptr;
+}
+
+const Instance *Chooser::pick(const std::vector<const Instance *> &Upstreams,
+                              const std::set<std::string> &Tried,
+                              TimePoint Now) {
+  std::vector<const Instance *> Open = this->usable(Upstreams, Tried, Now);
+  if (Open.empty())
+    return nullptr;
+  if (this->Opts.How == Policy::Hot)
+    if (const Instance *Own = this->pickOwn(Open, Now))
+      return Own;
+  std::vector<const Instance *> Near;
+  for (const Instance *One : Open)
+    if (One->DataCentre == this->DataCentre)
+      Near.push_back(One);
+  return this->pickAmong(Near.empty() ? Open : Near, Now);
+}
+
+const Instance *Chooser::pickAmong(std::vector<const Instance *> Among,
+                                   TimePoint Now) {
+  switch (this->Opts.How) {
+  case Policy::Random:
+    return Among[this->Random() % Among.size()];
+  case Policy::RoundRobin:
+    return Among[this->NextInTurn[Among.front()->Service]++ % Among.size()];
+  case Policy::LeastLoaded:
+    return *std::min_element(Among.begin(), Among.end(),
+                             [&](const Instance *A, const Instance *B) {
+                               return this->Gates[A->Name].Load.in_flight() <
+                                      this->Gates[B->Name].Load.in_flight();
+                             });
+  case Policy::Hot:
+    break;
+  }
+  return this->pickHot(Among, Now);
+}
+
+const Instance *Chooser::pickHot(std::vector<const Instance *> &Among,
+                                 TimePoint Now) {
+  size_t Draw = std::min(this->Opts.Draw, Among.size());
+  const Instance *Best = nullptr;
+  for (size_t I = 0; I < Draw; ++I) {
+    std::swap(Among[I], Among[I + this->Random() % (Among.size() - I)]);
+    if (!Best) {
+      Best = Among[I];
+      continue;
+    }
+    const State &Old = this->Gates[Best->Name];
+    const State &New = this->Gates[Among[I]->Name];
+    double OldShare = this->share(Old, Now);
+    double NewShare = this->share(New, Now);
+    bool OldRoom = OldShare < this->Opts.FullShare;
+    bool NewRoom = NewShare < this->Opts.FullShare;
+    bool Better = NewShare < OldShare;
+    if (OldRoom != NewRoom)
+      Better = NewRoom;
+    else if (OldRoom && Old.MeanLatencyUs != New.MeanLatencyUs)
+      Better = New.MeanLatencyUs < Old.MeanLatencyUs;
+    if (Better)
+      Best = Among[I];
+  }
+  return Best;
+}
+
+void Chooser::started(const std::string &Gate) {
+  ++this->Gates[Gate].Outstanding;
+}
+
+void Chooser::ended(const std::string &Gate, bool Answered,
+                    Clock::duration Took, TimePoint Now) {
+  State &Of = this->Gates[Gate];
+  if (Of.Outstanding > 0)
+    --Of.Outstanding;
+  if (!Answered) {
+    if (++Of.FailuresInRow >= this->Opts.EjectAfter)
+      Of.EjectedUntil = Now + this->Opts.EjectFor;
+    return;
+  }
+  Of.FailuresInRow = 0;
+  double Us = std::chrono::duration<double, std::micro>(Took).count();
+  double Weight = Of.MeanLatencyUs == 0 ? 1 : this->Opts.LatencyWeight;
+  Of.MeanLatencyUs = Of.MeanLatencyUs * (1 - Weight) + Us * Weight;
+}
+
+void Chooser::learn(const std::string &Gate, const wire::Load &Load,
+                    TimePoint Now) {
+  State &Of = this->Gates[Gate];
+  Of.Load = Load;
+  Of.LoadAt = Now;
+}
+
+void Chooser::refused(const std::string &Gate, Millis RetryAfter,
+                      TimePoint Now) {
+  State &Of = this->Gates[Gate];
+  Of.FullUntil = std::max(Of.FullUntil, Now + RetryAfter);
+}
+
+void Chooser::draining(const std::string &Gate) {
+  this->Gates[Gate].Draining = true;
+}
+
+void Chooser::ready(const std::string &Gate) {
+  this->Gates[Gate].Draining = false;
+}
+
+void Chooser::keepOnly(const std::set<std::string> &Listed) {
+  std::erase_if(this->Gates, [&](const auto &One) {
+    return !Listed.count(One.first) && One.second.Outstanding == 0;
+  });
+}
+
+Millis Chooser::soonest(const std::vector<const Instance *> &Upstreams,
+                        TimePoint Now) const {
+  std::optional<Millis> Best;
+  for (const Instance *One : Upstreams) {
+    auto Found = this->Gates.find(One->Name);
+    if (Found == this->Gates.end() || Found->second.FullUntil <= Now)
+      continue;
+    Millis Wait = toMillis(Found->second.FullUntil - Now);
+    Best = Best ? std::min(*Best, Wait) : Wait;
+  }
+  return Best.value_or(Millis(1000));
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/settings/Settings.cpp
@@ -0,0 +1,245 @@
+#include "settings/Settings.h"
+
+#include <algorithm>
+#include <set>
+
+namespace hickorylift {
+
+namespace {
+
+constexpr int64_t MaxMs = 3600 * 1000;
+// A link is condemned after this many heartbeats in a row were missed, at
+// least: fewer and one lost packet cuts healthy links.
+constexpr int64_t MinMissedHeartbeats = 3;
+
+class SettingsReader {
+public:
+  SettingsReader(const std::string &Text, const std::string &File,
+                 FaultList &Faults)
+      : Source{File, Text, &Faults} {}
+
+  Settings read(const Json::Value &Root) {
+    JsonObject Top(this->Source, Root, "");
+    this->readPlace(Top);
+    this->readListen(Top);
+    this->readUpstream(Top);
+    this->readPlatform(Top);
+    this->readSeeds(Top);
+    this->readSpread(Top);
+    this->readCalls(Top);
+    this->readKeys(Top);
+    this->readRest(Top);
+    Top.finish();
+    this->spreadIdentity();
+    return std::move(this->Out);
+  }
+
+private:
+  // An absent section is an empty one: every field in it has a default.
+  JsonObject section(JsonObject &Top, const std::string &Key) {
+    static const Json::Value Empty(Json::objectValue);
+    std::optional<JsonObject> Found = Top.object(Key, false);
+    return Found ? *Found : JsonObject(this->Source, Empty, "/" + Key);
+  }
+
+  NetAddress address(JsonObject &From, const std::string &Key) {
+    std::string Text = From.string(Key, std::nullopt);
+    std::optional<NetAddress> Read = parseAddress(Text);
+    if (From.has(Key) && !Read)
+      From.fault(Key, "expected \"ip:port\" with an IP number that is not all "
+                      "zero and a port from 1 to 65535");
+    return Read.value_or(NetAddress());
+  }
+
+  void readPlace(JsonObject &Top) {
+    this->Out.Name = Top.name("name");
+    this->Out.DataCentre = Top.name("data_centre");
+    this->Out.Service = Top.name("service");
+    this->Out.DataCentres = Top.strings("data_centres");
+    for (const std::string &One : this->Out.DataCentres)
+      if (!isName(One))
+        Top.fault("data_centres", "not a name: " + One);
+    std::set<std::string> Unique(this->Out.DataCentres.begin(),
+                                 this->Out.DataCentres.end());
+    if (Unique.size() != this->Out.DataCentres.size())
+      Top.fault("data_centres", "a name stands twice");
+    if (!Unique.count(this->Out.DataCentre))
+      Top.fault("data_centres", "must hold this node's data_centre");
+  }
+
+  void readListen(JsonObject &Top) {
+    std::optional<JsonObject> Listen = Top.object("listen", true);
+    if (!Listen)
+      return;
+    this->Out.Callers = this->address(*Listen, "callers");
+    this->Out.Peers = this->address(*Listen, "peers");
+    this->Out.Operator = this->address(*Listen, "operator");
+    std::set<std::string> Unique{this->Out.Callers.text(),
+                                 this->Out.Peers.text(),
+                                 this->Out.Operator.text()};
+    if (Unique.size() != 3)
+      Listen->fault("operator",
+                    "callers, peers and operator need three addresses");
+    Listen->finish();
+  }
+
+  void readUpstream(JsonObject &Top) {
+    std::optional<JsonObject> Upstream = Top.object("upstream", true);
+    if (!Upstream)
+      return;
+    this->Out.Upstream.Address = this->address(*Upstream, "address");
+    this->Out.Upstream.Connections =
+        static_cast<unsigned>(Upstream->integer("connections", 100, 1, 100000));
+    this->Out.Upstream.KeepIdle =
+        std::chrono::seconds(Upstream->integer("keep_idle_s", 4, 1, 3600));
+    this->Out.HealthPath = Upstream->string("health_path", "/health");
+    if (this->Out.HealthPath.empty() || this->Out.HealthPath[0] != '/')
+      Upstream->fault("health_path", "expected a path that starts with '/'");
+    this->Out.HealthInterval =
+        Upstream->millis("health_interval_ms", 1000, 50, 60000);
+    Upstream->finish();
+  }
+
+  void readPlatform(JsonObject &Top) {
+    std::optional<JsonObject> Platform = Top.object("platform", true);
+    if (!Platform)
+      return;
+    Reader::Options &Read = this->Out.Control.Read;
+    this->Out.Platform.Address = this->address(*Platform, "address").text();
+    this->Out.Platform.Timeout =
+        Platform->millis("timeout_ms", 3000, 10, 60000);
+    Read.WatchWait =
+        Platform->millis("watch_wait_ms", Read.WatchWait.count(), 100, 300000);
+    Read.ReadsPerSecond =
+        Platform->number("reads_per_s", Read.ReadsPerSecond, 0.1, 10000);
+    Read.ReadBurst = Platform->number("read_burst", Read.ReadBurst, 1, 10000);
+    Read.StartJitter =
+        Platform->millis("start_jitter_ms", Read.StartJitter.count(), 0, MaxMs);
+    Platform->finish();
+  }
+
+  void readSeeds(JsonObject &Top) {
+    JsonObject Seeds = this->section(Top, "seeds");
+    for (const std::string &Name : Seeds.keys()) {
+      NetAddress To = this->address(Seeds, Name);
+      if (Name != this->Out.Name)
+        this->Out.Control.Seeds[Name] = To.text();
+    }
+  }
+
+  void readSpread(JsonObject &Top) {
+    JsonObject Spread = this->section(Top, "spread");
+    Spreader::Options &To = this->Out.Control.Spread;
+    Membership::Options &Members = this->Out.Control.Members;
+    To.HeartbeatInterval =
+        Spread.millis("heartbeat_ms", To.HeartbeatInterval.count(), 50, 60000);
+    To.SilenceLimit =
+        Spread.millis("silence_ms", To.SilenceLimit.count(), 200, 600000);
+    To.GraftDelay = Spread.millis("graft_ms", To.GraftDelay.count(), 0, 10000);
+    To.CompressFrom = static_cast<size_t>(
+        Spread.integer("compress_from_bytes", To.CompressFrom, 0, 1 << 30));
+    Members.Fanout =
+        static_cast<size_t>(Spread.integer("fanout", Members.Fanout, 1, 64));
+    Members.Readers =
+        static_cast<size_t>(Spread.integer("readers", Members.Readers, 1, 16));
+    Members.Bridges =
+        static_cast<size_t>(Spread.integer("bridges", Members.Bridges, 1, 16));
+    this->Out.Control.PeersFirst = Spread.millis(
+        "peers_first_ms", this->Out.Control.PeersFirst.count(), 0, 60000);
+    if (To.SilenceLimit < MinMissedHeartbeats * To.HeartbeatInterval)
+      Spread.fault("silence_ms", "expected at least three times heartbeat_ms");
+    Spread.finish();
+  }
+
+  void readCalls(JsonObject &Top) {
+    JsonObject Calls = this->section(Top, "calls");
+    Entry::Options &To = this->Out.CallEntry;
+    To.Window = static_cast<uint64_t>(
+        Calls.integer("window_bytes", To.Window, 4096, 64 << 20));
+    this->Out.CallGate.Window = To.Window;
+    To.MaxCalls = static_cast<size_t>(
+        Calls.integer("max_calls", To.MaxCalls, 1, 1 << 20));
+    To.PingInterval =
+        Calls.millis("ping_ms", To.PingInterval.count(), 10, 60000);
+    To.SilenceLimit =
+        Calls.millis("silence_ms", To.SilenceLimit.count(), 20, 60000);
+    To.FindAgain =
+        Calls.millis("find_again_ms", To.FindAgain.count(), 0, 60000);
+    this->Out.CallGate.RememberSlack = Calls.millis(
+        "remember_ms", this->Out.CallGate.RememberSlack.count(), 0, MaxMs);
+    if (To.SilenceLimit < To.PingInterval)
+      Calls.fault("silence_ms", "expected at least ping_ms");
+    if (this->Out.CallGate.RememberSlack < To.FindAgain)
+      Calls.fault("remember_ms",
+                  "expected at least find_again_ms: a gate that forgets "
+                  "sooner would call a call that ran not run");
+    Calls.finish();
+  }
+
+  void readKeys(JsonObject &Top) {
+    JsonObject Keys = this->section(Top, "keys");
+    KeyJudge::Options &To = this->Out.CallGate.Keys;
+    To.MaxListAge =
+        Keys.millis("max_list_age_ms", To.MaxListAge.count(), 1000, MaxMs);
+    To.MaxKeys =
+        static_cast<size_t>(Keys.integer("max_keys", To.MaxKeys, 1, 10000000));
+    // A list's age grows by one watch, and by one heartbeat for each level of
+    // the tree. Below that, keyed calls are refused in normal running.
+    Millis Usual = this->Out.Control.Read.WatchWait +
+                   2 * this->Out.Control.Spread.HeartbeatInterval;
+    if (To.MaxListAge < Usual)
+      Keys.fault("max_list_age_ms",
+                 "expected at least platform.watch_wait_ms and twice "
+                 "spread.heartbeat_ms together, " +
+                     std::to_string(Usual.count()));
+    Keys.finish();
+  }
+
+  void readRest(JsonObject &Top) {
+    JsonObject Log = this->section(Top, "log");
+    this->Out.LogLevel =
+        Log.oneOf("level", "info", {"debug", "info", "warn", "error"});
+    Log.finish();
+    JsonObject Audit = this->section(Top, "audit");
+    this->Out.Control.AuditCapacity =
+        static_cast<size_t>(Audit.integer("events", 1000, 10, 1000000));
+    Audit.finish();
+    JsonObject Stop = this->section(Top, "stop");
+    this->Out.StopWithin = Stop.millis("within_ms", 60000, 0, MaxMs);
+    Stop.finish();
+  }
+
+  // The slices' own options repeat who this is.
+  void spreadIdentity() {
+    ControlPlane::Options &Control = this->Out.Control;
+    Control.Self = this->Out.Name;
+    Control.DataCentre = this->Out.DataCentre;
+    Control.DataCentres = this->Out.DataCentres;
+    Control.Members.Self = this->Out.Name;
+    Control.Members.DataCentre = this->Out.DataCentre;
+    this->Out.CallEntry.Self = this->Out.Name;
+    this->Out.CallEntry.DataCentre = this->Out.DataCentre;
+    this->Out.CallGate.Self = this->Out.Name;
+    this->Out.CallGate.Service = this->Out.Service;
+  }
+
+  JsonSource Source;
+  Settings Out;
+};
+
+} // namespace
+
+std::optional<Settings> readSettings(const std::string &Text,
+                                     const std::string &File,
+                                     FaultList &Faults) {
+  std::optional<Json::Value> Root = parseJson(Text, File, Faults);
+  if (!Root)
+    return std::nullopt;
+  size_t Before = Faults.size();
+  Settings Read = SettingsReader(Text, File, Faults).read(*Root);
+  if (Faults.size() != Before)
+    return std::nullopt;
+  return Read;
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/spread/Spreader.cpp
@@ -0,0 +1,579 @@
+#include "spread/Spreader.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+
+// Eager push with lazy repair, after Plumtree (Leitao, Pereira, Rodrigues:
+// "Epidemic Broadcast Trees", 2007). A new document goes at once, as a delta,
+// over the eager links, and its stamp alone over the lazy ones. A node that
+// hears a stamp which it lacks waits a moment for the push and then pulls from
+// whoever told it; that link becomes eager. A document that comes twice makes
+// the later link lazy. Heartbeats repeat the stamps whenever they have changed,
+// so whatever was lost is found again within one interval.
+//
+// Why the order holds: the only assignments to Held and to Accepted are in
+// take() and judge(), and both compare stamps first. A stale platform, a late
+// frame and a neighbour that returns with an old document all end there.
+//
+// Why nothing is taken in part: parts are gathered aside, must come in order
+// from one link, and only a change set whose outcome has the stated hash
+// becomes a document (applyDelta).
+
+namespace hickorylift {
+
+namespace {
+
+// Heartbeats whose echo may still be under way on one link.
+constexpr size_t KeptSendTimes = 16;
+
+wire::Stamp toWire(const Stamp &Of) {
+  return {Of.Version, Of.Revision, Of.Hash};
+}
+
+Stamp fromWire(const wire::Stamp *Of) {
+  if (!Of)
+    return {};
+  return {Of->version(), Of->revision(), Of->hash()};
+}
+
+std::unique_ptr<wire::Stamp> wireStamp(const Stamp &Of) {
+  return std::make_unique<wire::Stamp>(toWire(Of));
+}
+
+template <typename PayloadT> wire::SpreadFrameT frameOf(PayloadT Payload) {
+  wire::SpreadFrameT Frame;
+  Frame.payload.Set(std::move(Payload));
+  return Frame;
+}
+
+Stamp stampOf(const DocumentPtr &Doc) { return Doc ? Doc->stamp() : Stamp(); }
+
+} // namespace
+
+Spreader::Spreader(Options Opts, Hooks Hooks, uint64_t Seed)
+    : Opts(Opts), Hook(std::move(Hooks)), Random(Seed),
+      SnapshotTokens(Opts.SnapshotBurstBytes) {}
+
+bool Spreader::publish(const std::string &Topic, DocumentPtr Doc,
+                       TimePoint Now) {
+  if (Doc->stamp() <= stampOf(this->Topics[Topic].Held)) {
+    ++this->Counts.Stale;
+    return false;
+  }
+  this->take(Topic, Doc, "platform", std::nullopt, Now);
+  return true;
+}
+
+void Spreader::confirm(const std::string &Topic, uint64_t Version,
+                       uint64_t Revision, TimePoint AskedAt) {
+  auto &State = this->Topics[Topic];
+  Stamp Held = stampOf(State.Held);
+  if (!State.Held || Held.Version != Version || Held.Revision != Revision)
+    return;
+  if (!State.ConfirmedAt || *State.ConfirmedAt < AskedAt)
+    State.ConfirmedAt = AskedAt;
+}
+
+void Spreader::resync(TimePoint Now) {
+  for (auto &[Id, On] : this->Links) {
+    On.SentDigest = 0;
+    On.HeardAt = Now;
+    this->sendHeartbeat(Id, On, Now);
+  }
+}
+
+void Spreader::hastenHeartbeat(LinkId Id, TimePoint At) {
+  auto Found = this->Links.find(Id);
+  if (Found != this->Links.end())
+    Found->second.HeartbeatAt = std::min(Found->second.HeartbeatAt, At);
+}
+
+void Spreader::linkUp(LinkId Id, const std::string &Peer, bool Eager,
+                      TimePoint Now) {
+  Link &On = this->Links[Id];
+  On = Link();
+  On.Peer = Peer;
+  On.Eager = Eager;
+  On.HeardAt = Now;
+  On.HeartbeatAt = Now;
+  this->sendHeartbeat(Id, On, Now);
+}
+
+void Spreader::linkDown(LinkId Id) {
+  this->Links.erase(Id);
+  for (auto &[Name, State] : this->Topics) {
+    if (State.PullFrom == Id)
+      State.PullSent = false;
+  }
+}
+
+DocumentPtr Spreader::held(const std::string &Topic) const {
+  auto Found = this->Topics.find(Topic);
+  return Found == this->Topics.end() ? nullptr : Found->second.Held;
+}
+
+DocumentPtr Spreader::accepted(const std::string &Topic) const {
+  auto Found = this->Topics.find(Topic);
+  return Found == this->Topics.end() ? nullptr : Found->second.Accepted;
+}
+
+std::optional<Millis> Spreader::age(const std::string &Topic,
+                                    TimePoint Now) const {
+  auto Found = this->Topics.find(Topic);
+  if (Found == this->Topics.end() || !Found->second.ConfirmedAt)
+    return std::nullopt;
+  return toMillis(Now - *Found->second.ConfirmedAt);
+}
+
+void Spreader::take(const std::string &Name, const DocumentPtr &Doc,
+                    const std::string &From, std::optional<LinkId> Source,
+                    TimePoint Now) {
+  Topic &State = this->Topics[Name];
+  if (Doc->stamp() <= stampOf(State.Held))
+    return;
+  if (State.Held)
+    State.Bases.push_back(State.Held);
+  while (State.Bases.size() > this->Opts.KeptBases)
+    State.Bases.pop_front();
+  State.Held = Doc;
+  // Nobody has confirmed the new one yet.
+  State.ConfirmedAt.reset();
+  State.PullAt.reset();
+  State.PullSent = false;
+  // Hand on before judging: the neighbours' wait should not include our
+  // compiling, and a version that this build refuses may suit another.
+  this->spreadOn(Name, Source);
+  this->judge(Name, State, Doc, From, Now);
+}
+
+void Spreader::judge(const std::string &Name, Topic &State,
+                     const DocumentPtr &Doc, const std::string &From,
+                     TimePoint Now) {
+  if (Doc->stamp() <= stampOf(State.Accepted))
+    return;
+  if (this->Hook.Accept({Name, Doc, From}, Now))
+    State.Accepted = Doc;
+}
+
+void Spreader::spreadOn(const std::string &Name, std::optional<LinkId> Source) {
+  const DocumentPtr Doc = this->Topics[Name].Held;
+  for (auto &[Id, On] : this->Links) {
+    TopicOnLink &There = On.Topics[Name];
+    if (Source == Id || There.Theirs >= Doc->stamp())
+      continue;
+    if (!There.Lazy.value_or(!On.Eager)) {
+      this->sendDocument(Id, Name, Doc, There.Theirs, /*Asked=*/false);
+      There.Theirs = Doc->stamp();
+      continue;
+    }
+    wire::AnnounceT Announce;
+    Announce.topic = Name;
+    Announce.held = wireStamp(Doc->stamp());
+    this->Hook.Send(Id, frameOf(std::move(Announce)));
+    ++this->Counts.Announces;
+  }
+}
+
+DocumentPtr Spreader::findBase(const Topic &State, const Stamp &Have) const {
+  if (Have.isNull())
+    return nullptr;
+  for (const DocumentPtr &Base : State.Bases)
+    if (Base->stamp() == Have)
+      return Base;
+  return nullptr;
+}
+
+void Spreader::sendDocument(LinkId To, const std::string &Name,
+                            const DocumentPtr &Doc, const Stamp &Have,
+                            bool Asked) {
+  const Topic &State = this->Topics[Name];
+  if (DocumentPtr Base = this->findBase(State, Have)) {
+    this->sendParts(To, Name, Have, Doc->stamp(),
+                    makeDelta(Base->entries(), Doc->entries()));
+    return;
+  }
+  // A snapshot. Unless the neighbour asked, it may well get a delta from
+  // someone else, so tell it the stamp and let it decide.
+  if (!Asked && !Have.isNull()) {
+    wire::AnnounceT Announce;
+    Announce.topic = Name;
+    Announce.held = wireStamp(Doc->stamp());
+    this->Hook.Send(To, frameOf(std::move(Announce)));
+    ++this->Counts.Announces;
+    return;
+  }
+  if (!this->spendSnapshot(Doc->byteSize())) {
+    wire::BusyT Busy;
+    Busy.topic = Name;
+    Busy.retry_after_ms =
+        static_cast<uint32_t>(1000.0 * static_cast<double>(Doc->byteSize()) /
+                                  this->Opts.SnapshotBytesPerSecond +
+                              1);
+    this->Hook.Send(To, frameOf(std::move(Busy)));
+    return;
+  }
+  ++this->Counts.SnapshotParts;
+  this->sendParts(To, Name, Stamp(), Doc->stamp(),
+                  makeDelta({}, Doc->entries()));
+}
+
+// A herd of empty nodes asks for everything at once. Without a bound the
+// answers fill this node's memory and delay its heartbeats until its links are
+// condemned, and the herd starts over. A debt is allowed, so that a document
+// larger than the burst still goes out, one at a time.
+bool Spreader::spendSnapshot(size_t Bytes) {
+  if (this->SnapshotTokens <= 0)
+    return false;
+  this->SnapshotTokens -= static_cast<double>(Bytes);
+  return true;
+}
+
+void Spreader::sendParts(LinkId To, const std::string &Name, const Stamp &Base,
+                         const Stamp &Target, const ChangeSet &Changes) {
+  uint32_t RawSize = 0;
+  std::string Packed = packChanges(Changes, this->Opts.CompressFrom, RawSize);
+  size_t Count = std::max<size_t>(
+      1, (Packed.size() + this->Opts.PartBytes - 1) / this->Opts.PartBytes);
+  for (size_t Index = 0; Index < Count; ++Index) {
+    wire::PartT Part;
+    Part.topic = Name;
+    Part.base = wireStamp(Base);
+    Part.target = wireStamp(Target);
+    Part.index = static_cast<uint32_t>(Index);
+    Part.count = static_cast<uint32_t>(Count);
+    Part.raw_size = RawSize;
+    std::string Piece =
+        Packed.substr(Index * this->Opts.PartBytes, this->Opts.PartBytes);
+    Part.bytes.assign(Piece.begin(), Piece.end());
+    this->Hook.Send(To, frameOf(std::move(Part)));
+    ++this->Counts.PushedParts;
+  }
+}
+
+uint64_t Spreader::digest() const {
+  uint64_t Sum = 1;
+  for (const auto &[Name, State] : this->Topics) {
+    Stamp Held = stampOf(State.Held);
+    Sum = combineHash(Sum, contentHash(Name));
+    Sum = combineHash(Sum, combineHash(Held.Version, Held.Revision));
+    Sum = combineHash(Sum, Held.Hash);
+  }
+  return Sum;
+}
+
+void Spreader::sendHeartbeat(LinkId To, Link &On, TimePoint Now) {
+  wire::HeartbeatT Beat;
+  uint64_t Digest = this->digest();
+  bool Full = Digest != On.SentDigest;
+  if (Full) {
+    On.SentDigest = Digest;
+    On.AgeOrder.clear();
+  }
+  for (const auto &[Name, State] : this->Topics) {
+    if (!State.Held)
+      continue;
+    uint32_t AgeMs = UINT32_MAX;
+    if (State.ConfirmedAt)
+      AgeMs = static_cast<uint32_t>(toMillis(Now - *State.ConfirmedAt).count());
+    if (!Full) {
+      Beat.ages_ms.push_back(AgeMs);
+      continue;
+    }
+    auto Item = std::make_unique<wire::TopicStateT>();
+    Item->topic = Name;
+    Item->held = wireStamp(State.Held->stamp());
+    Item->age_ms = AgeMs;
+    Beat.topics.push_back(std::move(Item));
+  }
+  Beat.report = this->Hook.Report(To);
+  Beat.seq = ++On.SentSeq;
+  Beat.echo = On.HeardSeq;
+  On.SentAt.push_back(Now);
+  if (On.SentAt.size() > KeptSendTimes)
+    On.SentAt.pop_front();
+  this->Hook.Send(To, frameOf(std::move(Beat)));
+  ++this->Counts.Heartbeats;
+  // Spread by a fifth, so that nodes started together drift apart.
+  double Jitter = std::uniform_real_distribution<>(0.9, 1.1)(this->Random);
+  On.HeartbeatAt =
+      Now + std::chrono::duration_cast<Clock::duration>(
+                std::chrono::duration<double, std::milli>(
+                    Jitter * this->Opts.HeartbeatInterval.count()));
+}
+
+// The sender wrote the age after it had our heartbeat, so after ComposedAfter,
+// the time at which we sent that one. Counting from there, and not from the
+// arrival, keeps the age true when the bytes lay in a socket while this process
+// was paused: a list that looks young then lets a gate judge keys that are no
+// longer its own. The price is one heartbeat of extra age for each hop.
+void Spreader::freshen(const std::string &Name, const Stamp &Theirs,
+                       uint32_t AgeMs, TimePoint ComposedAfter) {
+  auto Found = this->Topics.find(Name);
+  if (Found == this->Topics.end() || !Found->second.Held ||
+      Found->second.Held->stamp() != Theirs || AgeMs == UINT32_MAX)
+    return;
+  TimePoint At = ComposedAfter - Millis(AgeMs);
+  auto &Known = Found->second.ConfirmedAt;
+  if (!Known || *Known < At)
+    Known = At;
+}
+
+void Spreader::notice(LinkId From, const std::string &Name, const Stamp &Theirs,
+                      TimePoint Now) {
+  TopicOnLink &There = this->Links[From].Topics[Name];
+  There.Theirs = std::max(There.Theirs, Theirs);
+  Topic &State = this->Topics[Name];
+  Stamp Ours = stampOf(State.Held);
+  if (Theirs > Ours) {
+    this->startPull(From, Name, Now + this->Opts.GraftDelay);
+    return;
+  }
+  // The neighbour is behind: it was away, or a push was lost. It will hear our
+  // stamp in a heartbeat at the latest; telling it now saves that wait.
+  if (Theirs < Ours && State.Held) {
+    wire::AnnounceT Announce;
+    Announce.topic = Name;
+    Announce.held = wireStamp(Ours);
+    this->Hook.Send(From, frameOf(std::move(Announce)));
+    ++this->Counts.Announces;
+  }
+}
+
+void Spreader::startPull(LinkId From, const std::string &Name, TimePoint At) {
+  Topic &State = this->Topics[Name];
+  if (State.PullAt)
+    return;
+  State.PullAt = At;
+  State.PullFrom = From;
+  State.PullSent = false;
+}
+
+void Spreader::sendPull(LinkId To, const std::string &Name,
+                        const Topic &State) {
+  wire::PullT Pull;
+  Pull.topic = Name;
+  Pull.have = wireStamp(stampOf(State.Held));
+  // Held but not accepted, and nothing older in force: a node that starts
+  // after a bad version was published would serve nothing for ever.
+  if (State.Held && !State.Accepted)
+    Pull.below = wireStamp(State.Held->stamp());
+  this->Hook.Send(To, frameOf(std::move(Pull)));
+  ++this->Counts.Pulls;
+}
+
+std::optional<LinkId> Spreader::linkHolding(const Topic &State,
+                                            const std::string &Name,
+                                            LinkId NotThis) {
+  std::vector<LinkId> Fit;
+  for (auto &[Id, On] : this->Links)
+    if (Id != NotThis && On.Topics[Name].Theirs > stampOf(State.Held))
+      Fit.push_back(Id);
+  if (!Fit.empty())
+    return Fit[this->Random() % Fit.size()];
+  if (this->Links.count(NotThis))
+    return NotThis;
+  return std::nullopt;
+}
+
+void Spreader::drivePull(const std::string &Name, Topic &State, TimePoint Now) {
+  if (!State.PullAt) {
+    if (!State.Held || State.Accepted || this->Links.empty())
+      return;
+    auto Any = this->Links.begin();
+    std::advance(Any, this->Random() % this->Links.size());
+    this->sendPull(Any->first, Name, State);
+    State.PullAt = Now + this->Opts.PullTimeout;
+    State.PullSent = true;
+    State.PullFrom = Any->first;
+    return;
+  }
+  if (Now < *State.PullAt)
+    return;
+  if (!State.PullSent && this->Links.count(State.PullFrom)) {
+    this->sendPull(State.PullFrom, Name, State);
+    State.PullSent = true;
+    State.PullAt = Now + this->Opts.PullTimeout;
+    return;
+  }
+  // Unanswered or its link is gone: ask another that has it.
+  auto Next = this->linkHolding(State, Name, State.PullFrom);
+  State.PullAt.reset();
+  if (Next)
+    this->startPull(*Next, Name, Now);
+}
+
+void Spreader::tick(TimePoint Now) {
+  Clock::duration Passed =
+      this->LastTick ? Now - *this->LastTick : Clock::duration::zero();
+  this->LastTick = Now;
+  this->SnapshotTokens = std::min(
+      this->Opts.SnapshotBurstBytes,
+      this->SnapshotTokens + this->Opts.SnapshotBytesPerSecond *
+                                 std::chrono::duration<double>(Passed).count());
+  // After a pause every link looks silent though only we were. Start the
+  // count afresh: a link that really is dead is found one limit later.
+  if (Passed > this->Opts.PauseThreshold)
+    this->resync(Now);
+  std::vector<LinkId> Silent;
+  for (auto &[Id, On] : this->Links) {
+    if (Now - On.HeardAt > this->Opts.SilenceLimit)
+      Silent.push_back(Id);
+    else if (Now >= On.HeartbeatAt)
+      this->sendHeartbeat(Id, On, Now);
+  }
+  for (LinkId Id : Silent)
+    this->Hook.Condemn(Id, Error{Errc::Timeout, "heartbeat",
+                                 this->Links[Id].Peer, "link went silent"});
+  for (auto &[Name, State] : this->Topics)
+    this->drivePull(Name, State, Now);
+}
+
+void Spreader::receive(LinkId From, const wire::SpreadFrameT &Frame,
+                       TimePoint Now) {
+  auto Found = this->Links.find(From);
+  if (Found == this->Links.end())
+    return;
+  Link &On = Found->second;
+  On.HeardAt = Now;
+  if (const auto *Beat = Frame.payload.AsHeartbeat())
+    return this->onHeartbeat(From, On, *Beat, Now);
+  if (const auto *Announce = Frame.payload.AsAnnounce())
+    return this->notice(From, Announce->topic, fromWire(Announce->held.get()),
+                        Now);
+  if (const auto *Pull = Frame.payload.AsPull())
+    return this->onPull(From, *Pull);
+  if (const auto *Part = Frame.payload.AsPart())
+    return this->onPart(From, On, *Part, Now);
+  if (const auto *Prune = Frame.payload.AsPrune()) {
+    On.Topics[Prune->topic].Lazy = true;
+    return;
+  }
+  if (const auto *Busy = Frame.payload.AsBusy()) {
+    Topic &State = this->Topics[Busy->topic];
+    if (State.PullAt && State.PullFrom == From)
+      State.PullAt = Now + Millis(Busy->retry_after_ms + this->Random() % 200);
+  }
+}
+
+void Spreader::onHeartbeat(LinkId From, Link &On, const wire::HeartbeatT &Beat,
+                           TimePoint Now) {
+  On.HeardSeq = std::max(On.HeardSeq, Beat.seq);
+  std::optional<TimePoint> ComposedAfter;
+  uint32_t Back = On.SentSeq - Beat.echo;
+  if (Beat.echo != 0 && Back < On.SentAt.size())
+    ComposedAfter = On.SentAt[On.SentAt.size() - 1 - Back];
+  // Ages without names follow the order of the topics named last.
+  std::vector<std::string> Order;
+  for (const auto &Item : Beat.topics) {
+    Stamp Theirs = fromWire(Item->held.get());
+    this->notice(From, Item->topic, Theirs, Now);
+    if (ComposedAfter)
+      this->freshen(Item->topic, Theirs, Item->age_ms, *ComposedAfter);
+    Order.push_back(Item->topic);
+  }
+  if (!Order.empty()) {
+    On.AgeOrder = std::move(Order);
+    return;
+  }
+  if (!ComposedAfter)
+    return;
+  for (size_t I = 0; I < Beat.ages_ms.size() && I < On.AgeOrder.size(); ++I)
+    this->freshen(On.AgeOrder[I], On.Topics[On.AgeOrder[I]].Theirs,
+                  Beat.ages_ms[I], *ComposedAfter);
+}
+
+void Spreader::onPull(LinkId From, const wire::PullT &Pull) {
+  Topic &State = this->Topics[Pull.topic];
+  TopicOnLink &There = this->Links[From].Topics[Pull.topic];
+  There.Lazy = false;
+  Stamp Have = fromWire(Pull.have.get());
+  Stamp Below = fromWire(Pull.below.get());
+  if (State.Held && State.Held->stamp() > Have) {
+    this->sendDocument(From, Pull.topic, State.Held, Have, /*Asked=*/true);
+    There.Theirs = State.Held->stamp();
+    return;
+  }
+  if (!Below.isNull() && State.Accepted && State.Accepted->stamp() < Below)
+    this->sendDocument(From, Pull.topic, State.Accepted, Stamp(),
+                       /*Asked=*/true);
+}
+
+void Spreader::onPart(LinkId From, Link &On, const wire::PartT &Part,
+                      TimePoint Now) {
+  Topic &State = this->Topics[Part.topic];
+  TopicOnLink &There = On.Topics[Part.topic];
+  Stamp Target = fromWire(Part.target.get());
+  There.Theirs = std::max(There.Theirs, Target);
+  bool Wanted = State.Held && !State.Accepted;
+  if (Target <= stampOf(State.Held) && !Wanted) {
+    if (Part.index + 1 != Part.count)
+      return;
+    // It came another way first: this link need only announce.
+    ++this->Counts.Duplicates;
+    wire::PruneT Prune;
+    Prune.topic = Part.topic;
+    this->Hook.Send(From, frameOf(std::move(Prune)));
+    return;
+  }
+  Assembly &Gathered = There.Incoming;
+  if (Part.index == 0) {
+    Gathered = Assembly();
+    Gathered.Base = fromWire(Part.base.get());
+    Gathered.Target = Target;
+    Gathered.Count = Part.count;
+    Gathered.RawSize = Part.raw_size;
+  }
+  bool Follows = Gathered.Target == Target && Gathered.Next == Part.index &&
+                 Gathered.Count == Part.count;
+  bool Fits =
+      Gathered.Bytes.size() + Part.bytes.size() <= this->Opts.MaxChangeSetBytes;
+  if (!Follows || !Fits) {
+    ++this->Counts.Damaged;
+    Gathered = Assembly();
+    return;
+  }
+  Gathered.Bytes.append(Part.bytes.begin(), Part.bytes.end());
+  ++Gathered.Next;
+  // Still arriving: do not ask another for the same.
+  if (State.PullAt && State.PullFrom == From)
+    State.PullAt = Now + this->Opts.PullTimeout;
+  if (Gathered.Next == Gathered.Count)
+    this->finishAssembly(From, On, Part.topic,
+                         std::exchange(Gathered, Assembly()), Now);
+}
+
+void Spreader::finishAssembly(LinkId From, Link &On, const std::string &Name,
+                              Assembly Whole, TimePoint Now) {
+  Topic &State = this->Topics[Name];
+  DocumentPtr Base;
+  if (!Whole.Base.isNull()) {
+    Base = stampOf(State.Held) == Whole.Base
+               ? State.Held
+               : this->findBase(State, Whole.Base);
+    if (!Base) {
+      // A delta to something that we never had: ask again, stating what we
+      // have, and get a snapshot.
+      ++this->Counts.Damaged;
+      State.PullAt.reset();
+      this->startPull(From, Name, Now);
+      return;
+    }
+  }
+  Result<ChangeSet> Changes =
+      unpackChanges(Whole.Bytes, Whole.RawSize, this->Opts.MaxChangeSetBytes);
+  Result<DocumentPtr> Doc = Changes ? applyDelta(Base, Whole.Target, *Changes)
+                                    : Result<DocumentPtr>(Changes.error());
+  if (!Doc) {
+    ++this->Counts.Damaged;
+    State.PullAt.reset();
+    this->startPull(From, Name, Now + this->Opts.PullTimeout);
+    return;
+  }
+  if ((*Doc)->stamp() > stampOf(State.Held))
+    this->take(Name, *Doc, On.Peer, From, Now);
+  else
+    this->judge(Name, State, *Doc, On.Peer, Now);
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/standin/Upstream.cpp
@@ -0,0 +1,208 @@
+#include "standin/Flags.h"
+#include "standin/Standin.h"
+
+#include "base/Hash.h"
+#include "base/Json.h"
+#include "base/NetAddress.h"
+#include "base/Time.h"
+
+#include <absl/flags/flag.h>
+#include <libsoup/soup.h>
+
+#include <iostream>
+#include <map>
+
+// An upstream. The query says what a call does: ms, how long it takes; size,
+// how large its answer is; cut=1, break the answer off in the middle. It counts
+// executions by the header X-Call-Id, so that a test can hold "not run" against
+// what really ran, and tells the hash of the body that it got.
+
+namespace hickorylift::standin {
+
+namespace {
+
+constexpr unsigned ColdFactor = 3;
+
+class UpstreamServer;
+
+struct Job {
+  UpstreamServer *Owner;
+  SoupServerMessage *Message;
+  uint64_t Size;
+  bool Cut;
+  guint Timer;
+};
+
+class UpstreamServer {
+public:
+  UpstreamServer()
+      : Server(soup_server_new(nullptr, nullptr)), Start(Clock::now()) {
+    soup_server_add_handler(this->Server, nullptr, onWork, this, nullptr);
+    soup_server_add_handler(this->Server, "/health", onHealth, this, nullptr);
+    soup_server_add_handler(this->Server, "/admin", onAdmin, this, nullptr);
+  }
+
+  bool listen(const std::string &At) {
+    std::optional<NetAddress> To = parseAddress(At);
+    GSocketAddress *Address =
+        g_inet_socket_address_new_from_string(To->Ip.c_str(), To->Port);
+    return soup_server_listen(this->Server, Address,
+                              static_cast<SoupServerListenOptions>(0), nullptr);
+  }
+
+private:
+  static uint64_t number(GHashTable *Query, const char *Key, uint64_t Default) {
+    const char *Found =
+        Query ? static_cast<const char *>(g_hash_table_lookup(Query, Key))
+              : nullptr;
+    return Found ? std::strtoull(Found, nullptr, 10) : Default;
+  }
+
+  static void onWork(SoupServer *, SoupServerMessage *Message, const char *,
+                     GHashTable *Query, gpointer Data) {
+    auto *Self = static_cast<UpstreamServer *>(Data);
+    SoupMessageHeaders *Asked =
+        soup_server_message_get_request_headers(Message);
+    SoupMessageHeaders *Headers =
+        soup_server_message_get_response_headers(Message);
+    if (Self->Running >= absl::GetFlag(FLAGS_slots)) {
+      ++Self->Shed;
+      soup_message_headers_replace(Headers, "X-Shed", "1");
+      soup_server_message_set_status(Message, 503, nullptr);
+      return;
+    }
+    const char *Id = soup_message_headers_get_one(Asked, "X-Call-Id");
+    if (Id)
+      ++Self->Executions[Id];
+    ++Self->Total;
+    if (Self->Draining)
+      ++Self->AfterDrain;
+    GBytes *Body = soup_message_body_flatten(
+        soup_server_message_get_request_body(Message));
+    gsize Size = 0;
+    const char *At = static_cast<const char *>(g_bytes_get_data(Body, &Size));
+    std::string_view Got(At ? At : "", Size);
+    soup_message_headers_replace(Headers, "X-Body-Hash",
+                                 hexHash(contentHash(Got)).c_str());
+    soup_message_headers_replace(Headers, "X-Body-Size",
+                                 std::to_string(Size).c_str());
+    g_bytes_unref(Body);
+    if (Id)
+      soup_message_headers_replace(Headers, "X-Call-Id", Id);
+    uint64_t Ms = number(Query, "ms", 0);
+    if (Clock::now() - Self->Start < Millis(absl::GetFlag(FLAGS_cold_ms)))
+      Ms *= ColdFactor;
+    auto *Of = new Job{Self, Message, number(Query, "size", 2),
+                       number(Query, "cut", 0) != 0, 0};
+    ++Self->Running;
+    if (Ms == 0)
+      return finish(Of);
+    g_object_ref(Message);
+    soup_server_message_pause(Message);
+    g_signal_connect(Message, "finished", G_CALLBACK(onGone), Of);
+    Of->Timer = g_timeout_add(static_cast<guint>(Ms), onDone, Of);
+  }
+
+  static gboolean onDone(gpointer Data) {
+    auto *Of = static_cast<Job *>(Data);
+    SoupServerMessage *Message = Of->Message;
+    g_signal_handlers_disconnect_by_data(Message, Of);
+    finish(Of);
+    soup_server_message_unpause(Message);
+    g_object_unref(Message);
+    return G_SOURCE_REMOVE;
+  }
+
+  // The caller broke off before the end.
+  static void onGone(SoupServerMessage *, gpointer Data) {
+    auto *Of = static_cast<Job *>(Data);
+    ++Of->Owner->Cancelled;
+    --Of->Owner->Running;
+    g_source_remove(Of->Timer);
+    g_signal_handlers_disconnect_by_data(Of->Message, Of);
+    g_object_unref(Of->Message);
+    delete Of;
+  }
+
+  static void finish(Job *Of) {
+    --Of->Owner->Running;
+    soup_server_message_set_status(Of->Message, 200, nullptr);
+    std::string Body(Of->Size, 'x');
+    for (size_t I = 0; I < Body.size(); ++I)
+      Body[I] = static_cast<char>('a' + (I * 7 + I / 251) % 26);
+    SoupMessageHeaders *Headers =
+        soup_server_message_get_response_headers(Of->Message);
+    soup_message_headers_replace(Headers, "X-Answer-Hash",
+                                 hexHash(contentHash(Body)).c_str());
+    if (Of->Cut) {
+      GSocket *Socket = soup_server_message_get_socket(Of->Message);
+      std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nhalf";
+      g_socket_send(Socket, Head.data(), Head.size(), nullptr, nullptr);
+      g_socket_shutdown(Socket, TRUE, TRUE, nullptr);
+    }
+    soup_server_message_set_response(
+        Of->Message, "text/plain", SOUP_MEMORY_COPY, Body.data(), Body.size());
+    delete Of;
+  }
+
+  static gboolean onLagged(gpointer Data) {
+    auto *Self = static_cast<UpstreamServer *>(Data);
+    Self->SaysDraining = Self->Draining;
+    return G_SOURCE_REMOVE;
+  }
+
+  static void text(SoupServerMessage *To, const std::string &Body) {
+    soup_server_message_set_status(To, 200, nullptr);
+    soup_server_message_set_response(To, "text/plain", SOUP_MEMORY_COPY,
+                                     Body.data(), Body.size());
+  }
+
+  static void onHealth(SoupServer *, SoupServerMessage *Message, const char *,
+                       GHashTable *, gpointer Data) {
+    auto *Self = static_cast<UpstreamServer *>(Data);
+    text(Message, Self->SaysDraining ? "draining\n" : "ok\n");
+  }
+
+  static void onAdmin(SoupServer *, SoupServerMessage *Message,
+                      const char *Path, GHashTable *Query, gpointer Data) {
+    auto *Self = static_cast<UpstreamServer *>(Data);
+    if (std::string(Path) == "/admin/drain") {
+      Self->Draining = number(Query, "on", 1) != 0;
+      g_timeout_add(absl::GetFlag(FLAGS_lag_ms), onLagged, Self);
+    }
+    Json::Value Out(Json::objectValue);
+    Out["total"] = Json::UInt64(Self->Total);
+    Out["shed"] = Json::UInt64(Self->Shed);
+    Out["cancelled"] = Json::UInt64(Self->Cancelled);
+    Out["after_drain"] = Json::UInt64(Self->AfterDrain);
+    Out["running"] = Json::UInt64(Self->Running);
+    Out["executions"] = Json::Value(Json::objectValue);
+    for (const auto &[Id, Count] : Self->Executions)
+      Out["executions"][Id] = Json::UInt64(Count);
+    text(Message, writeJson(Out) + "\n");
+  }
+
+  SoupServer *Server;
+  TimePoint Start;
+  std::map<std::string, uint64_t> Executions;
+  uint64_t Total = 0;
+  uint64_t Shed = 0;
+  uint64_t Cancelled = 0;
+  uint64_t AfterDrain = 0;
+  uint64_t Running = 0;
+  bool Draining = false;
+  bool SaysDraining = false;
+};
+
+} // namespace
+
+int runUpstream() {
+  UpstreamServer Server;
+  if (!Server.listen(absl::GetFlag(FLAGS_listen)))
+    return 1;
+  std::cout << "ready\n" << std::flush;
+  g_main_loop_run(g_main_loop_new(nullptr, FALSE));
+  return 0;
+}
+
+} // namespace hickorylift::standin
