--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -1,12 +1,12 @@
 #include "base/Log.h"
 
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
-#include <memory>
+#include <cctype>
+#include <sstream>
 
 namespace hickorylift {
 
@@ -37,23 +37,25 @@
 
 } // namespace
 
+// log4cplus keeps a pool of threads for appenders that write behind. We use
+// none; one, idle, is the least that the library allows.
 void startLog(const std::string &Level) {
-  // No thread pool: the process has one loop on one thread.
   static log4cplus::Initializer Library;
-  log4cplus::SharedAppenderPtr Out(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true, true));
-  Out->setLayout(std::make_unique<log4cplus::PatternLayout>(
-      "ts=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n"));
-  logger().addAppender(Out);
-  logger().setAdditivity(false);
-  log4cplus::LogLevel Threshold = log4cplus::INFO_LOG_LEVEL;
-  if (Level == "debug")
-    Threshold = log4cplus::DEBUG_LOG_LEVEL;
-  if (Level == "warn")
-    Threshold = log4cplus::WARN_LOG_LEVEL;
-  if (Level == "error")
-    Threshold = log4cplus::ERROR_LOG_LEVEL;
-  logger().setLogLevel(Threshold);
+  std::string Upper = Level;
+  for (char &C : Upper)
+    C = static_cast<char>(std::toupper(static_cast<unsigned char>(C)));
+  std::istringstream Text(
+      "log4cplus.threadPoolSize=1\n"
+      "log4cplus.rootLogger=" +
+      Upper +
+      ", out\n"
+      "log4cplus.appender.out=log4cplus::ConsoleAppender\n"
+      "log4cplus.appender.out.logToStdErr=true\n"
+      "log4cplus.appender.out.ImmediateFlush=true\n"
+      "log4cplus.appender.out.layout=log4cplus::PatternLayout\n"
+      "log4cplus.appender.out.layout.ConversionPattern="
+      "ts=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n\n");
+  log4cplus::PropertyConfigurator(Text).configure();
 }
 
 LogLine::LogLine(std::string_view Event) { this->add("event", Event); }
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -45,6 +45,13 @@
   return Millis(Ms);
 }
 
+// Whether a refusal shows the gate, its link or its upstream to be out of
+// order. One for want of room does not.
+bool blamesGate(const Refusal &Why) {
+  return Why.Reason.rfind("gate-", 0) == 0 ||
+         Why.Reason.rfind("upstream-", 0) == 0;
+}
+
 size_t headerBytes(const RequestHead &Head) {
   size_t Sum = Head.Path.size();
   for (const HeaderField &One : Head.Headers)
@@ -313,7 +320,7 @@
 void Entry::giveUp(CallerId Caller, const Refusal &Why, TimePoint Now) {
   Call &One = this->Calls.at(Caller);
   bool HaveHead = One.HaveHead;
-  this->leaveGate(Caller, One, Why.What == Outcome::NotRun, Now);
+  this->leaveGate(Caller, One, !blamesGate(Why), Now);
   this->Calls.erase(Caller);
   if (HaveHead) {
     ++this->Counts.Aborted;
@@ -323,7 +330,8 @@
 }
 
 bool Entry::mayTryAnother(Call &One, const Refusal &Why, TimePoint Now) {
-  bool Harmless = Why.What == Outcome::NotRun || One.Idempotent;
+  bool Harmless = Why.What == Outcome::NotRun || One.Idempotent ||
+                  !this->Opts.Guards.RetryOnlyHarmless;
   if (!Harmless || One.HaveHead || !One.Request.replayable() ||
       Now >= One.Deadline || One.Attempts >= One.Taken->Retry->Attempts)
     return false;
@@ -342,7 +350,7 @@
   // other gate take it: "not run" would not be true any more.
   if (!One.LastRefusal || One.LastRefusal->What == Outcome::NotRun)
     One.LastRefusal = Why;
-  this->leaveGate(Caller, One, Why.What == Outcome::NotRun, Now);
+  this->leaveGate(Caller, One, !blamesGate(Why), Now);
   One.Request.rewind(0);
   this->route(Caller, Now);
 }
@@ -380,7 +388,8 @@
     Call &One = this->Calls.at(Caller);
     if (One.Now == State::Connecting) {
       this->open(Caller, One, /*Resume=*/false, Now);
-    } else if (One.GateIncarnation == Hello.incarnation) {
+    } else if (One.GateIncarnation == Hello.incarnation ||
+               !this->Opts.Guards.ProveIncarnation) {
       ++this->Counts.Resumed;
       this->open(Caller, One, /*Resume=*/true, Now);
     } else {
@@ -438,7 +447,8 @@
       On.NextPing = Now + this->Opts.PingInterval;
       this->Hook.Send(Gate, callFrame(wire::PingT()));
     }
-    if (On.PingAt && Now - *On.PingAt > this->Opts.SilenceLimit)
+    if (On.PingAt && Now - *On.PingAt > this->Opts.SilenceLimit &&
+        this->Opts.Guards.CondemnSilentLinks)
       this->condemn(Gate, On, Now);
     if (!On.Up && !On.Connecting && !On.Calls.empty()) {
       if (On.LostAt && Now - *On.LostAt > this->Opts.FindAgain) {
@@ -557,9 +567,14 @@
   if (Why.Reason == "draining")
     this->Choose.draining(Gate);
   if (Why.Reason == "overload")
-    this->Choose.refused(Gate, Why.RetryAfter, Now);
-  if (std::optional<CallerId> Caller = this->callOn(Gate, Failed.seq))
-    this->tryAnother(*Caller, Why, Now);
+    this->Choose.refused(Gate, Now);
+  std::optional<CallerId> Caller = this->callOn(Gate, Failed.seq);
+  if (!Caller)
+    return;
+  // The gate is there and has room for all we know; it was the link.
+  if (Why.Reason == "never-arrived")
+    this->Calls.at(*Caller).Tried.erase(Gate);
+  this->tryAnother(*Caller, Why, Now);
 }
 
 void Entry::onAdmitted(const std::string &Gate, const wire::AdmittedT &Joined,
@@ -590,7 +605,8 @@
 }
 
 void Entry::paused(TimePoint Now) {
-  this->GraceUntil = Now + this->Opts.PauseGrace;
+  if (this->Opts.Guards.PauseBarrier)
+    this->GraceUntil = Now + this->Opts.PauseGrace;
   // The links were not silent, we were: count from here.
   for (auto &[Gate, On] : this->Links) {
     if (On.PingAt)
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -52,6 +52,7 @@
     /// A link without calls is closed after this.
     Millis IdleLink{60000};
     Chooser::Options Choose;
+    Safeguards Guards;
   };
 
   struct Hooks {
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -150,8 +150,11 @@
   if (Open.resume)
     return this->onResume(Link, Open, Now);
   CallId Id{Open.entry, Open.seq};
-  if (this->find(Id))
-    return; // the late copy of a call that was asked for again
+  if (this->find(Id)) {
+    if (this->Opts.Guards.RememberCalls)
+      return; // the late copy of a call that was asked for again
+    this->Calls.erase(Id);
+  }
   Call &One = this->enter(Id, Millis(Open.budget_ms), Link, Now);
   One.Head.Method = Open.method;
   One.Head.Path = Open.path;
@@ -310,6 +313,12 @@
 void Gate::onResume(LinkId Link, const wire::OpenT &Open, TimePoint Now) {
   CallId Id{Open.entry, Open.seq};
   Call *One = this->find(Id);
+  if (!this->Opts.Guards.RememberCalls) {
+    wire::FailedT Failed;
+    Failed.seq = Id.Seq;
+    Failed.reason = "never-arrived";
+    return this->Hook.Send(Link, callFrame(std::move(Failed)));
+  }
   if (!One) {
     One = &this->enter(Id, Millis(Open.budget_ms), Link, Now);
     return this->refuse(Id, *One,
@@ -485,7 +494,7 @@
 }
 
 void Gate::drain(const std::string &By, TimePoint Now) {
-  if (this->draining())
+  if (this->draining() || !this->Opts.Guards.DrainClosesGate)
     return;
   this->Slots.drain(By);
   for (const auto &[Link, State] : this->Links) {
@@ -509,7 +518,7 @@
 }
 
 void Gate::paused(TimePoint Now) {
-  if (!this->Opts.PauseBarrier)
+  if (!this->Opts.Guards.PauseBarrier)
     return;
   for (auto &[Link, State] : this->Links) {
     wire::PingT Ping;
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -40,9 +40,7 @@
     Millis RememberSlack{10000};
     /// Ids remembered at once. New calls are refused when full.
     size_t MaxRemembered = 100000;
-    /// Whether a pause makes what lay in the sockets suspect. Off only to
-    /// show what happens without.
-    bool PauseBarrier = true;
+    Safeguards Guards;
     Admission::Options Slots;
     KeyJudge::Options Keys;
   };
--- a/src/calls/Message.cpp
+++ b/src/calls/Message.cpp
@@ -1,5 +1,7 @@
 #include "calls/Message.h"
 
+#include "peer/Seal.h"
+
 #include <array>
 
 #include <strings.h>
@@ -67,18 +69,22 @@
 std::string encodeFrame(const wire::CallFrameT &Frame) {
   flatbuffers::FlatBufferBuilder Builder;
   Builder.Finish(wire::CallFrame::Pack(Builder, &Frame));
-  return {reinterpret_cast<const char *>(Builder.GetBufferPointer()),
-          Builder.GetSize()};
+  return sealFrame({reinterpret_cast<const char *>(Builder.GetBufferPointer()),
+                    Builder.GetSize()});
 }
 
-Result<wire::CallFrameT> decodeCallFrame(std::string_view Bytes) {
-  flatbuffers::Verifier Check(reinterpret_cast<const uint8_t *>(Bytes.data()),
-                              Bytes.size());
+Result<wire::CallFrameT> decodeCallFrame(std::string_view Sealed,
+                                         const Safeguards &Guards) {
+  Result<std::string_view> Bytes = openSealed(Sealed, Guards);
+  if (!Bytes)
+    return Bytes.error();
+  flatbuffers::Verifier Check(reinterpret_cast<const uint8_t *>(Bytes->data()),
+                              Bytes->size());
   if (!wire::VerifyCallFrameBuffer(Check))
     return Error{Errc::BadMessage, "decode-frame", "",
                  "call frame does not verify"};
   wire::CallFrameT Frame;
-  wire::GetCallFrame(Bytes.data())->UnPackTo(&Frame);
+  wire::GetCallFrame(Bytes->data())->UnPackTo(&Frame);
   return Frame;
 }
 
--- a/src/calls/Message.h
+++ b/src/calls/Message.h
@@ -2,6 +2,7 @@
 #define HICKORYLIFT_CALLS_MESSAGE_H
 
 #include "base/Error.h"
+#include "base/Safeguards.h"
 #include "base/Time.h"
 #include "calls/Calls_generated.h"
 
@@ -81,7 +82,9 @@
 const char *outcomeName(Outcome What);
 
 std::string encodeFrame(const wire::CallFrameT &Frame);
-Result<wire::CallFrameT> decodeCallFrame(std::string_view Bytes);
+Result<wire::CallFrameT>
+decodeCallFrame(std::string_view Sealed,
+                const Safeguards &Guards = Safeguards());
 
 template <typename PayloadT> wire::CallFrameT callFrame(PayloadT Payload) {
   wire::CallFrameT Frame;
--- a/src/config/Config.cpp
+++ b/src/config/Config.cpp
@@ -108,7 +108,7 @@
                                   " records"});
     else
       this->compileRecords();
-    if (!this->Faults.empty())
+    if (!this->Faults.empty() && this->Options.Guards.WholeVersions)
       return {nullptr, std::move(this->Faults)};
     this->indexRoutes();
     return {this->Made, {}};
--- a/src/config/Config.h
+++ b/src/config/Config.h
@@ -131,6 +131,7 @@
   size_t MaxRecordBytes = 1u << 20;
   /// Faults after which the search ends.
   size_t MaxFaults = 100;
+  Safeguards Guards;
 };
 
 struct CompileResult {
--- a/src/config/Document.cpp
+++ b/src/config/Document.cpp
@@ -47,7 +47,8 @@
 }
 
 Result<DocumentPtr> applyDelta(const DocumentPtr &Base, const Stamp &Target,
-                               const ChangeSet &Changes) {
+                               const ChangeSet &Changes,
+                               const Safeguards &Guards) {
   EntryMap Entries = Base ? Base->entries() : EntryMap();
   for (const Change &One : Changes) {
     if (One.Bytes)
@@ -59,7 +60,7 @@
       Document::make(Target.Version, Target.Revision, std::move(Entries));
   // A delta against the wrong base, or one damaged on the way, would leave a
   // mixture of two versions in force; its sum cannot match the target's.
-  if (Made->stamp().Hash != Target.Hash)
+  if (Guards.CheckContent && Made->stamp().Hash != Target.Hash)
     return Error{Errc::BadMessage, "apply-delta", "",
                  "content does not match " + Target.text()};
   return Made;
--- a/src/config/Document.h
+++ b/src/config/Document.h
@@ -2,6 +2,7 @@
 #define HICKORYLIFT_CONFIG_DOCUMENT_H
 
 #include "base/Error.h"
+#include "base/Safeguards.h"
 
 #include <compare>
 #include <cstdint>
@@ -81,7 +82,8 @@
 /// Base with the changes applied, provided that the outcome has exactly the
 /// hash that Target states; else Errc::BadMessage. Base may be null.
 Result<DocumentPtr> applyDelta(const DocumentPtr &Base, const Stamp &Target,
-                               const ChangeSet &Changes);
+                               const ChangeSet &Changes,
+                               const Safeguards &Guards = Safeguards());
 
 } // namespace hickorylift
 
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -132,7 +132,9 @@
     bool MayAsk = this->Opts.Seeds.empty() || Waited >= this->Opts.PeersFirst;
     return MayAsk ? Reader::Duty::List : Reader::Duty::None;
   }
-  if (this->Fleet.isReader())
+  bool PeersHadTheirTurn =
+      this->Spread.heardFromAny() || Waited >= this->Opts.PeersFirst;
+  if (this->Fleet.isReader() && PeersHadTheirTurn)
     return Reader::Duty::Watch;
   if (!this->InForce && Waited >= 3 * this->Opts.PeersFirst)
     return Reader::Duty::Once;
@@ -239,7 +241,8 @@
   auto Found = this->Peers.find(Link);
   if (Found == this->Peers.end())
     return;
-  Result<wire::SpreadFrameT> Frame = decodeSpreadFrame(Bytes);
+  Result<wire::SpreadFrameT> Frame =
+      decodeSpreadFrame(Bytes, this->Opts.Spread.Guards);
   if (!Frame) {
     this->Trail.add(Now, "link-rubbish", Found->second.Name, "peer",
                     Frame.error().Detail);
--- a/src/gate/Admission.cpp
+++ b/src/gate/Admission.cpp
@@ -125,7 +125,8 @@
   size_t Ahead = this->countAhead(Key);
   Clock::duration Wait = this->expectedWait(Ahead, Now);
   if (!Free) {
-    bool TooLong = Wait > this->Of.QueueWait || Now + Wait >= One.Deadline;
+    bool TooLong = this->Opts.Guards.DropLate &&
+                   (Wait > this->Of.QueueWait || Now + Wait >= One.Deadline);
     if (TooLong || Ahead >= this->Of.QueueLimit)
       return this->refuse("overload", this->comeBack(Wait));
   }
@@ -191,9 +192,10 @@
   for (auto At = this->Queue.begin(); At != this->Queue.end();) {
     if (this->draining())
       At = Drop(At, "draining", Millis(0));
-    else if (!this->inTime(At->second.One, Now))
+    else if (this->Opts.Guards.DropLate && !this->inTime(At->second.One, Now))
       At = Drop(At, "deadline", Millis(0));
-    else if (Now - At->second.Since > this->Of.QueueWait)
+    else if (this->Opts.Guards.DropLate &&
+             Now - At->second.Since > this->Of.QueueWait)
       At = Drop(At, "overload",
                 this->comeBack(this->expectedWait(this->Queue.size(), Now)));
     else
--- a/src/gate/Admission.h
+++ b/src/gate/Admission.h
@@ -39,6 +39,7 @@
     /// Bounds of the advice when to come back.
     Millis ShortestRetry{20};
     Millis LongestRetry{5000};
+    Safeguards Guards;
   };
 
   enum class Verdict { Run, Wait, Refuse };
--- a/src/gate/KeyJudge.cpp
+++ b/src/gate/KeyJudge.cpp
@@ -95,6 +95,8 @@
                                                  Millis Window,
                                                  std::optional<Millis> ListAge,
                                                  TimePoint Now) const {
+  if (!this->Opts.Guards.SettledKeys)
+    return std::nullopt;
   auto NotNow = [&](const char *Reason) {
     return this->refuse(Verdict::Refuse, Reason, Outcome::NotRun, LaterAgain,
                         0);
--- a/src/gate/KeyJudge.h
+++ b/src/gate/KeyJudge.h
@@ -1,6 +1,7 @@
 #ifndef HICKORYLIFT_GATE_KEYJUDGE_H
 #define HICKORYLIFT_GATE_KEYJUDGE_H
 
+#include "base/Safeguards.h"
 #include "calls/Message.h"
 #include "membership/Membership.h"
 
@@ -41,6 +42,7 @@
     /// up to MaxReplayBytes; a longer one is remembered as answered only.
     size_t MaxAnswerBytes = 64 * 1024;
     size_t MaxReplayBytes = 24u << 20;
+    Safeguards Guards;
   };
 
   enum class Verdict {
--- /dev/null
+++ b/src/node/NodeCore.cpp
@@ -0,0 +1,286 @@
+#include "node/NodeCore.h"
+
+// Every event passes through observe(), and the call tick alone comes fifty
+// times a second; so a gap between two events means that the process stood
+// still, and the event at hand is the first after it. Entry and gate hear of
+// the pause before they hear of the event.
+
+namespace hickorylift {
+
+namespace {
+
+// The link to this node's own gate; a transport's numbers start at one.
+constexpr LinkId LocalLink = 0;
+const char HealthDraining[] = "draining";
+constexpr size_t MaxHealthText = 64;
+
+} // namespace
+
+void NodeCore::Options::setIdentity(const std::string &Name,
+                                    const std::string &DataCentre,
+                                    const std::vector<std::string> &DataCentres,
+                                    const std::string &Service,
+                                    uint64_t Incarnation) {
+  this->Control.Self = Name;
+  this->Control.DataCentre = DataCentre;
+  this->Control.DataCentres = DataCentres;
+  this->Control.Incarnation = Incarnation;
+  this->Control.Seed = Incarnation;
+  this->Control.Members.Self = Name;
+  this->Control.Members.DataCentre = DataCentre;
+  this->Control.Spread.Guards = this->Guards;
+  this->Control.Compile.Guards = this->Guards;
+  this->CallEntry.Self = Name;
+  this->CallEntry.DataCentre = DataCentre;
+  this->CallEntry.Incarnation = Incarnation;
+  this->CallEntry.Seed = Incarnation;
+  this->CallEntry.Guards = this->Guards;
+  this->CallGate.Self = Name;
+  this->CallGate.Service = Service;
+  this->CallGate.Incarnation = Incarnation;
+  this->CallGate.Seed = Incarnation;
+  this->CallGate.Guards = this->Guards;
+  this->CallGate.Slots.Guards = this->Guards;
+  this->CallGate.Keys.Guards = this->Guards;
+}
+
+NodeCore::NodeCore(Options GivenOpts, Platform &Source, Hooks GivenHooks)
+    : Opts(std::move(GivenOpts)), Hook(std::move(GivenHooks)) {
+  this->Control = std::make_unique<ControlPlane>(this->Opts.Control, Source,
+                                                 this->controlHooks());
+  this->From = std::make_unique<Entry>(this->Opts.CallEntry, this->entryHooks(),
+                                       this->Control->members());
+  this->At = std::make_unique<Gate>(this->Opts.CallGate, this->gateHooks());
+}
+
+ControlPlane::Hooks NodeCore::controlHooks() {
+  ControlPlane::Hooks Out;
+  Out.Dial = [this](const std::string &Peer, const std::string &Address) {
+    this->Hook.Dial(ControlPurpose, Peer, Address);
+  };
+  Out.Send = this->Hook.Send;
+  Out.Close = this->Hook.Close;
+  Out.ConfigChanged = [this](const ConfigPtr &New, TimePoint Now) {
+    this->From->configure(New);
+    this->At->configure(New, Now);
+  };
+  Out.MembersChanged = [this](TimePoint Now) { this->membersChanged(Now); };
+  Out.Audit = this->Hook.Audit;
+  return Out;
+}
+
+Entry::Hooks NodeCore::entryHooks() {
+  Entry::Hooks Out = this->Hook.Callers;
+  Out.Connect = [this](const Instance &Gate) {
+    std::string Name = Gate.Name;
+    if (Name != this->Opts.CallGate.Self)
+      return this->Hook.Dial(CallPurpose, Name, Gate.Node);
+    this->Hook.Post([this, Name](TimePoint Now) {
+      this->At->linkUp(LocalLink, Now);
+      this->From->gateUp(Name, Now);
+    });
+  };
+  Out.Send = [this](const std::string &Gate, wire::CallFrameT Frame) {
+    this->sendToGate(Gate, std::move(Frame));
+  };
+  Out.Close = [this](const std::string &Gate) {
+    auto Link = this->GateLinks.find(Gate);
+    if (Link == this->GateLinks.end())
+      return;
+    this->Hook.Close(Link->second);
+    this->LinkGates.erase(Link->second);
+    this->GateLinks.erase(Link);
+  };
+  return Out;
+}
+
+Gate::Hooks NodeCore::gateHooks() {
+  Gate::Hooks Out = this->Hook.Upstream;
+  Out.Send = [this](LinkId Link, wire::CallFrameT Frame) {
+    this->sendToEntry(Link, std::move(Frame));
+  };
+  Out.ListAge = [this](TimePoint Now) {
+    return this->Control->oldestListAge(Now);
+  };
+  return Out;
+}
+
+// Frames to this node's own gate wait for the next turn of the loop, as if
+// they had come over a link: otherwise the gate's answer would arrive while
+// the entry is still in the midst of sending.
+void NodeCore::sendToGate(const std::string &Gate, wire::CallFrameT Frame) {
+  if (Gate == this->Opts.CallGate.Self)
+    return this->Hook.Post([this, Frame = std::move(Frame)](TimePoint Now) {
+      this->At->frame(LocalLink, Frame, Now);
+    });
+  auto Link = this->GateLinks.find(Gate);
+  if (Link != this->GateLinks.end())
+    this->Hook.Send(Link->second, encodeFrame(Frame));
+}
+
+void NodeCore::sendToEntry(LinkId Link, wire::CallFrameT Frame) {
+  if (Link != LocalLink)
+    return this->Hook.Send(Link, encodeFrame(Frame));
+  this->Hook.Post([this, Frame = std::move(Frame)](TimePoint Now) {
+    this->From->frame(this->Opts.CallGate.Self, Frame, Now);
+  });
+}
+
+void NodeCore::observe(TimePoint Now) {
+  bool Paused =
+      this->LastEvent && Now - *this->LastEvent > this->Opts.PauseThreshold;
+  Millis Gap = this->LastEvent ? toMillis(Now - *this->LastEvent) : Millis(0);
+  this->LastEvent = Now;
+  if (!Paused)
+    return;
+  this->Control->audit().add(Now, "paused", std::to_string(Gap.count()) + "ms",
+                             "clock", "what lay in the sockets is suspect");
+  this->At->paused(Now);
+  this->From->paused(Now);
+}
+
+void NodeCore::opened(LinkId Link, char Purpose, const std::string &Dialled,
+                      TimePoint Now) {
+  this->observe(Now);
+  if (Purpose == ControlPurpose)
+    return this->Control->linkOpened(Link, Dialled, Now);
+  if (Purpose != CallPurpose)
+    return this->Hook.Close(Link);
+  if (Dialled.empty())
+    return this->At->linkUp(Link, Now);
+  this->GateLinks[Dialled] = Link;
+  this->LinkGates[Link] = Dialled;
+  this->From->gateUp(Dialled, Now);
+}
+
+void NodeCore::dialFailed(char Purpose, const std::string &Peer,
+                          TimePoint Now) {
+  this->observe(Now);
+  if (Purpose == ControlPurpose)
+    this->Control->dialFailed(Peer, Now);
+  else
+    this->From->gateDown(Peer, Now);
+}
+
+void NodeCore::frame(LinkId Link, char Purpose, std::string_view Bytes,
+                     TimePoint Now) {
+  this->observe(Now);
+  if (Purpose == ControlPurpose)
+    return this->Control->frame(Link, Bytes, Now);
+  Result<wire::CallFrameT> Frame = decodeCallFrame(Bytes, this->Opts.Guards);
+  if (!Frame) {
+    this->Control->audit().add(Now, "link-rubbish", std::to_string(Link),
+                               "peer", Frame.error().Detail);
+    this->Hook.Close(Link);
+    return this->closed(Link, CallPurpose, Now);
+  }
+  auto Gate = this->LinkGates.find(Link);
+  if (Gate == this->LinkGates.end())
+    return this->At->frame(Link, *Frame, Now);
+  std::string Name = Gate->second;
+  this->From->frame(Name, *Frame, Now);
+}
+
+void NodeCore::closed(LinkId Link, char Purpose, TimePoint Now) {
+  this->observe(Now);
+  if (Purpose == ControlPurpose)
+    return this->Control->linkClosed(Link, Now);
+  auto Gate = this->LinkGates.find(Link);
+  if (Gate == this->LinkGates.end())
+    return this->At->linkDown(Link, Now);
+  std::string Name = Gate->second;
+  this->LinkGates.erase(Gate);
+  this->GateLinks.erase(Name);
+  this->From->gateDown(Name, Now);
+}
+
+void NodeCore::membersChanged(TimePoint Now) {
+  const Membership &Fleet = this->Control->members();
+  this->From->membersChanged(Now);
+  this->At->members(Fleet.upstreams(this->Opts.CallGate.Service), Now);
+  const Instance *Own = Fleet.find(this->Opts.CallGate.Self);
+  if (Own && Own->Leaving)
+    this->drainGate("list", Now);
+  else if (Own && this->At->drainedBy() == "list")
+    this->reopenGate(Now);
+}
+
+// The endpoint lags and misleads, so it closes the gate when it says that the
+// upstream drains, and decides nothing else.
+void NodeCore::health(const Result<std::string> &Said, TimePoint Now) {
+  this->observe(Now);
+  bool Up = static_cast<bool>(Said);
+  if (Up != this->UpstreamUp)
+    this->Control->audit().add(
+        Now, "upstream", Up ? "reachable" : "lost", "health",
+        Up ? Said->substr(0, MaxHealthText) : Said.error().Detail);
+  this->UpstreamUp = Up;
+  this->UpstreamSays = Up ? Said->substr(0, MaxHealthText) : "";
+  if (Up && Said->rfind(HealthDraining, 0) == 0)
+    this->drainGate("upstream", Now);
+  else if (Up && this->At->drainedBy() == "upstream")
+    this->reopenGate(Now);
+}
+
+bool NodeCore::ready() const {
+  return this->Control->config() && this->UpstreamUp && !this->StopBy &&
+         !this->At->draining();
+}
+
+void NodeCore::drainGate(const std::string &By, TimePoint Now) {
+  if (this->At->draining())
+    return;
+  this->Control->audit().add(Now, "gate-draining", this->Opts.CallGate.Self, By,
+                             "no new work");
+  this->At->drain(By, Now);
+}
+
+void NodeCore::reopenGate(TimePoint Now) {
+  if (!this->At->draining() || this->StopBy)
+    return;
+  this->Control->audit().add(Now, "gate-open", this->Opts.CallGate.Self,
+                             this->At->drainedBy(), "takes work again");
+  this->At->reopen();
+}
+
+void NodeCore::stop(const std::string &By, TimePoint Now) {
+  if (this->StopBy)
+    return;
+  this->Control->audit().add(Now, "stop", this->Opts.CallGate.Self, By,
+                             "draining");
+  this->StopBy = Now + this->Opts.StopWithin;
+  this->drainGate("stop", Now);
+  this->From->drain();
+  this->Hook.StopListening();
+}
+
+void NodeCore::callTick(TimePoint Now) {
+  this->observe(Now);
+  this->At->tick(Now);
+  this->From->tick(Now);
+  if (this->StopBy && !this->StopDone)
+    this->finishStop(Now);
+}
+
+void NodeCore::controlTick(TimePoint Now) {
+  this->observe(Now);
+  this->Control->tick(Now);
+}
+
+// Killing the process while it carries a call cuts the call: the caller sees a
+// broken answer and the upstream an upload that ends in the middle. So the
+// process ends only once nothing is under way in either direction.
+void NodeCore::finishStop(TimePoint Now) {
+  bool Idle =
+      this->From->idle() && this->At->idle() && this->Hook.CallersServed();
+  bool Wait = !Idle && Now < *this->StopBy && this->Opts.Guards.StopWaits;
+  if (Wait)
+    return;
+  this->StopDone = true;
+  this->Control->audit().add(Now, "stopped", this->Opts.CallGate.Self, "",
+                             Idle ? "nothing cut" : "time ran out");
+  this->Control->goodbye();
+  this->Hook.Stopped();
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/node/NodeCore.h
@@ -0,0 +1,121 @@
+#ifndef HICKORYLIFT_NODE_NODECORE_H
+#define HICKORYLIFT_NODE_NODECORE_H
+
+#include "calls/Entry.h"
+#include "calls/Gate.h"
+#include "control/ControlPlane.h"
+
+#include <memory>
+
+// A NodeCore is everything that one node decides, joined together: control
+// plane, entry and gate. Sockets, HTTP and the clock are outside, behind its
+// hooks, so that many nodes fit in one test and a bench can drive them.
+//
+//   NodeCore Core(Options, Platform, Hooks);
+//   Core.controlTick(Now);                     // ten times a second
+//   Core.callTick(Now);                        // fifty times a second
+//   Core.opened(Link, CallPurpose, "", Now);   // and so on for each event
+//   Core.entry().request(Caller, Head, Now);
+//
+// Call observe(Now) before anything else at each event: it finds out that the
+// process stood still. The events above do so themselves; what goes straight
+// to entry() or gate() must.
+
+namespace hickorylift {
+
+/// First byte of a connection: which plane it belongs to.
+constexpr char ControlPurpose = 'C';
+constexpr char CallPurpose = 'D';
+
+class NodeCore {
+public:
+  struct Options {
+    ControlPlane::Options Control;
+    Entry::Options CallEntry;
+    Gate::Options CallGate;
+    /// A gap between two events that means that the process stood still; the
+    /// call tick alone comes every 20 ms.
+    Millis PauseThreshold{750};
+    /// How long a planned stop may wait for what runs.
+    Millis StopWithin{60000};
+    Safeguards Guards;
+
+    /// Gives all parts the same name, place, incarnation and safeguards.
+    void setIdentity(const std::string &Name, const std::string &DataCentre,
+                     const std::vector<std::string> &DataCentres,
+                     const std::string &Service, uint64_t Incarnation);
+  };
+
+  struct Hooks {
+    std::function<void(char Purpose, const std::string &Peer,
+                       const std::string &Address)>
+        Dial;
+    std::function<void(LinkId, std::string Bytes)> Send;
+    std::function<void(LinkId)> Close;
+    /// Runs a piece of work in the loop's next turn.
+    std::function<void(std::function<void(TimePoint)>)> Post;
+    /// Towards the callers; Connect, Send and Close are set by the core.
+    Entry::Hooks Callers;
+    /// Towards the upstream; Send and ListAge are set by the core.
+    Gate::Hooks Upstream;
+    AuditTrail::Hook Audit = [](const AuditEvent &) {};
+    /// A planned stop has begun: take no more connections from callers.
+    std::function<void()> StopListening = [] {};
+    /// Whether all answers were written to the callers.
+    std::function<bool()> CallersServed = [] { return true; };
+    /// A planned stop is complete.
+    std::function<void()> Stopped = [] {};
+  };
+
+  NodeCore(Options Opts, Platform &Source, Hooks Hooks);
+
+  void observe(TimePoint Now);
+  void opened(LinkId Link, char Purpose, const std::string &Dialled,
+              TimePoint Now);
+  void dialFailed(char Purpose, const std::string &Peer, TimePoint Now);
+  void frame(LinkId Link, char Purpose, std::string_view Bytes, TimePoint Now);
+  void closed(LinkId Link, char Purpose, TimePoint Now);
+  void callTick(TimePoint Now);
+  void controlTick(TimePoint Now);
+  /// What the upstream's own health endpoint said.
+  void health(const Result<std::string> &Said, TimePoint Now);
+
+  void drainGate(const std::string &By, TimePoint Now);
+  void reopenGate(TimePoint Now);
+  void stop(const std::string &By, TimePoint Now);
+
+  bool ready() const;
+  bool upstreamReachable() const { return this->UpstreamUp; }
+  const std::string &upstreamSays() const { return this->UpstreamSays; }
+
+  ControlPlane &control() { return *this->Control; }
+  Entry &entry() { return *this->From; }
+  Gate &gate() { return *this->At; }
+
+private:
+  ControlPlane::Hooks controlHooks();
+  Entry::Hooks entryHooks();
+  Gate::Hooks gateHooks();
+  void membersChanged(TimePoint Now);
+  void sendToGate(const std::string &Gate, wire::CallFrameT Frame);
+  void sendToEntry(LinkId Link, wire::CallFrameT Frame);
+  void finishStop(TimePoint Now);
+
+  Options Opts;
+  Hooks Hook;
+  std::unique_ptr<ControlPlane> Control;
+  std::unique_ptr<Entry> From;
+  std::unique_ptr<Gate> At;
+  // Call links that we dialled, by gate and back.
+  std::map<std::string, LinkId> GateLinks;
+  std::map<LinkId, std::string> LinkGates;
+  std::optional<TimePoint> LastEvent;
+  bool UpstreamUp = false;
+  std::string UpstreamSays;
+  std::optional<TimePoint> StopBy;
+  bool StopDone = false;
+};
+
+} // namespace hickorylift
+
+#endif
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -21,11 +21,11 @@
 
 std::string Metrics::text(Node &Of) {
   TimePoint Now = Of.now();
-  const Spreader::Counters &Spread = Of.control().spreader().counters();
+  const Spreader::Counters &Spread = Of.core().control().spreader().counters();
   auto Set = [&](const char *Name, const char *Help, uint64_t Value) {
     this->set(Name, Help, static_cast<double>(Value));
   };
-  ConfigPtr Held = Of.control().config();
+  ConfigPtr Held = Of.core().control().config();
   Set("hickorylift_config_version", "Version in force, 0 for none",
       Held ? Held->stamp().Version : 0);
   Set("hickorylift_control_sent_bytes", "Bytes sent to peers for control",
@@ -33,9 +33,9 @@
   Set("hickorylift_control_received_bytes",
       "Bytes received from peers for control", Of.controlBytesReceived());
   Set("hickorylift_control_links", "Control links",
-      Of.control().spreader().linkCount());
+      Of.core().control().spreader().linkCount());
   Set("hickorylift_platform_reads", "Calls to the platform",
-      Of.control().reader().reads());
+      Of.core().control().reader().reads());
   Set("hickorylift_spread_parts_sent", "Pieces of documents sent",
       Spread.PushedParts);
   Set("hickorylift_spread_snapshots_sent", "Whole documents sent",
@@ -49,8 +49,8 @@
       Spread.Duplicates);
   Set("hickorylift_spread_damaged", "Pieces thrown away", Spread.Damaged);
   Set("hickorylift_instances", "Instances on the lists",
-      Of.control().members().size());
-  const Entry::Counters &Entered = Of.entry().counters();
+      Of.core().control().members().size());
+  const Entry::Counters &Entered = Of.core().entry().counters();
   Set("hickorylift_entry_requests", "Requests from callers", Entered.Requests);
   Set("hickorylift_entry_answered", "Requests answered whole",
       Entered.Answered);
@@ -64,7 +64,7 @@
   for (const auto &[Reason, Count] : Entered.RefusedBy)
     this->set("hickorylift_entry_refused", "Requests refused, by cause",
               static_cast<double>(Count), {{"reason", Reason}});
-  const Gate::Counters &Gated = Of.gate().counters();
+  const Gate::Counters &Gated = Of.core().gate().counters();
   Set("hickorylift_gate_started", "Calls started at the upstream",
       Gated.Started);
   Set("hickorylift_gate_answered", "Calls answered by the upstream",
@@ -72,11 +72,11 @@
   for (const auto &[Reason, Count] : Gated.RefusedBy)
     this->set("hickorylift_gate_refused", "Calls refused, by cause",
               static_cast<double>(Count), {{"reason", Reason}});
-  wire::Load Load = Of.gate().load(Now);
+  wire::Load Load = Of.core().gate().load(Now);
   Set("hickorylift_gate_running", "Calls at the upstream", Load.in_flight());
   Set("hickorylift_gate_waiting", "Calls that wait", Load.queued());
   Set("hickorylift_gate_slots", "Slots open", Load.slots());
-  Set("hickorylift_ready", "1 when /ready says so", Of.ready());
+  Set("hickorylift_ready", "1 when /ready says so", Of.core().ready());
   return prometheus::TextSerializer().Serialize(this->Registry->Collect());
 }
 
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -76,6 +76,7 @@
                                const char *PathText, GHashTable *Query,
                                gpointer Data) {
   auto *Self = static_cast<OperatorServer *>(Data);
+  NodeCore &Core = Self->Of.core();
   std::string Path = PathText;
   std::string Method = soup_server_message_get_method(Message);
   bool Changes = Path == "/drain" || Path == "/undrain";
@@ -94,17 +95,17 @@
     return answer(Message, Ok, "text/plain; version=0.0.4",
                   Self->Measured.text(Self->Of));
   if (Path == "/ready")
-    return Self->Of.ready()
+    return Core.ready()
                ? answer(Message, Ok, "text/plain", "ready\n")
                : answer(Message, Unavailable, "text/plain", "not ready\n");
   if (Path == "/drain") {
-    Self->Of.drainGate("operator");
+    Core.drainGate("operator", Self->Of.now());
     return answer(Message, Ok, "text/plain", "draining\n");
   }
   if (Path == "/undrain") {
-    Self->Of.reopenGate();
+    Core.reopenGate(Self->Of.now());
     return answer(Message, Ok, "text/plain",
-                  Self->Of.gate().draining() ? "draining\n" : "open\n");
+                  Core.gate().draining() ? "draining\n" : "open\n");
   }
   answer(Message, NotFound, "text/plain",
          "try /status /fleet /audit /explain /metrics /ready /drain\n");
@@ -112,7 +113,7 @@
 
 Json::Value OperatorServer::status() {
   TimePoint Now = this->Of.now();
-  ControlPlane &Control = this->Of.control();
+  ControlPlane &Control = this->Of.core().control();
   Json::Value Out(Json::objectValue);
   Out["name"] = this->Of.settings().Name;
   Out["data_centre"] = this->Of.settings().DataCentre;
@@ -120,7 +121,7 @@
   Out["incarnation"] = Json::UInt64(this->Of.incarnation());
   Out["build"] = BuildNumber;
   Out["up_ms"] = Json::Int64(toMillis(Now - this->Of.startedAt()).count());
-  Out["ready"] = this->Of.ready();
+  Out["ready"] = this->Of.core().ready();
   if (ConfigPtr Held = Control.config()) {
     Out["config"] = toJson(Held->stamp());
     Out["config"]["from"] = Control.configSource();
@@ -135,24 +136,25 @@
   Out["reader"] = Control.members().isReader();
   for (const std::string &Peer : Control.peers())
     Out["peers"].append(Peer);
-  wire::Load Load = this->Of.gate().load(Now);
+  wire::Load Load = this->Of.core().gate().load(Now);
   Json::Value &Upstream = Out["upstream"];
-  Upstream["reachable"] = this->Of.upstreamReachable();
-  Upstream["says"] = this->Of.upstreamSays();
-  Upstream["drained_by"] = this->Of.gate().drainedBy();
+  Upstream["reachable"] = this->Of.core().upstreamReachable();
+  Upstream["says"] = this->Of.core().upstreamSays();
+  Upstream["drained_by"] = this->Of.core().gate().drainedBy();
   Upstream["running"] = Load.in_flight();
   Upstream["waiting"] = Load.queued();
   Upstream["slots"] = Load.slots();
   Upstream["mean_run_us"] = Load.latency_us();
-  Out["entry"]["calls"] = Json::UInt64(this->Of.entry().calls());
-  Out["entry"]["refused"] = toJson(this->Of.entry().counters().RefusedBy);
-  Out["gate"]["refused"] = toJson(this->Of.gate().counters().RefusedBy);
+  Out["entry"]["calls"] = Json::UInt64(this->Of.core().entry().calls());
+  Out["entry"]["refused"] =
+      toJson(this->Of.core().entry().counters().RefusedBy);
+  Out["gate"]["refused"] = toJson(this->Of.core().gate().counters().RefusedBy);
   return Out;
 }
 
 Json::Value OperatorServer::fleet() {
   TimePoint Now = this->Of.now();
-  ControlPlane &Control = this->Of.control();
+  ControlPlane &Control = this->Of.core().control();
   const Membership &Fleet = Control.members();
   Json::Value Out(Json::objectValue);
   const Instance *Root = Fleet.root(this->Of.settings().DataCentre);
@@ -186,7 +188,7 @@
 Json::Value OperatorServer::audit() {
   TimePoint Now = this->Of.now();
   Json::Value Out(Json::arrayValue);
-  for (const AuditEvent &One : this->Of.control().audit().events()) {
+  for (const AuditEvent &One : this->Of.core().control().audit().events()) {
     Json::Value Row(Json::objectValue);
     Row["number"] = Json::UInt64(One.Number);
     Row["ago_ms"] = Json::Int64(toMillis(Now - One.At).count());
@@ -206,14 +208,15 @@
   std::string Key = queryValue(Query, "key", "");
   if (!Key.empty())
     Head.Headers.push_back({"Idempotency-Key", Key});
-  Entry::Explanation Found = this->Of.entry().explain(Head, this->Of.now());
+  Entry::Explanation Found =
+      this->Of.core().entry().explain(Head, this->Of.now());
   Json::Value Out(Json::objectValue);
   Out["method"] = Head.Method;
   Out["path"] = Head.Path;
   Out["note"] = Found.Note;
-  if (ConfigPtr Held = this->Of.control().config()) {
+  if (ConfigPtr Held = this->Of.core().control().config()) {
     Out["config"] = toJson(Held->stamp());
-    Out["config"]["from"] = this->Of.control().configSource();
+    Out["config"]["from"] = this->Of.core().control().configSource();
   }
   if (Found.Taken) {
     Out["route"] = Found.Taken->Name;
@@ -227,7 +230,7 @@
     Row["data_centre"] = One->DataCentre;
     Row["leaving"] = One->Leaving;
     Row["ejected"] =
-        this->Of.entry().chooser().isEjected(One->Name, this->Of.now());
+        this->Of.core().entry().chooser().isEjected(One->Name, this->Of.now());
     Out["candidates"].append(Row);
   }
   if (Found.Chosen)
--- a/src/peer/Transport.h
+++ b/src/peer/Transport.h
@@ -26,10 +26,6 @@
 
 namespace hickorylift {
 
-/// First byte of a connection: which plane it belongs to.
-constexpr char ControlPurpose = 'C';
-constexpr char CallPurpose = 'D';
-
 class Transport {
 public:
   struct Options {
--- a/src/platform/Reader.cpp
+++ b/src/platform/Reader.cpp
@@ -163,10 +163,12 @@
     return this->refuseValue(Got->Revision, List.error(), Now);
   this->Busy = false;
   this->succeed();
-  this->ListRevisions[Key] = Got->Revision;
   this->After = std::max(this->After, Got->Revision);
-  this->Hook.Publish(Key, *List, Now);
-  this->Hook.Confirm(Key, Got->Revision, Got->Revision, AskedAt);
+  DocumentPtr Taken = this->rebased(Key, *List, Now);
+  this->ListStamps[Key] = Taken->stamp();
+  this->Hook.Publish(Key, Taken, Now);
+  this->Hook.Confirm(Key, Taken->stamp().Version, Taken->stamp().Revision,
+                     AskedAt);
   this->step(Now);
 }
 
@@ -297,9 +299,13 @@
     else
       this->WantLists.insert(One.Key);
   }
-  // A platform that answers from an old copy confirms nothing. Wait before
-  // asking again: it may answer at once, over and over.
+  this->seen(Got->Revision, Now);
+  // It answers from an old copy. That confirms nothing, but it may have been
+  // restored from that copy for good, and count on from there. So look at all
+  // it has, now and then; what is old is refused by its stamp.
   if (Got->Revision < this->After) {
+    this->After = Got->Revision;
+    this->wantEverything();
     this->NotBefore = Now + this->Opts.LongestBackoff;
     return;
   }
@@ -307,13 +313,42 @@
   this->step(Now);
 }
 
+void Reader::seen(uint64_t Revision, TimePoint Now) {
+  if (Revision >= this->Highest) {
+    this->Highest = Revision;
+    this->BehindSince.reset();
+  } else if (!this->BehindSince) {
+    this->BehindSince = Now;
+  }
+}
+
+bool Reader::restored(TimePoint Now) const {
+  return this->BehindSince &&
+         Now - *this->BehindSince >= this->Opts.RestoredAfter;
+}
+
+// Lists are soft state: what the platform says now is right, also after it was
+// restored and counts its revisions from an old number. Such a list is entered
+// one above the one held, or nobody would take it until the count has caught
+// up. Versions are not: operators publish a higher number.
+DocumentPtr Reader::rebased(const std::string &Key, const DocumentPtr &List,
+                            TimePoint Now) const {
+  DocumentPtr Held = this->Hook.Held(Key);
+  if (!Held || !this->restored(Now) || List->stamp() > Held->stamp())
+    return List;
+  if (List->stamp().Hash == Held->stamp().Hash)
+    return Held;
+  return Document::make(Held->stamp().Version + 1, List->stamp().Revision,
+                        List->entries());
+}
+
 void Reader::confirmAll(TimePoint AskedAt) {
   if (!this->WantManifest)
     this->Hook.Confirm(ConfigTopic, this->ManifestVersion,
                        this->ManifestRevision, AskedAt);
-  for (const auto &[Key, Revision] : this->ListRevisions)
+  for (const auto &[Key, Place] : this->ListStamps)
     if (!this->WantLists.count(Key))
-      this->Hook.Confirm(Key, Revision, Revision, AskedAt);
+      this->Hook.Confirm(Key, Place.Version, Place.Revision, AskedAt);
 }
 
 } // namespace hickorylift
--- a/src/platform/Reader.h
+++ b/src/platform/Reader.h
@@ -61,6 +61,10 @@
     /// Reads a second, and at once.
     double ReadsPerSecond = 100;
     double ReadBurst = 200;
+    /// A platform that answers from before what it answered already is an old
+    /// copy; after this long it counts as restored from one, and its lists are
+    /// taken again.
+    Millis RestoredAfter{30000};
     /// Records read at the same time.
     size_t Parallel = 16;
   };
@@ -114,6 +118,10 @@
               TimePoint AskedAt, TimePoint Now);
   void fail(const Error &Why, TimePoint Now);
   void succeed() { this->Failures = 0; }
+  void seen(uint64_t Revision, TimePoint Now);
+  bool restored(TimePoint Now) const;
+  DocumentPtr rebased(const std::string &Key, const DocumentPtr &List,
+                      TimePoint Now) const;
   std::vector<std::string> watchedKeys() const;
   void confirmAll(TimePoint AskedAt);
   void wantEverything();
@@ -132,8 +140,11 @@
   std::set<std::string> WantLists;
   bool WantManifest = false;
   uint64_t After = 0;
+  // The highest revision seen, and since when the platform is behind it.
+  uint64_t Highest = 0;
+  std::optional<TimePoint> BehindSince;
   // Last seen, for confirming.
-  std::map<std::string, uint64_t> ListRevisions;
+  std::map<std::string, Stamp> ListStamps;
   uint64_t ManifestVersion = 0;
   uint64_t ManifestRevision = 0;
   std::unique_ptr<Gathering> InProgress;
--- a/src/routing/Chooser.cpp
+++ b/src/routing/Chooser.cpp
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <cmath>
 
-// A few gates are drawn at random; among those with room the one that answered
-// fastest is taken, and if none has room the one with the least share of its
-// slots in use (the hot-cold rule of Prequal: Wydrowski et al., "Load is not
-// what you should balance", NSDI 2024). The load is what the gate wrote on its
-// last answer, plus what this entry has sent since: the load endpoints that
+// A few gates are drawn at random; among those with room the one that promises
+// the shortest wait is taken, and if none has room the one with the least share
+// of its slots in use (the hot-cold rule of Prequal: Wydrowski et al., "Load is
+// not what you should balance", NSDI 2024). The load is what the gate wrote on
+// its last answer, plus what this entry has sent since: the load endpoints that
 // upstreams publish lag and mislead, and a gate knows its own slots.
 //
 // Drawing a few, and not looking for the best of all, keeps entries that learn
@@ -24,6 +24,14 @@
   return std::max<double>(Known, Of.Outstanding) / Slots;
 }
 
+// What a call there is expected to take, were it to queue behind those that
+// this entry has out already.
+double Chooser::cost(const State &Of, TimePoint Now) const {
+  double Idle = std::chrono::duration<double>(Now - Of.LatencyAt) /
+                std::chrono::duration<double>(this->Opts.LatencyHalfLife);
+  return Of.MeanLatencyUs * std::exp2(-Idle) * (1 + Of.Outstanding);
+}
+
 bool Chooser::isEjected(const std::string &Gate, TimePoint Now) const {
   auto Found = this->Gates.find(Gate);
   return Found != this->Gates.end() && Now < Found->second.EjectedUntil;
@@ -111,8 +119,8 @@
     bool Better = NewShare < OldShare;
     if (OldRoom != NewRoom)
       Better = NewRoom;
-    else if (OldRoom && Old.MeanLatencyUs != New.MeanLatencyUs)
-      Better = New.MeanLatencyUs < Old.MeanLatencyUs;
+    else if (OldRoom)
+      Better = this->cost(New, Now) < this->cost(Old, Now);
     if (Better)
       Best = Among[I];
   }
@@ -137,6 +145,7 @@
   double Us = std::chrono::duration<double, std::micro>(Took).count();
   double Weight = Of.MeanLatencyUs == 0 ? 1 : this->Opts.LatencyWeight;
   Of.MeanLatencyUs = Of.MeanLatencyUs * (1 - Weight) + Us * Weight;
+  Of.LatencyAt = Now;
 }
 
 void Chooser::learn(const std::string &Gate, const wire::Load &Load,
@@ -146,10 +155,12 @@
   Of.LoadAt = Now;
 }
 
-void Chooser::refused(const std::string &Gate, Millis RetryAfter,
-                      TimePoint Now) {
+void Chooser::refused(const std::string &Gate, TimePoint Now) {
   State &Of = this->Gates[Gate];
-  Of.FullUntil = std::max(Of.FullUntil, Now + RetryAfter);
+  Micros NextFree(Of.Load.latency_us() /
+                  std::max<uint32_t>(1, Of.Load.slots()));
+  Of.FullUntil = Now + std::clamp<Micros>(NextFree, this->Opts.ShortestFull,
+                                          this->Opts.LongestFull);
 }
 
 void Chooser::draining(const std::string &Gate) {
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -41,8 +41,15 @@
     Millis EjectFor{2000};
     /// At most this share of a service's gates is ejected at once.
     double MaxEjected = 0.5;
+    /// Bounds of how long a gate without room is left out. Longer, and its
+    /// slots stand idle before anyone comes back.
+    Millis ShortestFull{1};
+    Millis LongestFull{50};
     /// Weight of the newest answer in the mean latency.
     double LatencyWeight = 0.2;
+    /// A gate that is not chosen cannot show that it has become faster: what
+    /// it is remembered for halves in this time.
+    Millis LatencyHalfLife{1000};
   };
 
   Chooser(Options Opts, std::string DataCentre, std::string Self, uint64_t Seed)
@@ -59,8 +66,9 @@
   void ended(const std::string &Gate, bool Answered, Clock::duration Took,
              TimePoint Now);
   void learn(const std::string &Gate, const wire::Load &Load, TimePoint Now);
-  /// The gate refused for want of room; it is left out until RetryAfter.
-  void refused(const std::string &Gate, Millis RetryAfter, TimePoint Now);
+  /// The gate refused for want of room; it is left out until one of its slots
+  /// is likely to have come free.
+  void refused(const std::string &Gate, TimePoint Now);
   /// The gate takes nothing new. It stays out until the list forgets it, or
   /// until it answers again.
   void draining(const std::string &Gate);
@@ -79,6 +87,7 @@
     wire::Load Load;
     std::optional<TimePoint> LoadAt;
     double MeanLatencyUs = 0;
+    TimePoint LatencyAt;
     uint32_t FailuresInRow = 0;
     TimePoint EjectedUntil;
     TimePoint FullUntil;
@@ -93,6 +102,7 @@
   const Instance *pickAmong(std::vector<const Instance *> Among, TimePoint Now);
   const Instance *pickHot(std::vector<const Instance *> &Among, TimePoint Now);
   double share(const State &Of, TimePoint Now) const;
+  double cost(const State &Of, TimePoint Now) const;
 
   Options Opts;
   std::string DataCentre;
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -30,7 +30,6 @@
     this->readKeys(Top);
     this->readRest(Top);
     Top.finish();
-    this->spreadIdentity();
     return std::move(this->Out);
   }
 
@@ -104,7 +103,7 @@
     std::optional<JsonObject> Platform = Top.object("platform", true);
     if (!Platform)
       return;
-    Reader::Options &Read = this->Out.Control.Read;
+    Reader::Options &Read = this->Out.Core.Control.Read;
     this->Out.Platform.Address = this->address(*Platform, "address").text();
     this->Out.Platform.Timeout =
         Platform->millis("timeout_ms", 3000, 10, 60000);
@@ -123,14 +122,14 @@
     for (const std::string &Name : Seeds.keys()) {
       NetAddress To = this->address(Seeds, Name);
       if (Name != this->Out.Name)
-        this->Out.Control.Seeds[Name] = To.text();
+        this->Out.Core.Control.Seeds[Name] = To.text();
     }
   }
 
   void readSpread(JsonObject &Top) {
     JsonObject Spread = this->section(Top, "spread");
-    Spreader::Options &To = this->Out.Control.Spread;
-    Membership::Options &Members = this->Out.Control.Members;
+    Spreader::Options &To = this->Out.Core.Control.Spread;
+    Membership::Options &Members = this->Out.Core.Control.Members;
     To.HeartbeatInterval =
         Spread.millis("heartbeat_ms", To.HeartbeatInterval.count(), 50, 60000);
     To.SilenceLimit =
@@ -144,8 +143,8 @@
         static_cast<size_t>(Spread.integer("readers", Members.Readers, 1, 16));
     Members.Bridges =
         static_cast<size_t>(Spread.integer("bridges", Members.Bridges, 1, 16));
-    this->Out.Control.PeersFirst = Spread.millis(
-        "peers_first_ms", this->Out.Control.PeersFirst.count(), 0, 60000);
+    this->Out.Core.Control.PeersFirst = Spread.millis(
+        "peers_first_ms", this->Out.Core.Control.PeersFirst.count(), 0, 60000);
     if (To.SilenceLimit < MinMissedHeartbeats * To.HeartbeatInterval)
       Spread.fault("silence_ms", "expected at least three times heartbeat_ms");
     Spread.finish();
@@ -153,10 +152,10 @@
 
   void readCalls(JsonObject &Top) {
     JsonObject Calls = this->section(Top, "calls");
-    Entry::Options &To = this->Out.CallEntry;
+    Entry::Options &To = this->Out.Core.CallEntry;
     To.Window = static_cast<uint64_t>(
         Calls.integer("window_bytes", To.Window, 4096, 64 << 20));
-    this->Out.CallGate.Window = To.Window;
+    this->Out.Core.CallGate.Window = To.Window;
     To.MaxCalls = static_cast<size_t>(
         Calls.integer("max_calls", To.MaxCalls, 1, 1 << 20));
     To.PingInterval =
@@ -165,11 +164,11 @@
         Calls.millis("silence_ms", To.SilenceLimit.count(), 20, 60000);
     To.FindAgain =
         Calls.millis("find_again_ms", To.FindAgain.count(), 0, 60000);
-    this->Out.CallGate.RememberSlack = Calls.millis(
-        "remember_ms", this->Out.CallGate.RememberSlack.count(), 0, MaxMs);
+    this->Out.Core.CallGate.RememberSlack = Calls.millis(
+        "remember_ms", this->Out.Core.CallGate.RememberSlack.count(), 0, MaxMs);
     if (To.SilenceLimit < To.PingInterval)
       Calls.fault("silence_ms", "expected at least ping_ms");
-    if (this->Out.CallGate.RememberSlack < To.FindAgain)
+    if (this->Out.Core.CallGate.RememberSlack < To.FindAgain)
       Calls.fault("remember_ms",
                   "expected at least find_again_ms: a gate that forgets "
                   "sooner would call a call that ran not run");
@@ -178,15 +177,15 @@
 
   void readKeys(JsonObject &Top) {
     JsonObject Keys = this->section(Top, "keys");
-    KeyJudge::Options &To = this->Out.CallGate.Keys;
+    KeyJudge::Options &To = this->Out.Core.CallGate.Keys;
     To.MaxListAge =
         Keys.millis("max_list_age_ms", To.MaxListAge.count(), 1000, MaxMs);
     To.MaxKeys =
         static_cast<size_t>(Keys.integer("max_keys", To.MaxKeys, 1, 10000000));
     // A list's age grows by one watch, and by one heartbeat for each level of
     // the tree. Below that, keyed calls are refused in normal running.
-    Millis Usual = this->Out.Control.Read.WatchWait +
-                   2 * this->Out.Control.Spread.HeartbeatInterval;
+    Millis Usual = this->Out.Core.Control.Read.WatchWait +
+                   2 * this->Out.Core.Control.Spread.HeartbeatInterval;
     if (To.MaxListAge < Usual)
       Keys.fault("max_list_age_ms",
                  "expected at least platform.watch_wait_ms and twice "
@@ -201,28 +200,14 @@
         Log.oneOf("level", "info", {"debug", "info", "warn", "error"});
     Log.finish();
     JsonObject Audit = this->section(Top, "audit");
-    this->Out.Control.AuditCapacity =
+    this->Out.Core.Control.AuditCapacity =
         static_cast<size_t>(Audit.integer("events", 1000, 10, 1000000));
     Audit.finish();
     JsonObject Stop = this->section(Top, "stop");
-    this->Out.StopWithin = Stop.millis("within_ms", 60000, 0, MaxMs);
+    this->Out.Core.StopWithin = Stop.millis("within_ms", 60000, 0, MaxMs);
     Stop.finish();
   }
 
-  // The slices' own options repeat who this is.
-  void spreadIdentity() {
-    ControlPlane::Options &Control = this->Out.Control;
-    Control.Self = this->Out.Name;
-    Control.DataCentre = this->Out.DataCentre;
-    Control.DataCentres = this->Out.DataCentres;
-    Control.Members.Self = this->Out.Name;
-    Control.Members.DataCentre = this->Out.DataCentre;
-    this->Out.CallEntry.Self = this->Out.Name;
-    this->Out.CallEntry.DataCentre = this->Out.DataCentre;
-    this->Out.CallGate.Self = this->Out.Name;
-    this->Out.CallGate.Service = this->Out.Service;
-  }
-
   JsonSource Source;
   Settings Out;
 };
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -2,10 +2,8 @@
 #define HICKORYLIFT_SETTINGS_SETTINGS_H
 
 #include "base/Json.h"
-#include "calls/Entry.h"
-#include "calls/Gate.h"
-#include "control/ControlPlane.h"
 #include "gate/UpstreamClient.h"
+#include "node/NodeCore.h"
 #include "platform/HttpPlatform.h"
 
 // Settings are what one process is told at its start: where it stands, whom it
@@ -31,11 +29,7 @@
   Millis HealthInterval{1000};
   HttpPlatform::Options Platform;
   std::string LogLevel;
-  /// How long a planned stop may wait for requests under way.
-  Millis StopWithin{60000};
-  ControlPlane::Options Control;
-  Entry::Options CallEntry;
-  Gate::Options CallGate;
+  NodeCore::Options Core;
 };
 
 std::optional<Settings> readSettings(const std::string &Text,
--- a/src/spread/Codec.cpp
+++ b/src/spread/Codec.cpp
@@ -1,5 +1,7 @@
 #include "spread/Spreader.h"
 
+#include "peer/Seal.h"
+
 #include <zstd.h>
 
 namespace hickorylift {
@@ -29,17 +31,21 @@
 std::string encodeFrame(const wire::SpreadFrameT &Frame) {
   flatbuffers::FlatBufferBuilder Builder;
   Builder.Finish(wire::SpreadFrame::Pack(Builder, &Frame));
-  return {reinterpret_cast<const char *>(Builder.GetBufferPointer()),
-          Builder.GetSize()};
+  return sealFrame({reinterpret_cast<const char *>(Builder.GetBufferPointer()),
+                    Builder.GetSize()});
 }
 
-Result<wire::SpreadFrameT> decodeSpreadFrame(std::string_view Bytes) {
-  flatbuffers::Verifier Check(reinterpret_cast<const uint8_t *>(Bytes.data()),
-                              Bytes.size());
+Result<wire::SpreadFrameT> decodeSpreadFrame(std::string_view Sealed,
+                                             const Safeguards &Guards) {
+  Result<std::string_view> Bytes = openSealed(Sealed, Guards);
+  if (!Bytes)
+    return Bytes.error();
+  flatbuffers::Verifier Check(reinterpret_cast<const uint8_t *>(Bytes->data()),
+                              Bytes->size());
   if (!wire::VerifySpreadFrameBuffer(Check))
     return badMessage("control frame does not verify");
   wire::SpreadFrameT Frame;
-  wire::GetSpreadFrame(Bytes.data())->UnPackTo(&Frame);
+  wire::GetSpreadFrame(Bytes->data())->UnPackTo(&Frame);
   return Frame;
 }
 
--- a/src/spread/Spreader.cpp
+++ b/src/spread/Spreader.cpp
@@ -57,7 +57,8 @@
 
 bool Spreader::publish(const std::string &Topic, DocumentPtr Doc,
                        TimePoint Now) {
-  if (Doc->stamp() <= stampOf(this->Topics[Topic].Held)) {
+  if (this->isOld(Doc->stamp(), this->Topics[Topic].Held) ||
+      this->neighbourHasNewer(Topic, Doc->stamp())) {
     ++this->Counts.Stale;
     return false;
   }
@@ -65,6 +66,28 @@
   return true;
 }
 
+// A node that starts holds nothing and would take whatever the platform says,
+// were it an old copy. If a neighbour is known to hold something newer, that is
+// already on its way.
+bool Spreader::neighbourHasNewer(const std::string &Topic,
+                                 const Stamp &Than) const {
+  if (!this->Opts.Guards.KeepOrder)
+    return false;
+  for (const auto &[Id, On] : this->Links) {
+    auto Found = On.Topics.find(Topic);
+    if (Found != On.Topics.end() && Found->second.Theirs > Than)
+      return true;
+  }
+  return false;
+}
+
+bool Spreader::heardFromAny() const {
+  for (const auto &[Id, On] : this->Links)
+    if (On.HeardSeq != 0)
+      return true;
+  return false;
+}
+
 void Spreader::confirm(const std::string &Topic, uint64_t Version,
                        uint64_t Revision, TimePoint AskedAt) {
   auto &State = this->Topics[Topic];
@@ -126,11 +149,17 @@
   return toMillis(Now - *Found->second.ConfirmedAt);
 }
 
+bool Spreader::isOld(const Stamp &New, const DocumentPtr &Than) const {
+  if (!this->Opts.Guards.KeepOrder)
+    return New == stampOf(Than);
+  return New <= stampOf(Than);
+}
+
 void Spreader::take(const std::string &Name, const DocumentPtr &Doc,
                     const std::string &From, std::optional<LinkId> Source,
                     TimePoint Now) {
   Topic &State = this->Topics[Name];
-  if (Doc->stamp() <= stampOf(State.Held))
+  if (this->isOld(Doc->stamp(), State.Held))
     return;
   if (State.Held)
     State.Bases.push_back(State.Held);
@@ -150,7 +179,7 @@
 void Spreader::judge(const std::string &Name, Topic &State,
                      const DocumentPtr &Doc, const std::string &From,
                      TimePoint Now) {
-  if (Doc->stamp() <= stampOf(State.Accepted))
+  if (this->isOld(Doc->stamp(), State.Accepted))
     return;
   if (this->Hook.Accept({Name, Doc, From}, Now))
     State.Accepted = Doc;
@@ -325,6 +354,8 @@
   There.Theirs = std::max(There.Theirs, Theirs);
   Topic &State = this->Topics[Name];
   Stamp Ours = stampOf(State.Held);
+  if (!this->Opts.Guards.RepairByStamps)
+    return;
   if (Theirs > Ours) {
     this->startPull(From, Name, Now + this->Opts.GraftDelay);
     return;
@@ -356,7 +387,7 @@
   Pull.have = wireStamp(stampOf(State.Held));
   // Held but not accepted, and nothing older in force: a node that starts
   // after a bad version was published would serve nothing for ever.
-  if (State.Held && !State.Accepted)
+  if (State.Held && !State.Accepted && this->Opts.Guards.AskOlder)
     Pull.below = wireStamp(State.Held->stamp());
   this->Hook.Send(To, frameOf(std::move(Pull)));
   ++this->Counts.Pulls;
@@ -463,6 +494,8 @@
   uint32_t Back = On.SentSeq - Beat.echo;
   if (Beat.echo != 0 && Back < On.SentAt.size())
     ComposedAfter = On.SentAt[On.SentAt.size() - 1 - Back];
+  if (!this->Opts.Guards.EchoedAges)
+    ComposedAfter = Now;
   // Ages without names follow the order of the topics named last.
   std::vector<std::string> Order;
   for (const auto &Item : Beat.topics) {
@@ -506,7 +539,7 @@
   Stamp Target = fromWire(Part.target.get());
   There.Theirs = std::max(There.Theirs, Target);
   bool Wanted = State.Held && !State.Accepted;
-  if (Target <= stampOf(State.Held) && !Wanted) {
+  if (this->isOld(Target, State.Held) && !Wanted) {
     if (Part.index + 1 != Part.count)
       return;
     // It came another way first: this link need only announce.
@@ -562,15 +595,16 @@
   }
   Result<ChangeSet> Changes =
       unpackChanges(Whole.Bytes, Whole.RawSize, this->Opts.MaxChangeSetBytes);
-  Result<DocumentPtr> Doc = Changes ? applyDelta(Base, Whole.Target, *Changes)
-                                    : Result<DocumentPtr>(Changes.error());
+  Result<DocumentPtr> Doc =
+      Changes ? applyDelta(Base, Whole.Target, *Changes, this->Opts.Guards)
+              : Result<DocumentPtr>(Changes.error());
   if (!Doc) {
     ++this->Counts.Damaged;
     State.PullAt.reset();
     this->startPull(From, Name, Now + this->Opts.PullTimeout);
     return;
   }
-  if ((*Doc)->stamp() > stampOf(State.Held))
+  if (!this->isOld((*Doc)->stamp(), State.Held))
     this->take(Name, *Doc, On.Peer, From, Now);
   else
     this->judge(Name, State, *Doc, On.Peer, Now);
--- a/src/spread/Spreader.h
+++ b/src/spread/Spreader.h
@@ -56,6 +56,7 @@
     double SnapshotBurstBytes = 8e6;
     /// A jump of the clock between two ticks that counts as a pause.
     Millis PauseThreshold{1500};
+    Safeguards Guards;
   };
 
   /// A document that was taken, and from whom.
@@ -117,6 +118,8 @@
   /// it never was.
   std::optional<Millis> age(const std::string &Topic, TimePoint Now) const;
   const Counters &counters() const { return this->Counts; }
+  /// Whether any neighbour has told what it holds.
+  bool heardFromAny() const;
   size_t linkCount() const { return this->Links.size(); }
 
 private:
@@ -161,6 +164,8 @@
     uint32_t HeardSeq = 0;
   };
 
+  bool neighbourHasNewer(const std::string &Topic, const Stamp &Than) const;
+  bool isOld(const Stamp &New, const DocumentPtr &Than) const;
   void take(const std::string &Name, const DocumentPtr &Doc,
             const std::string &From, std::optional<LinkId> Source,
             TimePoint Now);
@@ -204,7 +209,9 @@
 /// The bytes of a frame, and back. Decoding checks every offset and refuses
 /// what does not verify; an unknown payload type is kept as such.
 std::string encodeFrame(const wire::SpreadFrameT &Frame);
-Result<wire::SpreadFrameT> decodeSpreadFrame(std::string_view Bytes);
+Result<wire::SpreadFrameT>
+decodeSpreadFrame(std::string_view Sealed,
+                  const Safeguards &Guards = Safeguards());
 
 /// A change set as bytes, compressed where that pays, and back.
 std::string packChanges(const ChangeSet &Changes, size_t CompressFrom,
