A call that may have run at an earlier gate is not told not-run

Cause: an idempotent call whose first gate was lost went on to a second that could not be reached, and the caller was told the second's refusal. The earlier outcome now stands.

--- a/scenario/World.h
+++ b/scenario/World.h
@@ -55,7 +55,7 @@
   /// Closes the connection after the request has arrived.
   bool DiesOnRequest = false;
   std::map<std::string, unsigned> RunsByLabel;
-  std::map<std::string, unsigned> RunsByKey;
+  std::map<std::string, TimePoint> LastRunByKey;
   uint64_t Running = 0;
   uint64_t Answered = 0;
   std::optional<TimePoint> LastStart;
@@ -145,6 +145,8 @@
   void setLoss(double Lost, double Damaged);
   /// From here on a restart must not lower a node's version either: for
   /// scenarios in which someone who has the newest one can be reached.
+  /// Within this time a key must not run twice.
+  void setKeyWindow(Millis Window) { this->KeyWindow = Window; }
   void setStrictRestarts() { this->StrictRestarts = true; }
 
   void call(const std::string &Label, const std::string &Node,
@@ -203,6 +205,7 @@
   void callTick(const std::string &Name, uint64_t Incarnation);
   void controlTick(const std::string &Name, uint64_t Incarnation);
   void checkConfig(NodeState &Of);
+  void checkKey(UpstreamState &At, const std::string &Key);
   void upstreamStart(const std::string &Name, const CallId &Id,
                      const RequestHead &Head);
   void upstreamFinish(const std::string &Name, const CallId &Id);
@@ -224,6 +227,7 @@
   double Lost = 0;
   double Damaged = 0;
   bool StrictRestarts = false;
+  Millis KeyWindow{60000};
   std::map<std::string, CallState> Calls;
   std::map<uint64_t, std::string> Callers;
   uint64_t LastCaller = 0;
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -320,13 +320,18 @@
 void Entry::giveUp(CallerId Caller, const Refusal &Why, TimePoint Now) {
   Call &One = this->Calls.at(Caller);
   bool HaveHead = One.HaveHead;
+  // An idempotent call may have run at an earlier gate, whatever the last one
+  // says: "not run" would not be true of it.
+  bool RanEarlier =
+      One.LastRefusal && One.LastRefusal->What == Outcome::Unknown;
+  Refusal Final = RanEarlier ? *One.LastRefusal : Why;
   this->leaveGate(Caller, One, !blamesGate(Why), Now);
   this->Calls.erase(Caller);
   if (HaveHead) {
     ++this->Counts.Aborted;
-    return this->Hook.Abort(Caller, Why);
+    return this->Hook.Abort(Caller, Final);
   }
-  this->refuse(Caller, Why);
+  this->refuse(Caller, Final);
 }
 
 bool Entry::mayTryAnother(Call &One, const Refusal &Why, TimePoint Now) {
@@ -346,8 +351,6 @@
   if (!this->mayTryAnother(One, Why, Now))
     return this->giveUp(Caller, Why, Now);
   ++this->Counts.Retries;
-  // An idempotent call that may have run keeps that as its outcome, should no
-  // other gate take it: "not run" would not be true any more.
   if (!One.LastRefusal || One.LastRefusal->What == Outcome::NotRun)
     One.LastRefusal = Why;
   this->leaveGate(Caller, One, !blamesGate(Why), Now);
@@ -623,15 +626,13 @@
       Late.push_back(Caller);
   for (CallerId Caller : Late) {
     Call &One = this->Calls.at(Caller);
-    bool Sent = One.Now != State::Connecting;
+    bool MayHaveRun = One.Now != State::Connecting;
     if (One.Now == State::Sent) {
       wire::CancelT Cancel;
       Cancel.seq = One.Id.Seq;
       Cancel.reason = "deadline";
       this->Hook.Send(One.Gate, callFrame(std::move(Cancel)));
     }
-    bool MayHaveRun =
-        Sent || (One.LastRefusal && One.LastRefusal->What == Outcome::Unknown);
     this->giveUp(Caller,
                  this->refusal(MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
                                "deadline", StepEntry, One.Gate),
