--- a/src/base/Json.cpp
+++ b/src/base/Json.cpp
@@ -49,6 +49,13 @@
 
 } // namespace
 
+std::string faultTexts(const FaultList &Faults) {
+  std::string Out;
+  for (const Fault &One : Faults)
+    Out += One.text() + "\n";
+  return Out;
+}
+
 std::string Fault::text() const {
   std::string Out = this->File;
   if (this->Line)
--- a/src/base/Json.h
+++ b/src/base/Json.h
@@ -35,6 +35,9 @@
 };
 using FaultList = std::vector<Fault>;
 
+/// All faults, a line each.
+std::string faultTexts(const FaultList &Faults);
+
 /// Parses Text. Comments are allowed; duplicate keys, trailing text and
 /// nesting over 64 levels are faults.
 std::optional<Json::Value>
--- a/src/base/TokenBucket.h
+++ b/src/base/TokenBucket.h
@@ -4,7 +4,6 @@
 #include "base/Time.h"
 
 #include <algorithm>
-#include <optional>
 
 namespace hickorylift {
 
@@ -51,16 +50,18 @@
 
 private:
   void fill(TimePoint Now) {
-    if (this->FilledAt && Now > *this->FilledAt)
+    if (this->Started && Now > this->FilledAt)
       this->earn(this->Rate *
-                 std::chrono::duration<double>(Now - *this->FilledAt).count());
+                 std::chrono::duration<double>(Now - this->FilledAt).count());
+    this->Started = true;
     this->FilledAt = Now;
   }
 
   double Rate;
   double Burst;
   double Tokens;
-  std::optional<TimePoint> FilledAt;
+  bool Started = false;
+  TimePoint FilledAt;
 };
 
 } // namespace hickorylift
--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -61,8 +61,7 @@
 }
 
 int printFaults(const FaultList &Faults) {
-  for (const Fault &One : Faults)
-    std::cerr << One.text() << "\n";
+  std::cerr << faultTexts(Faults);
   return Faults.empty() ? Done : AnswerIsNo;
 }
 
--- a/src/config/Config.cpp
+++ b/src/config/Config.cpp
@@ -140,6 +140,27 @@
     for (const ParsedRecord *One : Routes)
       if (!this->full())
         this->readRoute(*One);
+    this->checkOverlaps();
+  }
+
+  // Two routes that take the same requests: which one would hold depends on
+  // their names, and the operators did not mean that.
+  void checkOverlaps() {
+    std::map<std::pair<std::string, std::string>, std::string> Taken;
+    for (const auto &[Name, One] : this->Made->Routes) {
+      std::set<std::string> Methods = One.Methods;
+      if (Methods.empty())
+        Methods.insert(KnownMethods.begin(), KnownMethods.end());
+      std::set<std::string> Others;
+      for (const std::string &Method : Methods) {
+        auto [Found, New] = Taken.try_emplace({One.Prefix, Method}, Name);
+        if (!New)
+          Others.insert(Found->second);
+      }
+      for (const std::string &Other : Others)
+        this->Faults.push_back({"route/" + Name, 0, 0, "/match",
+                                "takes the same requests as route " + Other});
+    }
   }
 
   std::optional<ParsedRecord> parse(const std::string &EntryName,
--- /dev/null
+++ b/src/settings/SettingsTest.cpp
@@ -0,0 +1,139 @@
+#include "settings/Settings.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <sstream>
+
+namespace hickorylift {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+std::string readWhole(const std::string &Path) {
+  std::ifstream In(std::string(SOURCE_ROOT) + "/" + Path);
+  std::ostringstream Out;
+  Out << In.rdbuf();
+  return Out.str();
+}
+
+/// The shipped settings with one stretch of text replaced.
+struct BadSettings {
+  const char *Old;
+  const char *New;
+  const char *Says;
+};
+std::ostream &operator<<(std::ostream &To, const BadSettings &Of) {
+  return To << Of.New;
+}
+
+const BadSettings Bad[] = {
+    {"\"name\": \"portal-1\"", "\"name\": \"Portal 1\"", "expected a name"},
+    {"\"name\": \"portal-1\",", "", "/name: missing"},
+    {"\"name\": \"portal-1\",", "\"name\": 7,", "expected a string"},
+    {"\"name\": \"portal-1\",", "\"name\": \"a\", \"name\": \"b\",",
+     "Duplicate key"},
+    {"\"data_centre\": \"central-a\"", "\"data_centre\": \"central-x\"",
+     "must hold this node's data_centre"},
+    {"[\"central-a\", \"central-b\"", "[\"central-a\", \"central-a\"",
+     "stands twice"},
+    {"[\"central-a\", \"central-b\"", "[\"central-a\", \"B!\"", "not a name"},
+    {"[\"central-a\", \"central-b\"", "[\"central-a\", 3", "expected a string"},
+    {"\"service\": \"claimant-portal\",", "", "/service: missing"},
+    {"\"callers\": \"127.0.0.1:8001\"", "\"callers\": \"0.0.0.0:8001\"",
+     "not all zero"},
+    {"\"callers\": \"127.0.0.1:8001\"", "\"callers\": \"[::]:8001\"",
+     "not all zero"},
+    {"\"callers\": \"127.0.0.1:8001\"", "\"callers\": \"host:8001\"",
+     "expected \"ip:port\""},
+    {"\"callers\": \"127.0.0.1:8001\"", "\"callers\": \"127.0.0.1:7001\"",
+     "three addresses"},
+    {"\"callers\": \"127.0.0.1:8001\",", "", "/listen/callers: missing"},
+    {"\"operator\": \"127.0.0.1:9001\"",
+     "\"operator\": \"127.0.0.1:9001\", \"admin\": \"x\"",
+     "/listen/admin: unknown key"},
+    {"\"upstream\": {\"address\": \"127.0.0.1:8101\", \"connections\": 130},",
+     "", "/upstream: missing"},
+    {"\"connections\": 130", "\"connections\": 0", "from 1 to"},
+    {"\"connections\": 130", "\"health_path\": \"health\"", "starts with '/'"},
+    {"\"connections\": 130", "\"health_interval_ms\": 1", "from 50 to 60000"},
+    {"\"connections\": 130", "\"keep_idle_ms\": 4000",
+     "the unit is part of keep_idle_s"},
+    {"\"watch_wait_ms\": 10000", "\"watch_wait_s\": 10",
+     "the unit is part of watch_wait_ms"},
+    {"\"watch_wait_ms\": 10000", "\"watch_wait_ms\": \"10s\"",
+     "expected a whole number"},
+    {"\"watch_wait_ms\": 10000", "\"reads_per_s\": 0", "expected a number"},
+    {"\"watch_wait_ms\": 10000", "\"watch_wait_ms\": 60000",
+     "/keys/max_list_age_ms"},
+    {"\"heartbeat_ms\": 1000", "\"heartbeat_ms\": 2000",
+     "at least three times heartbeat_ms"},
+    {"\"heartbeat_ms\": 1000", "\"heartbeat_ms\": true",
+     "expected a whole number"},
+    {"\"heartbeat_ms\": 1000", "\"heartbeat_ms\": 1000, \"beat\": 1",
+     "/spread/beat: unknown key"},
+    {"\"fanout\": 6", "\"fanout\": 0", "from 1 to 64"},
+    {"\"fanout\": 6", "\"fanout\": 6, \"readers\": 99", "from 1 to 16"},
+    {"\"spread\": {", "\"spread\": [], \"other\": {", "expected an object"},
+    {"\"spread\": {", "\"seeds\": {\"x\": \"nowhere\"}, \"spread\": {",
+     "/seeds/x"},
+    {"\"spread\": {", "\"log\": {\"level\": \"loud\"}, \"spread\": {",
+     "expected one of"},
+    {"\"spread\": {", "\"audit\": {\"events\": 1}, \"spread\": {",
+     "from 10 to"},
+    {"\"spread\": {", "\"stop\": {\"within_ms\": -1}, \"spread\": {",
+     "from 0 to"},
+    {"\"spread\": {",
+     "\"calls\": {\"ping_ms\": 500, \"silence_ms\": 100}, \"spread\": {",
+     "expected at least ping_ms"},
+    {"\"spread\": {",
+     "\"calls\": {\"find_again_ms\": 9000, \"remember_ms\": 10}, "
+     "\"spread\": {",
+     "would call a call that ran not run"},
+    {"\"spread\": {", "\"calls\": {\"window_bytes\": 1}, \"spread\": {",
+     "from 4096"},
+    {"\"spread\": {", "\"keys\": {\"max_list_age_ms\": 5000}, \"spread\": {",
+     "expected at least platform.watch_wait_ms"},
+    {"\"spread\": {", "\"keys\": {\"max_keys\": 0}, \"spread\": {",
+     "from 1 to"},
+    {"\"spread\": {", "\"sprea\": {}, \"spread\": {", "/sprea: unknown key"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SettingsFile)
+
+BOOST_DATA_TEST_CASE(ShippedSettingsAreGood,
+                     data::make({"conf/aspenfold.jsonc",
+                                 "conf/association.jsonc"}),
+                     Path) {
+  FaultList Faults;
+  BOOST_TEST(readSettings(readWhole(Path), Path, Faults).has_value());
+  BOOST_TEST(Faults.empty(), faultTexts(Faults));
+}
+
+BOOST_DATA_TEST_CASE(BadSettingsAreRefused, data::make(Bad), Case) {
+  std::string Text = readWhole("conf/aspenfold.jsonc");
+  size_t At = Text.find(Case.Old);
+  BOOST_REQUIRE(At != std::string::npos);
+  Text.replace(At, std::string(Case.Old).size(), Case.New);
+  FaultList Faults;
+  BOOST_TEST(!readSettings(Text, "f", Faults).has_value());
+  std::string All = faultTexts(Faults);
+  BOOST_TEST(All.find(Case.Says) != std::string::npos, All);
+}
+
+BOOST_AUTO_TEST_CASE(FaultsNameTheirPlace) {
+  FaultList Faults;
+  readSettings("{\n  \"name\": 7\n}", "f", Faults);
+  BOOST_REQUIRE(!Faults.empty());
+  BOOST_TEST(Faults.front().text() == "f:2:11: /name: expected a string");
+  BOOST_TEST(Faults.size() >= 5u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace hickorylift
--- a/src/spread/Spreader.cpp
+++ b/src/spread/Spreader.cpp
@@ -53,7 +53,7 @@
 
 Spreader::Spreader(Options Opts, Hooks Hooks, uint64_t Seed)
     : Opts(Opts), Hook(std::move(Hooks)), Random(Seed),
-      SnapshotTokens(Opts.SnapshotBurstBytes) {}
+      Snapshots(Opts.SnapshotBytesPerSecond, Opts.SnapshotBurstBytes) {}
 
 bool Spreader::publish(const std::string &Topic, DocumentPtr Doc,
                        TimePoint Now) {
@@ -172,7 +172,7 @@
   State.PullSent = false;
   // Hand on before judging: the neighbours' wait should not include our
   // compiling, and a version that this build refuses may suit another.
-  this->spreadOn(Name, Source);
+  this->spreadOn(Name, Source, Now);
   this->judge(Name, State, Doc, From, Now);
 }
 
@@ -185,14 +185,15 @@
     State.Accepted = Doc;
 }
 
-void Spreader::spreadOn(const std::string &Name, std::optional<LinkId> Source) {
+void Spreader::spreadOn(const std::string &Name, std::optional<LinkId> Source,
+                        TimePoint Now) {
   const DocumentPtr Doc = this->Topics[Name].Held;
   for (auto &[Id, On] : this->Links) {
     TopicOnLink &There = On.Topics[Name];
     if (Source == Id || There.Theirs >= Doc->stamp())
       continue;
     if (!There.Lazy.value_or(!On.Eager)) {
-      this->sendDocument(Id, Name, Doc, There.Theirs, /*Asked=*/false);
+      this->sendDocument(Id, Name, Doc, There.Theirs, /*Asked=*/false, Now);
       There.Theirs = Doc->stamp();
       continue;
     }
@@ -215,7 +216,7 @@
 
 void Spreader::sendDocument(LinkId To, const std::string &Name,
                             const DocumentPtr &Doc, const Stamp &Have,
-                            bool Asked) {
+                            bool Asked, TimePoint Now) {
   const Topic &State = this->Topics[Name];
   if (DocumentPtr Base = this->findBase(State, Have)) {
     this->sendParts(To, Name, Have, Doc->stamp(),
@@ -232,7 +233,7 @@
     ++this->Counts.Announces;
     return;
   }
-  if (!this->spendSnapshot(Doc->byteSize())) {
+  if (!this->spendSnapshot(Doc->byteSize(), Now)) {
     wire::BusyT Busy;
     Busy.topic = Name;
     Busy.retry_after_ms =
@@ -251,11 +252,8 @@
 // answers fill this node's memory and delay its heartbeats until its links are
 // condemned, and the herd starts over. A debt is allowed, so that a document
 // larger than the burst still goes out, one at a time.
-bool Spreader::spendSnapshot(size_t Bytes) {
-  if (this->SnapshotTokens <= 0)
-    return false;
-  this->SnapshotTokens -= static_cast<double>(Bytes);
-  return true;
+bool Spreader::spendSnapshot(size_t Bytes, TimePoint Now) {
+  return this->Snapshots.takeWithDebt(Now, static_cast<double>(Bytes));
 }
 
 void Spreader::sendParts(LinkId To, const std::string &Name, const Stamp &Base,
@@ -295,10 +293,7 @@
   wire::HeartbeatT Beat;
   uint64_t Digest = this->digest();
   bool Full = Digest != On.SentDigest;
-  if (Full) {
-    On.SentDigest = Digest;
-    On.AgeOrder.clear();
-  }
+  On.SentDigest = Digest;
   for (const auto &[Name, State] : this->Topics) {
     if (!State.Held)
       continue;
@@ -438,10 +433,6 @@
   Clock::duration Passed =
       this->LastTick ? Now - *this->LastTick : Clock::duration::zero();
   this->LastTick = Now;
-  this->SnapshotTokens = std::min(
-      this->Opts.SnapshotBurstBytes,
-      this->SnapshotTokens + this->Opts.SnapshotBytesPerSecond *
-                                 std::chrono::duration<double>(Passed).count());
   // After a pause every link looks silent though only we were. Start the
   // count afresh: a link that really is dead is found one limit later.
   if (Passed > this->Opts.PauseThreshold)
@@ -473,7 +464,7 @@
     return this->notice(From, Announce->topic, fromWire(Announce->held.get()),
                         Now);
   if (const auto *Pull = Frame.payload.AsPull())
-    return this->onPull(From, *Pull);
+    return this->onPull(From, *Pull, Now);
   if (const auto *Part = Frame.payload.AsPart())
     return this->onPart(From, On, *Part, Now);
   if (const auto *Prune = Frame.payload.AsPrune()) {
@@ -516,20 +507,20 @@
                   Beat.ages_ms[I], *ComposedAfter);
 }
 
-void Spreader::onPull(LinkId From, const wire::PullT &Pull) {
+void Spreader::onPull(LinkId From, const wire::PullT &Pull, TimePoint Now) {
   Topic &State = this->Topics[Pull.topic];
   TopicOnLink &There = this->Links[From].Topics[Pull.topic];
   There.Lazy = false;
   Stamp Have = fromWire(Pull.have.get());
   Stamp Below = fromWire(Pull.below.get());
   if (State.Held && State.Held->stamp() > Have) {
-    this->sendDocument(From, Pull.topic, State.Held, Have, /*Asked=*/true);
+    this->sendDocument(From, Pull.topic, State.Held, Have, /*Asked=*/true, Now);
     There.Theirs = State.Held->stamp();
     return;
   }
   if (!Below.isNull() && State.Accepted && State.Accepted->stamp() < Below)
     this->sendDocument(From, Pull.topic, State.Accepted, Stamp(),
-                       /*Asked=*/true);
+                       /*Asked=*/true, Now);
 }
 
 void Spreader::onPart(LinkId From, Link &On, const wire::PartT &Part,
--- a/src/spread/Spreader.h
+++ b/src/spread/Spreader.h
@@ -2,6 +2,7 @@
 #define HICKORYLIFT_SPREAD_SPREADER_H
 
 #include "base/Time.h"
+#include "base/TokenBucket.h"
 #include "config/Document.h"
 #include "spread/Spread_generated.h"
 
@@ -169,12 +170,13 @@
   void take(const std::string &Name, const DocumentPtr &Doc,
             const std::string &From, std::optional<LinkId> Source,
             TimePoint Now);
-  void spreadOn(const std::string &Name, std::optional<LinkId> Source);
+  void spreadOn(const std::string &Name, std::optional<LinkId> Source,
+                TimePoint Now);
   void judge(const std::string &Name, Topic &State, const DocumentPtr &Doc,
              const std::string &From, TimePoint Now);
   void sendDocument(LinkId To, const std::string &Name, const DocumentPtr &Doc,
-                    const Stamp &Have, bool Asked);
-  bool spendSnapshot(size_t Bytes);
+                    const Stamp &Have, bool Asked, TimePoint Now);
+  bool spendSnapshot(size_t Bytes, TimePoint Now);
   DocumentPtr findBase(const Topic &State, const Stamp &Have) const;
   void sendParts(LinkId To, const std::string &Name, const Stamp &Base,
                  const Stamp &Target, const ChangeSet &Changes);
@@ -186,7 +188,7 @@
   void sendPull(LinkId To, const std::string &Name, const Topic &State);
   void onHeartbeat(LinkId From, Link &On, const wire::HeartbeatT &Beat,
                    TimePoint Now);
-  void onPull(LinkId From, const wire::PullT &Pull);
+  void onPull(LinkId From, const wire::PullT &Pull, TimePoint Now);
   void onPart(LinkId From, Link &On, const wire::PartT &Part, TimePoint Now);
   void finishAssembly(LinkId From, Link &On, const std::string &Name,
                       Assembly Whole, TimePoint Now);
@@ -202,7 +204,7 @@
   std::map<std::string, Topic> Topics;
   std::map<LinkId, Link> Links;
   Counters Counts;
-  double SnapshotTokens;
+  TokenBucket Snapshots;
   std::optional<TimePoint> LastTick;
 };
 
