--- /dev/null
+++ b/bench/Capacity.cpp
@@ -0,0 +1,3 @@
+#include "bench/Bench.h"
+
+int hickorylift::bench::runCapacity() { return 0; }
--- /dev/null
+++ b/harness/PlatformWriter.cpp
@@ -0,0 +1,48 @@
+#include "harness/PlatformWriter.h"
+
+#include "base/Hash.h"
+#include "platform/Reader.h"
+
+#include <libsoup/soup.h>
+
+namespace hickorylift::harness {
+
+namespace {
+
+SoupSession *session() {
+  static SoupSession *Kept = SOUP_SESSION(
+      g_object_new(SOUP_TYPE_SESSION, "proxy-resolver", nullptr, nullptr));
+  return Kept;
+}
+
+} // namespace
+
+bool putValue(const std::string &Platform, const std::string &Key,
+              const std::string &Bytes) {
+  std::string Url = "http://" + Platform + "/admin/put?key=" + Key;
+  SoupMessage *Message = soup_message_new("POST", Url.c_str());
+  GBytes *Body = g_bytes_new(Bytes.data(), Bytes.size());
+  soup_message_set_request_body_from_bytes(Message, "application/json", Body);
+  GBytes *Reply =
+      soup_session_send_and_read(session(), Message, nullptr, nullptr);
+  bool Taken = Reply && soup_message_get_status(Message) == 200;
+  g_clear_pointer(&Reply, g_bytes_unref);
+  g_bytes_unref(Body);
+  g_object_unref(Message);
+  return Taken;
+}
+
+bool publishVersion(const std::string &Platform, uint64_t Version,
+                    const EntryMap &Records) {
+  Manifest Out;
+  Out.Version = Version;
+  for (const auto &[Name, Held] : Records) {
+    uint64_t Hash = contentHash(*Held.Bytes);
+    Out.Records[Name] = Hash;
+    if (!putValue(Platform, "config/records/" + hexHash(Hash), *Held.Bytes))
+      return false;
+  }
+  return putValue(Platform, "config/manifest", writeManifest(Out));
+}
+
+} // namespace hickorylift::harness
--- /dev/null
+++ b/scenario/Live.cpp
@@ -0,0 +1,323 @@
+#include "base/Hash.h"
+#include "base/Json.h"
+#include "harness/Fleet.h"
+#include "scenario/World.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <libsoup/soup.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+// Live scenarios: the same kind of script over real processes. They wait for
+// events and never assert how long something took.
+
+ABSL_FLAG(std::string, script, "", "the live scenario to run");
+
+namespace hickorylift::scenario {
+
+namespace {
+
+struct LiveCall {
+  std::string Label;
+  std::string End = "pending";
+  std::string Reason;
+  bool Whole = false;
+  SoupMessage *Message = nullptr;
+  std::string Sent;
+};
+
+struct LiveLine {
+  unsigned Number = 0;
+  std::string Command;
+  std::vector<std::string> Words;
+  std::map<std::string, std::string> Named;
+};
+
+class LiveRun {
+public:
+  LiveRun()
+      : Session(SOUP_SESSION(g_object_new(SOUP_TYPE_SESSION, "proxy-resolver",
+                                          nullptr, nullptr))) {}
+  ~LiveRun() { g_object_unref(this->Session); }
+
+  /// Empty if the scenario passed.
+  std::string run(const std::vector<LiveLine> &Lines) {
+    for (const LiveLine &One : Lines) {
+      this->command(One);
+      if (!this->Failure.empty())
+        return "line " + std::to_string(One.Number) + ": " + this->Failure;
+    }
+    return "";
+  }
+
+private:
+  using Handler = void (LiveRun::*)(const LiveLine &);
+
+  void command(const LiveLine &Of) {
+    static const std::map<std::string, Handler> Table = {
+        {"settings", &LiveRun::settings},
+        {"node", &LiveRun::node},
+        {"start-all", &LiveRun::startAll},
+        {"start", &LiveRun::start},
+        {"publish", &LiveRun::publish},
+        {"signal", &LiveRun::signal},
+        {"wire", &LiveRun::wire},
+        {"platform", &LiveRun::platform},
+        {"drain-upstream", &LiveRun::drainUpstream},
+        {"call", &LiveRun::call},
+        {"await", &LiveRun::await},
+        {"expect", &LiveRun::expect},
+        {"run", &LiveRun::runFor},
+    };
+    auto Found = Table.find(Of.Command);
+    if (Found == Table.end())
+      this->Failure = "unknown command " + Of.Command;
+    else
+      (this->*Found->second)(Of);
+  }
+
+  harness::Fleet &fleet() {
+    if (!this->All) {
+      harness::Fleet::Options Opts;
+      Opts.Settings = this->Settings;
+      this->All = std::make_unique<harness::Fleet>(Opts);
+    }
+    return *this->All;
+  }
+
+  void settings(const LiveLine &W) { this->Settings = W.Words.at(0); }
+
+  void node(const LiveLine &W) {
+    auto Named = [&](const char *Key, const char *Default) {
+      auto Found = W.Named.find(Key);
+      return Found == W.Named.end() ? std::string(Default) : Found->second;
+    };
+    this->fleet().addNode(W.Words.at(0), Named("dc", "north"),
+                          Named("service", "a"), Named("wired", "") == "yes");
+  }
+
+  void startAll(const LiveLine &) {
+    if (!this->fleet().startAll())
+      this->Failure = "did not start";
+  }
+
+  void start(const LiveLine &W) { this->fleet().startNode(W.Words.at(0)); }
+
+  void publish(const LiveLine &W) {
+    std::string Records;
+    for (size_t I = 1; I < W.Words.size(); ++I)
+      Records += (I > 1 ? "," : "") + recordFromShort(W.Words[I]);
+    if (!this->fleet().publish(std::stoull(W.Words.at(0)), "[" + Records + "]"))
+      this->Failure = "not published";
+  }
+
+  void signal(const LiveLine &W) {
+    static const std::map<std::string, int> Signals = {{"KILL", SIGKILL},
+                                                       {"STOP", SIGSTOP},
+                                                       {"CONT", SIGCONT},
+                                                       {"TERM", SIGTERM}};
+    this->fleet().signal(W.Words.at(0), Signals.at(W.Words.at(1)));
+  }
+
+  void post(const std::string &Address, const std::string &Path) {
+    SoupMessage *Message =
+        soup_message_new("GET", ("http://" + Address + Path).c_str());
+    GBytes *Body =
+        soup_session_send_and_read(this->Session, Message, nullptr, nullptr);
+    if (!Body)
+      this->Failure = "no answer from " + Address + Path;
+    g_clear_pointer(&Body, g_bytes_unref);
+    g_object_unref(Message);
+  }
+
+  void wire(const LiveLine &W) {
+    this->post(this->fleet().node(W.Words.at(0)).WireAdmin,
+               "/" + W.Words.at(1));
+  }
+
+  void platform(const LiveLine &W) {
+    this->post(this->fleet().platformAddress(), "/admin/" + W.Words.at(0));
+  }
+
+  void drainUpstream(const LiveLine &W) {
+    this->post(this->fleet().node(W.Words.at(0)).Upstream, "/admin/drain");
+  }
+
+  static std::string header(SoupMessage *Of, const char *Name) {
+    const char *Found = soup_message_headers_get_one(
+        soup_message_get_response_headers(Of), Name);
+    return Found ? Found : "";
+  }
+
+  static void onAnswer(GObject *Source, GAsyncResult *Outcome, gpointer Data) {
+    auto *Of = static_cast<LiveCall *>(Data);
+    GError *Why = nullptr;
+    GBytes *Body =
+        soup_session_send_and_read_finish(SOUP_SESSION(Source), Outcome, &Why);
+    Of->End = "broken";
+    if (Body) {
+      gsize Size = 0;
+      const char *At = static_cast<const char *>(g_bytes_get_data(Body, &Size));
+      std::string_view Got(At ? At : "", Size);
+      Of->End = header(Of->Message, "Hickorylift-Outcome");
+      Of->Reason = header(Of->Message, "Hickorylift-Reason");
+      Of->Whole =
+          header(Of->Message, "X-Answer-Hash") == hexHash(contentHash(Got)) &&
+          header(Of->Message, "X-Body-Hash") ==
+              hexHash(contentHash(Of->Sent)) &&
+          header(Of->Message, "X-Call-Id") == Of->Label;
+    }
+    g_clear_error(&Why);
+    g_clear_pointer(&Body, g_bytes_unref);
+    g_clear_object(&Of->Message);
+  }
+
+  void call(const LiveLine &W) {
+    LiveCall &New = this->Calls[W.Words.at(0)];
+    New.Label = W.Words.at(0);
+    std::string Url = "http://" + this->fleet().node(W.Named.at("at")).Callers +
+                      W.Words.at(2);
+    New.Message = soup_message_new(W.Words.at(1).c_str(), Url.c_str());
+    SoupMessageHeaders *Headers = soup_message_get_request_headers(New.Message);
+    soup_message_headers_append(Headers, "X-Call-Id", New.Label.c_str());
+    if (W.Named.count("key"))
+      soup_message_headers_append(Headers, "Idempotency-Key",
+                                  W.Named.at("key").c_str());
+    if (W.Named.count("body")) {
+      for (size_t I = 0; I < std::stoull(W.Named.at("body")); ++I)
+        New.Sent += static_cast<char>(I * 131 + I / 977);
+      GBytes *Body = g_bytes_new_static(New.Sent.data(), New.Sent.size());
+      soup_message_set_request_body_from_bytes(
+          New.Message, "application/octet-stream", Body);
+      g_bytes_unref(Body);
+    }
+    soup_session_send_and_read_async(this->Session, New.Message,
+                                     G_PRIORITY_DEFAULT, nullptr, onAnswer,
+                                     &New);
+  }
+
+  void runFor(const LiveLine &W) {
+    this->fleet().runFor(Millis(std::stoul(W.Words.at(0))));
+  }
+
+  std::vector<std::string> names(const std::string &Who) {
+    std::vector<std::string> Out;
+    for (const auto &[Name, Of] : this->fleet().nodes())
+      if (Who == "all" || Who == Name)
+        Out.push_back(Name);
+    return Out;
+  }
+
+  bool holds(const LiveLine &W) {
+    const std::string &What = W.Words.at(0);
+    const std::string &Who = W.Words.at(1);
+    harness::Fleet &All = this->fleet();
+    if (What == "call")
+      return this->Calls[Who].End == W.Words.at(2);
+    if (What == "exit")
+      return All.exited(Who) == std::stoi(W.Words.at(2));
+    if (What == "running")
+      return All.upstreamCounters(Who)["running"].asUInt64() >=
+             std::stoull(W.Words.at(2));
+    if (What == "drained")
+      return !All.status(Who)["upstream"]["drained_by"].asString().empty();
+    for (const std::string &Name : this->names(Who)) {
+      if (What == "version" && All.version(Name) != std::stoull(W.Words.at(2)))
+        return false;
+      if (What == "ready" && !All.status(Name)["ready"].asBool())
+        return false;
+    }
+    return What == "version" || What == "ready";
+  }
+
+  void await(const LiveLine &W) {
+    if (this->fleet().waitFor([&] { return this->holds(W); }))
+      return;
+    this->Failure = "waited in vain for " + W.Words.at(0) + " " + W.Words.at(1);
+    if (W.Words.at(0) == "call")
+      this->Failure += ", is " + this->Calls[W.Words.at(1)].End + " " +
+                       this->Calls[W.Words.at(1)].Reason;
+  }
+
+  uint64_t runsOf(const std::string &Label) {
+    uint64_t Sum = 0;
+    for (const auto &[Name, Of] : this->fleet().nodes())
+      Sum +=
+          this->fleet().upstreamCounters(Name)["executions"][Label].asUInt64();
+    return Sum;
+  }
+
+  void expect(const LiveLine &W) {
+    const std::string &What = W.Words.at(0);
+    const std::string &Who = W.Words.at(1);
+    if (What == "runs") {
+      uint64_t Runs = this->runsOf(Who);
+      if (Runs != std::stoull(W.Words.at(2)))
+        this->Failure = Who + " ran " + std::to_string(Runs) + " times";
+    } else if (What == "whole") {
+      if (!this->Calls[Who].Whole)
+        this->Failure = "answer of " + Who + " is not whole or not its own";
+    } else if (What == "threads") {
+      size_t Count = this->fleet().threads(Who);
+      if (Count > std::stoull(W.Words.at(2)))
+        this->Failure = std::to_string(Count) + " threads";
+    } else if (!this->holds(W)) {
+      this->Failure = "does not hold: " + What + " " + Who;
+    }
+  }
+
+  std::string Settings;
+  std::unique_ptr<harness::Fleet> All;
+  SoupSession *Session;
+  std::map<std::string, LiveCall> Calls;
+  std::string Failure;
+};
+
+std::vector<LiveLine> parseLive(std::istream &In) {
+  std::vector<LiveLine> Out;
+  unsigned Number = 0;
+  for (std::string Raw; std::getline(In, Raw);) {
+    ++Number;
+    std::istringstream Words(Raw.substr(0, Raw.find('#')));
+    LiveLine One;
+    One.Number = Number;
+    if (!(Words >> One.Command))
+      continue;
+    for (std::string Word; Words >> Word;) {
+      size_t Equals = Word.find('=');
+      bool Plain = Equals == std::string::npos ||
+                   Word.find_first_of(":?") < Equals || Word.front() == '"' ||
+                   Word.front() == '/';
+      if (Plain)
+        One.Words.push_back(Word);
+      else
+        One.Named[Word.substr(0, Equals)] = Word.substr(Equals + 1);
+    }
+    Out.push_back(One);
+  }
+  return Out;
+}
+
+} // namespace
+
+} // namespace hickorylift::scenario
+
+int main(int Argc, char **Argv) {
+  using namespace hickorylift::scenario;
+  absl::ParseCommandLine(Argc, Argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::string Path = absl::GetFlag(FLAGS_script);
+  std::ifstream In(Path);
+  if (!In) {
+    std::cerr << Path << ": cannot be read\n";
+    return 2;
+  }
+  std::string Failure = LiveRun().run(parseLive(In));
+  if (!Failure.empty())
+    std::cout << Path << " " << Failure << "\n";
+  return Failure.empty() ? 0 : 1;
+}
--- a/scenario/World.cpp
+++ b/scenario/World.cpp
@@ -102,7 +102,7 @@
     return this->Of.platform().Outage || this->Of.isCutFromPlatform(this->Node);
   }
 
-  void later(std::function<void(TimePoint)> Work) {
+  void later(const std::function<void(TimePoint)> &Work) {
     this->Of.at(this->Node, this->Of.delay(),
                 [Work, &W = this->Of](NodeState &) { Work(W.now()); });
   }
@@ -316,7 +316,7 @@
     this->send(Link, Name, std::move(Bytes));
   };
   Out.Close = [this, Name](LinkId Link) { this->closeLink(Link, Name); };
-  Out.Post = [this, Name](std::function<void(TimePoint)> Work) {
+  Out.Post = [this, Name](const std::function<void(TimePoint)> &Work) {
     this->at(Name, Clock::duration::zero(),
              [this, Work](NodeState &) { Work(this->Now); });
   };
--- a/src/base/Json.cpp
+++ b/src/base/Json.cpp
@@ -149,7 +149,7 @@
 }
 
 std::string JsonObject::string(const std::string &Key,
-                               std::optional<std::string> Default) {
+                               const std::optional<std::string> &Default) {
   const Json::Value *At = this->member(Key, !Default, "a string");
   if (!At)
     return Default.value_or("");
@@ -169,7 +169,7 @@
 }
 
 std::string JsonObject::name(const std::string &Key,
-                             std::optional<std::string> Default) {
+                             const std::optional<std::string> &Default) {
   std::string Text = this->string(Key, Default);
   if (this->has(Key) && (*this->Value)[Key].isString() && !isName(Text))
     this->fault(Key, "expected a name: 1 to 80 of a-z 0-9 - _ .");
@@ -221,7 +221,7 @@
 }
 
 std::string JsonObject::oneOf(const std::string &Key,
-                              std::optional<std::string> Default,
+                              const std::optional<std::string> &Default,
                               const std::vector<std::string> &Allowed) {
   std::string Text = this->string(Key, Default);
   if (!this->has(Key) ||
--- a/src/base/Json.h
+++ b/src/base/Json.h
@@ -65,10 +65,10 @@
   bool has(const std::string &Key) const;
   /// Required where Default is nullopt.
   std::string string(const std::string &Key,
-                     std::optional<std::string> Default);
+                     const std::optional<std::string> &Default);
   /// A name: 1 to 80 of a-z, 0-9, '-', '_' and '.'.
   std::string name(const std::string &Key,
-                   std::optional<std::string> Default = std::nullopt);
+                   const std::optional<std::string> &Default = std::nullopt);
   int64_t integer(const std::string &Key, std::optional<int64_t> Default,
                   int64_t Low, int64_t High);
   double number(const std::string &Key, std::optional<double> Default,
@@ -76,7 +76,8 @@
   Millis millis(const std::string &Key, std::optional<int64_t> Default,
                 int64_t Low, int64_t High);
   bool boolean(const std::string &Key, bool Default);
-  std::string oneOf(const std::string &Key, std::optional<std::string> Default,
+  std::string oneOf(const std::string &Key,
+                    const std::optional<std::string> &Default,
                     const std::vector<std::string> &Allowed);
   std::vector<std::string> strings(const std::string &Key);
   /// An object member; null where absent or of another type.
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -276,7 +276,7 @@
   wire::CreditT Credit;
   Credit.seq = Found->second.Id.Seq;
   Credit.consumed = Total;
-  this->Hook.Send(Found->second.Gate, callFrame(std::move(Credit)));
+  this->Hook.Send(Found->second.Gate, callFrame(Credit));
 }
 
 void Entry::callerGone(CallerId Caller, TimePoint Now) {
@@ -549,7 +549,7 @@
   wire::CreditT Credit;
   Credit.seq = Found->second.Id.Seq;
   Credit.consumed = Found->second.Response.received();
-  this->Hook.Send(Gate, callFrame(std::move(Credit)));
+  this->Hook.Send(Gate, callFrame(Credit));
   ++this->Counts.Answered;
   this->finish(*Caller, Now);
   this->Hook.BodyEnd(*Caller);
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -276,7 +276,7 @@
   wire::CreditT Credit;
   Credit.seq = Id.Seq;
   Credit.consumed = Total;
-  this->Hook.Send(One->Link, callFrame(std::move(Credit)));
+  this->Hook.Send(One->Link, callFrame(Credit));
 }
 
 void Gate::onCredit(LinkId Link, const wire::CreditT &Credit, TimePoint) {
@@ -339,7 +339,7 @@
   wire::AdmittedT Joined;
   Joined.seq = Id.Seq;
   Joined.request_received = One->Request.received();
-  this->Hook.Send(Link, callFrame(std::move(Joined)));
+  this->Hook.Send(Link, callFrame(Joined));
   if (One->HaveHead && !Open.have_head)
     this->sendHead(Id, *One, Now);
   this->sendAnswer(Id, *One);
@@ -524,7 +524,7 @@
     wire::PingT Ping;
     Ping.nonce = ++this->LastNonce;
     State.Barrier = Ping.nonce;
-    this->Hook.Send(Link, callFrame(std::move(Ping)));
+    this->Hook.Send(Link, callFrame(Ping));
   }
   this->tick(Now);
 }
--- a/src/platform/HttpPlatform.cpp
+++ b/src/platform/HttpPlatform.cpp
@@ -103,13 +103,13 @@
 }
 
 void HttpPlatform::get(const std::string &Key, TimePoint, GotValue Done) {
-  this->send(
-      "/v1/values/" + Key, "platform-get", this->Opts.Timeout,
-      [Done](Result<std::pair<uint64_t, std::string>> Got, TimePoint At) {
-        if (!Got)
-          return Done(Got.error(), At);
-        Done(PlatformValue{Got->first, std::move(Got->second)}, At);
-      });
+  this->send("/v1/values/" + Key, "platform-get", this->Opts.Timeout,
+             [Done](const Result<std::pair<uint64_t, std::string>> &Got,
+                    TimePoint At) {
+               if (!Got)
+                 return Done(Got.error(), At);
+               Done(PlatformValue{Got->first, Got->second}, At);
+             });
 }
 
 void HttpPlatform::watch(const std::vector<std::string> &Keys, uint64_t After,
--- a/src/platform/Reader.cpp
+++ b/src/platform/Reader.cpp
@@ -117,7 +117,7 @@
 }
 
 Platform::GotValue Reader::guarded(
-    std::function<void(const Result<PlatformValue> &, TimePoint)> Then) {
+    const std::function<void(const Result<PlatformValue> &, TimePoint)> &Then) {
   return
       [Then, Epoch = std::weak_ptr<uint64_t>(this->Epoch),
        Started = *this->Epoch](const Result<PlatformValue> &Got, TimePoint At) {
--- a/src/platform/Reader.h
+++ b/src/platform/Reader.h
@@ -126,7 +126,8 @@
   void confirmAll(TimePoint AskedAt);
   void wantEverything();
   Platform::GotValue
-  guarded(std::function<void(const Result<PlatformValue> &, TimePoint)> Then);
+  guarded(const std::function<void(const Result<PlatformValue> &, TimePoint)>
+              &Then);
 
   Options Opts;
   Platform &From;
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -140,7 +140,7 @@
     Members.Fanout =
         static_cast<size_t>(Spread.integer("fanout", Members.Fanout, 1, 64));
     Members.Readers =
-        static_cast<size_t>(Spread.integer("readers", Members.Readers, 1, 16));
+        static_cast<size_t>(Spread.integer("readers", Members.Readers, 1, 100000));
     Members.Bridges =
         static_cast<size_t>(Spread.integer("bridges", Members.Bridges, 1, 16));
     this->Out.Core.Control.PeersFirst = Spread.millis(
--- a/src/settings/SettingsTest.cpp
+++ b/src/settings/SettingsTest.cpp
@@ -76,7 +76,7 @@
     {"\"heartbeat_ms\": 1000", "\"heartbeat_ms\": 1000, \"beat\": 1",
      "/spread/beat: unknown key"},
     {"\"fanout\": 6", "\"fanout\": 0", "from 1 to 64"},
-    {"\"fanout\": 6", "\"fanout\": 6, \"readers\": 99", "from 1 to 16"},
+    {"\"fanout\": 6", "\"fanout\": 6, \"readers\": 0", "from 1 to 100000"},
     {"\"spread\": {", "\"spread\": [], \"other\": {", "expected an object"},
     {"\"spread\": {", "\"seeds\": {\"x\": \"nowhere\"}, \"spread\": {",
      "/seeds/x"},
--- a/src/spread/Spreader.cpp
+++ b/src/spread/Spreader.cpp
@@ -55,7 +55,7 @@
     : Opts(Opts), Hook(std::move(Hooks)), Random(Seed),
       Snapshots(Opts.SnapshotBytesPerSecond, Opts.SnapshotBurstBytes) {}
 
-bool Spreader::publish(const std::string &Topic, DocumentPtr Doc,
+bool Spreader::publish(const std::string &Topic, const DocumentPtr &Doc,
                        TimePoint Now) {
   if (this->isOld(Doc->stamp(), this->Topics[Topic].Held) ||
       this->neighbourHasNewer(Topic, Doc->stamp())) {
@@ -568,7 +568,7 @@
 }
 
 void Spreader::finishAssembly(LinkId From, Link &On, const std::string &Name,
-                              Assembly Whole, TimePoint Now) {
+                              const Assembly &Whole, TimePoint Now) {
   Topic &State = this->Topics[Name];
   DocumentPtr Base;
   if (!Whole.Base.isNull()) {
--- a/src/spread/Spreader.h
+++ b/src/spread/Spreader.h
@@ -96,7 +96,7 @@
 
   /// Takes a document read from the platform. False if it is not newer than
   /// the one held, which then stays.
-  bool publish(const std::string &Topic, DocumentPtr Doc, TimePoint Now);
+  bool publish(const std::string &Topic, const DocumentPtr &Doc, TimePoint Now);
   /// The platform, asked at AskedAt, still named this version and revision.
   void confirm(const std::string &Topic, uint64_t Version, uint64_t Revision,
                TimePoint AskedAt);
@@ -191,7 +191,7 @@
   void onPull(LinkId From, const wire::PullT &Pull, TimePoint Now);
   void onPart(LinkId From, Link &On, const wire::PartT &Part, TimePoint Now);
   void finishAssembly(LinkId From, Link &On, const std::string &Name,
-                      Assembly Whole, TimePoint Now);
+                      const Assembly &Whole, TimePoint Now);
   void freshen(const std::string &Name, const Stamp &Theirs, uint32_t AgeMs,
                TimePoint ComposedAfter);
   std::optional<LinkId> linkHolding(const Topic &State, const std::string &Name,
