--- a/src/gate/UpstreamClient.cpp
+++ b/src/gate/UpstreamClient.cpp
@@ -2,13 +2,14 @@
 
 #include "gate/RequestStream.h"
 
-// libsoup takes a kept connection only for messages that it may send again, and
-// sends them again by itself when that connection turns out to be dead. A fresh
-// connection for each call that must not repeat costs a millisecond and more
-// (docs/design/calls.md has the figures). So all messages are declared
-// repeatable, and a call that must not repeat is cancelled when libsoup says
-// that it starts over. That is soon enough: every write is made with the same
-// cancellable, and GIO looks at it before the first byte.
+// libsoup takes a kept connection only for messages that are flagged repeatable
+// or whose method is, and sends the latter (PUT and DELETE among them) again by
+// itself when that connection turns out to be dead. A fresh connection for each
+// call that must not repeat costs a millisecond and more (docs/design/calls.md
+// has the figures). So all messages are flagged, and a call that must not
+// repeat is cancelled when libsoup says that it starts over. That is soon
+// enough: every write is made with the same cancellable, and GIO looks at it
+// before the first byte.
 
 namespace hickorylift {
 
