Nodes climb past dead parents, and the next in line read

Cause: with half of a data centre dead but still listed, as when a rack goes and the list lags, survivors whose two parents were dead heard of nothing new, and with both readers among the dead nobody read the platform at all: in four different halves of 24 nodes the next version did not reach all survivors in 10 s. Ruled out the heartbeat repair: it needs a link. Change: a neighbour that fails two dials is passed over for its nearest living ancestor, and still tried; the two next in line watch the readers by a link and read when these are gone; behind that, a bounded number takes over when what it holds was long not confirmed. Also: what the upstream is told of the deadline is what is left; a limit's new figures take effect; no pointer into an old version stays in the queue.

--- a/src/base/Safeguards.cpp
+++ b/src/base/Safeguards.cpp
@@ -12,6 +12,7 @@
       {"check-content", &this->CheckContent},
       {"whole-versions", &this->WholeVersions},
       {"repair-by-stamps", &this->RepairByStamps},
+      {"climb-past-dead", &this->ClimbPastDead},
       {"ask-older", &this->AskOlder},
       {"echoed-ages", &this->EchoedAges},
       {"remember-calls", &this->RememberCalls},
--- a/src/calls/CallerServer.cpp
+++ b/src/calls/CallerServer.cpp
@@ -247,7 +247,8 @@
       soup_server_message_get_response_headers(Of->Message);
   for (const HeaderField &One : Head.Headers)
     soup_message_headers_append(Headers, One.Name.c_str(), One.Value.c_str());
-  soup_message_headers_append(Headers, "Hickorylift-Outcome", "answered");
+  // Also where the upstream passes on what it was told further down.
+  soup_message_headers_replace(Headers, "Hickorylift-Outcome", "answered");
   if (Head.Length >= 0)
     soup_message_headers_set_content_length(Headers, Head.Length);
   else
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -25,7 +25,6 @@
 const char StepLink[] = "gate-link";
 const char KeyHeader[] = "Idempotency-Key";
 const char ClassHeader[] = "Hickorylift-Caller-Class";
-const char BudgetHeader[] = "Hickorylift-Budget-Ms";
 constexpr size_t MaxKeyLength = 256;
 constexpr size_t MaxHeaderFields = 128;
 constexpr size_t MaxHeaderBytes = 64 * 1024;
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -234,6 +234,9 @@
     return;
   One.Now = State::Running;
   ++this->Counts.Started;
+  // What the upstream calls in turn has this much left.
+  setHeader(One.Head.Headers, BudgetHeader,
+            std::to_string(toMillis(One.Deadline - Now).count()));
   this->Hook.Start(Id, One.Head, One.Idempotent);
   std::string Early = std::exchange(One.EarlyBody, "");
   this->forwardBody(Id, One, Early);
--- a/src/calls/Message.cpp
+++ b/src/calls/Message.cpp
@@ -37,6 +37,16 @@
 
 } // namespace
 
+const char BudgetHeader[] = "Hickorylift-Budget-Ms";
+
+void setHeader(HeaderList &Headers, const std::string &Name,
+               const std::string &Value) {
+  std::erase_if(Headers, [&](const HeaderField &One) {
+    return sameName(One.Name, Name);
+  });
+  Headers.push_back({Name, Value});
+}
+
 std::string CallId::text() const {
   return std::to_string(this->Entry) + "-" + std::to_string(this->Seq);
 }
--- a/src/calls/Message.h
+++ b/src/calls/Message.h
@@ -32,11 +32,17 @@
 };
 using HeaderList = std::vector<HeaderField>;
 
+/// Sets one field, in place of any of that name.
+void setHeader(HeaderList &Headers, const std::string &Name,
+               const std::string &Value);
 /// Case-insensitive; empty if absent.
 std::string findHeader(const HeaderList &Headers, std::string_view Name);
 /// Without the fields that concern one connection only (RFC 9110, 7.6.1).
 HeaderList endToEndHeaders(const HeaderList &Headers);
 
+/// The header by which a caller states its deadline, as milliseconds left.
+extern const char BudgetHeader[];
+
 constexpr int64_t UnknownLength = -1;
 
 struct RequestHead {
--- a/src/config/Config.h
+++ b/src/config/Config.h
@@ -32,6 +32,8 @@
   double Burst = 1;
   /// Calls at once at one upstream; 0 for no limit.
   uint32_t Concurrency = 0;
+
+  bool operator==(const CallerLimit &) const = default;
 };
 
 struct Limit {
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -101,6 +101,7 @@
     this->StartedAt = Now;
   // Here and not when a list arrives: the arrival is handled within a link
   // that this may close.
+  this->forgetAvoided(Now);
   if (std::exchange(this->NeedRetarget, false))
     this->retarget(Now);
   if (this->LastTick && Now - *this->LastTick > this->Opts.PauseThreshold) {
@@ -134,22 +135,59 @@
   }
   bool PeersHadTheirTurn =
       this->Spread.heardFromAny() || Waited >= this->Opts.PeersFirst;
-  if (this->Fleet.isReader() && PeersHadTheirTurn)
+  bool Reads = this->Fleet.isReader(this->Avoid) || this->takesOver(Now);
+  if (Reads && PeersHadTheirTurn)
     return Reader::Duty::Watch;
   if (!this->InForce && Waited >= 3 * this->Opts.PeersFirst)
     return Reader::Duty::Once;
   return Reader::Duty::None;
 }
 
+// The platform's outage makes everybody's documents old as well; the bound on
+// the rank keeps the fleet from asking all together.
+bool ControlPlane::takesOver(TimePoint Now) const {
+  if (!this->Opts.Spread.Guards.ClimbPastDead)
+    return false;
+  size_t Rank = this->Fleet.readerRank(this->Avoid);
+  std::optional<Millis> Age = this->Spread.age(ConfigTopic, Now);
+  Millis Held = Age ? *Age : toMillis(Now - *this->StartedAt);
+  return Rank < this->Opts.TakeoverMost &&
+         Held > this->Opts.TakeoverAge +
+                    static_cast<int64_t>(Rank) * this->Opts.TakeoverStep;
+}
+
+// Those that are still dialled are forgotten when they answer. Nobody dials the
+// others; after a while they may have come back.
+void ControlPlane::forgetAvoided(TimePoint Now) {
+  for (auto At = this->AvoidedAt.begin(); At != this->AvoidedAt.end();) {
+    bool Dialled = this->Targets.count(At->first) != 0;
+    if (Dialled || Now - At->second < this->Opts.AvoidFor) {
+      ++At;
+      continue;
+    }
+    this->Avoid.erase(At->first);
+    At = this->AvoidedAt.erase(At);
+    this->NeedRetarget = true;
+  }
+}
+
 void ControlPlane::retarget(TimePoint Now) {
   std::map<std::string, Target> Wanted;
   std::vector<LinkId> Outdated;
-  for (const Neighbour &One : this->Fleet.neighbours()) {
-    Target &New = Wanted[One.Who->Name];
-    New.Address = One.Who->Node;
-    New.Kind = One.Kind;
-    New.NextDial = Now;
-  }
+  auto Want = [&](const Neighbour &One) {
+    auto [At, New] = Wanted.try_emplace(One.Who->Name);
+    if (!New)
+      return;
+    At->second.Address = One.Who->Node;
+    At->second.Kind = One.Kind;
+    At->second.NextDial = Now;
+  };
+  for (const Neighbour &One : this->Fleet.neighbours(this->Avoid))
+    Want(One);
+  // Go on trying those whose place others have taken.
+  for (const Neighbour &One : this->Fleet.neighbours())
+    if (this->Avoid.count(One.Who->Name))
+      Want(One);
   // A node that knows no neighbour, or is the only one listed, keeps to its
   // seeds: they may know more.
   if (Wanted.empty() && this->Fleet.size() < 2)
@@ -190,7 +228,11 @@
   Millis Longest = std::min(this->Opts.LongestRedial,
                             this->Opts.FirstRedial *
                                 (1 << std::min(To.Failures, MaxBackoffShift)));
-  ++To.Failures;
+  if (++To.Failures >= this->Opts.AvoidAfter &&
+      this->Opts.Spread.Guards.ClimbPastDead) {
+    this->AvoidedAt[Name] = Now;
+    this->NeedRetarget |= this->Avoid.insert(Name).second;
+  }
   To.NextDial =
       Now + Longest / 2 + Millis(this->Random() % (Longest.count() / 2 + 1));
 }
@@ -232,6 +274,8 @@
   } else if (auto Found = this->Targets.find(From.Name);
              Found != this->Targets.end()) {
     Found->second.Failures = 0;
+    this->AvoidedAt.erase(From.Name);
+    this->NeedRetarget |= this->Avoid.erase(From.Name) != 0;
   }
   this->Spread.linkUp(Link, From.Name, From.Kind == Tie::Tree, Now);
 }
@@ -272,7 +316,7 @@
 }
 
 std::optional<LinkId> ControlPlane::parentLink() const {
-  const Instance *Parent = this->Fleet.parent();
+  const Instance *Parent = this->Fleet.parent(this->Avoid);
   if (!Parent)
     return std::nullopt;
   auto Found = this->Targets.find(Parent->Name);
@@ -285,7 +329,7 @@
 }
 
 void ControlPlane::exchangeReports(TimePoint Now) {
-  const Instance *Root = this->Fleet.root(this->Opts.DataCentre);
+  const Instance *Root = this->root();
   if (!Root || Root->Name != this->Opts.Self)
     return;
   for (const auto &[Link, To] : this->Peers) {
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -42,6 +42,17 @@
     /// Between two attempts to reach a neighbour; doubles, with jitter.
     Millis FirstRedial{100};
     Millis LongestRedial{5000};
+    /// Dials in a row that must fail before a neighbour is passed over, and for
+    /// how long if nobody tries it any more.
+    unsigned AvoidAfter = 2;
+    Millis AvoidFor{30000};
+    /// A node that is not a reader becomes one when what it holds was not
+    /// confirmed for this long, and as much longer as TakeoverStep for each one
+    /// before it in line: the readers may all be gone in a way that nobody
+    /// next in line sees. No more than TakeoverMost nodes do so.
+    Millis TakeoverAge{40000};
+    Millis TakeoverStep{5000};
+    size_t TakeoverMost = 8;
     /// Links accepted at once. More are closed at the handshake, and the peer
     /// comes back later.
     size_t MaxLinks = 256;
@@ -97,6 +108,11 @@
   const Reader &reader() const { return this->Read; }
   /// Names of the peers with a control link.
   std::vector<std::string> peers() const;
+  /// The root of this data centre's tree, as this node sees it.
+  const Instance *root() const {
+    return this->Fleet.root(this->Opts.DataCentre, this->Avoid);
+  }
+  bool isReader() const { return this->Fleet.isReader(this->Avoid); }
 
 private:
   struct Target {
@@ -118,6 +134,8 @@
   };
 
   void retarget(TimePoint Now);
+  void forgetAvoided(TimePoint Now);
+  bool takesOver(TimePoint Now) const;
   void dialTargets(TimePoint Now);
   void greet(LinkId Link, const Peer &To);
   void onHello(LinkId Link, Peer &From, const wire::HelloT &Hello,
@@ -144,6 +162,8 @@
   Compiler Compile;
   std::mt19937_64 Random;
   std::map<std::string, Target> Targets;
+  AvoidSet Avoid;
+  std::map<std::string, TimePoint> AvoidedAt;
   std::map<LinkId, Peer> Peers;
   ConfigPtr InForce;
   std::string InForceFrom;
--- a/src/gate/Admission.cpp
+++ b/src/gate/Admission.cpp
@@ -88,9 +88,12 @@
   const CallerLimit &Bound =
       Class == One.Bound->ByClass.end() ? One.Bound->All : Class->second;
   auto [Found, New] = this->Limits.try_emplace(
-      Key, LimitState{TokenBucket(Bound.RatePerSecond, Bound.Burst)});
+      Key, LimitState{TokenBucket(Bound.RatePerSecond, Bound.Burst), Bound});
   LimitState &State = Found->second;
-  State.Concurrency = Bound.Concurrency;
+  // A new version may have other figures under the same name.
+  if (!New && State.Bound != Bound)
+    State.Rate = TokenBucket(Bound.RatePerSecond, Bound.Burst);
+  State.Bound = Bound;
   if (Bound.Concurrency && State.Running >= Bound.Concurrency)
     return this->refuse("concurrency-limit",
                         this->comeBack(this->expectedWait(0, Now)),
@@ -137,7 +140,10 @@
     this->Running[One.Id] = {Now, Limit};
     return {};
   }
-  this->Queue[Key] = {One, Now, Limit};
+  // The limit belongs to a version that may be gone by the time of its turn.
+  Ask Kept = One;
+  Kept.Bound = nullptr;
+  this->Queue[Key] = {Kept, Now, Limit};
   this->Places[One.Id] = Key;
   return {Verdict::Wait, {}};
 }
--- a/src/gate/Admission.h
+++ b/src/gate/Admission.h
@@ -107,7 +107,7 @@
 
   struct LimitState {
     TokenBucket Rate;
-    uint32_t Concurrency = 0;
+    CallerLimit Bound;
     uint32_t Running = 0;
   };
 
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -182,24 +182,25 @@
   return Out;
 }
 
-bool Membership::isReader() const {
+size_t Membership::readerRank(const AvoidSet &Avoid) const {
   auto Ranked = this->ordered(this->Opts.DataCentre, ReaderSalt);
-  if (Ranked.empty())
-    return true;
-  size_t Left = this->Opts.Readers;
+  size_t Rank = 0;
   for (const Instance *One : Ranked) {
-    if (One->Leaving)
-      continue;
     if (One->Name == this->Opts.Self)
-      return true;
-    if (--Left == 0)
-      return false;
+      return Rank;
+    Rank += !One->Leaving && !Avoid.count(One->Name);
   }
-  return false;
+  // Not on the list yet: after all that are.
+  return Rank;
 }
 
-const Instance *Membership::parentIn(const std::string &Salt) const {
-  auto Order = this->ordered(this->Opts.DataCentre, Salt);
+bool Membership::isReader(const AvoidSet &Avoid) const {
+  return this->size(this->Opts.DataCentre) == 0 ||
+         this->readerRank(Avoid) < this->Opts.Readers;
+}
+
+size_t Membership::placeIn(const std::vector<const Instance *> &Order,
+                           const std::string &Salt) const {
   uint64_t Own = rendezvousScore(Salt, this->Opts.Self);
   // Our place, or the one that we shall have: the list lags, and a node that
   // is not on it yet needs a parent all the same.
@@ -207,42 +208,92 @@
   while (Place < Order.size() &&
          rendezvousScore(Salt, Order[Place]->Name) < Own)
     ++Place;
-  if (Place == 0)
-    return nullptr;
-  return Order[(Place - 1) / this->Opts.Fanout];
+  return Place;
 }
 
-const Instance *Membership::parent() const { return this->parentIn(TreeSalt); }
+// The parent, or the nearest ancestor that is not to be avoided. If all up to
+// the root are, the first of the whole order that is not: everyone below the
+// dead root comes to the same one, which finds itself to be the root. The
+// choice always lies before the chooser in the order, so no circle can form.
+const Instance *Membership::parentIn(const std::string &Salt,
+                                     const AvoidSet &Avoid) const {
+  auto Order = this->ordered(this->Opts.DataCentre, Salt);
+  size_t Place = this->placeIn(Order, Salt);
+  for (size_t Up = Place; Up != 0;) {
+    Up = (Up - 1) / this->Opts.Fanout;
+    if (!Avoid.count(Order[Up]->Name))
+      return Order[Up];
+  }
+  for (size_t First = 0; First < Place; ++First)
+    if (!Avoid.count(Order[First]->Name))
+      return Order[First];
+  return nullptr;
+}
 
-const Instance *Membership::root(const std::string &DataCentre) const {
-  auto Order = this->ordered(DataCentre, TreeSalt);
-  return Order.empty() ? nullptr : Order.front();
+const Instance *Membership::parent(const AvoidSet &Avoid) const {
+  return this->parentIn(TreeSalt, Avoid);
 }
 
-std::vector<Neighbour> Membership::neighbours() const {
+const Instance *Membership::root(const std::string &DataCentre,
+                                 const AvoidSet &Avoid) const {
+  for (const Instance *One : this->ordered(DataCentre, TreeSalt))
+    if (!Avoid.count(One->Name))
+      return One;
+  return nullptr;
+}
+
+std::vector<Neighbour> Membership::neighbours(const AvoidSet &Avoid) const {
   std::vector<Neighbour> Out;
-  const Instance *Tree = this->parentIn(TreeSalt);
-  const Instance *Backup = this->parentIn(BackupSalt);
-  if (Tree)
-    Out.push_back({Tree, Tie::Tree});
-  if (Backup && Backup != Tree)
-    Out.push_back({Backup, Tie::Backup});
-  this->addBridges(Out);
+  auto Add = [&](const Instance *Who, Tie Kind) {
+    bool There = std::any_of(Out.begin(), Out.end(),
+                             [&](const Neighbour &N) { return N.Who == Who; });
+    if (Who && !There)
+      Out.push_back({Who, Kind});
+  };
+  Add(this->parentIn(TreeSalt, Avoid), Tie::Tree);
+  Add(this->parentIn(BackupSalt, Avoid), Tie::Backup);
+  for (const Instance *One : this->readersAbove(Avoid))
+    Add(One, Tie::Backup);
+  this->addBridges(Out, Avoid);
   return Out;
 }
 
+// The readers, and the next few in line, know those before them by a link: when
+// these die with the list still naming them, the next in line notice at once.
+std::vector<const Instance *>
+Membership::readersAbove(const AvoidSet &Avoid) const {
+  std::vector<const Instance *> Out;
+  for (const Instance *One : this->ordered(this->Opts.DataCentre, ReaderSalt)) {
+    if (One->Name == this->Opts.Self)
+      return Out;
+    if (!One->Leaving && !Avoid.count(One->Name))
+      Out.push_back(One);
+    if (Out.size() >= this->Opts.Readers + this->Opts.SpareReaders)
+      break;
+  }
+  return {};
+}
+
 // The first few of each data centre's tree hold the links to the others. They
 // announce only: while the platform answers everywhere, each data centre's own
 // readers bring the documents, and nothing but heartbeats crosses.
-void Membership::addBridges(std::vector<Neighbour> &Out) const {
-  auto Own = this->ordered(this->Opts.DataCentre, TreeSalt);
+void Membership::addBridges(std::vector<Neighbour> &Out,
+                            const AvoidSet &Avoid) const {
+  auto Living = [&](const std::string &DataCentre) {
+    auto Order = this->ordered(DataCentre, TreeSalt);
+    std::erase_if(Order, [&](const Instance *One) {
+      return Avoid.count(One->Name) != 0;
+    });
+    return Order;
+  };
+  auto Own = Living(this->Opts.DataCentre);
   for (size_t I = 0; I < Own.size() && I < this->Opts.Bridges; ++I) {
     if (Own[I]->Name != this->Opts.Self)
       continue;
     for (const auto &[Other, List] : this->Lists) {
       if (Other <= this->Opts.DataCentre)
         continue;
-      auto Theirs = this->ordered(Other, TreeSalt);
+      auto Theirs = Living(Other);
       if (!Theirs.empty())
         Out.push_back({Theirs[std::min(I, Theirs.size() - 1)], Tie::Bridge});
     }
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,10 @@
   Tie Kind = Tie::Tree;
 };
 
+/// Names of instances that this node could not reach lately. What is worked out
+/// with it differs from node to node; the list alone is common to all.
+using AvoidSet = std::set<std::string>;
+
 class Membership {
 public:
   struct Options {
@@ -73,6 +78,8 @@
     std::string DataCentre;
     /// Nodes that watch the platform, in each data centre.
     size_t Readers = 2;
+    /// Nodes next in line to read, which watch over the readers by a link.
+    size_t SpareReaders = 2;
     /// Children of one node in a spreading tree. More make the tree flatter
     /// and load its inner nodes more.
     size_t Fanout = 4;
@@ -87,14 +94,17 @@
 
   /// Whether this node is among its data centre's readers. True while its own
   /// list is empty: with nothing known, someone has to ask.
-  bool isReader() const;
+  bool isReader(const AvoidSet &Avoid = {}) const;
+  /// How many would have to be gone for this node to be the first reader.
+  size_t readerRank(const AvoidSet &Avoid = {}) const;
   /// Whom this node dials. Each link is dialled by one end only: by the child
   /// in a tree, and between data centres by the one whose name sorts first.
-  std::vector<Neighbour> neighbours() const;
+  std::vector<Neighbour> neighbours(const AvoidSet &Avoid = {}) const;
   /// The parent in the spreading tree, to whom reports go; null at the root.
-  const Instance *parent() const;
+  const Instance *parent(const AvoidSet &Avoid = {}) const;
   /// The root of a data centre's tree; null if its list is unknown or empty.
-  const Instance *root(const std::string &DataCentre) const;
+  const Instance *root(const std::string &DataCentre,
+                       const AvoidSet &Avoid = {}) const;
 
   const Instance *find(const std::string &Name) const;
   /// All of one service, of all data centres, in the order of their names.
@@ -109,8 +119,12 @@
 private:
   std::vector<const Instance *> ordered(const std::string &DataCentre,
                                         const std::string &Salt) const;
-  const Instance *parentIn(const std::string &Salt) const;
-  void addBridges(std::vector<Neighbour> &Out) const;
+  size_t placeIn(const std::vector<const Instance *> &Order,
+                 const std::string &Salt) const;
+  const Instance *parentIn(const std::string &Salt,
+                           const AvoidSet &Avoid) const;
+  std::vector<const Instance *> readersAbove(const AvoidSet &Avoid) const;
+  void addBridges(std::vector<Neighbour> &Out, const AvoidSet &Avoid) const;
   void rebuild();
 
   struct Listed {
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -133,7 +133,7 @@
   if (std::optional<Millis> Age = Control.oldestListAge(Now))
     Out["oldest_list_age_ms"] = Json::Int64(Age->count());
   Out["instances"] = Json::UInt64(Control.members().size());
-  Out["reader"] = Control.members().isReader();
+  Out["reader"] = Control.isReader();
   for (const std::string &Peer : Control.peers())
     Out["peers"].append(Peer);
   wire::Load Load = this->Of.core().gate().load(Now);
@@ -157,7 +157,7 @@
   ControlPlane &Control = this->Of.core().control();
   const Membership &Fleet = Control.members();
   Json::Value Out(Json::objectValue);
-  const Instance *Root = Fleet.root(this->Of.settings().DataCentre);
+  const Instance *Root = Control.root();
   bool IsRoot = !Root || Root->Name == this->Of.settings().Name;
   Out["complete"] = IsRoot;
   if (!IsRoot)
