Measurements of the fleet, live scenarios for the command line and hang-up

One buffer now serves all links. - The two HTTP listeners and the two frame codecs stood twice; one of each now. - hang-up found nothing wrong in the node; the stand-in did not look at the socket of a paused message and now does.

--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -14,6 +14,7 @@
 //   bench convergence --nodes=13,50 --changes=100 --profile=aspenfold
 //   bench latency --rates=50,500
 //   bench policies
+//   bench budget
 //   bench slopes
 //   bench capacity --results=bench/results --page=docs/CAPACITY.md
 
@@ -23,6 +24,7 @@
 int runLatency();
 int runPolicies();
 int runSlopes();
+int runBudget();
 int runCapacity();
 
 /// The value below which Share of the values lie. Sorts them.
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -98,8 +98,10 @@
     return runPolicies();
   if (Kind == "slopes")
     return runSlopes();
+  if (Kind == "budget")
+    return runBudget();
   if (Kind == "capacity")
     return runCapacity();
-  std::cerr << "bench convergence|latency|policies|slopes|capacity\n";
+  std::cerr << "bench convergence|latency|policies|budget|slopes|capacity\n";
   return 2;
 }
--- a/harness/Fleet.cpp
+++ b/harness/Fleet.cpp
@@ -131,6 +131,18 @@
   return readWhole(this->Folder + "/" + File);
 }
 
+int Fleet::exitOf(const std::string &Program,
+                  const std::vector<std::string> &Flags) {
+  GSubprocess *One = this->spawn(Program, Flags, "exit.log");
+  g_subprocess_wait(One, nullptr, nullptr);
+  return g_subprocess_get_if_exited(One) ? g_subprocess_get_exit_status(One)
+                                         : -1;
+}
+
+std::string Fleet::readFile(const std::string &Name) const {
+  return readWhole(this->Folder + "/" + Name);
+}
+
 std::string Fleet::writeFile(const std::string &Name, const std::string &Text) {
   std::string Path = this->Folder + "/" + Name;
   std::ofstream(Path, std::ios::binary) << Text;
--- a/harness/Fleet.h
+++ b/harness/Fleet.h
@@ -101,12 +101,15 @@
   GSubprocess *spawn(const std::string &Program,
                      const std::vector<std::string> &Flags,
                      const std::string &File);
+  /// Runs a program to its end and gives its exit status.
+  int exitOf(const std::string &Program, const std::vector<std::string> &Flags);
   /// Runs a program to its end and gives its standard output.
   std::string capture(const std::string &Program,
                       const std::vector<std::string> &Flags);
   std::string logPath(const std::string &Name) const {
     return this->Folder + "/" + Name + ".log";
   }
+  std::string readFile(const std::string &Name) const;
   std::string writeFile(const std::string &Name, const std::string &Text);
 
 private:
--- a/scenario/Live.cpp
+++ b/scenario/Live.cpp
@@ -28,6 +28,7 @@
   bool Whole = false;
   SoupMessage *Message = nullptr;
   std::string Sent;
+  GCancellable *Stop = nullptr;
 };
 
 struct LiveLine {
@@ -69,6 +70,8 @@
         {"platform", &LiveRun::platform},
         {"drain-upstream", &LiveRun::drainUpstream},
         {"call", &LiveRun::call},
+        {"hang-up", &LiveRun::hangUp},
+        {"cli", &LiveRun::cli},
         {"await", &LiveRun::await},
         {"expect", &LiveRun::expect},
         {"run", &LiveRun::runFor},
@@ -195,11 +198,34 @@
           New.Message, "application/octet-stream", Body);
       g_bytes_unref(Body);
     }
+    New.Stop = g_cancellable_new();
     soup_session_send_and_read_async(this->Session, New.Message,
-                                     G_PRIORITY_DEFAULT, nullptr, onAnswer,
+                                     G_PRIORITY_DEFAULT, New.Stop, onAnswer,
                                      &New);
   }
 
+  void hangUp(const LiveLine &W) {
+    g_cancellable_cancel(this->Calls[W.Words.at(0)].Stop);
+  }
+
+  // cli EXIT COMMAND FLAG...: runs the program; @NAME stands for a node's
+  // operator address.
+  void cli(const LiveLine &W) {
+    std::vector<std::string> Flags;
+    for (size_t I = 1; I < W.Words.size(); ++I) {
+      std::string Flag = W.Words[I];
+      size_t At = Flag.find('@');
+      if (At != std::string::npos)
+        Flag = Flag.substr(0, At) +
+               this->fleet().node(Flag.substr(At + 1)).Operator;
+      Flags.push_back(Flag);
+    }
+    int Exit = this->fleet().exitOf("hickorylift", Flags);
+    if (Exit != std::stoi(W.Words.at(0)))
+      this->Failure = "exit " + std::to_string(Exit) + ": " +
+                      this->fleet().readFile("exit.log");
+  }
+
   void runFor(const LiveLine &W) {
     this->fleet().runFor(Millis(std::stoul(W.Words.at(0))));
   }
@@ -223,6 +249,9 @@
     if (What == "running")
       return All.upstreamCounters(Who)["running"].asUInt64() >=
              std::stoull(W.Words.at(2));
+    if (What == "cancelled")
+      return All.upstreamCounters(Who)["cancelled"].asUInt64() >=
+             std::stoull(W.Words.at(2));
     if (What == "drained")
       return !All.status(Who)["upstream"]["drained_by"].asString().empty();
     for (const std::string &Name : this->names(Who)) {
@@ -291,7 +320,7 @@
       size_t Equals = Word.find('=');
       bool Plain = Equals == std::string::npos ||
                    Word.find_first_of(":?") < Equals || Word.front() == '"' ||
-                   Word.front() == '/';
+                   Word.front() == '/' || Word.front() == '-';
       if (Plain)
         One.Words.push_back(Word);
       else
--- a/scenario/Script.cpp
+++ b/scenario/Script.cpp
@@ -376,6 +376,12 @@
       uint64_t Runs = this->All.runsOf(W.at(1));
       if (Runs != std::strtoull(W.at(2).c_str(), nullptr, 10))
         this->fail("runs of " + W.at(1) + ": " + std::to_string(Runs));
+    } else if (What == "sheds") {
+      uint64_t Sum = 0;
+      for (const auto &[Name, Of] : this->All.nodes())
+        Sum += Of.Upstream.Shed;
+      if (Sum != std::strtoull(W.at(1).c_str(), nullptr, 10))
+        this->fail("sheds: " + std::to_string(Sum));
     } else if (What == "refused") {
       this->expectRefused(W);
     } else if (What == "share") {
--- a/scenario/World.cpp
+++ b/scenario/World.cpp
@@ -722,6 +722,7 @@
           this->Now);
     });
   bool Shed = Up.Running >= Up.Sheds;
+  Up.Shed += Shed;
   std::string Label = findHeader(Head.Headers, LabelHeader);
   std::string Key = findHeader(Head.Headers, KeyHeader);
   bool Repeatable = this->Calls[Label].Repeatable;
--- a/scenario/World.h
+++ b/scenario/World.h
@@ -57,6 +57,7 @@
   std::map<std::string, unsigned> RunsByLabel;
   std::map<std::string, TimePoint> LastRunByKey;
   uint64_t Running = 0;
+  uint64_t Shed = 0;
   uint64_t Answered = 0;
   std::optional<TimePoint> LastStart;
 };
--- a/src/calls/CallerServer.cpp
+++ b/src/calls/CallerServer.cpp
@@ -1,5 +1,7 @@
 #include "calls/CallerServer.h"
 
+#include "base/HttpListen.h"
+
 #include <sys/socket.h>
 
 // libsoup reads a request's body only while its message is not paused, and
@@ -82,17 +84,7 @@
 }
 
 Result<bool> CallerServer::listen(const NetAddress &At) {
-  GError *Why = nullptr;
-  GSocketAddress *Address =
-      g_inet_socket_address_new_from_string(At.Ip.c_str(), At.Port);
-  bool Listening = soup_server_listen(
-      this->Server, Address, static_cast<SoupServerListenOptions>(0), &Why);
-  g_object_unref(Address);
-  if (Listening)
-    return true;
-  Error Out{Errc::Refused, "listen-callers", At.text(), Why->message};
-  g_clear_error(&Why);
-  return Out;
+  return listenHttp(this->Server, At, "listen-callers");
 }
 
 void CallerServer::stopListening() {
--- a/src/calls/Message.cpp
+++ b/src/calls/Message.cpp
@@ -1,6 +1,6 @@
 #include "calls/Message.h"
 
-#include "peer/Seal.h"
+#include "peer/Frame.h"
 
 #include <array>
 
@@ -77,25 +77,12 @@
 }
 
 std::string encodeFrame(const wire::CallFrameT &Frame) {
-  flatbuffers::FlatBufferBuilder Builder;
-  Builder.Finish(wire::CallFrame::Pack(Builder, &Frame));
-  return sealFrame({reinterpret_cast<const char *>(Builder.GetBufferPointer()),
-                    Builder.GetSize()});
+  return packFrame<wire::CallFrame>(Frame);
 }
 
 Result<wire::CallFrameT> decodeCallFrame(std::string_view Sealed,
                                          const Safeguards &Guards) {
-  Result<std::string_view> Bytes = openSealed(Sealed, Guards);
-  if (!Bytes)
-    return Bytes.error();
-  flatbuffers::Verifier Check(reinterpret_cast<const uint8_t *>(Bytes->data()),
-                              Bytes->size());
-  if (!wire::VerifyCallFrameBuffer(Check))
-    return Error{Errc::BadMessage, "decode-frame", "",
-                 "call frame does not verify"};
-  wire::CallFrameT Frame;
-  wire::GetCallFrame(Bytes->data())->UnPackTo(&Frame);
-  return Frame;
+  return unpackFrame<wire::CallFrame>(Sealed, Guards);
 }
 
 std::vector<std::unique_ptr<wire::HeaderT>> toWire(const HeaderList &Headers) {
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -1,5 +1,6 @@
 #include "operator/OperatorServer.h"
 
+#include "base/HttpListen.h"
 #include "node/Node.h"
 
 namespace hickorylift {
@@ -59,17 +60,7 @@
 }
 
 Result<bool> OperatorServer::listen(const NetAddress &At) {
-  GError *Why = nullptr;
-  GSocketAddress *Address =
-      g_inet_socket_address_new_from_string(At.Ip.c_str(), At.Port);
-  bool Listening = soup_server_listen(
-      this->Server, Address, static_cast<SoupServerListenOptions>(0), &Why);
-  g_object_unref(Address);
-  if (Listening)
-    return true;
-  Error Out{Errc::Refused, "listen-operator", At.text(), Why->message};
-  g_clear_error(&Why);
-  return Out;
+  return listenHttp(this->Server, At, "listen-operator");
 }
 
 void OperatorServer::onRequest(SoupServer *, SoupServerMessage *Message,
--- a/src/peer/Transport.cpp
+++ b/src/peer/Transport.cpp
@@ -35,7 +35,8 @@
 
 Transport::Transport(Options Opts, Hooks Hooks,
                      std::function<TimePoint()> Clock)
-    : Opts(Opts), Hook(std::move(Hooks)), Now(std::move(Clock)) {}
+    : Opts(Opts), Hook(std::move(Hooks)), Now(std::move(Clock)),
+      ReadBuffer(ReadChunk) {}
 
 Transport::~Transport() {
   while (!this->Links.empty())
@@ -214,12 +215,13 @@
 gboolean Transport::onReadable(GSocket *Socket, GIOCondition, gpointer Data) {
   auto &Of = *static_cast<Connection *>(Data);
   Transport &Self = *Of.Owner;
-  size_t Before = Of.Reading.size();
-  Of.Reading.resize(Before + ReadChunk);
+  // One buffer for all: growing the link's own by a chunk for each read would
+  // clear that much memory each time, for a frame of a few hundred bytes.
   GError *Why = nullptr;
-  gssize Got = g_socket_receive(Socket, Of.Reading.data() + Before, ReadChunk,
-                                nullptr, &Why);
-  Of.Reading.resize(Before + static_cast<size_t>(std::max<gssize>(Got, 0)));
+  gssize Got = g_socket_receive(Socket, Self.ReadBuffer.data(),
+                                Self.ReadBuffer.size(), nullptr, &Why);
+  if (Got > 0)
+    Of.Reading.append(Self.ReadBuffer.data(), static_cast<size_t>(Got));
   if (Got < 0 && g_error_matches(Why, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
     g_clear_error(&Why);
     return G_SOURCE_CONTINUE;
--- a/src/peer/Transport.h
+++ b/src/peer/Transport.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 // A Transport carries frames between nodes over TCP, on the GLib loop. A frame
 // is four bytes of length, little-endian, and that many bytes.
@@ -107,6 +108,7 @@
   Options Opts;
   Hooks Hook;
   std::function<TimePoint()> Now;
+  std::vector<char> ReadBuffer;
   GSocket *Listener = nullptr;
   GSource *Accepting = nullptr;
   std::map<uint64_t, std::unique_ptr<Connection>> Links;
--- a/src/spread/Codec.cpp
+++ b/src/spread/Codec.cpp
@@ -1,6 +1,6 @@
 #include "spread/Spreader.h"
 
-#include "peer/Seal.h"
+#include "peer/Frame.h"
 
 #include <zstd.h>
 
@@ -29,24 +29,12 @@
 } // namespace
 
 std::string encodeFrame(const wire::SpreadFrameT &Frame) {
-  flatbuffers::FlatBufferBuilder Builder;
-  Builder.Finish(wire::SpreadFrame::Pack(Builder, &Frame));
-  return sealFrame({reinterpret_cast<const char *>(Builder.GetBufferPointer()),
-                    Builder.GetSize()});
+  return packFrame<wire::SpreadFrame>(Frame);
 }
 
 Result<wire::SpreadFrameT> decodeSpreadFrame(std::string_view Sealed,
                                              const Safeguards &Guards) {
-  Result<std::string_view> Bytes = openSealed(Sealed, Guards);
-  if (!Bytes)
-    return Bytes.error();
-  flatbuffers::Verifier Check(reinterpret_cast<const uint8_t *>(Bytes->data()),
-                              Bytes->size());
-  if (!wire::VerifySpreadFrameBuffer(Check))
-    return badMessage("control frame does not verify");
-  wire::SpreadFrameT Frame;
-  wire::GetSpreadFrame(Bytes->data())->UnPackTo(&Frame);
-  return Frame;
+  return unpackFrame<wire::SpreadFrame>(Sealed, Guards);
 }
 
 std::string packChanges(const ChangeSet &Changes, size_t CompressFrom,
--- a/standin/Platform.cpp
+++ b/standin/Platform.cpp
@@ -1,6 +1,7 @@
 #include "standin/Flags.h"
 #include "standin/Standin.h"
 
+#include "base/HttpListen.h"
 #include "base/Json.h"
 #include "base/NetAddress.h"
 #include "base/TokenBucket.h"
@@ -47,11 +48,8 @@
   }
 
   bool listen(const std::string &At) {
-    std::optional<NetAddress> To = parseAddress(At);
-    GSocketAddress *Address =
-        g_inet_socket_address_new_from_string(To->Ip.c_str(), To->Port);
-    return soup_server_listen(this->Server, Address,
-                              static_cast<SoupServerListenOptions>(0), nullptr);
+    return static_cast<bool>(
+        listenHttp(this->Server, *parseAddress(At), "listen"));
   }
 
 private:
--- a/standin/Upstream.cpp
+++ b/standin/Upstream.cpp
@@ -2,6 +2,7 @@
 #include "standin/Standin.h"
 
 #include "base/Hash.h"
+#include "base/HttpListen.h"
 #include "base/Json.h"
 #include "base/NetAddress.h"
 #include "base/Time.h"
@@ -12,6 +13,8 @@
 #include <iostream>
 #include <map>
 
+#include <sys/socket.h>
+
 // An upstream. The query says what a call does: ms, how long it takes; size,
 // how large its answer is; cut=1, break the answer off in the middle; drop=1,
 // close the connection without an answer. It counts
@@ -33,6 +36,7 @@
   bool Cut;
   bool Drop;
   guint Timer;
+  GSource *Watch;
 };
 
 class UpstreamServer {
@@ -45,11 +49,8 @@
   }
 
   bool listen(const std::string &At) {
-    std::optional<NetAddress> To = parseAddress(At);
-    GSocketAddress *Address =
-        g_inet_socket_address_new_from_string(To->Ip.c_str(), To->Port);
-    return soup_server_listen(this->Server, Address,
-                              static_cast<SoupServerListenOptions>(0), nullptr);
+    return static_cast<bool>(
+        listenHttp(this->Server, *parseAddress(At), "listen"));
   }
 
 private:
@@ -99,7 +100,8 @@
                        number(Query, "size", 2),
                        number(Query, "cut", 0) != 0,
                        number(Query, "drop", 0) != 0,
-                       0};
+                       0,
+                       nullptr};
     ++Self->Running;
     if (Ms == 0)
       return finish(Of);
@@ -107,12 +109,31 @@
     soup_server_message_pause(Message);
     g_signal_connect(Message, "finished", G_CALLBACK(onGone), Of);
     Of->Timer = g_timeout_add(static_cast<guint>(Ms), onDone, Of);
+    // A paused message's socket is not looked at by the library.
+    Of->Watch = g_socket_create_source(soup_server_message_get_socket(Message),
+                                       G_IO_IN, nullptr);
+    g_source_set_callback(Of->Watch, G_SOURCE_FUNC(onReadable), Of, nullptr);
+    g_source_attach(Of->Watch, nullptr);
+  }
+
+  static gboolean onReadable(GSocket *Socket, GIOCondition, gpointer Data) {
+    char Byte = 0;
+    if (recv(g_socket_get_fd(Socket), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0)
+      return G_SOURCE_CONTINUE;
+    onGone(nullptr, Data);
+    return G_SOURCE_REMOVE;
+  }
+
+  static void stopWatch(Job *Of) {
+    g_source_destroy(Of->Watch);
+    g_source_unref(Of->Watch);
   }
 
   static gboolean onDone(gpointer Data) {
     auto *Of = static_cast<Job *>(Data);
     SoupServerMessage *Message = Of->Message;
     g_signal_handlers_disconnect_by_data(Message, Of);
+    stopWatch(Of);
     finish(Of);
     soup_server_message_unpause(Message);
     g_object_unref(Message);
@@ -125,6 +146,7 @@
     ++Of->Owner->Cancelled;
     --Of->Owner->Running;
     g_source_remove(Of->Timer);
+    stopWatch(Of);
     g_signal_handlers_disconnect_by_data(Of->Message, Of);
     g_object_unref(Of->Message);
     delete Of;
