--- a/scenario/Live.cpp
+++ b/scenario/Live.cpp
@@ -60,7 +60,8 @@
 
   void command(const LiveLine &Of) {
     static const std::map<std::string, Handler> Table = {
-        {"settings", &LiveRun::settings},
+        {"settings-of", &LiveRun::settingsOf},
+        {"publish-file", &LiveRun::publishFile},
         {"node", &LiveRun::node},
         {"start-all", &LiveRun::startAll},
         {"start", &LiveRun::start},
@@ -92,7 +93,37 @@
     return *this->All;
   }
 
-  void settings(const LiveLine &W) { this->Settings = W.Words.at(0); }
+  // settings-of FILE: what a deployment's settings say of spreading, the
+  // platform and keys; places and addresses are the fleet's own.
+  void settingsOf(const LiveLine &W) {
+    FaultList Faults;
+    std::string Text = readWholeFile(W.Words.at(0));
+    std::optional<Json::Value> Root = parseJson(Text, W.Words.at(0), Faults);
+    if (!Root) {
+      this->Failure = faultTexts(Faults);
+      return;
+    }
+    Json::Value Kept(Json::objectValue);
+    for (const char *Section : {"spread", "platform", "keys", "calls"})
+      if (Root->isMember(Section))
+        Kept[Section] = (*Root)[Section];
+    Kept["platform"].removeMember("address");
+    std::string Braces = writeJson(Kept);
+    this->Settings = Braces.substr(1, Braces.size() - 2);
+  }
+
+  void publishFile(const LiveLine &W) {
+    if (!this->fleet().publish(std::stoull(W.Words.at(0)),
+                               readWholeFile(W.Words.at(1))))
+      this->Failure = "not published";
+  }
+
+  static std::string readWholeFile(const std::string &Path) {
+    std::ifstream In(Path, std::ios::binary);
+    std::ostringstream Out;
+    Out << In.rdbuf();
+    return Out.str();
+  }
 
   void node(const LiveLine &W) {
     auto Named = [&](const char *Key, const char *Default) {
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -151,9 +151,11 @@
   size_t Rank = this->Fleet.readerRank(this->Avoid);
   std::optional<Millis> Age = this->Spread.age(ConfigTopic, Now);
   Millis Held = Age ? *Age : toMillis(Now - *this->StartedAt);
-  return Rank < this->Opts.TakeoverMost &&
-         Held > this->Opts.TakeoverAge +
-                    static_cast<int64_t>(Rank) * this->Opts.TakeoverStep;
+  Millis Bound =
+      2 * this->Opts.Read.WatchWait +
+      this->Opts.TakeoverHeartbeats * this->Opts.Spread.HeartbeatInterval +
+      static_cast<int64_t>(Rank) * this->Opts.TakeoverStep;
+  return Rank < this->Opts.TakeoverMost && Held > Bound;
 }
 
 // Those that are still dialled are forgotten when they answer. Nobody dials the
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -47,10 +47,12 @@
     unsigned AvoidAfter = 2;
     Millis AvoidFor{30000};
     /// A node that is not a reader becomes one when what it holds was not
-    /// confirmed for this long, and as much longer as TakeoverStep for each one
-    /// before it in line: the readers may all be gone in a way that nobody
-    /// next in line sees. No more than TakeoverMost nodes do so.
-    Millis TakeoverAge{40000};
+    /// confirmed for two watches and this many heartbeats (in normal running
+    /// the age is one watch, and a heartbeat for each level of the tree), and
+    /// as much longer as TakeoverStep for each one before it in line: the
+    /// readers may all be gone in a way that nobody next in line sees. No more
+    /// than TakeoverMost nodes do so.
+    int64_t TakeoverHeartbeats = 10;
     Millis TakeoverStep{5000};
     size_t TakeoverMost = 8;
     /// Links accepted at once. More are closed at the handshake, and the peer
