--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -5,7 +5,9 @@
 
 #include <json/value.h>
 
+#include <initializer_list>
 #include <string>
+#include <string_view>
 #include <vector>
 
 // The bench measures; it judges nothing. Each command prints what it found and
@@ -52,6 +54,9 @@
 void writeResults(const Json::Value &Results);
 Json::Value readResults(const std::string &Path);
 
+/// The parts, one after the other.
+std::string join(std::initializer_list<std::string_view> Parts);
+
 std::vector<unsigned> readNumbers(const std::string &List);
 
 } // namespace hickorylift::bench
--- a/bench/Capacity.cpp
+++ b/bench/Capacity.cpp
@@ -332,9 +332,9 @@
     std::string Margin = One.Limit > 0 && One.Value > 0
                              ? number(One.Limit / One.Value) + " times"
                              : "";
-    Out += "| " + One.Role + " | " + One.What + " | " + number(One.Value) +
-           " " + One.Unit + " | " + Limit + " | " + Margin + " | " +
-           One.Origin + " | " + One.Mechanism + " |\n";
+    Out += join({"| ", One.Role, " | ", One.What, " | ", number(One.Value), " ",
+                 One.Unit, " | ", Limit, " | ", Margin, " | ", One.Origin,
+                 " | ", One.Mechanism, " |\n"});
   }
   return Out;
 }
--- a/bench/Convergence.cpp
+++ b/bench/Convergence.cpp
@@ -44,12 +44,12 @@
   std::string Out = "[{\"kind\":\"service\",\"name\":\"a\",\"schema\":1}";
   for (unsigned I = 0; I < std::max(3u, Nodes / 9); ++I) {
     std::string Name = "s" + std::to_string(I);
-    Out += ",{\"kind\":\"service\",\"name\":\"" + Name +
-           "\",\"schema\":1,\"slots\":12}";
     std::string Timeout = std::to_string(I == 0 ? 1000 + Version : 2000);
-    Out += ",{\"kind\":\"route\",\"name\":\"" + Name +
-           "\",\"schema\":1,\"match\":{\"prefix\":\"/" + Name +
-           "\"},\"service\":\"" + Name + "\",\"timeout_ms\":" + Timeout + "}";
+    Out +=
+        join({R"(,{"kind":"service","name":")", Name,
+              R"(","schema":1,"slots":12})", R"(,{"kind":"route","name":")",
+              Name, R"(","schema":1,"match":{"prefix":"/)", Name,
+              R"("},"service":")", Name, R"(","timeout_ms":)", Timeout, "}"});
   }
   return Out + "]";
 }
@@ -105,83 +105,104 @@
   return Out;
 }
 
-Json::Value measure(unsigned Nodes, const std::string &Profile) {
-  harness::Fleet::Options Opts;
-  Opts.Settings = settingsFor(Profile);
-  Opts.Upstreams = false;
-  Opts.LogLevel = "info";
-  Opts.Patience = Millis(60000);
-  harness::Fleet All(Opts);
-  unsigned Places = Profile == "association" ? 4 : 3;
-  for (unsigned I = 0; I < Nodes; ++I)
-    All.addNode("n" + std::to_string(I), "dc" + std::to_string(I % Places),
-                "a");
-  All.startAll();
+bool allHave(harness::Fleet &All, uint64_t Version) {
+  return All.waitFor([&] {
+    for (const auto &[Name, Of] : All.nodes())
+      if (All.version(Name) != Version)
+        return false;
+    return true;
+  });
+}
+
+struct Run {
+  bool Converged = false;
+  double IdleSeconds = 0;
+  double ChangeSeconds = 0;
+  Sums Before;
+  Sums Idle;
+  Sums After;
+  std::map<uint64_t, double> Published;
+};
+
+Run runChanges(harness::Fleet &All, unsigned Nodes, unsigned Changes) {
+  Run Out;
   All.publish(1, records(Nodes, 1));
-  auto AllHave = [&](uint64_t Version) {
-    return All.waitFor([&] {
-      for (const auto &[Name, Of] : All.nodes())
-        if (All.version(Name) != Version)
-          return false;
-      return true;
-    });
-  };
-  bool Up = AllHave(1);
+  Out.Converged = allHave(All, 1);
   All.runFor(Millis(5000));
-  Sums Before = sumOver(All);
-  double IdleSeconds = absl::GetFlag(FLAGS_idle_s);
-  All.runFor(Millis(static_cast<int64_t>(1000 * IdleSeconds)));
-  Sums Idle = sumOver(All);
-  std::map<uint64_t, double> Published;
-  unsigned Changes = absl::GetFlag(FLAGS_changes);
+  Out.Before = sumOver(All);
+  Out.IdleSeconds = absl::GetFlag(FLAGS_idle_s);
+  All.runFor(Millis(static_cast<int64_t>(1000 * Out.IdleSeconds)));
+  Out.Idle = sumOver(All);
   TimePoint First = Clock::now();
   for (uint64_t Version = 2; Version < 2 + Changes; ++Version) {
-    Published[Version] = wallMs();
+    Out.Published[Version] = wallMs();
     All.publish(Version, records(Nodes, Version));
     All.runFor(Millis(150));
   }
-  Up = AllHave(1 + Changes) && Up;
-  double ChangeSeconds =
+  Out.Converged = allHave(All, 1 + Changes) && Out.Converged;
+  Out.ChangeSeconds =
       std::chrono::duration<double>(Clock::now() - First).count();
-  Sums After = sumOver(All);
+  Out.After = sumOver(All);
+  return Out;
+}
+
+void addTimes(harness::Fleet &All, const Run &Of, Json::Value &Out) {
   std::vector<std::string> Logs;
   double Resident = 0;
-  for (const auto &[Name, Of] : All.nodes()) {
+  for (const auto &[Name, Node] : All.nodes()) {
     Logs.push_back(All.logPath(Name));
     Resident = std::max(Resident, All.residentMegabytes(Name));
   }
   auto InForce = readLogs(Logs);
   std::vector<double> Took;
   unsigned Skipped = 0;
-  for (const auto &[Version, At] : Published) {
+  for (const auto &[Version, At] : Of.Published) {
     // A node may pass over a version when the next is already there.
-    if (InForce[Version].second < Nodes)
+    if (InForce[Version].second < All.nodes().size())
       ++Skipped;
     else
       Took.push_back(InForce[Version].first - At);
   }
-  double IdleRate = (Idle.Bytes - Before.Bytes) / Nodes / IdleSeconds;
-  Json::Value Out(Json::objectValue);
-  Out["nodes"] = Nodes;
-  Out["profile"] = Profile;
-  Out["converged"] = Up;
   Out["changes_seen_by_all"] = Json::UInt64(Took.size());
   Out["changes_passed_over"] = Skipped;
   Out["p50_ms"] = percentile(Took, 0.5);
   Out["p99_ms"] = percentile(Took, 0.99);
   Out["max_ms"] = percentile(Took, 1.0);
-  Out["idle_bytes_per_node_s"] = IdleRate;
-  Out["bytes_per_change_node"] =
-      ((After.Bytes - Idle.Bytes) / Nodes - IdleRate * ChangeSeconds) / Changes;
-  Out["idle_cpu_share"] = (Idle.Cpu - Before.Cpu) / Nodes / IdleSeconds;
+  Out["resident_mb"] = Resident;
+}
+
+Json::Value measure(unsigned Nodes, const std::string &Profile) {
+  harness::Fleet::Options Opts;
+  Opts.Settings = settingsFor(Profile);
+  Opts.Upstreams = false;
+  Opts.LogLevel = "info";
+  Opts.Patience = Millis(60000);
+  harness::Fleet All(Opts);
+  unsigned Places = Profile == "association" ? 4 : 3;
+  for (unsigned I = 0; I < Nodes; ++I)
+    All.addNode("n" + std::to_string(I), "dc" + std::to_string(I % Places),
+                "a");
+  All.startAll();
+  unsigned Changes = absl::GetFlag(FLAGS_changes);
+  Run Of = runChanges(All, Nodes, Changes);
+  double IdleBytes = (Of.Idle.Bytes - Of.Before.Bytes) / Nodes / Of.IdleSeconds;
+  double IdleCpu = (Of.Idle.Cpu - Of.Before.Cpu) / Nodes / Of.IdleSeconds;
+  Json::Value Out(Json::objectValue);
+  Out["nodes"] = Nodes;
+  Out["profile"] = Profile;
+  Out["converged"] = Of.Converged;
+  addTimes(All, Of, Out);
+  Out["idle_bytes_per_node_s"] = IdleBytes;
+  Out["bytes_per_change_node"] = ((Of.After.Bytes - Of.Idle.Bytes) / Nodes -
+                                  IdleBytes * Of.ChangeSeconds) /
+                                 Changes;
+  Out["idle_cpu_share"] = IdleCpu;
   Out["cpu_ms_per_change_node"] =
       1000 *
-      ((After.Cpu - Idle.Cpu) / Nodes -
-       (Idle.Cpu - Before.Cpu) / Nodes / IdleSeconds * ChangeSeconds) /
+      ((Of.After.Cpu - Of.Idle.Cpu) / Nodes - IdleCpu * Of.ChangeSeconds) /
       Changes;
-  Out["idle_reads_s"] = (Idle.Reads - Before.Reads) / IdleSeconds;
-  Out["reads_per_change"] = (After.Reads - Idle.Reads) / Changes;
-  Out["resident_mb"] = Resident;
+  Out["idle_reads_s"] = (Of.Idle.Reads - Of.Before.Reads) / Of.IdleSeconds;
+  Out["reads_per_change"] = (Of.After.Reads - Of.Idle.Reads) / Changes;
   return Out;
 }
 
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -74,6 +74,13 @@
   return parseJson(Text.str(), Path, Faults).value_or(Json::Value());
 }
 
+std::string join(std::initializer_list<std::string_view> Parts) {
+  std::string Out;
+  for (std::string_view One : Parts)
+    Out.append(One);
+  return Out;
+}
+
 std::vector<unsigned> readNumbers(const std::string &List) {
   std::vector<unsigned> Out;
   std::istringstream In(List);
--- a/bench/Slopes.cpp
+++ b/bench/Slopes.cpp
@@ -70,22 +70,21 @@
     std::string Retry = "retry-" + std::to_string(I / 10);
     if (I % 10 == 0)
       Add(recordEntryName("retry", Retry, 1),
-          "{\"attempts\":3,\"budget_percent\":10,\"idempotent_methods\":"
-          "[\"GET\",\"HEAD\"],\"kind\":\"retry\",\"name\":\"" +
-              Retry + "\",\"schema\":1}");
+          join({R"({"attempts":3,"budget_percent":10,"idempotent_methods":)",
+                R"(["GET","HEAD"],"kind":"retry","name":")", Retry,
+                R"(","schema":1})"}));
     Add(recordEntryName("service", Name, 1),
-        "{\"connections\":130,\"drain_ms\":30000,\"kind\":\"service\","
-        "\"name\":\"" +
-            Name + "\",\"queue\":20,\"schema\":1,\"slots\":10}");
+        join({R"({"connections":130,"drain_ms":30000,"kind":"service",)",
+              R"("name":")", Name, R"(","queue":20,"schema":1,"slots":10})"}));
     for (const char *Kind : {"read", "write"}) {
       std::string Route = Name + "-" + Kind;
       uint64_t Timeout = I == 0 ? 1000 + Version : 2000;
       Add(recordEntryName("route", Route, 1),
-          "{\"kind\":\"route\",\"match\":{\"methods\":[\"" +
-              std::string(Kind[0] == 'r' ? "GET" : "POST") +
-              "\"],\"prefix\":\"/" + Name + "/api\"},\"name\":\"" + Route +
-              "\",\"retry\":\"" + Retry + "\",\"schema\":1,\"service\":\"" +
-              Name + "\",\"timeout_ms\":" + std::to_string(Timeout) + "}");
+          join({R"({"kind":"route","match":{"methods":[")",
+                Kind[0] == 'r' ? "GET" : "POST", R"("],"prefix":"/)", Name,
+                R"(/api"},"name":")", Route, R"(","retry":")", Retry,
+                R"(","schema":1,"service":")", Name, R"(","timeout_ms":)",
+                std::to_string(Timeout), "}"}));
     }
   }
   return Document::make(Version, Version, std::move(Entries));
--- a/src/base/Safeguards.h
+++ b/src/base/Safeguards.h
@@ -18,8 +18,8 @@
   bool WholeVersions = true;
   /// Stamps are repeated by heartbeats, and what is missing is pulled.
   bool RepairByStamps = true;
-  /// A node whose parent is dead but listed takes another ancestor, and the next
-  /// in line reads when the readers are.
+  /// A node whose parent is dead but listed takes another ancestor, and the
+  /// next in line reads when the readers are.
   bool ClimbPastDead = true;
   /// A node that holds only a version which it refuses asks for an older one.
   bool AskOlder = true;
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -29,13 +29,18 @@
   using CallerId = uint64_t;
 
   struct Options {
+    /// This instance's name, for refusals and to know its own upstream.
     std::string Self;
+    /// Gates of the same one are preferred.
     std::string DataCentre;
     /// Must differ from that of every earlier process in this place: gates
     /// remember calls by it.
     uint64_t Incarnation = 1;
+    /// Seed of the draw among gates.
     uint64_t Seed = 1;
+    /// Bytes of a request's body that may be out without a credit.
     uint64_t Window = 256 * 1024;
+    /// Largest piece of a body in one frame.
     size_t PieceBytes = 32 * 1024;
     /// A body of known length up to this is read whole before the call is
     /// sent: a caller that sends slowly then holds no slot, and the gate gets
@@ -57,7 +62,9 @@
     Millis ConnectLimit{2500};
     /// A link without calls is closed after this.
     Millis IdleLink{60000};
+    /// Of the choice among gates.
     Chooser::Options Choose;
+    /// All on, but in scenarios.
     Safeguards Guards;
   };
 
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -27,21 +27,30 @@
   using LinkId = uint64_t;
 
   struct Options {
+    /// This instance's name, for refusals and for the keys' home.
     std::string Self;
+    /// The service that the upstream serves; calls for another are refused.
     std::string Service;
+    /// Must differ from that of every earlier process in this place: entries
+    /// tell by it whether their calls are remembered.
     uint64_t Incarnation = 1;
+    /// Seed of the jitter in the advice when to come back.
     uint64_t Seed = 1;
     /// Bytes of a body that may be out without a credit, in each direction
     /// of each call. Bounds the memory for one call.
     uint64_t Window = 256 * 1024;
+    /// Largest piece of a body in one frame.
     size_t PieceBytes = 32 * 1024;
     /// Added to a call's deadline before its id is forgotten. Must cover the
     /// longest that an entry tries to find a call again.
     Millis RememberSlack{10000};
     /// Ids remembered at once. New calls are refused when full.
     size_t MaxRemembered = 100000;
+    /// All on, but in scenarios.
     Safeguards Guards;
+    /// Of the upstream's slots and queue.
     Admission::Options Slots;
+    /// Of the idempotency keys.
     KeyJudge::Options Keys;
   };
 
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -27,13 +27,17 @@
 class ControlPlane {
 public:
   struct Options {
+    /// This instance's name and place, as the platform lists it.
     std::string Self;
     std::string DataCentre;
     /// All data centres of the deployment. A list of each is needed before an
     /// idempotency key can be judged.
     std::vector<std::string> DataCentres;
+    /// Tells this process from earlier ones in its place.
     uint64_t Incarnation = 1;
+    /// Told to peers, and counted in the view of the fleet.
     uint32_t Build = BuildNumber;
+    /// Seed of all jitter.
     uint64_t Seed = 1;
     /// Peers to try before the platform's list is known: name to address.
     std::map<std::string, std::string> Seeds;
@@ -64,10 +68,12 @@
     Millis ReportBatch{100};
     /// A jump of the clock between two ticks that counts as a pause.
     Millis PauseThreshold{1500};
+    /// Options of the slices that this one joins.
     Membership::Options Members;
     Spreader::Options Spread;
     Reader::Options Read;
     CompileOptions Compile;
+    /// Events kept in the audit trail.
     size_t AuditCapacity = 1000;
   };
 
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -74,6 +74,7 @@
 class Membership {
 public:
   struct Options {
+    /// This instance's name and place.
     std::string Self;
     std::string DataCentre;
     /// Nodes that watch the platform, in each data centre.
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -30,6 +30,7 @@
 class NodeCore {
 public:
   struct Options {
+    /// Options of the three parts; setIdentity fills in what they share.
     ControlPlane::Options Control;
     Entry::Options CallEntry;
     Gate::Options CallGate;
@@ -38,6 +39,7 @@
     Millis PauseThreshold{750};
     /// How long a planned stop may wait for what runs.
     Millis StopWithin{60000};
+    /// All on, but in scenarios.
     Safeguards Guards;
 
     /// Gives all parts the same name, place, incarnation and safeguards.
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -29,6 +29,7 @@
   enum class Policy { Hot, Random, RoundRobin, LeastLoaded };
 
   struct Options {
+    /// Hot is ours; the others are for the bench.
     Policy How = Policy::Hot;
     /// Candidates drawn for one call.
     size_t Draw = 3;
