A list that was never published does not hold up the configuration

Cause: the README's own steps, followed as a newcomer, ended in 'no-configuration': the settings name three data centres, only one list is published, and a reader went back to the missing list after each back-off and never came to the manifest. Ruled out the list that is there and the manifest, both readable. A value that is not there yet is now left to the watch.

--- a/scenario/Script.cpp
+++ b/scenario/Script.cpp
@@ -90,6 +90,7 @@
     static const std::map<std::string, Handler> Table = {
         {"guard", &Run::nothing},
         {"node", &Run::node},
+        {"unlisted-dc", &Run::unlistedDc},
         {"lists", &Run::lists},
         {"start", &Run::start},
         {"publish", &Run::publish},
@@ -154,6 +155,8 @@
     this->All.addNode(W.at(0), W.named("dc", "north"), W.named("service"));
   }
 
+  void unlistedDc(const Words &W) { this->All.addUnlistedDataCentre(W.at(0)); }
+
   void lists(const Words &) { this->All.publishLists(); }
 
   void each(const Words &W, void (World::*Do)(const std::string &)) {
--- a/scenario/World.cpp
+++ b/scenario/World.cpp
@@ -191,6 +191,8 @@
 
 void World::publishLists() {
   for (const std::string &Place : this->DataCentres) {
+    if (this->Unlisted.count(Place))
+      continue;
     Json::Value List(Json::arrayValue);
     for (const auto &[Name, Of] : this->Nodes) {
       if (Of.DataCentre != Place || !Of.Listed)
--- a/scenario/World.h
+++ b/scenario/World.h
@@ -119,6 +119,11 @@
 
   void addNode(const std::string &Name, const std::string &DataCentre,
                const std::string &Service);
+  /// A data centre of the deployment whose list was never published.
+  void addUnlistedDataCentre(const std::string &Name) {
+    this->DataCentres.push_back(Name);
+    this->Unlisted.insert(Name);
+  }
   /// Writes the lists as they now stand to the platform.
   void publishLists();
   void publish(uint64_t Version, const std::vector<std::string> &Records);
@@ -220,6 +225,7 @@
   std::multimap<TimePoint, std::function<void()>> Events;
   std::map<std::string, NodeState> Nodes;
   std::vector<std::string> DataCentres;
+  std::set<std::string> Unlisted;
   std::map<LinkId, Link> Links;
   LinkId LastLink = 0;
   PlatformState Source;
--- a/src/platform/Reader.cpp
+++ b/src/platform/Reader.cpp
@@ -222,8 +222,25 @@
           }));
 }
 
+// A data centre whose list is not published yet, or the first version. The
+// watch tells when it comes; failing instead would keep all the rest from being
+// read.
+bool Reader::notThereYet(const Error &Why) const {
+  return this->Current == Duty::Watch && Why.Code == Errc::NotFound;
+}
+
+void Reader::goOn(TimePoint Now) {
+  this->Busy = false;
+  this->succeed();
+  this->step(Now);
+}
+
 void Reader::onList(const std::string &Key, const Result<PlatformValue> &Got,
                     TimePoint AskedAt, TimePoint Now) {
+  if (!Got && this->notThereYet(Got.error())) {
+    this->WantLists.erase(Key);
+    return this->goOn(Now);
+  }
   if (!Got)
     return this->fail(Got.error(), Now);
   this->WantLists.erase(Key);
@@ -249,6 +266,10 @@
   this->From.get(ManifestKey, Now,
                  this->guarded([this, Now](const Result<PlatformValue> &Got,
                                            TimePoint At) {
+                   if (!Got && this->notThereYet(Got.error())) {
+                     this->WantManifest = false;
+                     return this->goOn(At);
+                   }
                    if (!Got)
                      return this->fail(Got.error(), At);
                    this->onManifest(*Got, Now, At);
--- a/src/platform/Reader.h
+++ b/src/platform/Reader.h
@@ -137,6 +137,8 @@
                TimePoint Now);
   void onList(const std::string &Key, const Result<PlatformValue> &Got,
               TimePoint AskedAt, TimePoint Now);
+  bool notThereYet(const Error &Why) const;
+  void goOn(TimePoint Now);
   void fail(const Error &Why, TimePoint Now);
   void succeed() { this->Failures = 0; }
   void seen(uint64_t Revision, TimePoint Now);
