The folder that reads a platform is named for that duty

Nothing else changes. platform/ at the top is to hold the adapter to the users' machines, and two folders of one name would hide which is which.

--- a/harness/Fleet.h
+++ b/harness/Fleet.h
@@ -3,7 +3,7 @@
 
 #include "base/Error.h"
 #include "base/Time.h"
-#include "platform/Reader.h"
+#include "reading/Reader.h"
 
 #include <gio/gio.h>
 #include <json/value.h>
--- a/harness/PlatformWriter.h
+++ b/harness/PlatformWriter.h
@@ -2,7 +2,7 @@
 #define HICKORYLIFT_HARNESS_PLATFORMWRITER_H
 
 #include "config/Document.h"
-#include "platform/Reader.h"
+#include "reading/Reader.h"
 
 #include <string>
 
--- a/scenario/World.cpp
+++ b/scenario/World.cpp
@@ -2,7 +2,7 @@
 
 #include "base/Hash.h"
 #include "config/RecordFile.h"
-#include "platform/Reader.h"
+#include "reading/Reader.h"
 
 #include <algorithm>
 #include <sstream>
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -4,7 +4,7 @@
 #include "audit/AuditTrail.h"
 #include "config/Config.h"
 #include "membership/Membership.h"
-#include "platform/Reader.h"
+#include "reading/Reader.h"
 #include "spread/FleetView.h"
 #include "spread/Spreader.h"
 
--- a/src/platform/HttpPlatform.cpp
+++ b/src/reading/HttpPlatform.cpp
@@ -1,4 +1,4 @@
-#include "platform/HttpPlatform.h"
+#include "reading/HttpPlatform.h"
 
 #include "base/Json.h"
 
--- a/src/platform/HttpPlatform.h
+++ b/src/reading/HttpPlatform.h
@@ -1,7 +1,7 @@
-#ifndef HICKORYLIFT_PLATFORM_HTTPPLATFORM_H
-#define HICKORYLIFT_PLATFORM_HTTPPLATFORM_H
+#ifndef HICKORYLIFT_READING_HTTPPLATFORM_H
+#define HICKORYLIFT_READING_HTTPPLATFORM_H
 
-#include "platform/Platform.h"
+#include "reading/Platform.h"
 
 #include <libsoup/soup.h>
 
--- a/src/platform/Reader.cpp
+++ b/src/reading/Reader.cpp
@@ -1,4 +1,4 @@
-#include "platform/Reader.h"
+#include "reading/Reader.h"
 
 #include "base/Hash.h"
 #include "membership/Membership.h"
--- a/src/platform/Reader.h
+++ b/src/reading/Reader.h
@@ -1,10 +1,10 @@
-#ifndef HICKORYLIFT_PLATFORM_READER_H
-#define HICKORYLIFT_PLATFORM_READER_H
+#ifndef HICKORYLIFT_READING_READER_H
+#define HICKORYLIFT_READING_READER_H
 
 #include "base/Json.h"
 #include "base/TokenBucket.h"
 #include "config/Document.h"
-#include "platform/Platform.h"
+#include "reading/Platform.h"
 
 #include <memory>
 #include <random>
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -4,7 +4,7 @@
 #include "base/Json.h"
 #include "gate/UpstreamClient.h"
 #include "node/NodeCore.h"
-#include "platform/HttpPlatform.h"
+#include "reading/HttpPlatform.h"
 
 // Settings are what one process is told at its start: where it stands, whom it
 // serves, and how the deployment weighs speed against bytes. docs/SETTINGS.md
