--- a/scenario/World.cpp
+++ b/scenario/World.cpp
@@ -548,8 +548,9 @@
     return;
   Of.Floor = Held->stamp();
   for (const auto &[Name, One] : Held->routes())
-    if (!One->Target || !Held->findService(One->Target->Name))
-      this->note("dangling route " + Name + " at " + Of.Name);
+    for (const SplitPart &Part : One->Parts)
+      if (!Part.Target || !Held->findService(Part.Target->Name))
+        this->note("dangling route " + Name + " at " + Of.Name);
   // In force whole: what the platform published under this stamp.
   DocumentPtr Doc = Of.Core->control().spreader().accepted(ConfigTopic);
   if (!Doc)
--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -50,7 +50,7 @@
       Upper +
       ", out\n"
       "log4cplus.appender.out=log4cplus::ConsoleAppender\n"
-      "log4cplus.appender.out.logToStdErr=true\n"
+      "log4cplus.appender.out.logToStdErr=false\n"
       "log4cplus.appender.out.ImmediateFlush=true\n"
       "log4cplus.appender.out.layout=log4cplus::PatternLayout\n"
       "log4cplus.appender.out.layout.ConversionPattern="
@@ -58,6 +58,13 @@
   log4cplus::PropertyConfigurator(Text).configure();
 }
 
+void setLogLevel(const std::string &Level) {
+  std::string Upper = Level;
+  for (char &C : Upper)
+    C = static_cast<char>(std::toupper(static_cast<unsigned char>(C)));
+  logger().setLogLevel(log4cplus::getLogLevelManager().fromString(Upper));
+}
+
 LogLine::LogLine(std::string_view Event) { this->add("event", Event); }
 
 LogLine &LogLine::add(std::string_view Key, std::string_view Value) {
--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -13,9 +13,11 @@
 
 namespace hickorylift {
 
-/// Sends log4cplus to standard error. Call once, before the first line.
+/// Sends log4cplus to standard output. Call once, before the first line.
 /// Level: "debug", "info", "warn" or "error".
 void startLog(const std::string &Level);
+/// From now on, lines below Level are left out.
+void setLogLevel(const std::string &Level);
 
 class LogLine {
 public:
--- a/src/calls/Calls_generated.h
+++ b/src/calls/Calls_generated.h
@@ -614,6 +614,7 @@
   int64_t length = 0;
   std::string limit{};
   std::string caller_class{};
+  std::string upstream{};
   OpenT() = default;
   OpenT(const OpenT &o);
   OpenT(OpenT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -640,7 +641,8 @@
     VT_IDEMPOTENCY_KEY = 28,
     VT_LENGTH = 30,
     VT_LIMIT = 32,
-    VT_CALLER_CLASS = 34
+    VT_CALLER_CLASS = 34,
+    VT_UPSTREAM = 36
   };
   uint64_t seq() const {
     return GetField<uint64_t>(VT_SEQ, 0);
@@ -690,6 +692,9 @@
   const flatbuffers::String *caller_class() const {
     return GetPointer<const flatbuffers::String *>(VT_CALLER_CLASS);
   }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQ, 8) &&
@@ -716,6 +721,8 @@
            verifier.VerifyString(limit()) &&
            VerifyOffset(verifier, VT_CALLER_CLASS) &&
            verifier.VerifyString(caller_class()) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
            verifier.EndTable();
   }
   OpenT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -775,6 +782,9 @@
   void add_caller_class(flatbuffers::Offset<flatbuffers::String> caller_class) {
     fbb_.AddOffset(Open::VT_CALLER_CLASS, caller_class);
   }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(Open::VT_UPSTREAM, upstream);
+  }
   explicit OpenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -803,12 +813,14 @@
     flatbuffers::Offset<flatbuffers::String> idempotency_key = 0,
     int64_t length = 0,
     flatbuffers::Offset<flatbuffers::String> limit = 0,
-    flatbuffers::Offset<flatbuffers::String> caller_class = 0) {
+    flatbuffers::Offset<flatbuffers::String> caller_class = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0) {
   OpenBuilder builder_(_fbb);
   builder_.add_length(length);
   builder_.add_answer_received(answer_received);
   builder_.add_entry(entry);
   builder_.add_seq(seq);
+  builder_.add_upstream(upstream);
   builder_.add_caller_class(caller_class);
   builder_.add_limit(limit);
   builder_.add_idempotency_key(idempotency_key);
@@ -846,7 +858,8 @@
     const char *idempotency_key = nullptr,
     int64_t length = 0,
     const char *limit = nullptr,
-    const char *caller_class = nullptr) {
+    const char *caller_class = nullptr,
+    const char *upstream = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
   auto path__ = path ? _fbb.CreateString(path) : 0;
@@ -854,6 +867,7 @@
   auto idempotency_key__ = idempotency_key ? _fbb.CreateString(idempotency_key) : 0;
   auto limit__ = limit ? _fbb.CreateString(limit) : 0;
   auto caller_class__ = caller_class ? _fbb.CreateString(caller_class) : 0;
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
   return hickorylift::wire::CreateOpen(
       _fbb,
       seq,
@@ -871,7 +885,8 @@
       idempotency_key__,
       length,
       limit__,
-      caller_class__);
+      caller_class__,
+      upstream__);
 }
 
 flatbuffers::Offset<Open> CreateOpen(flatbuffers::FlatBufferBuilder &_fbb, const OpenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1942,7 +1957,8 @@
         idempotency_key(o.idempotency_key),
         length(o.length),
         limit(o.limit),
-        caller_class(o.caller_class) {
+        caller_class(o.caller_class),
+        upstream(o.upstream) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new hickorylift::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -1964,6 +1980,7 @@
   std::swap(length, o.length);
   std::swap(limit, o.limit);
   std::swap(caller_class, o.caller_class);
+  std::swap(upstream, o.upstream);
   return *this;
 }
 
@@ -1992,6 +2009,7 @@
   { auto _e = length(); _o->length = _e; }
   { auto _e = limit(); if (_e) _o->limit = _e->str(); }
   { auto _e = caller_class(); if (_e) _o->caller_class = _e->str(); }
+  { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
 }
 
 inline flatbuffers::Offset<Open> Open::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OpenT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2018,6 +2036,7 @@
   auto _length = _o->length;
   auto _limit = _o->limit.empty() ? 0 : _fbb.CreateString(_o->limit);
   auto _caller_class = _o->caller_class.empty() ? 0 : _fbb.CreateString(_o->caller_class);
+  auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
   return hickorylift::wire::CreateOpen(
       _fbb,
       _seq,
@@ -2035,7 +2054,8 @@
       _idempotency_key,
       _length,
       _limit,
-      _caller_class);
+      _caller_class,
+      _upstream);
 }
 
 inline AdmittedT *Admitted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -23,6 +23,7 @@
 
 const char StepEntry[] = "entry";
 const char StepLink[] = "gate-link";
+const char UpstreamReason[] = "upstream-";
 const char KeyHeader[] = "Idempotency-Key";
 const char ClassHeader[] = "Hickorylift-Caller-Class";
 constexpr size_t MaxKeyLength = 256;
@@ -34,8 +35,9 @@
 
 // What is left of the caller's own deadline, if it says so. Unreadable is no
 // deadline: the route's own holds.
-std::optional<Millis> callerBudget(const RequestHead &Head) {
-  std::string Text = findHeader(Head.Headers, BudgetHeader);
+std::optional<Millis> callerBudget(const RequestHead &Head,
+                                   const std::string &Field) {
+  std::string Text = findHeader(Head.Headers, Field);
   uint32_t Ms = 0;
   auto [Stop, Code] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Ms);
@@ -44,11 +46,18 @@
   return Millis(Ms);
 }
 
+// Whether the call may have come to an upstream before it was refused. One that
+// a gate or a link turned away cost no upstream anything.
+bool reachedUpstream(const Refusal &Why) {
+  return Why.What == Outcome::Unknown ||
+         Why.Reason.rfind(UpstreamReason, 0) == 0;
+}
+
 // Whether a refusal shows the gate, its link or its upstream to be out of
 // order. One for want of room does not.
 bool blamesGate(const Refusal &Why) {
   return Why.Reason.rfind("gate-", 0) == 0 ||
-         Why.Reason.rfind("upstream-", 0) == 0;
+         Why.Reason.rfind(UpstreamReason, 0) == 0;
 }
 
 size_t headerBytes(const RequestHead &Head) {
@@ -84,13 +93,23 @@
   this->Choose.keepOnly(Listed);
 }
 
+const Route *Entry::findRoute(const RequestHead &Head) const {
+  return this->InForce->findRoute(Head.Method, Head.Path,
+                                  hostName(findHeader(Head.Headers, "Host")));
+}
+
+bool Entry::isIdempotent(const RequestHead &Head) const {
+  const Route *Taken = this->InForce ? this->findRoute(Head) : nullptr;
+  return Taken && Taken->isIdempotent(Head.Method);
+}
+
 std::optional<Refusal> Entry::check(CallerId, const RequestHead &Head,
                                     TimePoint Now) const {
   auto NotRun = [&](const char *Reason, unsigned Status) {
     Refusal Why = this->refusal(Outcome::NotRun, Reason, StepEntry, "");
     Why.Status = Status;
     if (!Status)
-      Why.RetryAfter = Millis(1000);
+      Why.RetryAfter = this->Opts.ComeBack;
     return Why;
   };
   if (this->Draining)
@@ -102,7 +121,7 @@
   if (Head.Headers.size() > MaxHeaderFields ||
       headerBytes(Head) > MaxHeaderBytes)
     return NotRun("headers-too-large", TooLargeStatus);
-  const Route *Taken = this->InForce->findRoute(Head.Method, Head.Path);
+  const Route *Taken = this->findRoute(Head);
   if (!Taken)
     return NotRun("no-route", NotFoundStatus);
   std::string Key = findHeader(Head.Headers, KeyHeader);
@@ -124,11 +143,14 @@
   One.Head.Headers = endToEndHeaders(Head.Headers);
   One.Under = this->InForce;
   One.Taken = &Taken;
+  One.Target = Taken.Parts[this->Turns.next(Taken)].Target;
+  if (!this->Opts.Names.Origin.empty())
+    setHeader(One.Head.Headers, this->Opts.Names.Origin, this->Opts.Service);
   One.Key = findHeader(Head.Headers, KeyHeader);
   One.Class = findHeader(Head.Headers, ClassHeader);
   One.Idempotent = Taken.isIdempotent(Head.Method);
   Millis Budget = Taken.Timeout;
-  if (std::optional<Millis> Asked = callerBudget(Head))
+  if (std::optional<Millis> Asked = callerBudget(Head, this->Opts.Names.Budget))
     Budget = std::min(Budget, *Asked);
   One.Deadline = Now + Budget;
   return One;
@@ -140,10 +162,10 @@
     ++this->Counts.RefusedBy[Why->Reason];
     return this->Hook.Refuse(Caller, *Why);
   }
-  const Route *Taken = this->InForce->findRoute(Head.Method, Head.Path);
+  const Route *Taken = this->findRoute(Head);
   Call &One = this->Calls.emplace(Caller, this->makeCall(Head, *Taken, Now))
                   .first->second;
-  this->Budgets[Taken->Target->Name].firstTry(Taken->Retry->BudgetPercent);
+  this->Budgets[One.Target->Name].firstTry(Taken->Retry->BudgetPercent);
   if (Head.Length == 0)
     One.Request.finish();
   bool Gathers = Head.Length > 0 && Head.Length <= this->Opts.GatherBytes;
@@ -153,7 +175,7 @@
 
 // A keyed call has one place to go: the gate that remembers the key.
 const Instance *Entry::chooseGate(const Call &One, TimePoint Now) {
-  const auto &Upstreams = this->Fleet.upstreams(One.Taken->Target->Name);
+  const auto &Upstreams = this->Fleet.upstreams(One.Target->Name);
   if (One.Key.empty() || One.Idempotent)
     return this->Choose.pick(Upstreams, One.Tried, Now);
   const Instance *Home = keyHome(One.Key, Upstreams);
@@ -167,7 +189,7 @@
     return this->assign(Caller, One, *Gate, Now);
   if (One.LastRefusal)
     return this->giveUp(Caller, *One.LastRefusal, Now);
-  const auto &Upstreams = this->Fleet.upstreams(One.Taken->Target->Name);
+  const auto &Upstreams = this->Fleet.upstreams(One.Target->Name);
   Refusal Why = this->refusal(Outcome::NotRun,
                               Upstreams.empty() ? "no-upstream" : "overload",
                               "choose-gate", "");
@@ -181,7 +203,7 @@
   One.Gate = Gate.Name;
   One.Tried.insert(Gate.Name);
   One.StartedAt = Now;
-  ++One.Attempts;
+  ++One.Offers;
   // A new id for each gate: a late copy at the last one is never this one.
   One.Id = {this->Opts.Incarnation, ++this->LastSeq};
   this->BySeq[One.Id.Seq] = Caller;
@@ -215,7 +237,9 @@
   Open.resume = Resume;
   Open.answer_received = One.Response.received();
   Open.have_head = One.HaveHead;
-  Open.service = One.Taken->Target->Name;
+  Open.service = One.Target->Name;
+  if (const Instance *To = this->Fleet.find(One.Gate))
+    Open.upstream = To->Upstream;
   Open.budget_ms = static_cast<uint32_t>(
       std::max<int64_t>(0, toMillis(One.Deadline - Now).count()));
   if (!Resume) {
@@ -270,7 +294,7 @@
   if (Found == this->Calls.end())
     return;
   Found->second.Request.finish();
-  if (Found->second.Attempts == 0)
+  if (Found->second.Offers == 0)
     return this->route(Caller, Now);
   this->sendBody(Found->second);
 }
@@ -343,13 +367,18 @@
 bool Entry::mayTryAnother(Call &One, const Refusal &Why, TimePoint Now) {
   bool Harmless = Why.What == Outcome::NotRun || One.Idempotent ||
                   !this->Opts.Guards.RetryOnlyHarmless;
+  bool Reached = reachedUpstream(Why);
+  One.Attempts += Reached ? 1 : 0;
   if (!Harmless || One.HaveHead || !One.Request.replayable() ||
-      Now >= One.Deadline || One.Attempts >= One.Taken->Retry->Attempts)
+      Now >= One.Deadline || One.Attempts >= One.Taken->attempts() ||
+      One.Offers >= this->Opts.MaxOffers)
     return false;
   // Another would refuse it too: these concern the call and not the gate.
   if (Why.Status != 0)
     return false;
-  return this->Budgets[One.Taken->Target->Name].retry(Now);
+  // The budget guards upstreams. A call that none of them saw is still to be
+  // tried for the first time.
+  return !Reached || this->Budgets[One.Target->Name].retry(Now);
 }
 
 void Entry::tryAnother(CallerId Caller, const Refusal &Why, TimePoint Now) {
@@ -460,7 +489,8 @@
 }
 
 void Entry::driveLink(const std::string &Gate, Link &On, TimePoint Now) {
-  if (On.Up && !On.Calls.empty() && !On.PingAt && Now >= On.NextPing) {
+  bool Quiet = Now - On.HeardAt >= this->Opts.PingInterval;
+  if (On.Up && !On.Calls.empty() && !On.PingAt && Quiet && Now >= On.NextPing) {
     On.PingAt = Now;
     On.NextPing = Now + this->Opts.PingInterval;
     this->Hook.Send(Gate, callFrame(wire::PingT()));
@@ -664,9 +694,9 @@
     Out.Note = "refused here: " + Why->Reason;
     return Out;
   }
-  Out.Taken = this->InForce->findRoute(Head.Method, Head.Path);
+  Out.Taken = this->findRoute(Head);
   Call One = this->makeCall(Head, *Out.Taken, Now);
-  Out.Candidates = this->Fleet.upstreams(Out.Taken->Target->Name);
+  Out.Candidates = this->Fleet.upstreams(One.Target->Name);
   Out.Chosen = this->chooseGate(One, Now);
   if (!Out.Chosen)
     Out.Note = "no upstream can take it now";
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -2,10 +2,12 @@
 #define HICKORYLIFT_CALLS_ENTRY_H
 
 #include "calls/Body.h"
+#include "calls/Dialect.h"
 #include "calls/Message.h"
 #include "config/Config.h"
 #include "membership/Membership.h"
 #include "routing/Chooser.h"
+#include "routing/SplitTurns.h"
 
 #include <functional>
 #include <map>
@@ -33,6 +35,10 @@
     std::string Self;
     /// Gates of the same one are preferred.
     std::string DataCentre;
+    /// The service of this instance: where requests that enter here come from.
+    std::string Service;
+    /// Header fields of the deployment.
+    Dialect Names;
     /// Must differ from that of every earlier process in this place: gates
     /// remember calls by it.
     uint64_t Incarnation = 1;
@@ -62,6 +68,12 @@
     Millis ConnectLimit{2500};
     /// A link without calls is closed after this.
     Millis IdleLink{60000};
+    /// Gates that one call may be offered to in all. Those that refuse it
+    /// before it reaches an upstream count here, and not as tries of the
+    /// route's own number.
+    uint32_t MaxOffers = 4;
+    /// Advice to callers that are refused before a gate is chosen.
+    Millis ComeBack{1000};
     /// Of the choice among gates.
     Chooser::Options Choose;
     /// All on, but in scenarios.
@@ -114,6 +126,8 @@
     std::string Note;
   };
   Explanation explain(const RequestHead &Head, TimePoint Now);
+  /// Whether the route of such a request says that it may run twice.
+  bool isIdempotent(const RequestHead &Head) const;
 
   void gateUp(const std::string &Gate, TimePoint Now);
   /// The link broke or could not be made.
@@ -147,11 +161,15 @@
     RequestHead Head;
     ConfigPtr Under;
     const Route *Taken = nullptr;
+    std::shared_ptr<const Service> Target;
     std::string Key;
     std::string Class;
     bool Idempotent = false;
     TimePoint Deadline;
     std::set<std::string> Tried;
+    // Gates offered to, and those among them at which it may have reached the
+    // upstream.
+    uint32_t Offers = 0;
     uint32_t Attempts = 0;
     std::string Gate;
     uint64_t GateIncarnation = 0;
@@ -184,6 +202,7 @@
                                TimePoint Now) const;
   Call makeCall(const RequestHead &Head, const Route &Taken, TimePoint Now);
   void route(CallerId Caller, TimePoint Now);
+  const Route *findRoute(const RequestHead &Head) const;
   const Instance *chooseGate(const Call &One, TimePoint Now);
   void assign(CallerId Caller, Call &One, const Instance &Gate, TimePoint Now);
   void open(CallerId Caller, Call &One, bool Resume, TimePoint Now);
@@ -222,6 +241,7 @@
   std::map<uint64_t, CallerId> BySeq;
   std::map<std::string, Link> Links;
   std::map<std::string, RetryBudget> Budgets;
+  SplitTurns Turns;
   uint64_t LastSeq = 0;
   bool Draining = false;
   TimePoint GraceUntil;
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -25,6 +25,9 @@
 const char StepAdmission[] = "admission";
 const char StepUpstream[] = "upstream";
 constexpr unsigned ShedStatus = 503;
+constexpr unsigned TooManyStatus = 429;
+constexpr unsigned TimeoutStatus = 408;
+constexpr unsigned MisdirectedStatus = 421;
 // Pending answers of one call are read no further than this ahead.
 constexpr size_t AnswerHighWater = 2;
 
@@ -50,14 +53,29 @@
   // The old configuration stays alive here until the new one is set.
   ConfigPtr Old = std::exchange(this->InForce, New);
   this->Of = Named;
-  if (Named)
-    this->Slots.configure(*Named, Now);
+  this->configureSlots(Now);
   this->pump(Now);
 }
 
+// The list knows this very upstream, the configuration only its service.
+void Gate::configureSlots(TimePoint Now) {
+  if (!this->Of)
+    return;
+  Service Here = *this->Of;
+  if (this->ListedSlots)
+    Here.Slots = this->ListedSlots;
+  this->Slots.configure(Here, Now);
+}
+
 void Gate::members(const std::vector<const Instance *> &Upstreams,
                    TimePoint Now) {
   this->Judge.members(Upstreams, Now);
+  for (const Instance *One : Upstreams) {
+    if (One->Name != this->Opts.Self || One->Slots == this->ListedSlots)
+      continue;
+    this->ListedSlots = One->Slots;
+    this->configureSlots(Now);
+  }
 }
 
 void Gate::linkUp(LinkId Link, TimePoint) {
@@ -160,6 +178,7 @@
   One.Head.Path = Open.path;
   One.Head.Headers = fromWire(Open.headers);
   One.Head.Length = Open.length;
+  One.Upstream = Open.upstream;
   One.Key = Open.idempotency_key;
   One.Idempotent = Open.idempotent;
   this->judge(Id, One, Open, Now);
@@ -235,8 +254,10 @@
   One.Now = State::Running;
   ++this->Counts.Started;
   // What the upstream calls in turn has this much left.
-  setHeader(One.Head.Headers, BudgetHeader,
+  setHeader(One.Head.Headers, this->Opts.Names.Budget,
             std::to_string(toMillis(One.Deadline - Now).count()));
+  if (!this->Opts.Names.Expect.empty() && !One.Upstream.empty())
+    setHeader(One.Head.Headers, this->Opts.Names.Expect, One.Upstream);
   this->Hook.Start(Id, One.Head, One.Idempotent);
   std::string Early = std::exchange(One.EarlyBody, "");
   this->forwardBody(Id, One, Early);
@@ -420,8 +441,8 @@
   Call *One = this->find(Id);
   if (!One || One->Now != State::Running)
     return;
-  if (Head.Status == ShedStatus)
-    this->Slots.shed(Now);
+  if (this->turnedAway(Id, *One, Head, Now))
+    return this->pump(Now);
   One->HaveHead = true;
   One->Answer = Head;
   this->sendHead(Id, *One, Now);
@@ -429,6 +450,41 @@
     this->upstreamEnd(Id, Now);
 }
 
+// An answer whose status promises that the call did not run is passed on as
+// that promise, so that the entry may try elsewhere; but only if the upstream
+// marks it. Without the mark, the same status says nothing, and to hand it on
+// would promise what nobody knows.
+bool Gate::turnedAway(const CallId &Id, Call &One, const ResponseHead &Head,
+                      TimePoint Now) {
+  const std::string &Mark = this->Opts.Names.NotRun;
+  if (Head.Status == ShedStatus)
+    this->Slots.shed(Now);
+  bool Promises = Head.Status == ShedStatus || Head.Status == TooManyStatus ||
+                  Head.Status == TimeoutStatus ||
+                  Head.Status == MisdirectedStatus;
+  if (Mark.empty() || !Promises)
+    return false;
+  // Whoever answers 421 is not the one that was meant, and ran nothing.
+  bool Marked = Head.Status == MisdirectedStatus ||
+                !findHeader(Head.Headers, Mark).empty();
+  bool Misdirected = Head.Status == MisdirectedStatus;
+  if (Marked) {
+    this->refuse(Id, One,
+                 because(Outcome::NotRun,
+                         Misdirected ? "upstream-replaced" : "upstream-shed",
+                         StepUpstream, this->Opts.Self),
+                 Now);
+    return true;
+  }
+  this->Slots.finished(Id, /*Answered=*/false, Now);
+  One.Now = State::Finished;
+  this->breakOff(Id, One,
+                 because(Outcome::Unknown, "upstream-unmarked-refusal",
+                         StepUpstream, this->Opts.Self),
+                 Now);
+  return true;
+}
+
 void Gate::upstreamData(const CallId &Id, std::string_view Bytes,
                         TimePoint Now) {
   Call *One = this->find(Id);
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -2,6 +2,7 @@
 #define HICKORYLIFT_CALLS_GATE_H
 
 #include "calls/Body.h"
+#include "calls/Dialect.h"
 #include "calls/Message.h"
 #include "config/Config.h"
 #include "gate/Admission.h"
@@ -31,6 +32,8 @@
     std::string Self;
     /// The service that the upstream serves; calls for another are refused.
     std::string Service;
+    /// Header fields of the deployment.
+    Dialect Names;
     /// Must differ from that of every earlier process in this place: entries
     /// tell by it whether their calls are remembered.
     uint64_t Incarnation = 1;
@@ -122,6 +125,8 @@
     LinkId Link = 0;
     bool Linked = false;
     RequestHead Head;
+    // The upstream that the entry means; empty for whichever is there.
+    std::string Upstream;
     std::string Key;
     bool Idempotent = false;
     TimePoint Deadline;
@@ -160,6 +165,9 @@
   void breakOff(const CallId &Id, Call &One, const Refusal &Why, TimePoint Now);
   Call &enter(const CallId &Id, Millis Budget, LinkId Link, TimePoint Now);
   void pump(TimePoint Now);
+  bool turnedAway(const CallId &Id, Call &One, const ResponseHead &Head,
+                  TimePoint Now);
+  void configureSlots(TimePoint Now);
   void sendHead(const CallId &Id, const Call &One, TimePoint Now);
   void sendAnswer(const CallId &Id, Call &One);
   void sendFailed(const CallId &Id, const Call &One, TimePoint Now);
@@ -174,6 +182,8 @@
   KeyJudge Judge;
   ConfigPtr InForce;
   const Service *Of = nullptr;
+  // Of this upstream, by the list; 0 where it does not say.
+  uint32_t ListedSlots = 0;
   std::map<CallId, Call> Calls;
   // When each call is to be looked at next: first at its deadline, then when
   // it may be forgotten.
--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -85,11 +85,28 @@
   Node *Of;
 };
 
+// Settings that do not read change nothing.
+void reloadSettings(Node &Of) {
+  FaultList Faults;
+  if (std::optional<Settings> New = loadSettings(Faults))
+    return Of.reload(*New);
+  LogLine("reload")
+      .add("outcome", "refused")
+      .add("fault", Faults.front().text())
+      .add("faults", Faults.size())
+      .warn();
+}
+
 // Signals come by a file descriptor: GLib's own handler would start a thread.
 gboolean onSignal(gint Fd, GIOCondition, gpointer Data) {
   signalfd_siginfo Info;
-  if (read(Fd, &Info, sizeof(Info)) == sizeof(Info))
-    static_cast<Running *>(Data)->Of->stop("signal");
+  if (read(Fd, &Info, sizeof(Info)) != sizeof(Info))
+    return G_SOURCE_CONTINUE;
+  Node &Of = *static_cast<Running *>(Data)->Of;
+  if (Info.ssi_signo == SIGHUP)
+    reloadSettings(Of);
+  else
+    Of.stop("signal");
   return G_SOURCE_CONTINUE;
 }
 
@@ -98,6 +115,7 @@
   sigemptyset(&Set);
   sigaddset(&Set, SIGTERM);
   sigaddset(&Set, SIGINT);
+  sigaddset(&Set, SIGHUP);
   sigprocmask(SIG_BLOCK, &Set, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   return signalfd(-1, &Set, SFD_NONBLOCK | SFD_CLOEXEC);
--- a/src/config/Config.cpp
+++ b/src/config/Config.cpp
@@ -21,6 +21,8 @@
 
 constexpr int64_t MaxDurationMs = 3600 * 1000;
 constexpr int64_t MaxPriority = 9;
+constexpr int64_t MaxWeight = 1000000;
+constexpr int64_t MaxAttempts = 10;
 const std::vector<std::string> KnownMethods = {
     "GET", "HEAD", "OPTIONS", "PUT", "POST", "PATCH", "DELETE"};
 
@@ -46,14 +48,33 @@
   return Kind + "/" + Name + "@" + std::to_string(Schema);
 }
 
-const Route *Config::findRoute(const std::string &Method,
-                               std::string_view Path) const {
+std::string hostName(std::string_view Field) {
+  std::string Out(Field.substr(0, Field.find(':')));
+  std::transform(Out.begin(), Out.end(), Out.begin(),
+                 [](unsigned char C) { return std::tolower(C); });
+  return Out;
+}
+
+const Route *Config::findRoute(const std::string &Method, std::string_view Path,
+                               const std::string &Host) const {
   Path = withoutQuery(Path);
+  for (std::string_view One : {std::string_view(Host), std::string_view()}) {
+    auto Found = this->ByHost.find(One);
+    if (Found == this->ByHost.end())
+      continue;
+    if (const Route *Taken = findIn(Found->second, Method, Path))
+      return Taken;
+  }
+  return nullptr;
+}
+
+const Route *Config::findIn(const PrefixMap &Among, const std::string &Method,
+                            std::string_view Path) {
   // Try "/a/b", "/a/", "/a", "/": each prefix that ends at a segment.
   std::string_view Prefix = Path;
   while (!Prefix.empty()) {
-    auto Found = this->ByPrefix.find(Prefix);
-    if (Found != this->ByPrefix.end())
+    auto Found = Among.find(Prefix);
+    if (Found != Among.end())
       for (const Route *One : Found->second)
         if (takesMethod(*One, Method))
           return One;
@@ -67,13 +88,16 @@
 }
 
 const Route *Config::findRouteSlowly(const std::string &Method,
-                                     std::string_view Path) const {
+                                     std::string_view Path,
+                                     const std::string &Host) const {
   Path = withoutQuery(Path);
   const Route *Best = nullptr;
   for (const auto &[Name, One] : this->Routes) {
-    if (!startsWithSegment(Path, One->Prefix) || !takesMethod(*One, Method))
+    if (!startsWithSegment(Path, One->Prefix) || !takesMethod(*One, Method) ||
+        (!One->Host.empty() && One->Host != Host))
       continue;
-    if (!Best || One->Prefix.size() > Best->Prefix.size())
+    if (!Best || std::pair(!One->Host.empty(), One->Prefix.size()) >
+                     std::pair(!Best->Host.empty(), Best->Prefix.size()))
       Best = One.get();
   }
   return Best;
@@ -102,7 +126,9 @@
   std::shared_ptr<const Limit> AsLimit;
   // A route lacks its references until they are closed.
   std::shared_ptr<const Route> AsRoute;
-  std::string ServiceName;
+  std::shared_ptr<const CallerBounds> AsBounds;
+  // Services and their weights; one for a route that is not split.
+  std::vector<std::pair<std::string, uint32_t>> ServiceNames;
   std::string RetryName;
   std::string LimitName;
 };
@@ -171,15 +197,52 @@
     return One;
   }
 
+  CallerBounds readBounds(JsonObject &Top) {
+    CallerBounds One;
+    One.HeaderBytes = static_cast<size_t>(
+        Top.integer("header_bytes", One.HeaderBytes, 256, 1 << 20));
+    One.BodyBytes = static_cast<uint64_t>(
+        Top.integer("body_bytes", One.BodyBytes, 0, int64_t(1) << 40));
+    One.HeaderTimeout = Top.millis("header_timeout_ms",
+                                   One.HeaderTimeout.count(), 1, MaxDurationMs);
+    One.IdleTimeout = Top.millis("idle_timeout_ms", One.IdleTimeout.count(), 1,
+                                 MaxDurationMs);
+    return One;
+  }
+
+  // The services that a route names, with their weights.
+  std::vector<std::pair<std::string, uint32_t>> readServices(JsonObject &Top,
+                                                             int64_t Schema) {
+    if (Schema < 3 || !Top.has("split"))
+      return {{Top.name("service"), 1}};
+    std::vector<std::pair<std::string, uint32_t>> Out;
+    std::optional<JsonObject> Split = Top.object("split", true);
+    if (!Split)
+      return Out;
+    for (const std::string &Name : Split->keys())
+      Out.emplace_back(Name, static_cast<uint32_t>(Split->integer(
+                                 Name, std::nullopt, 0, MaxWeight)));
+    bool AllZero = std::all_of(Out.begin(), Out.end(), [](const auto &Part) {
+      return Part.second == 0;
+    });
+    if (AllZero)
+      Top.fault("split", "expected a service with a weight above 0");
+    if (Top.has("service"))
+      Top.fault("service", "stands beside split; expected one of them");
+    return Out;
+  }
+
   Route readRoute(JsonObject &Top, int64_t Schema) {
     Route One;
-    this->readMatch(Top, One);
+    this->readMatch(Top, One, Schema);
     One.Timeout =
         Top.millis("timeout_ms", One.Timeout.count(), 1, MaxDurationMs);
     One.Priority = static_cast<uint32_t>(
         Top.integer("priority", One.Priority, 0, MaxPriority));
     if (Schema >= 2)
       this->readRouteV2(Top, One);
+    if (Schema >= 3)
+      this->readRouteV3(Top, One);
     return One;
   }
 
@@ -195,7 +258,7 @@
     return Out;
   }
 
-  void readMatch(JsonObject &Top, Route &One) {
+  void readMatch(JsonObject &Top, Route &One, int64_t Schema) {
     std::optional<JsonObject> Match = Top.object("match", true);
     if (!Match)
       return;
@@ -204,6 +267,8 @@
         One.Prefix.find_first_of("?# ") != std::string::npos)
       Match->fault("prefix", "expected a path that starts with '/'");
     One.Methods = this->readMethods(*Match, "methods");
+    if (Schema >= 3)
+      One.Host = hostName(Match->string("host", ""));
     Match->finish();
   }
 
@@ -218,6 +283,16 @@
       One.Key = KeyRule::Required;
   }
 
+  // Version 3 adds, besides host and split, what may be repeated by route and
+  // not by method.
+  void readRouteV3(JsonObject &Top, Route &One) {
+    if (Top.has("idempotent"))
+      One.Repeatable = Top.boolean("idempotent", false);
+    One.Attempts =
+        static_cast<uint32_t>(Top.integer("attempts", 0, 0, MaxAttempts));
+    One.TargetLatency = Top.millis("target_ms", 0, 0, MaxDurationMs);
+  }
+
   JsonSource Source;
 };
 
@@ -247,7 +322,7 @@
     if (!this->Faults.empty() && this->Of.Options.Guards.WholeVersions)
       return {nullptr, std::move(this->Faults)};
     for (const auto &[Name, One] : this->Made->Routes)
-      this->Made->ByPrefix[One->Prefix].push_back(One.get());
+      this->Made->ByHost[One->Host][One->Prefix].push_back(One.get());
     return {this->Made, {}};
   }
 
@@ -313,8 +388,8 @@
     if (!Root)
       return;
     JsonObject Top({Out.EntryName, Text, &Out.Faults}, *Root, "");
-    std::string Kind =
-        Top.oneOf("kind", std::nullopt, {"route", "service", "limit", "retry"});
+    std::string Kind = Top.oneOf(
+        "kind", std::nullopt, {"route", "service", "limit", "retry", "bounds"});
     std::string Name = Top.name("name");
     int64_t Schema = Top.integer("schema", std::nullopt, 1, 1000000);
     if (!Out.Faults.empty())
@@ -340,8 +415,10 @@
       Out.AsLimit = named(Fields.readLimit(Top), Out.Name);
     else if (Out.Kind == "retry")
       Out.AsRetry = named(Fields.readRetry(Top), Out.Name);
+    else if (Out.Kind == "bounds")
+      Out.AsBounds = std::make_shared<CallerBounds>(Fields.readBounds(Top));
     else {
-      Out.ServiceName = Top.name("service");
+      Out.ServiceNames = Fields.readServices(Top, Out.Schema);
       Out.RetryName = Top.name("retry", "");
       Out.LimitName = Top.name("limit", "");
       Out.AsRoute = named(Fields.readRoute(Top, Out.Schema), Out.Name);
@@ -372,10 +449,19 @@
       this->Made->Limits[One->Name] = One->AsLimit;
     if (One->AsRetry)
       this->Made->Retries[One->Name] = One->AsRetry;
+    if (One->AsBounds)
+      this->takeBounds(*One);
     if (One->AsRoute)
       Routes.push_back(One);
   }
 
+  void takeBounds(const ReadRecord &One) {
+    if (std::exchange(this->HaveBounds, true))
+      this->Faults.push_back({One.EntryName, 0, 0, "/name",
+                              "a version may hold one record of this kind"});
+    this->Made->Bounds = *One.AsBounds;
+  }
+
   template <typename T>
   std::shared_ptr<const T>
   refer(const ReadRecord &From, const std::string &Field,
@@ -393,8 +479,9 @@
   void closeRoute(const ReadRecord &Record) {
     static const auto DefaultRetry = std::make_shared<const RetryPolicy>();
     Route One = *Record.AsRoute;
-    One.Target = this->refer(Record, "service", Record.ServiceName,
-                             this->Made->Services);
+    for (const auto &[Name, Weight] : Record.ServiceNames)
+      One.Parts.push_back(
+          {this->refer(Record, "service", Name, this->Made->Services), Weight});
     One.Retry = DefaultRetry;
     if (!Record.RetryName.empty())
       One.Retry =
@@ -412,7 +499,7 @@
     std::unordered_map<std::string_view, std::vector<const Route *>> Earlier;
     for (const auto &[Name, One] : this->Made->Routes) {
       for (const Route *Other : Earlier[One->Prefix])
-        if (this->overlap(*One, *Other))
+        if (One->Host == Other->Host && this->overlap(*One, *Other))
           this->Faults.push_back(
               {"route/" + Name, 0, 0, "/match",
                "takes the same requests as route " + Other->Name});
@@ -432,6 +519,7 @@
   const Document &Doc;
   std::shared_ptr<Config> Made;
   FaultList Faults;
+  bool HaveBounds = false;
 };
 
 Compiler::Compiler(CompileOptions Options) : Options(std::move(Options)) {}
--- a/src/config/Config.h
+++ b/src/config/Config.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -69,14 +70,36 @@
   Millis KeyWindow{60000};
 };
 
+/// What callers may send, and how long they may take. One for a version.
+struct CallerBounds {
+  /// Of a request's head.
+  size_t HeaderBytes = 64 * 1024;
+  /// Of a request's body.
+  uint64_t BodyBytes = uint64_t(1) << 30;
+  /// From a head's first byte to its last.
+  Millis HeaderTimeout{10000};
+  /// A connection on which nothing is under way is closed after this.
+  Millis IdleTimeout{60000};
+};
+
+/// One of the services that a route's calls are spread over.
+struct SplitPart {
+  std::shared_ptr<const Service> Target;
+  /// Its share is this, of the sum over all parts.
+  uint32_t Weight = 1;
+};
+
 enum class KeyRule { Optional, Required };
 
 struct Route {
   std::string Name;
+  /// Lower case, without a port; empty for any.
+  std::string Host;
   std::string Prefix;
   /// Empty for any.
   std::set<std::string> Methods;
-  std::shared_ptr<const Service> Target;
+  /// One at least. A call goes to one of them and stays with it.
+  std::vector<SplitPart> Parts;
   std::shared_ptr<const RetryPolicy> Retry;
   /// Null for none.
   std::shared_ptr<const Limit> Bound;
@@ -85,12 +108,25 @@
   uint32_t Priority = 4;
   std::map<std::string, uint32_t> ClassPriority;
   KeyRule Key = KeyRule::Optional;
+  /// Whether its calls may run twice; where it is not said, the method tells.
+  std::optional<bool> Repeatable;
+  /// Tries of one call in all; 0 for what the retry policy says.
+  uint32_t Attempts = 0;
+  /// Within this an answer is worth most to its caller; 0 for the timeout.
+  Millis TargetLatency{0};
 
   bool isIdempotent(const std::string &Method) const {
-    return this->Retry->IdempotentMethods.count(Method) != 0;
+    return this->Repeatable ? *this->Repeatable
+                            : this->Retry->IdempotentMethods.count(Method) != 0;
+  }
+  uint32_t attempts() const {
+    return this->Attempts ? this->Attempts : this->Retry->Attempts;
   }
 };
 
+/// A Host field's value as routes name it: lower case, without the port.
+std::string hostName(std::string_view Field);
+
 class Config {
 public:
   const Stamp &stamp() const { return this->Place; }
@@ -102,13 +138,15 @@
     return this->Routes;
   }
 
-  /// The route with the longest prefix that ends at a '/' or at the path's
+  /// Among the routes of that host, and where none fits among those without a
+  /// host: the one with the longest prefix that ends at a '/' or at the path's
   /// end and that takes the method; null if none. Cost: the path's segments.
-  const Route *findRoute(const std::string &Method,
-                         std::string_view Path) const;
+  const Route *findRoute(const std::string &Method, std::string_view Path,
+                         const std::string &Host = "") const;
   /// The same by looking at every route: slow, and what tests compare with.
-  const Route *findRouteSlowly(const std::string &Method,
-                               std::string_view Path) const;
+  const Route *findRouteSlowly(const std::string &Method, std::string_view Path,
+                               const std::string &Host = "") const;
+  const CallerBounds &callerBounds() const { return this->Bounds; }
   const Service *findService(const std::string &Name) const;
   const Limit *findLimit(const std::string &Name) const;
 
@@ -123,7 +161,12 @@
   Named<RetryPolicy> Retries;
   Named<Limit> Limits;
   Named<Route> Routes;
-  std::unordered_map<std::string_view, std::vector<const Route *>> ByPrefix;
+  using PrefixMap =
+      std::unordered_map<std::string_view, std::vector<const Route *>>;
+  static const Route *findIn(const PrefixMap &Among, const std::string &Method,
+                             std::string_view Path);
+  std::unordered_map<std::string_view, PrefixMap> ByHost;
+  CallerBounds Bounds;
 };
 
 using ConfigPtr = std::shared_ptr<const Config>;
@@ -132,7 +175,7 @@
   /// Newest schema version of each kind that this build understands. Lowered
   /// in tests to stand for an older build.
   std::map<std::string, int64_t> NewestSchema{
-      {"route", 2}, {"service", 1}, {"limit", 1}, {"retry", 1}};
+      {"route", 3}, {"service", 1}, {"limit", 1}, {"retry", 1}, {"bounds", 1}};
   /// Records in one version.
   size_t MaxRecords = 50000;
   /// Bytes of one record: what the platform holds in one value.
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -21,28 +21,18 @@
   return Frame;
 }
 
-std::vector<std::string> ownFirst(const std::string &Own,
-                                  const std::vector<std::string> &All) {
-  std::vector<std::string> Out{Own};
-  for (const std::string &One : All)
-    if (One != Own)
-      Out.push_back(One);
-  return Out;
-}
-
 } // namespace
 
-ControlPlane::ControlPlane(Options GivenOpts, Platform &From, Hooks GivenHooks)
+ControlPlane::ControlPlane(Options GivenOpts, const MakeSource &MakeRead,
+                           Hooks GivenHooks)
     : Opts(std::move(GivenOpts)), Hook(std::move(GivenHooks)),
       Trail(this->Opts.AuditCapacity, this->Hook.Audit),
       Fleet(this->Opts.Members),
       View(this->Opts.DataCentre, this->Opts.Self, this->Opts.Build,
            this->Opts.ReportFreshness),
       Spread(this->Opts.Spread, this->spreadHooks(), this->Opts.Seed),
-      Read(this->Opts.Read, From, this->readHooks(),
-           ownFirst(this->Opts.DataCentre, this->Opts.DataCentres),
-           this->Opts.Seed + 1),
-      Compile(this->Opts.Compile), Random(this->Opts.Seed + 2) {}
+      Read(MakeRead(this->readHooks())), Compile(this->Opts.Compile),
+      Random(this->Opts.Seed + 2) {}
 
 Spreader::Hooks ControlPlane::spreadHooks() {
   Spreader::Hooks Out;
@@ -66,8 +56,8 @@
   return Out;
 }
 
-Reader::Hooks ControlPlane::readHooks() {
-  Reader::Hooks Out;
+SourceHooks ControlPlane::readHooks() {
+  SourceHooks Out;
   Out.Publish = [this](const std::string &Topic, const DocumentPtr &Doc,
                        TimePoint Now) {
     this->NowForHooks = Now;
@@ -92,6 +82,10 @@
     this->Trail.add(Now, "platform-read", Why.Step, Why.Peer,
                     Why.Code.message() + ": " + Why.Detail);
   };
+  Out.Recovered = [this](TimePoint Now) {
+    this->LastReaderError.clear();
+    this->Trail.add(Now, "platform-back", "", "platform", "answers again");
+  };
   return Out;
 }
 
@@ -110,10 +104,10 @@
                         "ms",
                     "clock", "resynchronising");
     // What the platform answered before the pause is of unknown age.
-    this->Read.tick(Now, Reader::Duty::None);
+    this->Read->tick(Now, ReadDuty::None);
   }
   this->LastTick = Now;
-  this->Read.tick(Now, this->duty(Now));
+  this->Read->tick(Now, this->duty(Now));
   this->Spread.tick(Now);
   this->dialTargets(Now);
   if (Now >= this->NextExchange) {
@@ -125,22 +119,22 @@
 // Peers first: they answer from memory and there are many of them, while the
 // platform's rate is shared by the whole fleet. A node turns to the platform
 // only when its peers had time to answer and it still lacks what it needs.
-Reader::Duty ControlPlane::duty(TimePoint Now) {
+ReadDuty ControlPlane::duty(TimePoint Now) {
   bool HaveList =
       this->Spread.held(listTopic(this->Opts.DataCentre)) != nullptr;
   Millis Waited = toMillis(Now - *this->StartedAt);
   if (!HaveList) {
     bool MayAsk = this->Opts.Seeds.empty() || Waited >= this->Opts.PeersFirst;
-    return MayAsk ? Reader::Duty::List : Reader::Duty::None;
+    return MayAsk ? ReadDuty::List : ReadDuty::None;
   }
   bool PeersHadTheirTurn =
       this->Spread.heardFromAny() || Waited >= this->Opts.PeersFirst;
   bool Reads = this->Fleet.isReader(this->Avoid) || this->takesOver(Now);
   if (Reads && PeersHadTheirTurn)
-    return Reader::Duty::Watch;
+    return ReadDuty::Watch;
   if (!this->InForce && Waited >= 3 * this->Opts.PeersFirst)
-    return Reader::Duty::Once;
-  return Reader::Duty::None;
+    return ReadDuty::Once;
+  return ReadDuty::None;
 }
 
 // The platform's outage makes everybody's documents old as well; the bound on
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -12,7 +12,7 @@
 // membership: whether to read the platform, whom to dial, what to put in
 // force. It has no socket and no clock.
 //
-//   ControlPlane Control(Options, Platform, Hooks);
+//   ControlPlane Control(Options, MakeRead, Hooks);
 //   Control.tick(Now);                       // ten times a second
 //   Control.linkOpened(Link, "portal-2", Now);   // a dial succeeded
 //   Control.linkOpened(Link, "", Now);           // a peer dialled us
@@ -71,6 +71,7 @@
     /// Options of the slices that this one joins.
     Membership::Options Members;
     Spreader::Options Spread;
+    /// Of the reader, and how long one watch may wait, whatever reads.
     Reader::Options Read;
     CompileOptions Compile;
     /// Events kept in the audit trail.
@@ -88,7 +89,8 @@
     AuditTrail::Hook Audit = [](const AuditEvent &) {};
   };
 
-  ControlPlane(Options Opts, Platform &From, Hooks Hooks);
+  /// MakeRead makes what reads the platform.
+  ControlPlane(Options Opts, const MakeSource &MakeRead, Hooks Hooks);
 
   void tick(TimePoint Now);
   /// Dialled is the peer's name where this node dialled; else empty.
@@ -113,7 +115,7 @@
   const AuditTrail &audit() const { return this->Trail; }
   AuditTrail &audit() { return this->Trail; }
   const Spreader &spreader() const { return this->Spread; }
-  const Reader &reader() const { return this->Read; }
+  const DocumentSource &reader() const { return *this->Read; }
   /// Names of the peers with a control link.
   std::vector<std::string> peers() const;
   /// The root of this data centre's tree, as this node sees it.
@@ -153,12 +155,12 @@
   bool accept(const Spreader::Arrival &Arrived, TimePoint Now);
   bool acceptConfig(const Spreader::Arrival &Arrived, TimePoint Now);
   void acceptList(const Spreader::Arrival &Arrived, TimePoint Now);
-  Reader::Duty duty(TimePoint Now);
+  ReadDuty duty(TimePoint Now);
   void exchangeReports(TimePoint Now);
   void reportSoon(TimePoint Now);
   std::optional<LinkId> parentLink() const;
   Spreader::Hooks spreadHooks();
-  Reader::Hooks readHooks();
+  SourceHooks readHooks();
 
   Options Opts;
   Hooks Hook;
@@ -166,7 +168,7 @@
   Membership Fleet;
   FleetView View;
   Spreader Spread;
-  Reader Read;
+  std::unique_ptr<DocumentSource> Read;
   Compiler Compile;
   std::mt19937_64 Random;
   std::map<std::string, Target> Targets;
--- /dev/null
+++ b/src/http/CallerServer.cpp
@@ -0,0 +1,589 @@
+#include "http/CallerServer.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstdio>
+
+#include <arpa/inet.h>
+#include <glib-unix.h>
+#include <netinet/in.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+// A connection holds its exchanges in the order of their requests. Only the
+// first writes to the socket; the answers of the others wait in memory. A
+// request starts while others are ahead of it only if it may run twice, for the
+// caller sends again whatever stands behind an answer that closes.
+//
+// A connection is read all the time, up to a bound, so that a caller which goes
+// away is noticed while its call runs, and also when the bytes of a further
+// request wait.
+
+namespace hickorylift {
+
+namespace {
+
+constexpr unsigned RequestTimeout = 408;
+constexpr unsigned BodyTooLarge = 413;
+constexpr int Backlog = 512;
+constexpr int MsInSecond = 1000;
+
+const char *reasonOf(unsigned Status) {
+  switch (Status) {
+  case 400:
+    return "Bad Request";
+  case 404:
+    return "Not Found";
+  case 408:
+    return "Request Timeout";
+  case 409:
+    return "Conflict";
+  case 413:
+    return "Content Too Large";
+  case 429:
+    return "Too Many Requests";
+  case 431:
+    return "Request Header Fields Too Large";
+  case 501:
+    return "Not Implemented";
+  case 502:
+    return "Bad Gateway";
+  case 503:
+    return "Service Unavailable";
+  case 504:
+    return "Gateway Timeout";
+  default:
+    return "Refused";
+  }
+}
+
+bool hasNoBody(const std::string &Method, unsigned Status) {
+  return Method == "HEAD" || Status == 204 || Status == 304;
+}
+
+std::string chunk(std::string_view Bytes) {
+  char Size[32];
+  int Length = std::snprintf(Size, sizeof(Size), "%zx\r\n", Bytes.size());
+  std::string Out(Size, static_cast<size_t>(Length));
+  Out.append(Bytes);
+  Out.append("\r\n");
+  return Out;
+}
+
+void addField(std::string &To, std::string_view Name, std::string_view Value) {
+  To.append(Name).append(": ").append(Value).append("\r\n");
+}
+
+std::string retryAfter(Millis Of, bool Fractional) {
+  if (!Fractional)
+    return std::to_string((Of.count() + MsInSecond - 1) / MsInSecond);
+  char Text[32];
+  std::snprintf(Text, sizeof(Text), "%.3f",
+                static_cast<double>(Of.count()) / MsInSecond);
+  return Text;
+}
+
+} // namespace
+
+struct CallerServer::Exchange {
+  CallerId Id = 0;
+  Connection *On = nullptr;
+  std::string Method;
+  bool Http10 = false;
+  bool RequestRead = false;
+  // The entry has let go of it: by a refusal, an abort or the last byte.
+  bool Released = false;
+  bool WindowFull = false;
+  bool Answering = false;
+  bool Chunked = false;
+  bool NoBody = false;
+  bool Ended = false;
+  bool CloseAfter = false;
+  // The answer breaks off: cut the connection when its turn comes.
+  bool Broken = false;
+  int64_t BodyRead = 0;
+  uint64_t Written = 0;
+  uint64_t Told = 0;
+  // What waits for its turn on the connection.
+  std::string Waiting;
+};
+
+struct CallerServer::Connection {
+  uint64_t Id = 0;
+  std::shared_ptr<TcpStream> Stream;
+  std::unique_ptr<RequestParser> Parser;
+  // The exchange whose body is being read; null between requests.
+  Exchange *Reading = nullptr;
+  // A head that is read and must wait for the answers ahead of it.
+  bool HeadWaits = false;
+  bool NoMore = false;
+  bool Parsing = false;
+  std::string Unparsed;
+  std::deque<std::unique_ptr<Exchange>> Queue;
+  TimePoint IdleSince;
+  std::optional<TimePoint> HeadSince;
+  std::optional<TimePoint> LingerUntil;
+};
+
+CallerServer::CallerServer(Options Opts, Hooks Hooks,
+                           std::function<TimePoint()> Clock)
+    : Opts(std::move(Opts)), Hook(std::move(Hooks)), Now(std::move(Clock)) {}
+
+CallerServer::~CallerServer() {
+  this->stopListening();
+  for (auto &[Id, On] : this->Connections)
+    On->Stream->close();
+}
+
+Result<bool> CallerServer::listen(const NetAddress &At) {
+  this->Listener =
+      socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int On = 1;
+  setsockopt(this->Listener, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(At.Port);
+  inet_pton(AF_INET, At.Ip.c_str(), &Address.sin_addr);
+  bool Bound = bind(this->Listener, reinterpret_cast<sockaddr *>(&Address),
+                    sizeof(Address)) == 0 &&
+               ::listen(this->Listener, Backlog) == 0;
+  if (!Bound) {
+    Error Why{Errc::Refused, "listen-callers", At.text(),
+              std::error_code(errno, std::generic_category()).message()};
+    ::close(std::exchange(this->Listener, -1));
+    return Why;
+  }
+  this->Accepting = g_unix_fd_add(this->Listener, G_IO_IN, onAccept, this);
+  return true;
+}
+
+void CallerServer::stopListening() {
+  if (this->Listener < 0)
+    return;
+  g_source_remove(this->Accepting);
+  ::close(std::exchange(this->Listener, -1));
+}
+
+gboolean CallerServer::onAccept(gint Fd, GIOCondition, gpointer Data) {
+  auto *Self = static_cast<CallerServer *>(Data);
+  int New = accept4(Fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (New >= 0)
+    Self->adopt(New);
+  return G_SOURCE_CONTINUE;
+}
+
+void CallerServer::adopt(int Fd) {
+  if (this->Connections.size() >= this->Opts.MaxConnections) {
+    ::close(Fd);
+    return;
+  }
+  auto New = std::make_shared<Connection>();
+  New->Id = ++this->LastConnection;
+  New->IdleSince = this->Now();
+  std::weak_ptr<Connection> Weak = New;
+  TcpStream::Hooks Hooks;
+  Hooks.Data = [this, Weak](std::string_view Bytes, TimePoint At) {
+    if (ConnectionPtr On = Weak.lock())
+      this->onData(On, Bytes, At);
+  };
+  Hooks.Ended = [this, Weak](std::error_code, TimePoint At) {
+    if (ConnectionPtr On = Weak.lock())
+      this->drop(On, At);
+  };
+  Hooks.Drained = [this, Weak](TimePoint At) {
+    if (ConnectionPtr On = Weak.lock())
+      this->consumed(*On, At);
+  };
+  New->Stream = TcpStream::adopt(Fd, Hooks, this->Now);
+  this->Connections[New->Id] = New;
+}
+
+CallerServer::Exchange *CallerServer::find(CallerId Caller) {
+  auto Found = this->Exchanges.find(Caller);
+  return Found == this->Exchanges.end() ? nullptr : Found->second;
+}
+
+void CallerServer::onData(const ConnectionPtr &On, std::string_view Bytes,
+                          TimePoint At) {
+  // After the last answer, the rest is only thrown away.
+  if (On->NoMore)
+    return;
+  On->Unparsed.append(Bytes);
+  this->parse(On, At);
+}
+
+void CallerServer::parse(const ConnectionPtr &On, TimePoint At) {
+  // What a hook does may come back here; the loop below goes on by itself.
+  if (std::exchange(On->Parsing, true))
+    return;
+  bool Going = true;
+  while (Going && On->Stream->isOpen() && !On->NoMore) {
+    if (On->Reading)
+      Going = this->parseBody(On, At);
+    else if (On->HeadWaits)
+      Going = this->startRequest(On, At);
+    else
+      Going = this->parseHead(On, At);
+  }
+  On->Parsing = false;
+  if (On->Stream->isOpen())
+    this->updateReading(*On);
+}
+
+bool CallerServer::parseHead(const ConnectionPtr &On, TimePoint At) {
+  if (On->Unparsed.empty() || On->Queue.size() >= this->Opts.MaxPipelined)
+    return false;
+  if (!On->Parser) {
+    On->Parser = std::make_unique<RequestParser>(this->Bounds.HeaderBytes);
+    On->HeadSince = At;
+  }
+  size_t Used = On->Parser->feed(On->Unparsed, [](std::string_view) {});
+  On->Unparsed.erase(0, Used);
+  if (On->Parser->failed()) {
+    this->refuseUnread(On, On->Parser->status(), "request-not-understood", At);
+    return false;
+  }
+  if (!On->Parser->headDone())
+    return false;
+  On->HeadSince.reset();
+  return this->startRequest(On, At);
+}
+
+// Returns whether to go on parsing. Called again for a head that waits.
+bool CallerServer::startRequest(const ConnectionPtr &On, TimePoint At) {
+  const RequestHead &Head = On->Parser->head();
+  On->HeadWaits = !On->Queue.empty() && !this->Hook.MayOverlap(Head);
+  if (On->HeadWaits)
+    return false;
+  if (Head.Length > static_cast<int64_t>(this->Bounds.BodyBytes)) {
+    this->refuseUnread(On, BodyTooLarge, "body-too-large", At);
+    return false;
+  }
+  auto New = std::make_unique<Exchange>();
+  Exchange &Of = *New;
+  Of.Id = ++this->LastId;
+  Of.On = On.get();
+  Of.Method = Head.Method;
+  Of.Http10 = On->Parser->isHttp10();
+  Of.CloseAfter = !On->Parser->keepsAlive() || Of.Http10;
+  On->Queue.push_back(std::move(New));
+  On->Reading = &Of;
+  this->Exchanges[Of.Id] = &Of;
+  if (On->Parser->awaitsContinue() && On->Queue.size() == 1)
+    On->Stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+  RequestHead Taken = On->Parser->takeHead();
+  this->Hook.Request(Of.Id, Taken, At);
+  return true;
+}
+
+bool CallerServer::parseBody(const ConnectionPtr &On, TimePoint At) {
+  Exchange &Of = *On->Reading;
+  if (!On->Parser->done()) {
+    if (On->Unparsed.empty() || (Of.WindowFull && !Of.Released))
+      return false;
+    CallerId Id = Of.Id;
+    size_t Used = On->Parser->feed(On->Unparsed, [&](std::string_view Piece) {
+      // The entry may let go of the exchange at any piece.
+      if (Exchange *Still = this->find(Id))
+        this->takeBody(*Still, Piece, At);
+    });
+    // What the hooks did may have ended the connection.
+    if (!On->Stream->isOpen())
+      return false;
+    On->Unparsed.erase(0, Used);
+    if (On->Parser->failed()) {
+      this->drop(On, At);
+      return false;
+    }
+  }
+  if (!On->Parser->done() || !On->Reading)
+    return On->Reading == nullptr;
+  Of.RequestRead = true;
+  On->Reading = nullptr;
+  On->Parser.reset();
+  if (!Of.Released)
+    this->Hook.BodyEnd(Of.Id, At);
+  else
+    this->advance(On);
+  return true;
+}
+
+void CallerServer::takeBody(Exchange &Of, std::string_view Piece,
+                            TimePoint At) {
+  Of.BodyRead += static_cast<int64_t>(Piece.size());
+  if (Of.Released)
+    return;
+  if (Of.BodyRead <= static_cast<int64_t>(this->Bounds.BodyBytes))
+    return this->Hook.Body(Of.Id, Piece, At);
+  CallerId Id = Of.Id;
+  Refusal Why;
+  Why.Reason = "body-too-large";
+  Why.Step = "entry";
+  Why.Status = BodyTooLarge;
+  this->Hook.Gone(Id, At);
+  this->refuse(Id, Why);
+}
+
+// A request that never reached the entry. It is answered in its turn, and
+// nothing after it can be told apart.
+void CallerServer::refuseUnread(const ConnectionPtr &On, unsigned Status,
+                                const std::string &Reason, TimePoint At) {
+  auto New = std::make_unique<Exchange>();
+  Exchange &Of = *New;
+  Of.Id = ++this->LastId;
+  Of.On = On.get();
+  On->Queue.push_back(std::move(New));
+  this->Exchanges[Of.Id] = &Of;
+  On->Parser.reset();
+  On->HeadSince.reset();
+  On->HeadWaits = false;
+  On->NoMore = true;
+  On->Unparsed.clear();
+  On->IdleSince = At;
+  Refusal Why;
+  Why.Reason = Reason;
+  Why.Step = "http";
+  Why.Status = Status;
+  this->refuse(Of.Id, Why);
+}
+
+void CallerServer::updateReading(Connection &On) {
+  bool BodyStopped =
+      On.Reading && On.Reading->WindowFull && !On.Reading->Released;
+  bool AheadFull = !On.Reading && On.Unparsed.size() > this->Opts.MaxReadAhead;
+  On.Stream->pauseReading(!On.NoMore && (BodyStopped || AheadFull));
+}
+
+void CallerServer::pauseRequest(CallerId Caller, bool Paused) {
+  Exchange *Of = this->find(Caller);
+  if (!Of)
+    return;
+  Of->WindowFull = Paused;
+  this->updateReading(*Of->On);
+}
+
+void CallerServer::write(Exchange &Of, std::string_view Bytes) {
+  if (Of.On->Queue.front().get() == &Of)
+    Of.On->Stream->write(Bytes);
+  else
+    Of.Waiting.append(Bytes);
+}
+
+void CallerServer::head(CallerId Caller, const ResponseHead &Head) {
+  Exchange *Of = this->find(Caller);
+  if (!Of || Of->Answering)
+    return;
+  Of->Answering = true;
+  Of->NoBody = hasNoBody(Of->Method, Head.Status);
+  Of->Chunked = Head.Length < 0 && !Of->NoBody && !Of->Http10;
+  // The rest of a body that the upstream did not wait for is not read on.
+  Of->CloseAfter |= this->Leaving || !Of->RequestRead;
+  std::string Out =
+      "HTTP/1.1 " + std::to_string(Head.Status) + " " + Head.Reason + "\r\n";
+  for (const HeaderField &One : Head.Headers)
+    if (strcasecmp(One.Name.c_str(), "Hickorylift-Outcome") != 0)
+      addField(Out, One.Name, One.Value);
+  // Set also where the upstream passes on what it was told further down.
+  addField(Out, "Hickorylift-Outcome", "answered");
+  if (Of->Chunked)
+    addField(Out, "Transfer-Encoding", "chunked");
+  else if (Head.Length >= 0 && Head.Status != 204)
+    addField(Out, "Content-Length", std::to_string(Head.Length));
+  if (Of->CloseAfter)
+    addField(Out, "Connection", "close");
+  Out.append("\r\n");
+  this->write(*Of, Out);
+}
+
+void CallerServer::body(CallerId Caller, std::string_view Bytes) {
+  Exchange *Of = this->find(Caller);
+  if (!Of || Bytes.empty())
+    return;
+  Of->Written += Bytes.size();
+  if (!Of->NoBody)
+    this->write(*Of, Of->Chunked ? chunk(Bytes) : Bytes);
+  this->consumed(*Of->On, this->Now());
+}
+
+// The entry's window opens as the socket takes the bytes, so a caller that
+// reads slowly holds back its upstream and not this node's memory.
+void CallerServer::consumed(Connection &On, TimePoint At) {
+  if (On.Queue.empty())
+    return;
+  Exchange &Of = *On.Queue.front();
+  bool News = Of.Written >= Of.Told + this->Opts.TellEvery && !Of.Released;
+  if (!News || On.Stream->pending() > this->Opts.MaxUnsent)
+    return;
+  Of.Told = Of.Written;
+  this->Hook.Consumed(Of.Id, Of.Written, At);
+}
+
+void CallerServer::bodyEnd(CallerId Caller) {
+  Exchange *Of = this->find(Caller);
+  if (!Of)
+    return;
+  if (Of->Chunked)
+    this->write(*Of, "0\r\n\r\n");
+  Of->Ended = true;
+  Of->Released = true;
+  this->advance(this->Connections.at(Of->On->Id));
+}
+
+// Takes finished exchanges off the front, and lets the next ones write.
+void CallerServer::advance(const ConnectionPtr &On) {
+  TimePoint At = this->Now();
+  while (!On->Queue.empty() && On->Stream->isOpen()) {
+    Exchange &First = *On->Queue.front();
+    if (!First.Waiting.empty())
+      On->Stream->write(std::exchange(First.Waiting, ""));
+    if (First.Broken)
+      return this->drop(On, At);
+    this->consumed(*On, At);
+    if (!First.Ended)
+      return;
+    bool Closes = First.CloseAfter;
+    // The rest of its request is still to be read off the connection.
+    if (!Closes && On->Reading == &First)
+      return;
+    this->Exchanges.erase(First.Id);
+    if (On->Reading == &First)
+      On->Reading = nullptr;
+    On->Queue.pop_front();
+    if (Closes)
+      return this->lingerClose(*On, At);
+  }
+  if (!On->Stream->isOpen())
+    return;
+  if (On->Queue.empty())
+    On->IdleSince = At;
+  this->parse(On, At);
+}
+
+// What waits behind the answer that closes is not read by us, and the caller
+// sends it again.
+void CallerServer::lingerClose(Connection &On, TimePoint At) {
+  On.NoMore = true;
+  On.HeadWaits = false;
+  On.Parser.reset();
+  On.Reading = nullptr;
+  On.Unparsed.clear();
+  On.HeadSince.reset();
+  On.LingerUntil = At + this->Opts.Linger;
+  std::deque<std::unique_ptr<Exchange>> Behind = std::move(On.Queue);
+  On.Queue.clear();
+  for (const auto &One : Behind) {
+    this->Exchanges.erase(One->Id);
+    if (!One->Released)
+      this->Hook.Gone(One->Id, At);
+  }
+  On.Stream->pauseReading(false);
+  On.Stream->finishWriting();
+}
+
+void CallerServer::drop(const ConnectionPtr &On, TimePoint At) {
+  On->Stream->close();
+  On->Reading = nullptr;
+  std::deque<std::unique_ptr<Exchange>> Left = std::move(On->Queue);
+  On->Queue.clear();
+  this->Connections.erase(On->Id);
+  for (const auto &One : Left) {
+    this->Exchanges.erase(One->Id);
+    if (!One->Released)
+      this->Hook.Gone(One->Id, At);
+  }
+}
+
+void CallerServer::abort(CallerId Caller) {
+  Exchange *Of = this->find(Caller);
+  if (!Of)
+    return;
+  Of->Released = true;
+  Of->Broken = true;
+  this->advance(this->Connections.at(Of->On->Id));
+}
+
+std::string CallerServer::refusalText(const Exchange &Of,
+                                      const Refusal &Why) const {
+  unsigned Status = statusOf(Why);
+  std::string Out =
+      "HTTP/1.1 " + std::to_string(Status) + " " + reasonOf(Status) + "\r\n";
+  auto Add = [&](const char *Name, const std::string &Value) {
+    if (!Value.empty())
+      addField(Out, Name, Value);
+  };
+  Add("Hickorylift-Outcome", outcomeName(Why.What));
+  Add("Hickorylift-Reason", Why.Reason);
+  Add("Hickorylift-Step", Why.Step);
+  Add("Hickorylift-Peer", Why.Peer);
+  if (Why.RetryAfter.count() > 0) {
+    Add("Retry-After",
+        retryAfter(Why.RetryAfter, this->Opts.Names.FractionalRetryAfter));
+    Add("Hickorylift-Retry-After-Ms", std::to_string(Why.RetryAfter.count()));
+  }
+  if (Of.CloseAfter)
+    Add("Connection", "close");
+  std::string Text =
+      std::string(outcomeName(Why.What)) + ": " + Why.Reason + "\n";
+  Add("Content-Type", "text/plain");
+  Add("Content-Length", std::to_string(Text.size()));
+  Out.append("\r\n");
+  if (Of.Method != "HEAD")
+    Out.append(Text);
+  return Out;
+}
+
+void CallerServer::refuse(CallerId Caller, const Refusal &Why) {
+  Exchange *Of = this->find(Caller);
+  if (!Of || Of->Answering)
+    return;
+  Of->Answering = true;
+  Of->Released = true;
+  Of->Ended = true;
+  bool Unread = !Of->RequestRead && (Of->On->Reading != Of || !Of->On->Parser ||
+                                     !Of->On->Parser->done());
+  Of->CloseAfter |= this->Leaving || Unread;
+  this->write(*Of, this->refusalText(*Of, Why));
+  this->advance(this->Connections.at(Of->On->Id));
+}
+
+void CallerServer::closeIdle() {
+  std::vector<ConnectionPtr> Idle;
+  for (const auto &[Id, On] : this->Connections)
+    if (On->Queue.empty() && On->Unparsed.empty())
+      Idle.push_back(On);
+  for (const ConnectionPtr &On : Idle)
+    this->drop(On, this->Now());
+}
+
+bool CallerServer::allWritten() const {
+  return this->Exchanges.empty() &&
+         std::all_of(this->Connections.begin(), this->Connections.end(),
+                     [](const auto &One) {
+                       return One.second->Stream->pending() == 0;
+                     });
+}
+
+void CallerServer::judgeTime(const ConnectionPtr &On, TimePoint At) {
+  bool HeadLate =
+      On->HeadSince && At - *On->HeadSince > this->Bounds.HeaderTimeout;
+  if (HeadLate)
+    return this->refuseUnread(On, RequestTimeout, "header-timeout", At);
+  bool Idle = On->Queue.empty() && !On->HeadSince && !On->LingerUntil &&
+              At - On->IdleSince > this->Bounds.IdleTimeout;
+  bool Lingered = On->LingerUntil && At > *On->LingerUntil;
+  if (Idle || Lingered)
+    this->drop(On, At);
+}
+
+void CallerServer::tick(TimePoint At) {
+  std::vector<ConnectionPtr> All;
+  All.reserve(this->Connections.size());
+  for (const auto &[Id, On] : this->Connections)
+    All.push_back(On);
+  for (const ConnectionPtr &On : All)
+    this->judgeTime(On, At);
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/http/CallerServer.h
@@ -0,0 +1,129 @@
+#ifndef HICKORYLIFT_HTTP_CALLERSERVER_H
+#define HICKORYLIFT_HTTP_CALLERSERVER_H
+
+#include "base/NetAddress.h"
+#include "calls/Dialect.h"
+#include "calls/Entry.h"
+#include "http/MessageParser.h"
+#include "http/TcpStream.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+
+// The CallerServer is the HTTP side of the entry: requests come in as events,
+// answers go out by calls. Bodies are passed on piece by piece. Requests that
+// were sent behind others on one connection are answered in their order.
+//
+//   CallerServer Http(Options, Hooks, Clock);
+//   Http.listen(Address);
+//   Http.head(Caller, Head); Http.body(Caller, Bytes); Http.bodyEnd(Caller);
+//   Http.tick(Now);                      // a few times a second: time limits
+
+namespace hickorylift {
+
+class CallerServer {
+public:
+  using CallerId = Entry::CallerId;
+
+  struct Options {
+    /// Header fields of the deployment.
+    Dialect Names;
+    /// Connections held at once; more are closed when they are accepted.
+    size_t MaxConnections = 2000;
+    /// Requests of one connection that may be under way together.
+    size_t MaxPipelined = 16;
+    /// Bytes of later requests that are read ahead on one connection.
+    size_t MaxReadAhead = 64 * 1024;
+    /// Bytes of an answer that wait for a slow caller before its upstream is
+    /// slowed down too.
+    size_t MaxUnsent = 256 * 1024;
+    /// Bytes of an answer between two reports of Consumed; a short answer needs
+    /// none.
+    uint64_t TellEvery = 64 * 1024;
+    /// How long the rest of a request is read and thrown away after its
+    /// refusal. A socket closed with unread bytes is reset, and the caller
+    /// would lose the refusal.
+    Millis Linger{1000};
+  };
+
+  struct Hooks {
+    std::function<void(CallerId, const RequestHead &, TimePoint)> Request;
+    std::function<void(CallerId, std::string_view, TimePoint)> Body;
+    std::function<void(CallerId, TimePoint)> BodyEnd;
+    /// Bytes of the answer's body handed to the caller's socket, in total.
+    std::function<void(CallerId, uint64_t, TimePoint)> Consumed;
+    std::function<void(CallerId, TimePoint)> Gone;
+    /// Whether a request may start before those ahead of it on its connection
+    /// are answered. Only where it may run twice: if an earlier answer closes
+    /// the connection, the caller sends all that is behind it again.
+    std::function<bool(const RequestHead &)> MayOverlap =
+        [](const RequestHead &) { return false; };
+  };
+
+  CallerServer(Options Opts, Hooks Hooks, std::function<TimePoint()> Clock);
+  ~CallerServer();
+
+  Result<bool> listen(const NetAddress &At);
+  void stopListening();
+  /// What callers may send, of the version in force.
+  void setBounds(const CallerBounds &Of) { this->Bounds = Of; }
+  /// From now on each answer is the last of its connection.
+  void closeAfterAnswers() { this->Leaving = true; }
+  /// Closes the connections on which nothing is under way.
+  void closeIdle();
+  void tick(TimePoint Now);
+
+  void head(CallerId Caller, const ResponseHead &Head);
+  void body(CallerId Caller, std::string_view Bytes);
+  void bodyEnd(CallerId Caller);
+  /// Cuts the connection, so that the caller sees a broken answer.
+  void abort(CallerId Caller);
+  void refuse(CallerId Caller, const Refusal &Why);
+  void pauseRequest(CallerId Caller, bool Paused);
+  /// Whether every answer has gone to the kernel whole.
+  bool allWritten() const;
+  size_t active() const { return this->Exchanges.size(); }
+  size_t connections() const { return this->Connections.size(); }
+
+private:
+  struct Exchange;
+  struct Connection;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  static gboolean onAccept(gint Fd, GIOCondition, gpointer Self);
+  void adopt(int Fd);
+  void onData(const ConnectionPtr &On, std::string_view Bytes, TimePoint At);
+  void parse(const ConnectionPtr &On, TimePoint At);
+  bool parseHead(const ConnectionPtr &On, TimePoint At);
+  bool startRequest(const ConnectionPtr &On, TimePoint At);
+  bool parseBody(const ConnectionPtr &On, TimePoint At);
+  void takeBody(Exchange &Of, std::string_view Piece, TimePoint At);
+  void refuseUnread(const ConnectionPtr &On, unsigned Status,
+                    const std::string &Reason, TimePoint At);
+  void updateReading(Connection &On);
+  void write(Exchange &Of, std::string_view Bytes);
+  void consumed(Connection &On, TimePoint At);
+  void advance(const ConnectionPtr &On);
+  void lingerClose(Connection &On, TimePoint At);
+  void drop(const ConnectionPtr &On, TimePoint At);
+  void judgeTime(const ConnectionPtr &On, TimePoint Now);
+  std::string refusalText(const Exchange &Of, const Refusal &Why) const;
+  Exchange *find(CallerId Caller);
+
+  Options Opts;
+  Hooks Hook;
+  std::function<TimePoint()> Now;
+  CallerBounds Bounds;
+  bool Leaving = false;
+  int Listener = -1;
+  guint Accepting = 0;
+  std::map<uint64_t, ConnectionPtr> Connections;
+  std::map<CallerId, Exchange *> Exchanges;
+  uint64_t LastConnection = 0;
+  CallerId LastId = 0;
+};
+
+} // namespace hickorylift
+
+#endif
--- /dev/null
+++ b/src/http/TcpStream.h
@@ -0,0 +1,88 @@
+#ifndef HICKORYLIFT_HTTP_TCPSTREAM_H
+#define HICKORYLIFT_HTTP_TCPSTREAM_H
+
+#include "base/Error.h"
+#include "base/NetAddress.h"
+#include "base/Time.h"
+
+#include <glib.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+// A TcpStream is one connection's bytes on the GLib loop: it never blocks, and
+// it tells an orderly end from a reset, which decides whether a message that
+// has no length is whole.
+//
+//   std::shared_ptr<TcpStream> One = TcpStream::dial(Address, Hooks, Clock);
+//   One->write("GET / HTTP/1.1\r\n\r\n");
+//   One->close();                       // no hook is called after this
+
+namespace hickorylift {
+
+class TcpStream : public std::enable_shared_from_this<TcpStream> {
+public:
+  struct Hooks {
+    std::function<void(TimePoint)> Connected = [](TimePoint) {};
+    /// Bytes as they came; valid during the call only.
+    std::function<void(std::string_view, TimePoint)> Data;
+    /// The peer ended the connection: with no error in order, else by a reset
+    /// or because it could not be reached. The stream is closed already.
+    std::function<void(std::error_code, TimePoint)> Ended;
+    /// All that was written has gone to the kernel.
+    std::function<void(TimePoint)> Drained = [](TimePoint) {};
+  };
+
+  /// Takes over a connected socket.
+  static std::shared_ptr<TcpStream> adopt(int Fd, Hooks Hooks,
+                                          std::function<TimePoint()> Clock);
+  /// Connects without waiting; Connected or Ended follows, never from within.
+  static std::shared_ptr<TcpStream> dial(const NetAddress &To, Hooks Hooks,
+                                         std::function<TimePoint()> Clock);
+  ~TcpStream();
+  TcpStream(const TcpStream &) = delete;
+  TcpStream &operator=(const TcpStream &) = delete;
+
+  /// Sends at once what the kernel takes and keeps the rest.
+  void write(std::string_view Bytes);
+  /// Bytes that the kernel has not taken yet.
+  size_t pending() const { return this->Out.size() - this->Sent; }
+  void pauseReading(bool Paused);
+  /// Ends our direction once all is sent; the peer may go on.
+  void finishWriting();
+  void close();
+  bool isOpen() const { return this->Fd >= 0; }
+  /// Whether bytes or an end lie in the socket, not yet seen by a hook.
+  bool hasUnread() const;
+
+private:
+  struct Source;
+
+  TcpStream(int Fd, Hooks Hooks, std::function<TimePoint()> Clock);
+  static gboolean onReady(GSource *From, GSourceFunc, gpointer);
+  void watch();
+  void updateWatch();
+  void ready(GIOCondition What);
+  void finishDial();
+  void readOnce();
+  void flush();
+  void end(std::error_code Why);
+
+  int Fd;
+  Hooks Hook;
+  std::function<TimePoint()> Now;
+  GSource *Watch = nullptr;
+  gpointer Tag = nullptr;
+  bool Connecting = false;
+  bool ReadPaused = false;
+  bool FinishWanted = false;
+  std::error_code WriteError;
+  std::string Out;
+  size_t Sent = 0;
+};
+
+} // namespace hickorylift
+
+#endif
--- /dev/null
+++ b/src/http/UpstreamClient.h
@@ -0,0 +1,123 @@
+#ifndef HICKORYLIFT_HTTP_UPSTREAMCLIENT_H
+#define HICKORYLIFT_HTTP_UPSTREAMCLIENT_H
+
+#include "base/NetAddress.h"
+#include "calls/Dialect.h"
+#include "http/MessageParser.h"
+#include "http/TcpStream.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+
+// The UpstreamClient is the HTTP side of the gate: it carries calls to the one
+// upstream beside this node.
+//
+//   UpstreamClient Http(Options, Hooks, Clock);
+//   Http.start(Id, Head, /*MayRepeat=*/false);
+//   Http.body(Id, Bytes); Http.bodyEnd(Id);
+//   Http.tick(Now);                         // a few times a second
+
+namespace hickorylift {
+
+class UpstreamClient {
+public:
+  struct Options {
+    NetAddress Address;
+    /// Header fields of the deployment.
+    Dialect Names;
+    /// Connections to the upstream at once.
+    unsigned Connections = 100;
+    /// A kept connection of which the upstream has not said how long it keeps
+    /// it is closed after this long without a call.
+    Millis KeepIdle{2000};
+    /// A connection is not used again within this of the time at which the
+    /// upstream closes it: the request could cross the close.
+    Millis CloseMargin{500};
+    /// The same for calls that must not repeat, where a crossed close is an
+    /// unknown outcome and not another try.
+    Millis SafeCloseMargin{1500};
+    /// A connection that is not made by then counts as refused.
+    Millis DialTimeout{1000};
+    /// An answer up to this many bytes is handed on when it is whole, so that
+    /// one that breaks off is never begun towards the caller.
+    size_t HoldBytes = 256 * 1024;
+    /// Bytes of a request's body between two reports of Consumed. A short body
+    /// needs none: it fits into the entry's window, and while no byte of it is
+    /// let go there it can still be sent elsewhere.
+    uint64_t TellEvery = 64 * 1024;
+    /// Largest head of an answer.
+    size_t MaxHeaderBytes = 64 * 1024;
+    /// Answers to earlier requests that are passed over on one connection
+    /// before it is given up.
+    unsigned MaxStrayAnswers = 4;
+  };
+
+  struct Hooks {
+    std::function<void(const CallId &, const ResponseHead &, TimePoint)> Head;
+    std::function<void(const CallId &, std::string_view, TimePoint)> Body;
+    std::function<void(const CallId &, TimePoint)> End;
+    std::function<void(const CallId &, bool Sent, const Error &, TimePoint)>
+        Failed;
+    /// Bytes of the request's body written, in total.
+    std::function<void(const CallId &, uint64_t, TimePoint)> Consumed;
+    /// What the upstream's own health endpoint says, as it says it.
+    std::function<void(Result<std::string>, TimePoint)> Health;
+  };
+
+  UpstreamClient(Options Opts, Hooks Hooks, std::function<TimePoint()> Clock);
+  ~UpstreamClient();
+
+  /// MayRepeat: a kept connection that dies before the answer began may be
+  /// replaced and the call sent again.
+  void start(const CallId &Id, const RequestHead &Head, bool MayRepeat);
+  void body(const CallId &Id, std::string_view Bytes);
+  void bodyEnd(const CallId &Id);
+  void cancel(const CallId &Id);
+  void pauseAnswer(const CallId &Id, bool Paused);
+  /// Asks the health endpoint once; Hooks.Health follows.
+  void askHealth(const std::string &Path, Millis Limit);
+  void tick(TimePoint Now);
+  /// Connections made so far.
+  uint64_t dials() const { return this->Dials; }
+
+private:
+  struct Call;
+  struct Connection;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+  using CallPtr = std::shared_ptr<Call>;
+
+  void startCall(const CallPtr &Of);
+  ConnectionPtr takeIdle(bool MayRepeat, TimePoint At);
+  ConnectionPtr dial();
+  void sendRequest(const ConnectionPtr &On);
+  std::string requestHead(const Call &Of) const;
+  void writeBody(Connection &On, std::string_view Bytes);
+  void onData(const ConnectionPtr &On, std::string_view Bytes, TimePoint At);
+  bool parse(const ConnectionPtr &On, TimePoint At);
+  bool headArrived(const ConnectionPtr &On, TimePoint At);
+  void passOn(Call &Of, const ResponseParser &Parser, TimePoint At);
+  void bodyWritten(Call &Of, TimePoint At);
+  void finishAnswer(const ConnectionPtr &On, TimePoint At);
+  void onEnded(const ConnectionPtr &On, std::error_code Why, TimePoint At);
+  void fail(const ConnectionPtr &On, const std::string &Detail, TimePoint At);
+  void keep(const ConnectionPtr &On, const ResponseParser &Last, TimePoint At);
+  void discard(const ConnectionPtr &On);
+  void forget(const CallPtr &Of);
+  CallPtr find(const CallId &Id) const;
+
+  Options Opts;
+  Hooks Hook;
+  std::function<TimePoint()> Now;
+  std::map<CallId, CallPtr> Calls;
+  std::map<uint64_t, ConnectionPtr> Open;
+  // Last used last.
+  std::deque<ConnectionPtr> Idle;
+  uint64_t LastConnection = 0;
+  uint64_t HealthCalls = 0;
+  uint64_t Dials = 0;
+};
+
+} // namespace hickorylift
+
+#endif
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -19,6 +19,7 @@
 const std::string BackupSalt = "backup";
 const std::string ReaderSalt = "reader";
 const std::string ListPrefix = "instances/";
+constexpr int64_t MaxSlots = 100000;
 
 std::string address(JsonObject &From, const std::string &Key) {
   std::string Text = From.string(Key, std::nullopt);
@@ -47,6 +48,10 @@
   Out["node"] = One.Node;
   Out["operator"] = One.Operator;
   Out["state"] = One.Leaving ? "leaving" : "live";
+  if (!One.Upstream.empty())
+    Out["upstream"] = One.Upstream;
+  if (One.Slots)
+    Out["slots"] = One.Slots;
   return writeJson(Out);
 }
 
@@ -61,6 +66,8 @@
   One.Operator = address(Top, "operator");
   One.Leaving =
       Top.oneOf("state", std::nullopt, {"live", "leaving"}) == "leaving";
+  One.Upstream = Top.string("upstream", "");
+  One.Slots = static_cast<uint32_t>(Top.integer("slots", 0, 0, MaxSlots));
   return One;
 }
 
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -33,6 +33,11 @@
   std::string Operator;
   /// The platform marks it as about to go.
   bool Leaving = false;
+  /// The upstream process, where the platform tells one start of it from the
+  /// next; else empty.
+  std::string Upstream{};
+  /// Calls that this upstream runs at once; 0 for what its service says.
+  uint32_t Slots = 0;
 
   bool operator==(const Instance &) const = default;
 };
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -2,6 +2,9 @@
 
 #include "base/Log.h"
 #include "operator/OperatorServer.h"
+#include "platform/Adapter.h"
+
+#include <ctime>
 
 namespace hickorylift {
 
@@ -26,8 +29,7 @@
 Node::Node(Settings Given, uint64_t Incarnation, std::function<void()> Stopped)
     : Set(std::move(Given)), Incarnation(Incarnation),
       Stopped(std::move(Stopped)), StartedAt(Clock::now()) {
-  this->Source = std::make_unique<HttpPlatform>(this->Set.Platform,
-                                                [this] { return this->now(); });
+  this->openPlatform();
   this->makeCore();
   this->makeTransport();
   this->makeUpstream();
@@ -42,13 +44,47 @@
     g_source_remove(this->PostedTurn);
 }
 
+// The steady clock stands still while the machine is suspended, and what lay in
+// the sockets is as old as after any other pause.
 TimePoint Node::now() {
   TimePoint Read = Clock::now();
-  if (this->Core)
-    this->Core->observe(Read);
+  if (!this->Core)
+    return Read;
+  this->Core->observe(Read);
+  timespec Boot{};
+  clock_gettime(CLOCK_BOOTTIME, &Boot);
+  Millis Ahead = toMillis(std::chrono::seconds(Boot.tv_sec) +
+                          std::chrono::nanoseconds(Boot.tv_nsec) -
+                          Read.time_since_epoch());
+  Millis Before = this->SuspendedSoFar.value_or(Ahead);
+  this->SuspendedSoFar = Ahead;
+  if (Ahead > Before)
+    this->Core->suspended(Ahead - Before, Read);
   return Read;
 }
 
+void Node::openPlatform() {
+  auto Clock = [this] { return this->now(); };
+  if (this->Set.Protocol == PlatformProtocol::Records) {
+    this->Source = std::make_unique<HttpPlatform>(this->Set.Platform, Clock);
+    return;
+  }
+  this->Names = platform::dialect();
+  platform::StoreOptions Opts;
+  Opts.Address = this->Set.Platform.Address;
+  Opts.Timeout = this->Set.Platform.Timeout;
+  this->Store = platform::openStore(Opts, Clock);
+}
+
+MakeSource Node::storeSource() {
+  return [this](SourceHooks Hooks) {
+    platform::Place Here{this->Set.Peers.Port, this->Set.Operator.Port};
+    return std::make_unique<StoreReader>(
+        this->Set.Store, *this->Store, platform::contents(Here),
+        std::move(Hooks), this->Set.DataCentres, this->Incarnation);
+  };
+}
+
 Result<bool> Node::start() {
   Result<bool> Peers = this->Net->listen(this->Set.Peers);
   if (!Peers)
@@ -57,20 +93,30 @@
   if (!Callers)
     return Callers;
   Result<bool> Operators = this->Operators->listen(this->Set.Operator);
+  if (Operators && this->Set.Ready)
+    Operators = this->Operators->listen(*this->Set.Ready);
   if (!Operators)
     return Operators;
   this->Timers.push_back(g_timeout_add(CallTickMs, onCallTick, this));
   this->Timers.push_back(g_timeout_add(ControlTickMs, onControlTick, this));
+  this->startHealth();
+  this->Core->controlTick(this->now());
+  return true;
+}
+
+void Node::startHealth() {
+  if (this->Set.HealthInterval.count() == 0)
+    return this->Core->upstreamNotAsked();
   this->Timers.push_back(
       g_timeout_add(static_cast<guint>(this->Set.HealthInterval.count()),
                     onHealthTick, this));
   this->Upstream->askHealth(this->Set.HealthPath, HealthTimeout);
-  this->Core->controlTick(this->now());
-  return true;
 }
 
 void Node::makeCore() {
   NodeCore::Options Opts = this->Set.Core;
+  Opts.CallEntry.Names = this->Names;
+  Opts.CallGate.Names = this->Names;
   Opts.setIdentity(this->Set.Name, this->Set.DataCentre, this->Set.DataCentres,
                    this->Set.Service, this->Incarnation);
   NodeCore::Hooks Hooks;
@@ -95,10 +141,20 @@
         .add("outcome", One.Outcome)
         .info();
   };
-  Hooks.StopListening = [this] { this->Http->stopListening(); };
-  Hooks.CallersServed = [this] { return this->Http->active() == 0; };
+  Hooks.Leaving = [this] { this->Http->closeAfterAnswers(); };
+  Hooks.StopListening = [this] {
+    this->Http->stopListening();
+    this->Http->closeIdle();
+  };
+  Hooks.CallersServed = [this] { return this->Http->allWritten(); };
+  Hooks.ConfigChanged = [this](const ConfigPtr &New) {
+    this->Http->setBounds(New->callerBounds());
+  };
   Hooks.Stopped = [this] { this->Stopped(); };
-  this->Core = std::make_unique<NodeCore>(Opts, *this->Source, Hooks);
+  if (this->Store)
+    this->Core = std::make_unique<NodeCore>(Opts, this->storeSource(), Hooks);
+  else
+    this->Core = std::make_unique<NodeCore>(Opts, *this->Source, Hooks);
 }
 
 void Node::makeTransport() {
@@ -209,8 +265,10 @@
   Hooks.Health = [this](const Result<std::string> &Said, TimePoint Now) {
     this->Core->health(Said, Now);
   };
+  UpstreamClient::Options Opts = this->Set.Upstream;
+  Opts.Names = this->Names;
   this->Upstream = std::make_unique<UpstreamClient>(
-      this->Set.Upstream, Hooks, [this] { return this->now(); });
+      Opts, Hooks, [this] { return this->now(); });
 }
 
 void Node::makeCallerServer() {
@@ -231,8 +289,13 @@
   Hooks.Gone = [&From](CallerServer::CallerId Caller, TimePoint Now) {
     From.callerGone(Caller, Now);
   };
-  this->Http =
-      std::make_unique<CallerServer>(Hooks, [this] { return this->now(); });
+  Hooks.MayOverlap = [&From](const RequestHead &Head) {
+    return From.isIdempotent(Head);
+  };
+  CallerServer::Options Opts;
+  Opts.Names = this->Names;
+  this->Http = std::make_unique<CallerServer>(Opts, Hooks,
+                                              [this] { return this->now(); });
 }
 
 gboolean Node::onCallTick(gpointer Data) {
@@ -243,7 +306,10 @@
 
 gboolean Node::onControlTick(gpointer Data) {
   auto *Self = static_cast<Node *>(Data);
-  Self->Core->controlTick(Self->now());
+  TimePoint Now = Self->now();
+  Self->Core->controlTick(Now);
+  Self->Http->tick(Now);
+  Self->Upstream->tick(Now);
   return G_SOURCE_CONTINUE;
 }
 
@@ -253,6 +319,21 @@
   return G_SOURCE_CONTINUE;
 }
 
+void Node::reload(const Settings &New) {
+  bool SamePlace = New.Name == this->Set.Name &&
+                   New.Service == this->Set.Service &&
+                   New.Callers.text() == this->Set.Callers.text() &&
+                   New.Peers.text() == this->Set.Peers.text();
+  setLogLevel(New.LogLevel);
+  this->Set.LogLevel = New.LogLevel;
+  LogLine("reload")
+      .add("name", this->Set.Name)
+      .add("log_level", New.LogLevel)
+      .add("outcome", SamePlace ? "log level taken, the rest needs a restart"
+                                : "another place named, which needs a restart")
+      .info();
+}
+
 void Node::stop(const std::string &By) { this->Core->stop(By, this->now()); }
 
 uint64_t Node::controlBytesSent() const {
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -1,7 +1,7 @@
 #ifndef HICKORYLIFT_NODE_NODE_H
 #define HICKORYLIFT_NODE_NODE_H
 
-#include "calls/CallerServer.h"
+#include "http/CallerServer.h"
 #include "node/NodeCore.h"
 #include "peer/Transport.h"
 #include "settings/Settings.h"
@@ -27,11 +27,15 @@
   Result<bool> start();
   /// Begins a planned stop: no new work, what runs finishes, peers are told.
   void stop(const std::string &By);
+  /// Takes from newer settings what can change while running, and says in the
+  /// log what cannot.
+  void reload(const Settings &New);
 
   /// The loop's clock: the only place, besides the entry point, that reads it.
   TimePoint now();
 
   NodeCore &core() { return *this->Core; }
+  const Dialect &names() const { return this->Names; }
   const Settings &settings() const { return this->Set; }
   uint64_t incarnation() const { return this->Incarnation; }
   uint64_t controlBytesSent() const;
@@ -44,6 +48,9 @@
   static gboolean onHealthTick(gpointer Self);
   static gboolean onPosted(gpointer Self);
 
+  void startHealth();
+  void openPlatform();
+  MakeSource storeSource();
   void makeCore();
   void makeTransport();
   void makeUpstream();
@@ -56,6 +63,10 @@
   uint64_t Incarnation;
   std::function<void()> Stopped;
   std::unique_ptr<HttpPlatform> Source;
+  std::unique_ptr<KeyValueStore> Store;
+  Dialect Names;
+  // How far the clock that counts suspensions is ahead of the steady one.
+  std::optional<Millis> SuspendedSoFar;
   std::unique_ptr<NodeCore> Core;
   std::unique_ptr<Transport> Net;
   std::unique_ptr<UpstreamClient> Upstream;
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -14,6 +14,15 @@
 const char HealthDraining[] = "draining";
 constexpr size_t MaxHealthText = 64;
 
+std::vector<std::string> ownFirst(const std::string &Own,
+                                  const std::vector<std::string> &All) {
+  std::vector<std::string> Out{Own};
+  for (const std::string &One : All)
+    if (One != Own)
+      Out.push_back(One);
+  return Out;
+}
+
 } // namespace
 
 void NodeCore::Options::setIdentity(const std::string &Name,
@@ -32,6 +41,7 @@
   this->Control.Compile.Guards = this->Guards;
   this->CallEntry.Self = Name;
   this->CallEntry.DataCentre = DataCentre;
+  this->CallEntry.Service = Service;
   this->CallEntry.Incarnation = Incarnation;
   this->CallEntry.Seed = Incarnation;
   this->CallEntry.Guards = this->Guards;
@@ -44,9 +54,21 @@
   this->CallGate.Keys.Guards = this->Guards;
 }
 
-NodeCore::NodeCore(Options GivenOpts, Platform &Source, Hooks GivenHooks)
-    : Opts(std::move(GivenOpts)), Hook(std::move(GivenHooks)) {
-  this->Control = std::make_unique<ControlPlane>(this->Opts.Control, Source,
+NodeCore::NodeCore(const Options &GivenOpts, Platform &Source, Hooks GivenHooks)
+    : NodeCore(
+          GivenOpts,
+          [&GivenOpts, &Source](SourceHooks Read) {
+            const ControlPlane::Options &Of = GivenOpts.Control;
+            return std::make_unique<Reader>(
+                Of.Read, Source, std::move(Read),
+                ownFirst(Of.DataCentre, Of.DataCentres), Of.Seed + 1);
+          },
+          std::move(GivenHooks)) {}
+
+NodeCore::NodeCore(const Options &GivenOpts, const MakeSource &MakeRead,
+                   Hooks GivenHooks)
+    : Opts(GivenOpts), Hook(std::move(GivenHooks)) {
+  this->Control = std::make_unique<ControlPlane>(this->Opts.Control, MakeRead,
                                                  this->controlHooks());
   this->From = std::make_unique<Entry>(this->Opts.CallEntry, this->entryHooks(),
                                        this->Control->members());
@@ -63,6 +85,7 @@
   Out.ConfigChanged = [this](const ConfigPtr &New, TimePoint Now) {
     this->From->configure(New);
     this->At->configure(New, Now);
+    this->Hook.ConfigChanged(New);
   };
   Out.MembersChanged = [this](TimePoint Now) { this->membersChanged(Now); };
   Out.Audit = this->Hook.Audit;
@@ -131,8 +154,16 @@
       this->LastEvent && Now - *this->LastEvent > this->Opts.PauseThreshold;
   Millis Gap = this->LastEvent ? toMillis(Now - *this->LastEvent) : Millis(0);
   this->LastEvent = Now;
-  if (!Paused)
-    return;
+  if (Paused)
+    this->pausedFor(Gap, Now);
+}
+
+void NodeCore::suspended(Millis For, TimePoint Now) {
+  if (For > this->Opts.SuspendThreshold)
+    this->pausedFor(For, Now);
+}
+
+void NodeCore::pausedFor(Millis Gap, TimePoint Now) {
   this->Control->audit().add(Now, "paused", std::to_string(Gap.count()) + "ms",
                              "clock", "what lay in the sockets is suspect");
   this->At->paused(Now);
@@ -228,8 +259,12 @@
 }
 
 bool NodeCore::ready() const {
-  return this->Control->config() && this->UpstreamUp && !this->StopBy &&
-         !this->At->draining();
+  // Without anybody who asks it, an upstream that fails is seen by its answers,
+  // and callers who come here are served by others.
+  bool UpstreamFits =
+      !this->AsksUpstream || (this->UpstreamUp && !this->At->draining());
+  return this->Control->config() && this->Control->members().size() > 0 &&
+         UpstreamFits && !this->StopBy;
 }
 
 void NodeCore::drainGate(const std::string &By, TimePoint Now) {
@@ -254,7 +289,15 @@
   this->Control->audit().add(Now, "stop", this->Opts.CallGate.Self, By,
                              "draining");
   this->StopBy = Now + this->Opts.StopWithin;
+  this->LingerUntil = Now + this->Opts.StopLinger;
   this->drainGate("stop", Now);
+  this->Hook.Leaving();
+  if (this->Opts.StopLinger.count() == 0)
+    this->endLinger();
+}
+
+void NodeCore::endLinger() {
+  this->LingerUntil.reset();
   this->From->drain();
   this->Hook.StopListening();
 }
@@ -263,6 +306,8 @@
   this->observe(Now);
   this->At->tick(Now);
   this->From->tick(Now);
+  if (this->LingerUntil && Now >= *this->LingerUntil)
+    this->endLinger();
   if (this->StopBy && !this->StopDone)
     this->finishStop(Now);
 }
@@ -276,8 +321,8 @@
 // broken answer and the upstream an upload that ends in the middle. So the
 // process ends only once nothing is under way in either direction.
 void NodeCore::finishStop(TimePoint Now) {
-  bool Idle =
-      this->From->idle() && this->At->idle() && this->Hook.CallersServed();
+  bool Idle = !this->LingerUntil && this->From->idle() && this->At->idle() &&
+              this->Hook.CallersServed();
   bool Wait = !Idle && Now < *this->StopBy && this->Opts.Guards.StopWaits;
   if (Wait)
     return;
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -39,6 +39,12 @@
     Millis PauseThreshold{750};
     /// How long a planned stop may wait for what runs.
     Millis StopWithin{60000};
+    /// How long a planned stop goes on taking requests after it has said that
+    /// it is not ready: those who ask only now and then still send callers.
+    Millis StopLinger{0};
+    /// A suspension of the machine, longer than this, is a pause: the steady
+    /// clock stands still meanwhile, and no gap shows.
+    Millis SuspendThreshold{100};
     /// All on, but in scenarios.
     Safeguards Guards;
 
@@ -61,7 +67,12 @@
     /// Towards the upstream; Send and ListAge are set by the core.
     Gate::Hooks Upstream;
     AuditTrail::Hook Audit = [](const AuditEvent &) {};
-    /// A planned stop has begun: take no more connections from callers.
+    /// A version is in force.
+    std::function<void(const ConfigPtr &)> ConfigChanged =
+        [](const ConfigPtr &) {};
+    /// A planned stop has begun: ask callers to go elsewhere next time.
+    std::function<void()> Leaving = [] {};
+    /// Take no more connections from callers.
     std::function<void()> StopListening = [] {};
     /// Whether all answers were written to the callers.
     std::function<bool()> CallersServed = [] { return true; };
@@ -69,9 +80,13 @@
     std::function<void()> Stopped = [] {};
   };
 
-  NodeCore(Options Opts, Platform &Source, Hooks Hooks);
+  /// Reads a platform that holds records by their hash.
+  NodeCore(const Options &Opts, Platform &Source, Hooks Hooks);
+  NodeCore(const Options &Opts, const MakeSource &MakeRead, Hooks Hooks);
 
   void observe(TimePoint Now);
+  /// The machine was suspended for so long, and the steady clock with it.
+  void suspended(Millis For, TimePoint Now);
   void opened(LinkId Link, char Purpose, const std::string &Dialled,
               TimePoint Now);
   void dialFailed(char Purpose, const std::string &Peer, TimePoint Now);
@@ -87,6 +102,8 @@
   void stop(const std::string &By, TimePoint Now);
 
   bool ready() const;
+  /// Nothing will ask the upstream how it is: it counts as reachable.
+  void upstreamNotAsked() { this->AsksUpstream = false; }
   bool upstreamReachable() const { return this->UpstreamUp; }
   const std::string &upstreamSays() const { return this->UpstreamSays; }
 
@@ -114,7 +131,13 @@
   std::optional<TimePoint> LastEvent;
   bool UpstreamUp = false;
   std::string UpstreamSays;
+  void endLinger();
+  void pausedFor(Millis Gap, TimePoint Now);
+
   std::optional<TimePoint> StopBy;
+  std::optional<TimePoint> LingerUntil;
+  // Whether anything asks the upstream how it is.
+  bool AsksUpstream = true;
   bool StopDone = false;
 };
 
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -85,7 +85,7 @@
   if (Path == "/metrics")
     return answer(Message, Ok, "text/plain; version=0.0.4",
                   Self->Measured.text(Self->Of));
-  if (Path == "/ready")
+  if (Path == "/ready" || Path == Self->Of.names().ReadyPath)
     return Core.ready()
                ? answer(Message, Ok, "text/plain", "ready\n")
                : answer(Message, Unavailable, "text/plain", "not ready\n");
@@ -211,7 +211,8 @@
   }
   if (Found.Taken) {
     Out["route"] = Found.Taken->Name;
-    Out["service"] = Found.Taken->Target->Name;
+    for (const SplitPart &Part : Found.Taken->Parts)
+      Out["services"][Part.Target->Name] = Part.Weight;
     Out["idempotent"] = Found.Taken->isIdempotent(Head.Method);
     Out["timeout_ms"] = Json::Int64(Found.Taken->Timeout.count());
   }
--- /dev/null
+++ b/src/reading/DocumentSource.h
@@ -0,0 +1,62 @@
+#ifndef HICKORYLIFT_READING_DOCUMENTSOURCE_H
+#define HICKORYLIFT_READING_DOCUMENTSOURCE_H
+
+#include "base/Error.h"
+#include "base/Time.h"
+#include "config/Document.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+// A DocumentSource brings documents from the platform to one node, for as long
+// as the node has the duty to. Reader reads a platform that holds records by
+// their hash; StoreReader one that holds items in a keyspace.
+//
+//   std::unique_ptr<DocumentSource> From = Make(Hooks);
+//   From->tick(Now, ReadDuty::Watch);        // a few times a second
+
+namespace hickorylift {
+
+/// The topic under which versions are published.
+extern const char ConfigTopic[];
+
+enum class ReadDuty {
+  /// Others read.
+  None,
+  /// Read the own data centre's list once, to find neighbours.
+  List,
+  /// Read everything once: no neighbour has anything.
+  Once,
+  /// Keep watching.
+  Watch,
+};
+
+/// What a source tells its node.
+struct SourceHooks {
+  std::function<void(const std::string &Topic, DocumentPtr, TimePoint)> Publish;
+  /// Asked at AskedAt, the platform still named this version and revision.
+  std::function<void(const std::string &Topic, uint64_t Version,
+                     uint64_t Revision, TimePoint AskedAt)>
+      Confirm;
+  /// What this node holds already, so that only the rest is read.
+  std::function<DocumentPtr(const std::string &Topic)> Held;
+  std::function<void(const Error &, TimePoint)> Failed;
+  /// The platform answers again after failures.
+  std::function<void(TimePoint)> Recovered = [](TimePoint) {};
+};
+
+class DocumentSource {
+public:
+  virtual ~DocumentSource() = default;
+  virtual void tick(TimePoint Now, ReadDuty Wanted) = 0;
+  /// Calls made to the platform so far.
+  virtual uint64_t reads() const = 0;
+};
+
+/// Makes the source of one node.
+using MakeSource = std::function<std::unique_ptr<DocumentSource>(SourceHooks)>;
+
+} // namespace hickorylift
+
+#endif
--- a/src/reading/HttpPlatform.cpp
+++ b/src/reading/HttpPlatform.cpp
@@ -10,96 +10,39 @@
 
 // Added to the wait of a watch before we call the platform silent.
 constexpr Millis WatchSlack{2000};
-constexpr unsigned MaxConnections = 20;
-
-struct Pending {
-  std::function<void(Result<std::pair<uint64_t, std::string>>, TimePoint)> Done;
-  std::function<TimePoint()> Now;
-  std::string Step;
-  std::string Peer;
-  SoupMessage *Message;
-  GCancellable *Stop;
-  guint Timer = 0;
-  size_t MaxBytes;
-};
-
-gboolean onTimeout(gpointer Data) {
-  auto *Call = static_cast<Pending *>(Data);
-  Call->Timer = 0;
-  g_cancellable_cancel(Call->Stop);
-  return G_SOURCE_REMOVE;
-}
-
-Result<std::pair<uint64_t, std::string>> judge(const Pending &Call,
-                                               GBytes *Body, GError *Why) {
-  if (!Body) {
-    bool TimedOut = g_cancellable_is_cancelled(Call.Stop);
-    return Error{TimedOut ? Errc::Timeout : Errc::Unreachable, Call.Step,
-                 Call.Peer, Why ? Why->message : "no answer"};
-  }
-  gsize Size = 0;
-  const char *Bytes = static_cast<const char *>(g_bytes_get_data(Body, &Size));
-  guint Status = soup_message_get_status(Call.Message);
-  if (Size > Call.MaxBytes)
-    return Error{Errc::TooLarge, Call.Step, Call.Peer,
-                 std::to_string(Size) + " bytes"};
-  if (Status == 429)
-    return Error{Errc::Busy, Call.Step, Call.Peer, "read rate exceeded"};
-  if (Status == 404)
-    return Error{Errc::NotFound, Call.Step, Call.Peer, "no such key"};
-  if (Status != 200)
-    return Error{Errc::Refused, Call.Step, Call.Peer,
-                 "status " + std::to_string(Status)};
-  const char *Revision = soup_message_headers_get_one(
-      soup_message_get_response_headers(Call.Message), "X-Revision");
-  uint64_t Number = Revision ? std::strtoull(Revision, nullptr, 10) : 0;
-  return std::make_pair(Number, std::string(Bytes ? Bytes : "", Size));
-}
-
-void onReply(GObject *Source, GAsyncResult *Outcome, gpointer Data) {
-  std::unique_ptr<Pending> Call(static_cast<Pending *>(Data));
-  GError *Why = nullptr;
-  GBytes *Body =
-      soup_session_send_and_read_finish(SOUP_SESSION(Source), Outcome, &Why);
-  if (Call->Timer)
-    g_source_remove(Call->Timer);
-  auto Reply = judge(*Call, Body, Why);
-  g_clear_error(&Why);
-  g_clear_pointer(&Body, g_bytes_unref);
-  g_object_unref(Call->Message);
-  g_object_unref(Call->Stop);
-  Call->Done(std::move(Reply), Call->Now());
+const char RevisionHeader[] = "x-revision";
+
+Result<std::pair<uint64_t, std::string>> judge(const Result<HttpReply> &Got,
+                                               const std::string &Step,
+                                               const std::string &Peer) {
+  if (!Got)
+    return Got.error();
+  if (Got->Status == 429)
+    return Error{Errc::Busy, Step, Peer, "read rate exceeded"};
+  if (Got->Status == 404)
+    return Error{Errc::NotFound, Step, Peer, "no such key"};
+  if (Got->Status != 200)
+    return Error{Errc::Refused, Step, Peer,
+                 "status " + std::to_string(Got->Status)};
+  auto Revision = Got->Headers.find(RevisionHeader);
+  uint64_t Number = Revision == Got->Headers.end()
+                        ? 0
+                        : std::strtoull(Revision->second.c_str(), nullptr, 10);
+  return std::make_pair(Number, Got->Body);
 }
 
 } // namespace
 
-HttpPlatform::HttpPlatform(Options Opts, std::function<TimePoint()> Now)
-    : Opts(std::move(Opts)), Now(std::move(Now)),
-      Session(SOUP_SESSION(g_object_new(
-          SOUP_TYPE_SESSION, "max-conns", MaxConnections, "max-conns-per-host",
-          MaxConnections, "proxy-resolver", nullptr, nullptr))) {}
-
-HttpPlatform::~HttpPlatform() {
-  soup_session_abort(this->Session);
-  g_object_unref(this->Session);
-}
+HttpPlatform::HttpPlatform(const Options &Opts, std::function<TimePoint()> Now)
+    : Opts(Opts), Http({Opts.Address, Opts.MaxValueBytes}, std::move(Now)) {}
 
 void HttpPlatform::send(const std::string &Path, const std::string &Step,
-                        Millis Limit, GotReply Done) {
-  std::string Url = "http://" + this->Opts.Address + Path;
-  auto Call = std::make_unique<Pending>();
-  Call->Done = std::move(Done);
-  Call->Now = this->Now;
-  Call->Step = Step;
-  Call->Peer = this->Opts.Address;
-  Call->Message = soup_message_new("GET", Url.c_str());
-  Call->Stop = g_cancellable_new();
-  Call->MaxBytes = this->Opts.MaxValueBytes;
-  Call->Timer =
-      g_timeout_add(static_cast<guint>(Limit.count()), onTimeout, Call.get());
-  Pending *Raw = Call.release();
-  soup_session_send_and_read_async(this->Session, Raw->Message,
-                                   G_PRIORITY_DEFAULT, Raw->Stop, onReply, Raw);
+                        Millis Limit, const GotReply &Done) {
+  this->Http.fetch(Path, Step, Limit,
+                   [Done, Step, Peer = this->Opts.Address](
+                       const Result<HttpReply> &Got, TimePoint At) {
+                     Done(judge(Got, Step, Peer), At);
+                   });
 }
 
 void HttpPlatform::get(const std::string &Key, TimePoint, GotValue Done) {
--- a/src/reading/HttpPlatform.h
+++ b/src/reading/HttpPlatform.h
@@ -1,13 +1,9 @@
 #ifndef HICKORYLIFT_READING_HTTPPLATFORM_H
 #define HICKORYLIFT_READING_HTTPPLATFORM_H
 
+#include "base/HttpFetch.h"
 #include "reading/Platform.h"
 
-#include <libsoup/soup.h>
-
-#include <functional>
-#include <memory>
-
 namespace hickorylift {
 
 /// The platform over HTTP, as docs/PLATFORM.md gives it. At most one value of
@@ -22,8 +18,7 @@
   };
 
   /// Now gives the time at which an answer is handed on; the loop's clock.
-  HttpPlatform(Options Opts, std::function<TimePoint()> Now);
-  ~HttpPlatform() override;
+  HttpPlatform(const Options &Opts, std::function<TimePoint()> Now);
 
   void get(const std::string &Key, TimePoint Now, GotValue Done) override;
   void watch(const std::vector<std::string> &Keys, uint64_t After, Millis Wait,
@@ -34,11 +29,10 @@
       std::function<void(Result<std::pair<uint64_t, std::string>>, TimePoint)>;
 
   void send(const std::string &Path, const std::string &Step, Millis Limit,
-            GotReply Done);
+            const GotReply &Done);
 
   Options Opts;
-  std::function<TimePoint()> Now;
-  SoupSession *Session;
+  HttpFetcher Http;
 };
 
 } // namespace hickorylift
--- a/src/reading/Reader.h
+++ b/src/reading/Reader.h
@@ -4,6 +4,7 @@
 #include "base/Json.h"
 #include "base/TokenBucket.h"
 #include "config/Document.h"
+#include "reading/DocumentSource.h"
 #include "reading/Platform.h"
 
 #include <memory>
@@ -21,8 +22,6 @@
 
 namespace hickorylift {
 
-extern const char ConfigTopic[];
-
 /// From a record's entry name to the hash of its bytes.
 using RecordHashes = std::map<std::string, uint64_t>;
 
@@ -51,18 +50,9 @@
                                      FaultList &Faults);
 std::string writeManifest(const Manifest &Of);
 
-class Reader {
+class Reader : public DocumentSource {
 public:
-  enum class Duty {
-    /// Others read.
-    None,
-    /// Read the own data centre's list once, to find neighbours.
-    List,
-    /// Read everything once: no neighbour has anything.
-    Once,
-    /// Keep watching.
-    Watch,
-  };
+  using Duty = ReadDuty;
 
   struct Options {
     /// How long one watch may wait at the platform. The age of what we hold
@@ -85,17 +75,7 @@
     size_t Parallel = 16;
   };
 
-  struct Hooks {
-    std::function<void(const std::string &Topic, DocumentPtr, TimePoint)>
-        Publish;
-    /// Asked at AskedAt, the platform still named this version and revision.
-    std::function<void(const std::string &Topic, uint64_t Version,
-                       uint64_t Revision, TimePoint AskedAt)>
-        Confirm;
-    /// What this node holds already, so that only the rest is read.
-    std::function<DocumentPtr(const std::string &Topic)> Held;
-    std::function<void(const Error &, TimePoint)> Failed;
-  };
+  using Hooks = SourceHooks;
 
   /// DataCentres: all of the deployment, this node's own first. Each reader
   /// watches all lists, so that a data centre whose own readers are dead is
@@ -103,8 +83,8 @@
   Reader(Options Opts, Platform &From, Hooks Hooks,
          std::vector<std::string> DataCentres, uint64_t Seed);
 
-  void tick(TimePoint Now, Duty Wanted);
-  uint64_t reads() const { return this->Reads; }
+  void tick(TimePoint Now, Duty Wanted) override;
+  uint64_t reads() const override { return this->Reads; }
   Duty duty() const { return this->Current; }
 
 private:
--- /dev/null
+++ b/src/reading/StoreReader.cpp
@@ -0,0 +1,244 @@
+#include "reading/StoreReader.h"
+
+#include <algorithm>
+
+// Read all items once, then wait in one watch for what changes, and read all
+// again only where the store no longer knows what has changed since.
+//
+// Pages are not a snapshot. The watch therefore goes on from the revision of
+// the first page: what changed between the pages comes again, and an item is
+// only ever replaced by a later revision of itself.
+//
+// While the store is away, nobody can renew an entry, and entries of living
+// instances lapse. So after its return a list that lacks an instance is held
+// back until the instances have had time to renew: taken at once, it would
+// empty the fleet. What is still missing then is gone. Versions are never held
+// back.
+
+namespace hickorylift {
+
+namespace {
+
+constexpr unsigned MaxBackoffShift = 10;
+
+} // namespace
+
+StoreReader::StoreReader(Options Opts, KeyValueStore &From,
+                         StoreContents Contents, SourceHooks Hooks,
+                         std::vector<std::string> DataCentres, uint64_t Seed)
+    : Opts(Opts), From(From), Contents(std::move(Contents)),
+      Hook(std::move(Hooks)), DataCentres(std::move(DataCentres)), Random(Seed),
+      Budget(Opts.ReadsPerSecond, Opts.ReadBurst) {}
+
+void StoreReader::tick(TimePoint Now, ReadDuty Wanted) {
+  bool Reads = Wanted != ReadDuty::None;
+  bool Read = this->Current != ReadDuty::None;
+  this->Current = Wanted;
+  if (Reads != Read) {
+    ++*this->Epoch;
+    this->Busy = false;
+    this->Gathered.clear();
+    this->NotBefore =
+        Now + Millis(this->Random() % (this->Opts.StartJitter.count() + 1));
+  }
+  if (this->ListsWait && Now >= this->SettledAt)
+    this->publishLists(Now);
+  if (Reads && !this->Busy && Now >= this->NotBefore)
+    this->step(Now);
+}
+
+void StoreReader::step(TimePoint Now) {
+  if (!this->Budget.take(Now))
+    return;
+  ++this->Reads;
+  this->Busy = true;
+  if (!this->WantAll)
+    return this->watch(Now);
+  std::string After = this->Gathered.empty() ? "" : this->Gathered.back().Key;
+  this->list(After, Now);
+}
+
+template <typename T>
+std::function<void(Result<T>, TimePoint)>
+StoreReader::guarded(std::function<void(const Result<T> &, TimePoint)> Then) {
+  return [Then = std::move(Then), Epoch = std::weak_ptr<uint64_t>(this->Epoch),
+          Started = *this->Epoch](const Result<T> &Got, TimePoint Now) {
+    auto Alive = Epoch.lock();
+    if (Alive && *Alive == Started)
+      Then(Got, Now);
+  };
+}
+
+void StoreReader::list(const std::string &After, TimePoint Now) {
+  this->From.range(
+      this->Contents.Prefix, After, Now,
+      this->guarded<ItemPage>(
+          [this, Now](const Result<ItemPage> &Got, TimePoint Then) {
+            this->onPage(Got, Now, Then);
+          }));
+}
+
+void StoreReader::onPage(const Result<ItemPage> &Got, TimePoint AskedAt,
+                         TimePoint Now) {
+  if (!Got)
+    return this->fail(Got.error(), Now);
+  this->succeed(Now);
+  if (this->Gathered.empty())
+    this->GatheredAt = Got->At;
+  this->Gathered.insert(this->Gathered.end(), Got->Items.begin(),
+                        Got->Items.end());
+  if (Got->More && !Got->Items.empty())
+    return this->step(Now);
+  this->WantAll = false;
+  this->At = this->GatheredAt;
+  this->Instances.clear();
+  for (const StoredItem &Item : std::exchange(this->Gathered, {}))
+    this->put(Item, Now);
+  this->publishConfig(Now);
+  this->publishLists(Now);
+  this->confirmAll(AskedAt);
+  this->step(Now);
+}
+
+void StoreReader::watch(TimePoint Now) {
+  this->WatchedAt = Now;
+  this->From.watch(
+      this->Contents.Prefix, this->At, this->Opts.WatchWait, Now,
+      this->guarded<ItemChanges>(
+          [this, Now](const Result<ItemChanges> &Got, TimePoint Then) {
+            this->onChanges(Got, Now, Then);
+          }));
+}
+
+void StoreReader::onChanges(const Result<ItemChanges> &Got, TimePoint AskedAt,
+                            TimePoint Now) {
+  if (!Got)
+    return this->fail(Got.error(), Now);
+  this->succeed(Now);
+  this->At = std::max(this->At, Got->At);
+  for (const ItemChange &One : Got->Changes) {
+    if (One.Now)
+      this->put(*One.Now, Now);
+    else
+      this->Instances.erase(One.Key);
+  }
+  if (!Got->Changes.empty()) {
+    this->publishConfig(Now);
+    this->publishLists(Now);
+  }
+  this->confirmAll(AskedAt);
+  this->NotBefore = this->WatchedAt + this->Opts.WatchGap;
+  if (Now >= this->NotBefore)
+    this->step(Now);
+}
+
+void StoreReader::succeed(TimePoint Now) {
+  this->Busy = false;
+  this->Failures = 0;
+  if (!std::exchange(this->Failing, false))
+    return;
+  this->SettledAt = Now + this->Opts.SettleFor;
+  this->Hook.Recovered(Now);
+}
+
+void StoreReader::fail(const Error &Why, TimePoint Now) {
+  this->Busy = false;
+  this->Gathered.clear();
+  bool HistoryGone = Why.Code == Errc::Stale;
+  this->WantAll |= HistoryGone;
+  this->Failing |= !HistoryGone;
+  // Full jitter: of a herd that failed together, no two come back together.
+  Millis Longest =
+      std::min(this->Opts.LongestBackoff,
+               this->Opts.FirstBackoff *
+                   (1 << std::min(this->Failures, MaxBackoffShift)));
+  ++this->Failures;
+  this->NotBefore = Now + Millis(this->Random() % (Longest.count() + 1));
+  this->Hook.Failed(Why, Now);
+}
+
+void StoreReader::put(const StoredItem &Item, TimePoint Now) {
+  if (Item.Key == this->Contents.ConfigKey) {
+    if (!this->Config || this->Config->Revision < Item.Revision)
+      this->Config = Item;
+    return;
+  }
+  if (Item.Key.rfind(this->Contents.InstancePrefix, 0) != 0)
+    return;
+  Result<Instance> Read = this->Contents.ReadInstance(Item);
+  if (!Read)
+    return this->Hook.Failed(Read.error(), Now);
+  this->Instances[Item.Key] = {*Read, Item.Created};
+}
+
+void StoreReader::publishConfig(TimePoint Now) {
+  bool Known = this->ConfigDoc && this->Config &&
+               this->ConfigDoc->stamp().Revision == this->Config->Revision;
+  if (!this->Config || Known)
+    return;
+  Result<ReadVersion> Read = this->Contents.ReadConfig(*this->Config);
+  if (!Read)
+    return this->Hook.Failed(Read.error(), Now);
+  this->ConfigDoc = Document::make(Read->Version, this->Config->Revision,
+                                   std::move(Read->Records));
+  this->Hook.Publish(ConfigTopic, this->ConfigDoc, Now);
+}
+
+// Two entries may name one place for a while: the address of one that is gone
+// is given out again. The later one is the one that is there.
+std::map<std::string, EntryMap> StoreReader::listEntries() const {
+  std::map<std::string, const Listed *> ByName;
+  for (const auto &[Key, One] : this->Instances) {
+    const Listed *&Kept = ByName[One.Who.Name];
+    if (!Kept || Kept->Created < One.Created)
+      Kept = &One;
+  }
+  std::map<std::string, EntryMap> Out;
+  for (const std::string &Name : this->DataCentres)
+    Out[Name];
+  for (const auto &[Name, One] : ByName) {
+    auto Place = Out.find(One->Who.DataCentre);
+    if (Place != Out.end())
+      Place->second[Name] = makeEntry(Name, writeInstance(One->Who));
+  }
+  return Out;
+}
+
+// Whether an instance that was published as living is missing now.
+bool StoreReader::lacksListed() const {
+  std::set<std::string> Upstreams;
+  for (const auto &[Key, One] : this->Instances)
+    Upstreams.insert(One.Who.Name);
+  for (const auto &[Place, Doc] : this->Published)
+    for (const auto &[Name, Entry] : Doc->entries())
+      if (!Upstreams.count(Name))
+        return true;
+  return false;
+}
+
+void StoreReader::publishLists(TimePoint Now) {
+  this->ListsWait = Now < this->SettledAt && this->lacksListed();
+  if (this->ListsWait)
+    return;
+  for (auto &[Place, Entries] : this->listEntries()) {
+    DocumentPtr New = Document::make(this->At, this->At, std::move(Entries));
+    DocumentPtr &Old = this->Published[Place];
+    if (Old && Old->stamp().Hash == New->stamp().Hash)
+      continue;
+    Old = New;
+    this->Hook.Publish(listTopic(Place), New, Now);
+  }
+}
+
+void StoreReader::confirmAll(TimePoint AskedAt) {
+  if (this->ConfigDoc)
+    this->Hook.Confirm(ConfigTopic, this->ConfigDoc->stamp().Version,
+                       this->ConfigDoc->stamp().Revision, AskedAt);
+  if (this->ListsWait)
+    return;
+  for (const auto &[Place, Doc] : this->Published)
+    this->Hook.Confirm(listTopic(Place), Doc->stamp().Version,
+                       Doc->stamp().Revision, AskedAt);
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/reading/StoreReader.h
@@ -0,0 +1,106 @@
+#ifndef HICKORYLIFT_READING_STOREREADER_H
+#define HICKORYLIFT_READING_STOREREADER_H
+
+#include "base/TokenBucket.h"
+#include "reading/DocumentSource.h"
+#include "reading/KeyValueStore.h"
+
+#include <map>
+#include <random>
+
+// A StoreReader keeps a copy of what matters in a key-value store, and
+// publishes versions and lists of instances from it.
+//
+//   StoreReader Read(StoreReader::Options(), Store, Contents, Hooks,
+//                    {"north", "south"}, /*Seed=*/7);
+//   Read.tick(Now, ReadDuty::Watch);     // a few times a second
+
+namespace hickorylift {
+
+class StoreReader : public DocumentSource {
+public:
+  struct Options {
+    /// How long one watch may wait at the store.
+    Millis WatchWait{10000};
+    /// Between the starts of two watches. Changes that come in quick
+    /// succession are then read together, at one call for all of them.
+    Millis WatchGap{250};
+    /// First wait after a failure; doubles up to the longest, with jitter.
+    Millis FirstBackoff{100};
+    Millis LongestBackoff{1000};
+    /// A new duty starts within this, at random: a herd that starts together
+    /// does not read together.
+    Millis StartJitter{100};
+    /// How long after the store's return an instance that is missing may still
+    /// come back: entries lapse while nobody can renew them.
+    Millis SettleFor{2200};
+    /// Calls a second, and at once.
+    double ReadsPerSecond = 20;
+    double ReadBurst = 20;
+  };
+
+  StoreReader(Options Opts, KeyValueStore &From, StoreContents Contents,
+              SourceHooks Hooks, std::vector<std::string> DataCentres,
+              uint64_t Seed);
+
+  void tick(TimePoint Now, ReadDuty Wanted) override;
+  uint64_t reads() const override { return this->Reads; }
+
+private:
+  void step(TimePoint Now);
+  void list(const std::string &After, TimePoint Now);
+  void onPage(const Result<ItemPage> &Got, TimePoint AskedAt, TimePoint Now);
+  void watch(TimePoint Now);
+  void onChanges(const Result<ItemChanges> &Got, TimePoint AskedAt,
+                 TimePoint Now);
+  void succeed(TimePoint Now);
+  void fail(const Error &Why, TimePoint Now);
+  void put(const StoredItem &Item, TimePoint Now);
+  void publishConfig(TimePoint Now);
+  void publishLists(TimePoint Now);
+  bool lacksListed() const;
+  std::map<std::string, EntryMap> listEntries() const;
+  void confirmAll(TimePoint AskedAt);
+  template <typename T>
+  std::function<void(Result<T>, TimePoint)>
+  guarded(std::function<void(const Result<T> &, TimePoint)> Then);
+
+  struct Listed {
+    Instance Who;
+    uint64_t Created = 0;
+  };
+
+  Options Opts;
+  KeyValueStore &From;
+  StoreContents Contents;
+  SourceHooks Hook;
+  std::vector<std::string> DataCentres;
+  std::mt19937_64 Random;
+  ReadDuty Current = ReadDuty::None;
+  bool Busy = false;
+  // Whether all items must be read, for there is no revision to go on from.
+  bool WantAll = true;
+  TimePoint NotBefore;
+  TimePoint WatchedAt;
+  // The revision up to which the copy is complete.
+  uint64_t At = 0;
+  // Pages read so far, and the store's revision at the first of them.
+  std::vector<StoredItem> Gathered;
+  uint64_t GatheredAt = 0;
+  // The copy: instances by key, and the newest version.
+  std::map<std::string, Listed> Instances;
+  std::optional<StoredItem> Config;
+  DocumentPtr ConfigDoc;
+  std::map<std::string, DocumentPtr> Published;
+  bool Failing = false;
+  unsigned Failures = 0;
+  TimePoint SettledAt;
+  bool ListsWait = false;
+  TokenBucket Budget;
+  uint64_t Reads = 0;
+  std::shared_ptr<uint64_t> Epoch = std::make_shared<uint64_t>(0);
+};
+
+} // namespace hickorylift
+
+#endif
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -11,6 +11,9 @@
 // A link is condemned after this many heartbeats in a row were missed, at
 // least: fewer and one lost packet cuts healthy links.
 constexpr int64_t MinMissedHeartbeats = 3;
+// More often, and asking would be a load of its own.
+constexpr Millis ShortestHealthInterval{50};
+constexpr int64_t LongestHealthMs = 60000;
 
 class SettingsReader {
 public:
@@ -73,6 +76,8 @@
     this->Out.Callers = this->address(*Listen, "callers");
     this->Out.Peers = this->address(*Listen, "peers");
     this->Out.Operator = this->address(*Listen, "operator");
+    if (Listen->has("ready"))
+      this->Out.Ready = this->address(*Listen, "ready");
     std::set<std::string> Unique{this->Out.Callers.text(),
                                  this->Out.Peers.text(),
                                  this->Out.Operator.text()};
@@ -95,7 +100,14 @@
     if (this->Out.HealthPath.empty() || this->Out.HealthPath[0] != '/')
       Upstream->fault("health_path", "expected a path that starts with '/'");
     this->Out.HealthInterval =
-        Upstream->millis("health_interval_ms", 1000, 50, 60000);
+        Upstream->millis("health_interval_ms", 1000, 0, LongestHealthMs);
+    bool TooOften = this->Out.HealthInterval.count() > 0 &&
+                    this->Out.HealthInterval < ShortestHealthInterval;
+    if (TooOften)
+      Upstream->fault("health_interval_ms",
+                      "expected 0 for never, or a whole number from " +
+                          std::to_string(ShortestHealthInterval.count()) +
+                          " to " + std::to_string(LongestHealthMs));
     Upstream->finish();
   }
 
@@ -114,9 +126,23 @@
     Read.ReadBurst = Platform->number("read_burst", Read.ReadBurst, 1, 10000);
     Read.StartJitter =
         Platform->millis("start_jitter_ms", Read.StartJitter.count(), 0, MaxMs);
+    if (Platform->oneOf("protocol", "records", {"records", "store"}) == "store")
+      this->readStore(*Platform);
     Platform->finish();
   }
 
+  void readStore(JsonObject &Platform) {
+    StoreReader::Options &To = this->Out.Store;
+    this->Out.Protocol = PlatformProtocol::Store;
+    To.WatchWait = this->Out.Core.Control.Read.WatchWait;
+    To.StartJitter = this->Out.Core.Control.Read.StartJitter;
+    To.ReadsPerSecond = this->Out.Core.Control.Read.ReadsPerSecond;
+    To.ReadBurst = this->Out.Core.Control.Read.ReadBurst;
+    To.WatchGap =
+        Platform.millis("watch_gap_ms", To.WatchGap.count(), 0, 60000);
+    To.SettleFor = Platform.millis("settle_ms", To.SettleFor.count(), 0, MaxMs);
+  }
+
   void readSeeds(JsonObject &Top) {
     JsonObject Seeds = this->section(Top, "seeds");
     for (const std::string &Name : Seeds.keys()) {
@@ -156,6 +182,10 @@
     To.Window = static_cast<uint64_t>(
         Calls.integer("window_bytes", To.Window, 4096, 64 << 20));
     this->Out.Core.CallGate.Window = To.Window;
+    To.GatherBytes = Calls.integer("gather_bytes", To.GatherBytes, 0, 64 << 20);
+    To.ComeBack = Calls.millis("come_back_ms", To.ComeBack.count(), 1, MaxMs);
+    To.ConnectLimit =
+        Calls.millis("connect_ms", To.ConnectLimit.count(), 10, 60000);
     To.MaxCalls = static_cast<size_t>(
         Calls.integer("max_calls", To.MaxCalls, 1, 1 << 20));
     To.PingInterval =
@@ -205,6 +235,9 @@
     Audit.finish();
     JsonObject Stop = this->section(Top, "stop");
     this->Out.Core.StopWithin = Stop.millis("within_ms", 60000, 0, MaxMs);
+    this->Out.Core.StopLinger = Stop.millis("linger_ms", 0, 0, MaxMs);
+    if (this->Out.Core.StopLinger > this->Out.Core.StopWithin)
+      Stop.fault("linger_ms", "expected at most within_ms");
     Stop.finish();
   }
 
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -2,9 +2,10 @@
 #define HICKORYLIFT_SETTINGS_SETTINGS_H
 
 #include "base/Json.h"
-#include "gate/UpstreamClient.h"
+#include "http/UpstreamClient.h"
 #include "node/NodeCore.h"
 #include "reading/HttpPlatform.h"
+#include "reading/StoreReader.h"
 
 // Settings are what one process is told at its start: where it stands, whom it
 // serves, and how the deployment weighs speed against bytes. docs/SETTINGS.md
@@ -16,6 +17,13 @@
 
 namespace hickorylift {
 
+enum class PlatformProtocol {
+  /// Records under their hashes, docs/PLATFORM.md.
+  Records,
+  /// Items in a key-value store, through the adapter in platform/.
+  Store,
+};
+
 struct Settings {
   std::string Name;
   std::string DataCentre;
@@ -24,10 +32,16 @@
   NetAddress Callers;
   NetAddress Peers;
   NetAddress Operator;
+  /// Where the platform asks whether callers may come; by default it asks at
+  /// the operator's address.
+  std::optional<NetAddress> Ready;
   UpstreamClient::Options Upstream;
   std::string HealthPath;
+  /// Zero for never: what the list and the answers say is then all.
   Millis HealthInterval{1000};
+  PlatformProtocol Protocol = PlatformProtocol::Records;
   HttpPlatform::Options Platform;
+  StoreReader::Options Store;
   std::string LogLevel;
   NodeCore::Options Core;
 };
--- a/standin/Upstream.cpp
+++ b/standin/Upstream.cpp
@@ -167,8 +167,18 @@
                         nullptr);
     if (Of->Cut) {
       GSocket *Socket = soup_server_message_get_socket(Of->Message);
-      std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nhalf";
-      g_socket_send(Socket, Head.data(), Head.size(), nullptr, nullptr);
+      std::string Half = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                         std::to_string(Body.size()) + "\r\n\r\n" +
+                         Body.substr(0, Body.size() / 2);
+      g_socket_set_blocking(Socket, TRUE);
+      for (size_t Sent = 0; Sent < Half.size();) {
+        gssize Went = g_socket_send(Socket, Half.data() + Sent,
+                                    Half.size() - Sent, nullptr, nullptr);
+        if (Went <= 0)
+          break;
+        Sent += static_cast<size_t>(Went);
+      }
+      g_socket_set_blocking(Socket, FALSE);
       g_socket_shutdown(Socket, TRUE, TRUE, nullptr);
     }
     soup_server_message_set_response(
