--- a/src/config/ConfigTest.cpp
+++ b/src/config/ConfigTest.cpp
@@ -32,6 +32,12 @@
          Members + "}]";
 }
 
+/// The same with a route of schema 3.
+std::string withRoute3(const std::string &Members) {
+  return "[" + ServiceA + ",{\"kind\":\"route\",\"name\":\"r\",\"schema\":3," +
+         Members + "}]";
+}
+
 const BadRecords Bad[] = {
     {"", "f:"},
     {"{}", "expected a list of records"},
@@ -113,6 +119,28 @@
      "/match/host: unknown key"},
     {withRoute(MatchA + ",\"service\":\"a\",\"timeout_ms\":0"), "from 1 to"},
     {withRoute(MatchA + ",\"service\":\"a\",\"priority\":10"), "from 0 to 9"},
+    // Schema 2 does not know what schema 3 brought, and the other way round.
+    {withRoute3(MatchA), "/service: missing"},
+    {withRoute3(MatchA + ",\"service\":\"a\",\"split\":{\"a\":1}"),
+     "/service: stands beside split"},
+    {withRoute3(MatchA + ",\"split\":{}"), "weight above 0"},
+    {withRoute3(MatchA + ",\"split\":{\"a\":0}"), "weight above 0"},
+    {withRoute3(MatchA + ",\"split\":{\"a\":-1}"), "from 0 to 1000000"},
+    {withRoute3(MatchA + ",\"split\":{\"a\":1,\"b\":1}"),
+     "no usable service named b"},
+    {withRoute3(MatchA + ",\"split\":[\"a\"]"), "expected an object"},
+    {withRoute3(MatchA + ",\"service\":\"a\",\"attempts\":11"), "from 0 to 10"},
+    {withRoute3(MatchA + ",\"service\":\"a\",\"idempotent\":1"),
+     "expected true or false"},
+    {withRoute3(MatchA + ",\"service\":\"a\",\"target_ms\":-1"), "from 0 to"},
+    {withRoute(MatchA + ",\"service\":\"a\",\"idempotent\":true"),
+     "/idempotent: unknown key"},
+    {"[{\"kind\":\"bounds\",\"name\":\"b\",\"schema\":1,"
+     "\"header_bytes\":1}]",
+     "from 256 to"},
+    {"[{\"kind\":\"bounds\",\"name\":\"b\",\"schema\":1},"
+     "{\"kind\":\"bounds\",\"name\":\"c\",\"schema\":1}]",
+     "one record of this kind"},
     // Schema 1 does not know what schema 2 brought.
     {withRoute(MatchA + ",\"service\":\"a\",\"idempotency_key\":\"required\""),
      "/idempotency_key: unknown key"},
@@ -195,27 +223,30 @@
 
 // The fast look-up against the obviously right one.
 BOOST_AUTO_TEST_CASE(FastLookupAgreesWithSlow) {
+  const char *const Hosts[] = {"", "a.example", "B.example", "c.example:80"};
   std::mt19937 Random(11);
   for (int Round = 0; Round < 200; ++Round) {
     std::string Text = "[" + ServiceA;
     std::set<std::string> Used;
     for (int I = 0; I < 12; ++I) {
       std::string Prefix = randomPath(Random);
-      if (!Used.insert(Prefix).second)
+      std::string Host = Hosts[Random() % 3];
+      if (!Used.insert(Host + Prefix).second)
         continue;
       Text += ",{\"kind\":\"route\",\"name\":\"r" + std::to_string(I) +
-              "\",\"schema\":1,\"service\":\"a\",\"match\":{\"prefix\":\"" +
-              Prefix + "\"" + (Random() % 2 ? ",\"methods\":[\"GET\"]" : "") +
-              "}}";
+              "\",\"schema\":3,\"service\":\"a\",\"match\":{\"prefix\":\"" +
+              Prefix + "\",\"host\":\"" + Host + "\"" +
+              (Random() % 2 ? ",\"methods\":[\"GET\"]" : "") + "}}";
     }
     CompileResult Made = compileText(Text + "]", CompileOptions());
     BOOST_REQUIRE(Made.Compiled);
     for (int I = 0; I < 100; ++I) {
       std::string Path = randomPath(Random) + (Random() % 2 ? "?q=/a" : "");
       std::string Method = Random() % 2 ? "GET" : "POST";
-      BOOST_TEST(Made.Compiled->findRoute(Method, Path) ==
-                     Made.Compiled->findRouteSlowly(Method, Path),
-                 Method << " " << Path << " in " << Text);
+      std::string Host = hostName(Hosts[Random() % 4]);
+      BOOST_TEST(Made.Compiled->findRoute(Method, Path, Host) ==
+                     Made.Compiled->findRouteSlowly(Method, Path, Host),
+                 Method << " " << Host << Path << " in " << Text);
     }
   }
 }
--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -113,7 +113,7 @@
 struct CallerServer::Connection {
   uint64_t Id = 0;
   std::shared_ptr<TcpStream> Stream;
-  std::unique_ptr<RequestParser> Parser;
+  std::shared_ptr<RequestParser> Parser;
   // The exchange whose body is being read; null between requests.
   Exchange *Reading = nullptr;
   // A head that is read and must wait for the answers ahead of it.
@@ -236,7 +236,7 @@
   if (On->Unparsed.empty() || On->Queue.size() >= this->Opts.MaxPipelined)
     return false;
   if (!On->Parser) {
-    On->Parser = std::make_unique<RequestParser>(this->Bounds.HeaderBytes);
+    On->Parser = std::make_shared<RequestParser>(this->Bounds.HeaderBytes);
     On->HeadSince = At;
   }
   size_t Used = On->Parser->feed(On->Unparsed, [](std::string_view) {});
@@ -284,14 +284,16 @@
     if (On->Unparsed.empty() || (Of.WindowFull && !Of.Released))
       return false;
     CallerId Id = Of.Id;
-    size_t Used = On->Parser->feed(On->Unparsed, [&](std::string_view Piece) {
-      // The entry may let go of the exchange at any piece.
+    // The entry may refuse the exchange at any piece, and end the connection.
+    std::shared_ptr<RequestParser> Parser = On->Parser;
+    std::string Bytes = std::exchange(On->Unparsed, "");
+    size_t Used = Parser->feed(Bytes, [&](std::string_view Piece) {
       if (Exchange *Still = this->find(Id))
         this->takeBody(*Still, Piece, At);
     });
-    // What the hooks did may have ended the connection.
-    if (!On->Stream->isOpen())
+    if (!On->Stream->isOpen() || On->Parser != Parser)
       return false;
+    On->Unparsed = std::move(Bytes);
     On->Unparsed.erase(0, Used);
     if (On->Parser->failed()) {
       this->drop(On, At);
--- /dev/null
+++ b/src/http/HttpSocketsTest.cpp
@@ -0,0 +1,494 @@
+#include "http/CallerServer.h"
+#include "http/UpstreamClient.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace hickorylift {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+/// Turns the loop until something holds, or for five seconds.
+bool turnUntil(const std::function<bool()> &Holds) {
+  TimePoint GiveUp = Clock::now() + std::chrono::seconds(5);
+  while (!Holds() && Clock::now() < GiveUp)
+    if (!g_main_context_iteration(nullptr, FALSE))
+      usleep(200);
+  return Holds();
+}
+
+int listenAnywhere(uint16_t &Port) {
+  int Fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  sockaddr_in At{};
+  At.sin_family = AF_INET;
+  At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  BOOST_REQUIRE(bind(Fd, reinterpret_cast<sockaddr *>(&At), sizeof(At)) == 0);
+  BOOST_REQUIRE(listen(Fd, 8) == 0);
+  socklen_t Size = sizeof(At);
+  getsockname(Fd, reinterpret_cast<sockaddr *>(&At), &Size);
+  Port = ntohs(At.sin_port);
+  return Fd;
+}
+
+/// One end of a connection, as a test drives it.
+struct RawPeer {
+  int Fd = -1;
+  std::string Got;
+  bool Ended = false;
+
+  explicit RawPeer(int Fd) : Fd(Fd) { fcntl(Fd, F_SETFL, O_NONBLOCK); }
+  RawPeer(RawPeer &&Other) noexcept
+      : Fd(std::exchange(Other.Fd, -1)), Got(std::move(Other.Got)),
+        Ended(Other.Ended) {}
+  RawPeer(const RawPeer &) = delete;
+  RawPeer &operator=(const RawPeer &) = delete;
+  RawPeer &operator=(RawPeer &&) = delete;
+  ~RawPeer() { this->close(); }
+
+  static RawPeer dial(uint16_t Port) {
+    int Fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in To{};
+    To.sin_family = AF_INET;
+    To.sin_port = htons(Port);
+    To.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(connect(Fd, reinterpret_cast<sockaddr *>(&To), sizeof(To)) ==
+                  0);
+    return RawPeer(Fd);
+  }
+
+  void send(std::string_view Bytes) const {
+    BOOST_REQUIRE(::send(this->Fd, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) ==
+                  static_cast<ssize_t>(Bytes.size()));
+  }
+  void read() {
+    char Buffer[4096];
+    ssize_t Size = 0;
+    while ((Size = recv(this->Fd, Buffer, sizeof(Buffer), 0)) > 0)
+      this->Got.append(Buffer, static_cast<size_t>(Size));
+    this->Ended |= Size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+  bool waitFor(const std::string &Text) {
+    return turnUntil([&] {
+      this->read();
+      return this->Got.find(Text) != std::string::npos;
+    });
+  }
+  bool waitForEnd() {
+    return turnUntil([&] {
+      this->read();
+      return this->Ended;
+    });
+  }
+  void reset() {
+    linger Hard{1, 0};
+    setsockopt(this->Fd, SOL_SOCKET, SO_LINGER, &Hard, sizeof(Hard));
+    this->close();
+  }
+  void close() {
+    if (this->Fd >= 0)
+      ::close(std::exchange(this->Fd, -1));
+  }
+};
+
+Dialect names() {
+  Dialect Out;
+  Out.RequestId = "Request-Id";
+  Out.NotRun = "Not-Run";
+  Out.Proof = "Proof";
+  return Out;
+}
+
+/// A client of one upstream that the test plays, and what came of its calls.
+struct ClientFixture {
+  int Listener = -1;
+  std::unique_ptr<UpstreamClient> Http;
+  std::map<CallId, ResponseHead> Heads;
+  std::map<CallId, std::string> Bodies;
+  std::map<CallId, std::string> Ends;
+
+  ClientFixture() {
+    uint16_t Port = 0;
+    this->Listener = listenAnywhere(Port);
+    UpstreamClient::Options Opts;
+    Opts.Address = *parseAddress("127.0.0.1:" + std::to_string(Port));
+    Opts.Names = names();
+    UpstreamClient::Hooks Hooks;
+    Hooks.Head = [this](const CallId &Id, const ResponseHead &Head, TimePoint) {
+      this->Heads[Id] = Head;
+    };
+    Hooks.Body = [this](const CallId &Id, std::string_view Bytes, TimePoint) {
+      this->Bodies[Id].append(Bytes);
+    };
+    Hooks.End = [this](const CallId &Id, TimePoint) {
+      this->Ends[Id] = "answered";
+    };
+    Hooks.Failed = [this](const CallId &Id, bool Sent, const Error &,
+                          TimePoint) {
+      this->Ends[Id] = Sent ? "may have run" : "not sent";
+    };
+    Hooks.Consumed = [](const CallId &, uint64_t, TimePoint) {};
+    Hooks.Health = [](const Result<std::string> &, TimePoint) {};
+    this->Http = std::make_unique<UpstreamClient>(Opts, Hooks,
+                                                  [] { return Clock::now(); });
+  }
+  ~ClientFixture() { ::close(this->Listener); }
+
+  static RequestHead head(const std::string &Id, const std::string &Method) {
+    RequestHead Out;
+    Out.Method = Method;
+    Out.Path = "/" + Id;
+    Out.Headers = {{"Host", "x"}, {"Request-Id", Id}};
+    return Out;
+  }
+  void start(uint64_t Seq, bool MayRepeat = false,
+             const std::string &Method = "GET") {
+    this->Http->start({1, Seq}, head("id-" + std::to_string(Seq), Method),
+                      MayRepeat);
+  }
+  RawPeer accept() {
+    int Fd = -1;
+    turnUntil([&] {
+      if (Fd < 0)
+        Fd = ::accept(this->Listener, nullptr, nullptr);
+      return Fd >= 0;
+    });
+    BOOST_REQUIRE(Fd >= 0);
+    return RawPeer(Fd);
+  }
+  std::string end(uint64_t Seq) {
+    turnUntil([&] { return this->Ends.count({1, Seq}) != 0; });
+    return this->Ends[{1, Seq}];
+  }
+  size_t pendingAccepts() const {
+    int Fd = ::accept(this->Listener, nullptr, nullptr);
+    if (Fd >= 0)
+      ::close(Fd);
+    return Fd >= 0 ? 1 : 0;
+  }
+};
+
+std::string answer(const std::string &Id, const std::string &Body,
+                   const std::string &More = "") {
+  return "HTTP/1.1 200 OK\r\nProof: p\r\nRequest-Id: " + Id + "\r\n" + More +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+enum class AfterAnswer { Nothing, Close, Reset };
+
+struct AnswerRow {
+  const char *What;
+  std::string Bytes;
+  AfterAnswer After;
+  const char *End;
+  const char *Body;
+  // Whether the next call goes over the same connection.
+  bool Kept;
+};
+std::ostream &operator<<(std::ostream &To, const AnswerRow &Of) {
+  return To << Of.What;
+}
+
+const AnswerRow Answers[] = {
+    {"whole", answer("id-1", "abc"), AfterAnswer::Nothing, "answered", "abc",
+     true},
+    {"whole, and it says close", answer("id-1", "abc", "Connection: close\r\n"),
+     AfterAnswer::Nothing, "answered", "abc", false},
+    {"another request's comes first",
+     answer("id-0", "old") + answer("id-1", "abc"), AfterAnswer::Nothing,
+     "answered", "abc", true},
+    {"a second answer behind it", answer("id-1", "abc") + answer("id-1", "abc"),
+     AfterAnswer::Nothing, "answered", "abc", false},
+    {"an interim answer first",
+     "HTTP/1.1 100 Continue\r\n\r\n" + answer("id-1", "abc"),
+     AfterAnswer::Nothing, "answered", "abc", true},
+    {"cut short", answer("id-1", "abc").substr(0, 68), AfterAnswer::Close,
+     "may have run", "", false},
+    {"rubbish", "rubbish\r\n\r\n", AfterAnswer::Nothing, "may have run", "",
+     false},
+    {"nothing, closed", "", AfterAnswer::Close, "may have run", "", false},
+    {"nothing, reset", "", AfterAnswer::Reset, "may have run", "", false},
+    {"without a length, ended in order",
+     "HTTP/1.1 200 OK\r\nProof: p\r\nRequest-Id: id-1\r\n\r\nabc",
+     AfterAnswer::Close, "answered", "abc", false},
+    {"without a length, reset",
+     "HTTP/1.1 200 OK\r\nProof: p\r\nRequest-Id: id-1\r\n\r\nabc",
+     AfterAnswer::Reset, "may have run", "", false},
+    {"a success without the upstream's mark",
+     "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nContent-Length: 0\r\n\r\n",
+     AfterAnswer::Nothing, "may have run", "", false},
+    {"in a coding nobody asked for",
+     answer("id-1", "abc", "Content-Encoding: gzip\r\n"), AfterAnswer::Nothing,
+     "may have run", "", false},
+};
+
+/// A server for callers that the test plays, with the requests that came.
+struct ServerFixture {
+  uint16_t Port = 0;
+  std::unique_ptr<CallerServer> Http;
+  std::map<std::string, CallerServer::CallerId> Open;
+  std::map<std::string, std::string> Bodies;
+  std::map<CallerServer::CallerId, std::string> Paths;
+  std::vector<std::string> Gone;
+  std::vector<std::string> Whole;
+
+  ServerFixture() {
+    ::close(listenAnywhere(this->Port));
+    CallerServer::Hooks Hooks;
+    Hooks.Request = [this](CallerServer::CallerId Id, const RequestHead &Head,
+                           TimePoint) {
+      this->Open[Head.Path] = Id;
+      this->Paths[Id] = Head.Path;
+    };
+    Hooks.Body = [this](CallerServer::CallerId Id, std::string_view Bytes,
+                        TimePoint) {
+      this->Bodies[this->Paths[Id]].append(Bytes);
+    };
+    Hooks.BodyEnd = [this](CallerServer::CallerId Id, TimePoint) {
+      this->Whole.push_back(this->Paths[Id]);
+    };
+    Hooks.Consumed = [](CallerServer::CallerId, uint64_t, TimePoint) {};
+    Hooks.Gone = [this](CallerServer::CallerId Id, TimePoint) {
+      this->Gone.push_back(this->Paths[Id]);
+    };
+    Hooks.MayOverlap = [](const RequestHead &Head) {
+      return Head.Method == "GET";
+    };
+    CallerServer::Options Opts;
+    Opts.Names.FractionalRetryAfter = true;
+    this->Http = std::make_unique<CallerServer>(Opts, Hooks,
+                                                [] { return Clock::now(); });
+    BOOST_REQUIRE(static_cast<bool>(this->Http->listen(
+        *parseAddress("127.0.0.1:" + std::to_string(this->Port)))));
+  }
+
+  bool came(const std::string &Path) {
+    return turnUntil([&] { return this->Open.count(Path) != 0; });
+  }
+  void answer(const std::string &Path, const std::string &Body) {
+    ResponseHead Head;
+    Head.Status = 200;
+    Head.Reason = "OK";
+    Head.Length = static_cast<int64_t>(Body.size());
+    this->Http->head(this->Open.at(Path), Head);
+    this->Http->body(this->Open.at(Path), Body);
+    this->Http->bodyEnd(this->Open.at(Path));
+  }
+};
+
+std::string get(const std::string &Path) {
+  return "GET " + Path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpSockets)
+
+// What an upstream sends is the call's answer only if it is whole, and its own;
+// and only then may the next call use the connection.
+BOOST_DATA_TEST_CASE(AnswersAreJudged, data::make(Answers), Row) {
+  ClientFixture Of;
+  Of.start(1, /*MayRepeat=*/false, "POST");
+  RawPeer Upstream = Of.accept();
+  BOOST_REQUIRE(Upstream.waitFor("\r\n\r\n"));
+  Upstream.send(Row.Bytes);
+  if (Row.After == AfterAnswer::Close)
+    Upstream.close();
+  if (Row.After == AfterAnswer::Reset) {
+    // The bytes must arrive before the reset does.
+    turnUntil([&] { return !g_main_context_pending(nullptr); });
+    Upstream.reset();
+  }
+  BOOST_TEST(Of.end(1) == Row.End);
+  BOOST_TEST((Of.Bodies[{1, 1}]) == Row.Body);
+  Of.start(2);
+  bool Again = Row.Kept && Upstream.waitFor("/id-2");
+  BOOST_TEST(Again == Row.Kept);
+}
+
+// The upstream closes a kept connection just as the next call is written to it.
+// A call that may repeat goes over a new one; of another the outcome is
+// unknown, for it may have been read.
+BOOST_AUTO_TEST_CASE(CrossedCloseRepeatsOnlyWhatMayRepeat) {
+  for (bool MayRepeat : {true, false}) {
+    ClientFixture Of;
+    Of.start(1);
+    RawPeer Upstream = Of.accept();
+    BOOST_REQUIRE(Upstream.waitFor("\r\n\r\n"));
+    Upstream.send(answer("id-1", "", "Keep-Alive: timeout=10\r\n"));
+    BOOST_REQUIRE(Of.end(1) == "answered");
+    Of.start(2, MayRepeat);
+    BOOST_REQUIRE(Upstream.waitFor("/id-2"));
+    Upstream.close();
+    if (!MayRepeat) {
+      BOOST_TEST(Of.end(2) == "may have run");
+      continue;
+    }
+    RawPeer Next = Of.accept();
+    BOOST_TEST(Next.waitFor("/id-2"));
+    Next.send(answer("id-2", "x"));
+    BOOST_TEST(Of.end(2) == "answered");
+  }
+}
+
+// The upstream answers a long upload early and reads on. The next request on
+// that connection would be taken for the rest of the body.
+BOOST_AUTO_TEST_CASE(EarlyAnswerEndsTheConnection) {
+  ClientFixture Of;
+  RequestHead Head = ClientFixture::head("id-1", "POST");
+  Head.Length = 1000;
+  Of.Http->start({1, 1}, Head, false);
+  Of.Http->body({1, 1}, "part");
+  RawPeer Upstream = Of.accept();
+  BOOST_REQUIRE(Upstream.waitFor("part"));
+  Upstream.send(answer("id-1", "no"));
+  BOOST_TEST(Of.end(1) == "answered");
+  BOOST_TEST(Upstream.waitForEnd());
+}
+
+BOOST_AUTO_TEST_CASE(RefusedConnectionIsNotSent) {
+  ClientFixture Of;
+  ::close(std::exchange(Of.Listener, -1));
+  Of.start(1);
+  BOOST_TEST(Of.end(1) == "not sent");
+}
+
+// A connection that its upstream is about to close carries no call that must
+// not repeat.
+BOOST_AUTO_TEST_CASE(OldConnectionsCarryNoUnsafeCalls) {
+  ClientFixture Of;
+  Of.start(1);
+  RawPeer Upstream = Of.accept();
+  BOOST_REQUIRE(Upstream.waitFor("\r\n\r\n"));
+  Upstream.send(answer("id-1", "", "Keep-Alive: timeout=1\r\n"));
+  BOOST_REQUIRE(Of.end(1) == "answered");
+  Of.start(2, /*MayRepeat=*/false);
+  RawPeer Second = Of.accept();
+  BOOST_TEST(Second.waitFor("/id-2"));
+}
+
+BOOST_AUTO_TEST_CASE(CancelClosesTheConnection) {
+  ClientFixture Of;
+  Of.start(1);
+  RawPeer Upstream = Of.accept();
+  BOOST_REQUIRE(Upstream.waitFor("\r\n\r\n"));
+  Of.Http->cancel({1, 1});
+  BOOST_TEST(Upstream.waitForEnd());
+}
+
+BOOST_FIXTURE_TEST_CASE(PipelinedAnswersKeepTheirOrder, ServerFixture) {
+  RawPeer Caller = RawPeer::dial(this->Port);
+  Caller.send(get("/a") + get("/b"));
+  BOOST_REQUIRE(this->came("/b"));
+  this->answer("/b", "second");
+  this->answer("/a", "first");
+  BOOST_REQUIRE(Caller.waitFor("second"));
+  BOOST_TEST(Caller.Got.find("first") < Caller.Got.find("second"));
+}
+
+// Were it started early, and the answer ahead of it closed the connection, the
+// caller would send it again and it would run twice.
+BOOST_FIXTURE_TEST_CASE(UnsafeRequestsWaitForThoseAhead, ServerFixture) {
+  RawPeer Caller = RawPeer::dial(this->Port);
+  Caller.send(get("/a") +
+              "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi" +
+              get("/c"));
+  BOOST_REQUIRE(this->came("/a"));
+  turnUntil([] { return !g_main_context_pending(nullptr); });
+  BOOST_TEST(this->Open.count("/b") == 0u);
+  this->answer("/a", "first");
+  BOOST_REQUIRE(this->came("/b"));
+  BOOST_TEST(this->Bodies["/b"] == "hi");
+  this->answer("/b", "second");
+  BOOST_REQUIRE(this->came("/c"));
+  this->answer("/c", "third");
+  BOOST_TEST(Caller.waitFor("third"));
+}
+
+// The bytes of a further request wait on the connection as the caller leaves.
+// Its call must still be told.
+BOOST_FIXTURE_TEST_CASE(CallerThatLeavesIsNoticed, ServerFixture) {
+  RawPeer Caller = RawPeer::dial(this->Port);
+  Caller.send(get("/a") + "POST /b HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_REQUIRE(this->came("/a"));
+  Caller.close();
+  BOOST_TEST(turnUntil([&] { return this->Gone.size() == 1; }));
+  BOOST_TEST(this->Gone.at(0) == "/a");
+}
+
+// The caller is refused while it still sends. Were the socket closed with
+// unread bytes in it, a reset would take the refusal from it.
+BOOST_FIXTURE_TEST_CASE(RefusalReachesACallerThatStillSends, ServerFixture) {
+  RawPeer Caller = RawPeer::dial(this->Port);
+  Caller.send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf");
+  BOOST_REQUIRE(this->came("/a"));
+  Refusal Why;
+  Why.Reason = "overload";
+  Why.RetryAfter = Millis(120);
+  this->Http->refuse(this->Open.at("/a"), Why);
+  BOOST_REQUIRE(Caller.waitFor("not-run"));
+  BOOST_TEST(Caller.Got.find("Retry-After: 0.120\r\n") != std::string::npos);
+  BOOST_TEST(Caller.Got.find("Connection: close") != std::string::npos);
+  Caller.send("rest");
+  BOOST_TEST(Caller.waitForEnd());
+}
+
+BOOST_FIXTURE_TEST_CASE(SlowHeadsAndIdleConnectionsEnd, ServerFixture) {
+  CallerBounds Bounds;
+  Bounds.HeaderTimeout = Millis(100);
+  Bounds.IdleTimeout = Millis(200);
+  this->Http->setBounds(Bounds);
+  RawPeer Slow = RawPeer::dial(this->Port);
+  RawPeer Idle = RawPeer::dial(this->Port);
+  Slow.send("GET /a HT");
+  turnUntil([&] { return this->Http->connections() == 2; });
+  turnUntil([] { return !g_main_context_pending(nullptr); });
+  TimePoint Now = Clock::now();
+  this->Http->tick(Now + Millis(150));
+  BOOST_TEST(Slow.waitFor("408"));
+  Idle.read();
+  BOOST_TEST(!Idle.Ended);
+  this->Http->tick(Now + Millis(10000));
+  BOOST_TEST(Idle.waitForEnd());
+  BOOST_TEST(Slow.waitForEnd());
+}
+
+BOOST_FIXTURE_TEST_CASE(BodyOverTheBoundIsRefused, ServerFixture) {
+  CallerBounds Bounds;
+  Bounds.BodyBytes = 10;
+  this->Http->setBounds(Bounds);
+  RawPeer Stated = RawPeer::dial(this->Port);
+  Stated.send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n");
+  BOOST_TEST(Stated.waitFor("413"));
+  RawPeer Chunked = RawPeer::dial(this->Port);
+  Chunked.send("POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+               "\r\n8\r\n12345678\r\n8\r\n12345678\r\n");
+  BOOST_TEST(Chunked.waitFor("413"));
+  BOOST_TEST(this->Gone == std::vector<std::string>{"/b"});
+}
+
+// The answer breaks off after it has begun: nothing may make it look whole.
+BOOST_FIXTURE_TEST_CASE(BrokenAnswerIsCutOff, ServerFixture) {
+  RawPeer Caller = RawPeer::dial(this->Port);
+  Caller.send(get("/a"));
+  BOOST_REQUIRE(this->came("/a"));
+  ResponseHead Head;
+  Head.Status = 200;
+  this->Http->head(this->Open.at("/a"), Head);
+  this->Http->body(this->Open.at("/a"), "part");
+  this->Http->abort(this->Open.at("/a"));
+  BOOST_TEST(Caller.waitForEnd());
+  BOOST_TEST(Caller.Got.find("0\r\n\r\n") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/reading/StoreReaderTest.cpp
@@ -0,0 +1,204 @@
+#include "reading/StoreReader.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+
+namespace hickorylift {
+
+namespace {
+
+const TimePoint Start = TimePoint(std::chrono::hours(1));
+
+/// A store that answers when the test says so.
+class FakeStore : public KeyValueStore {
+public:
+  void range(const std::string &, const std::string &After, TimePoint,
+             GotPage Done) override {
+    this->RangeAfter = After;
+    this->Pages.push_back(std::move(Done));
+  }
+  void watch(const std::string &, uint64_t After, Millis, TimePoint,
+             GotChanges Done) override {
+    this->WatchAfter = After;
+    this->Watches.push_back(std::move(Done));
+  }
+
+  void page(const Result<ItemPage> &Of, TimePoint Now) {
+    BOOST_REQUIRE(!this->Pages.empty());
+    GotPage Done = std::move(this->Pages.front());
+    this->Pages.pop_front();
+    Done(Of, Now);
+  }
+  void changes(const Result<ItemChanges> &Of, TimePoint Now) {
+    BOOST_REQUIRE(!this->Watches.empty());
+    GotChanges Done = std::move(this->Watches.front());
+    this->Watches.pop_front();
+    Done(Of, Now);
+  }
+
+  std::string RangeAfter;
+  uint64_t WatchAfter = 0;
+  std::deque<GotPage> Pages;
+  std::deque<GotChanges> Watches;
+};
+
+StoredItem instance(const std::string &Name, uint64_t Revision) {
+  return {"i/" + Name, "live", Revision, Revision};
+}
+
+StoreContents contents() {
+  StoreContents Out;
+  Out.ConfigKey = "c";
+  Out.InstancePrefix = "i/";
+  Out.ReadConfig = [](const StoredItem &Item) -> Result<ReadVersion> {
+    if (Item.Value == "bad")
+      return Error{Errc::Invalid, "read-item", "store", "bad"};
+    return ReadVersion{std::stoull(Item.Value), {}};
+  };
+  Out.ReadInstance = [](const StoredItem &Item) -> Result<Instance> {
+    Instance One;
+    // Two entries for one place are told apart by what stands after the '+'.
+    std::string Name = Item.Key.substr(2);
+    One.Name = Name.substr(0, Name.find('+'));
+    One.Upstream = Name;
+    One.DataCentre = "north";
+    One.Service = "a";
+    One.Node = "127.0.0.1:1";
+    One.Operator = "127.0.0.1:2";
+    One.Leaving = Item.Value == "leaving";
+    return One;
+  };
+  return Out;
+}
+
+struct Fixture {
+  FakeStore Store;
+  std::map<std::string, DocumentPtr> Seen;
+  std::vector<std::string> Failures;
+  std::unique_ptr<StoreReader> Read;
+  TimePoint Now = Start;
+
+  Fixture() {
+    SourceHooks Hooks;
+    Hooks.Publish = [this](const std::string &Topic, const DocumentPtr &Doc,
+                           TimePoint) { this->Seen[Topic] = Doc; };
+    Hooks.Confirm = [](const std::string &, uint64_t, uint64_t, TimePoint) {};
+    Hooks.Held = [](const std::string &) { return nullptr; };
+    Hooks.Failed = [this](const Error &Why, TimePoint) {
+      this->Failures.push_back(Why.Detail);
+    };
+    StoreReader::Options Opts;
+    Opts.StartJitter = Millis(0);
+    this->Read = std::make_unique<StoreReader>(
+        Opts, this->Store, contents(), Hooks,
+        std::vector<std::string>{"north", "south"}, 7);
+    this->step(Millis(0));
+  }
+
+  void step(Millis By) {
+    this->Now += By;
+    this->Read->tick(this->Now, ReadDuty::Watch);
+  }
+
+  /// Goes on until the reader asks again, at most two seconds.
+  void untilAsked() {
+    for (int I = 0; I < 200; ++I)
+      if (this->Store.Pages.empty() && this->Store.Watches.empty())
+        this->step(Millis(10));
+  }
+
+  void startWith(std::vector<StoredItem> Items, uint64_t At) {
+    this->Store.page(ItemPage{std::move(Items), false, At}, this->Now);
+  }
+
+  size_t listed() const {
+    return this->Seen.at("instances/north")->entries().size();
+  }
+};
+
+Error unreachable() { return Error{Errc::Unreachable, "s", "p", "away"}; }
+Error historyGone() { return Error{Errc::Stale, "s", "p", "gone"}; }
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(StoreReading)
+
+BOOST_FIXTURE_TEST_CASE(PagesThenWatchFromTheFirst, Fixture) {
+  this->Store.page(ItemPage{{instance("x", 3)}, true, 10}, this->Now);
+  BOOST_TEST(this->Store.RangeAfter == "i/x");
+  this->Store.page(ItemPage{{instance("y", 11)}, false, 12}, this->Now);
+  BOOST_TEST(this->listed() == 2u);
+  // What changed between the two pages must come again.
+  BOOST_TEST(this->Store.WatchAfter == 10u);
+  BOOST_TEST(this->Seen.at("instances/south")->entries().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(QuickChangesShareACall, Fixture) {
+  this->startWith({{"c", "1", 1, 1}}, 1);
+  this->Store.changes(ItemChanges{{{"c", 2, StoredItem{"c", "2", 2, 1}}}, 2},
+                      this->Now);
+  BOOST_TEST(this->Seen.at(ConfigTopic)->stamp().Version == 2u);
+  BOOST_TEST(this->Store.Watches.empty());
+  this->step(Millis(250));
+  BOOST_TEST(this->Store.Watches.size() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(BadVersionLeavesTheLastOne, Fixture) {
+  this->startWith({{"c", "1", 1, 1}}, 1);
+  this->Store.changes(ItemChanges{{{"c", 2, StoredItem{"c", "bad", 2, 1}}}, 2},
+                      this->Now);
+  BOOST_TEST(this->Seen.at(ConfigTopic)->stamp().Version == 1u);
+  BOOST_TEST(this->Failures == std::vector<std::string>{"bad"});
+}
+
+// An upstream drains, a watch is dropped together with its history, and the
+// upstream leaves in between. Nobody tells of it; only reading all again does.
+BOOST_FIXTURE_TEST_CASE(LostHistoryIsReadAgain, Fixture) {
+  this->startWith({instance("x", 1), instance("y", 2)}, 2);
+  this->Store.changes(historyGone(), this->Now);
+  this->untilAsked();
+  this->startWith({instance("x", 1)}, 9);
+  BOOST_TEST(this->listed() == 1u);
+}
+
+// The store is away for a while. Entries of living upstreams lapse, since they
+// cannot renew them, and are back soon after its return. Callers must not find
+// the fleet empty in between, nor one that is really gone kept for ever.
+BOOST_FIXTURE_TEST_CASE(LapsedEntriesAreWaitedFor, Fixture) {
+  this->startWith({instance("x", 1), instance("y", 2)}, 2);
+  this->Store.changes(unreachable(), this->Now);
+  this->untilAsked();
+  this->Store.changes(
+      ItemChanges{{{"i/x", 5, std::nullopt}, {"i/y", 6, std::nullopt}}, 6},
+      this->Now);
+  BOOST_TEST(this->listed() == 2u);
+  this->untilAsked();
+  this->Store.changes(ItemChanges{{{"i/x", 7, instance("x", 7)}}, 7},
+                      this->Now);
+  BOOST_TEST(this->listed() == 2u);
+  this->step(Millis(2300));
+  BOOST_TEST(this->listed() == 1u);
+}
+
+// An address is given out again before the old entry has lapsed.
+BOOST_FIXTURE_TEST_CASE(TheLaterOfTwoEntriesCounts, Fixture) {
+  this->startWith({instance("x+old", 1), instance("x+new", 5)}, 5);
+  BOOST_TEST(this->listed() == 1u);
+  const DocumentPtr &List = this->Seen.at("instances/north");
+  BOOST_TEST(List->entries().at("x").Bytes->find("x+new") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(FailuresAreAskedAgainEverLater, Fixture) {
+  for (int I = 0; I < 20; ++I) {
+    this->Store.page(unreachable(), this->Now);
+    TimePoint Failed = this->Now;
+    this->untilAsked();
+    BOOST_TEST((this->Now - Failed <= Millis(1010)));
+    BOOST_REQUIRE(this->Store.Pages.size() == 1u);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace hickorylift
