Gates are chosen by when the answer is expected; logs are bounded and never block

Soonest adds run time, wait, way and failures of each gate; a call leaves its data centre only where that gains more than a tenth of its target, and more for large bodies. Calls whose link was lost are cancelled over the next one, and end at the gate where the entry does not come back in 0.5 s.

One line for each decision on a call, with its id, inputs and outcome; what is over the bound of a kind is summed up with first and last id. A line that the output does not take at once is dropped and counted.

--- a/src/base/Log.h
+++ b/src/base/Log.h
@@ -16,6 +16,8 @@
 /// Sends log4cplus to standard output. Call once, before the first line.
 /// Level: "debug", "info", "warn" or "error".
 void startLog(const std::string &Level);
+/// Lines left out since the start because nobody read the output in time.
+uint64_t droppedLogLines();
 /// From now on, lines below Level are left out.
 void setLogLevel(const std::string &Level);
 
--- a/src/calls/CallsTest.cpp
+++ b/src/calls/CallsTest.cpp
@@ -115,7 +115,8 @@
   std::vector<Instance> All = twoPlaces();
   Chooser Own({}, "north", "n-2", 1);
   BOOST_TEST(Own.pick(pointers(All), {}, Start)->Name == "n-2");
-  Own.learn("n-2", wire::Load(10, 0, 10, 1000), Start);
+  // Full, and the wait for a slot is longer than the way to another.
+  Own.learn("n-2", wire::Load(10, 0, 10, 100000), Start);
   BOOST_TEST(Own.pick(pointers(All), {}, Start)->Name != "n-2");
   Chooser Other({}, "north", "x-1", 1);
   for (int I = 0; I < 50; ++I)
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -32,6 +32,7 @@
 constexpr unsigned NotFoundStatus = 404;
 constexpr unsigned BadRequestStatus = 400;
 constexpr unsigned TooLargeStatus = 431;
+constexpr unsigned FirstServerError = 500;
 
 // What is left of the caller's own deadline, if it says so. Unreadable is no
 // deadline: the route's own holds.
@@ -60,6 +61,13 @@
          Why.Reason.rfind(UpstreamReason, 0) == 0;
 }
 
+Chooser::Want wantOf(const RequestHead &Head, const Route &Taken) {
+  Chooser::Want Out;
+  Out.BodyBytes = static_cast<uint64_t>(std::max<int64_t>(0, Head.Length));
+  Out.Target = Taken.TargetLatency;
+  return Out;
+}
+
 size_t headerBytes(const RequestHead &Head) {
   size_t Sum = Head.Path.size();
   for (const HeaderField &One : Head.Headers)
@@ -92,6 +100,22 @@
   return Found == this->Calls.end() ? nullptr : &Found->second;
 }
 
+void Entry::note(const char *What, const Call &Of, const Refusal &Why,
+                 TimePoint Now) const {
+  Note Out;
+  Out.What = What;
+  Out.RequestId = findHeader(Of.Head.Headers, this->Opts.Names.RequestId);
+  Out.Route = Of.Taken ? Of.Taken->Name : "";
+  Out.Gate = Of.Gate.empty() ? Why.Peer : Of.Gate;
+  Out.Reason = Why.Reason;
+  Out.Step = Why.Step;
+  Out.Version = Of.Under ? Of.Under->stamp().Version : 0;
+  Out.Offers = Of.Offers;
+  Out.Age = toMillis(Now - Of.CameAt);
+  Out.Left = toMillis(Of.Deadline - Now);
+  this->Hook.Decided(Out, Now);
+}
+
 void Entry::membersChanged(TimePoint) {
   std::set<std::string> Listed;
   if (this->InForce)
@@ -164,6 +188,7 @@
     Budget = std::min(Budget, *Asked);
     Target -= std::min(Target, this->Ages.age(Taken.Name, *Asked, Now));
   }
+  One.CameAt = Now;
   One.Deadline = Now + Budget;
   One.TargetAt = Taken.TargetLatency.count() > 0 ? Now + Target : One.Deadline;
   return One;
@@ -173,6 +198,11 @@
   ++this->Counts.Requests;
   if (std::optional<Refusal> Why = this->check(Caller, Head, Now)) {
     ++this->Counts.RefusedBy[Why->Reason];
+    Call Unmade(0);
+    Unmade.Head = Head;
+    Unmade.Under = this->InForce;
+    Unmade.CameAt = Unmade.Deadline = Now;
+    this->note("call-refused", Unmade, *Why, Now);
     return this->Hook.Refuse(Caller, *Why);
   }
   const Route *Taken = this->findRoute(Head);
@@ -190,7 +220,8 @@
 const Instance *Entry::chooseGate(const Call &One, TimePoint Now) {
   const auto &Upstreams = this->Fleet.upstreams(One.Target->Name);
   if (One.Key.empty() || One.Idempotent)
-    return this->Choose.pick(Upstreams, One.Tried, Now);
+    return this->Choose.pick(Upstreams, One.Tried, Now,
+                             wantOf(One.Head, *One.Taken));
   const Instance *Home = keyHome(One.Key, Upstreams);
   return Home && One.Tried.count(Home->Name) ? nullptr : Home;
 }
@@ -336,6 +367,9 @@
     this->Hook.Send(Found->second.Gate, callFrame(std::move(Cancel)));
   }
   ++this->Counts.Aborted;
+  Refusal Why;
+  Why.Reason = "caller-gone";
+  this->note("caller-gone", Found->second, Why, Now);
   this->finish(Caller, Now);
 }
 
@@ -344,8 +378,13 @@
   if (One.Gate.empty())
     return;
   this->Choose.ended(One.Gate, Answered, Now - One.StartedAt, Now);
-  this->Links[One.Gate].Calls.erase(Caller);
-  this->Links[One.Gate].UsedAt = Now;
+  Link &On = this->Links[One.Gate];
+  On.Calls.erase(Caller);
+  On.UsedAt = Now;
+  // The link is lost, and with it the way to say that nobody waits any more.
+  bool MayRun = One.Now == State::Searching;
+  if (MayRun && On.Orphans.size() < this->Opts.MaxOrphans)
+    On.Orphans.push_back(One.Id.Seq);
   this->BySeq.erase(One.Id.Seq);
   One.Gate.clear();
 }
@@ -371,6 +410,10 @@
   bool RanEarlier =
       One.LastRefusal && One.LastRefusal->What == Outcome::Unknown;
   Refusal Final = RanEarlier ? *One.LastRefusal : Why;
+  const char *What = HaveHead                         ? "call-broken"
+                     : Final.What == Outcome::Unknown ? "call-unknown"
+                                                      : "call-refused";
+  this->note(What, One, Final, Now);
   this->leaveGate(Caller, One, !blamesGate(Why), Now);
   this->Calls.erase(Caller);
   if (HaveHead) {
@@ -402,6 +445,7 @@
   if (!this->mayTryAnother(One, Why, Now))
     return this->giveUp(Caller, Why, Now);
   ++this->Counts.Retries;
+  this->note("call-retried", One, Why, Now);
   if (!One.LastRefusal || One.LastRefusal->What == Outcome::NotRun)
     One.LastRefusal = Why;
   this->leaveGate(Caller, One, !blamesGate(Why), Now);
@@ -437,6 +481,12 @@
   On.LostAt.reset();
   On.NextPing = Now + this->Opts.PingInterval;
   this->Choose.ready(Gate);
+  for (uint64_t Seq : std::exchange(On.Orphans, {})) {
+    wire::CancelT Cancel;
+    Cancel.seq = Seq;
+    Cancel.reason = "caller-gone";
+    this->Hook.Send(Gate, callFrame(std::move(Cancel)));
+  }
   for (CallerId Caller : std::set<CallerId>(On.Calls)) {
     Call *Found = this->find(Caller);
     if (!Found)
@@ -447,6 +497,7 @@
     } else if (One.GateIncarnation == Hello.incarnation ||
                !this->Opts.Guards.ProveIncarnation) {
       ++this->Counts.Resumed;
+      this->note("call-resumed", One, Refusal(), Now);
       this->open(Caller, One, /*Resume=*/true, Now);
     } else {
       this->tryAnother(
@@ -480,8 +531,12 @@
           Caller,
           this->refusal(Outcome::NotRun, "gate-unreachable", StepLink, Gate),
           Now);
-    else
+    else if (One.Now == State::Sent) {
       One.Now = State::Searching;
+      this->note("call-searching", One,
+                 this->refusal(Outcome::Unknown, "link-lost", StepLink, Gate),
+                 Now);
+    }
   }
 }
 
@@ -520,12 +575,15 @@
       On.ConnectingSince && Now - *On.ConnectingSince > this->Opts.ConnectLimit;
   if ((Silent || NeverUp) && this->Opts.Guards.CondemnSilentLinks)
     this->condemn(Gate, On, Now);
-  if (On.Up || On.ConnectingSince || On.Calls.empty())
+  bool Wanted = !On.Calls.empty() || !On.Orphans.empty();
+  if (On.Up || On.ConnectingSince || !Wanted)
     return;
-  if (On.LostAt && Now - *On.LostAt > this->Opts.FindAgain)
+  if (On.LostAt && Now - *On.LostAt > this->Opts.FindAgain) {
+    On.Orphans.clear();
     this->giveUpSearch(Gate, On, Now);
-  else
+  } else {
     this->connect(Gate, On, Now);
+  }
 }
 
 void Entry::giveUpSearch(const std::string &Gate, Link &On, TimePoint Now) {
@@ -587,6 +645,7 @@
   if (One.HaveHead)
     return;
   One.HaveHead = true;
+  this->Choose.judged(Gate, Head.status >= FirstServerError, Now);
   ResponseHead Answer;
   Answer.Status = Head.status;
   Answer.Reason = Head.reason;
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -75,13 +75,38 @@
     uint32_t MaxOffers = 4;
     /// Advice to callers that are refused before a gate is chosen.
     Millis ComeBack{1000};
+    /// Calls of one lost link that are cancelled when it is back; those over
+    /// this run to their deadlines.
+    size_t MaxOrphans = 1000;
     /// Of the choice among gates.
     Chooser::Options Choose;
     /// All on, but in scenarios.
     Safeguards Guards;
   };
 
+  /// A decision about one call, for the log.
+  struct Note {
+    /// "call-refused", "call-retried", "call-unknown", "call-broken",
+    /// "call-searching", "call-resumed", "caller-gone".
+    const char *What = "";
+    /// As the caller named the attempt; empty where it did not.
+    std::string RequestId;
+    std::string Route;
+    std::string Gate;
+    /// Of the gate's refusal or of ours.
+    std::string Reason;
+    std::string Step;
+    /// Version that the call goes by; 0 where none was in force.
+    uint64_t Version = 0;
+    uint32_t Offers = 0;
+    /// Since the request came in, and until its deadline.
+    Millis Age{0};
+    Millis Left{0};
+  };
+
   struct Hooks {
+    std::function<void(const Note &, TimePoint)> Decided =
+        [](const Note &, TimePoint) {};
     /// Opens a call link to a gate; gateUp or gateDown follows.
     std::function<void(const Instance &)> Connect;
     std::function<void(const std::string &Gate, wire::CallFrameT)> Send;
@@ -166,6 +191,7 @@
     std::string Key;
     std::string Class;
     bool Idempotent = false;
+    TimePoint CameAt;
     TimePoint Deadline;
     // Past this, the answer is worth less to the caller.
     TimePoint TargetAt;
@@ -197,9 +223,14 @@
     TimePoint NextPing;
     std::optional<TimePoint> LostAt;
     std::set<CallerId> Calls;
+    // Calls that nobody waits for any more and that may still run there: to be
+    // cancelled over the next link.
+    std::vector<uint64_t> Orphans;
   };
 
   Call *find(CallerId Caller);
+  void note(const char *What, const Call &Of, const Refusal &Why,
+            TimePoint Now) const;
   Refusal refusal(Outcome What, const std::string &Reason,
                   const std::string &Step, const std::string &Peer) const;
   std::optional<Refusal> check(CallerId Caller, const RequestHead &Head,
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -188,6 +188,22 @@
   BOOST_TEST(this->Refused[1] == "unknown upstream-closed");
 }
 
+// The link to the gate falls silent, and the caller leaves while the entry
+// looks for another way. The upstream works on for nobody unless it is told
+// over the next link.
+BOOST_FIXTURE_TEST_CASE(CallerThatLeavesDuringASearchIsTold, Fixture) {
+  this->request(1, "/write/1");
+  std::string Gate = this->Dialled.back();
+  this->hello(Gate);
+  BOOST_REQUIRE(this->opens().size() == 1u);
+  this->pass(Millis(700)); // pings go unanswered, the link is condemned
+  BOOST_REQUIRE(this->Dialled.size() == 2u);
+  this->From->callerGone(1, this->Now);
+  BOOST_TEST(this->cancels(Gate) == 0u);
+  this->hello(Gate);
+  BOOST_TEST(this->cancels(Gate) == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(CallsSayWhereTheyComeFromAndWhomTheyMean, Fixture) {
   this->request(1, "/read/1");
   this->hello(this->Dialled.back());
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -100,6 +100,8 @@
     if (!One.Linked || One.Link != Link)
       continue;
     One.Linked = false;
+    if (One.Now == State::Running && One.Idempotent)
+      this->Unlinked.emplace(Id, Now);
     if (One.Now == State::Waiting)
       this->refuse(
           Id, One,
@@ -357,6 +359,7 @@
   }
   One->Link = Link;
   One->Linked = true;
+  this->Unlinked.erase(Id);
   if (One->Now == State::Refused)
     return this->sendFailed(Id, *One, Now);
   if (!One->Response.rewind(Open.answer_received)) {
@@ -600,7 +603,27 @@
   this->tick(Now);
 }
 
+// The process at the other end has died, or the way to it is cut: its caller
+// has no connection any more either, and the work would be for nobody.
+void Gate::endOrphans(TimePoint Now) {
+  for (auto At = this->Unlinked.begin(); At != this->Unlinked.end();) {
+    if (Now - At->second < this->Opts.OrphanGrace) {
+      ++At;
+      continue;
+    }
+    CallId Id = At->first;
+    At = this->Unlinked.erase(At);
+    Call *One = this->find(Id);
+    if (One && One->Now == State::Running && !One->Linked)
+      this->breakOff(Id, *One,
+                     because(Outcome::Unknown, "entry-lost", StepUpstream,
+                             this->Opts.Self),
+                     Now);
+  }
+}
+
 void Gate::tick(TimePoint Now) {
+  this->endOrphans(Now);
   while (!this->Due.empty() && this->Due.begin()->first <= Now) {
     CallId Id = this->Due.begin()->second;
     this->Due.erase(this->Due.begin());
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -47,6 +47,10 @@
     /// Added to a call's deadline before its id is forgotten. Must cover the
     /// longest that an entry tries to find a call again.
     Millis RememberSlack{10000};
+    /// How long a call that may be repeated runs on after its link was lost.
+    /// Must leave the entry time to come back over another; one that does not
+    /// is gone, and so is its caller.
+    Millis OrphanGrace{500};
     /// Ids remembered at once. New calls are refused when full.
     size_t MaxRemembered = 100000;
     /// All on, but in scenarios.
@@ -171,6 +175,7 @@
   void sendHead(const CallId &Id, const Call &One, TimePoint Now);
   void sendAnswer(const CallId &Id, Call &One);
   void sendFailed(const CallId &Id, const Call &One, TimePoint Now);
+  void endOrphans(TimePoint Now);
   void onDue(const CallId &Id, TimePoint Now);
   Call *find(const CallId &Id);
   CallId idOn(LinkId Link, uint64_t Seq) const;
@@ -184,6 +189,8 @@
   const Service *Of = nullptr;
   // Of this upstream, by the list; 0 where it does not say.
   uint32_t ListedSlots = 0;
+  // Calls whose link was lost, and when.
+  std::map<CallId, TimePoint> Unlinked;
   std::map<CallId, Call> Calls;
   // When each call is to be looked at next: first at its deadline, then when
   // it may be forgotten.
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -14,14 +14,8 @@
 constexpr guint ControlTickMs = 100;
 constexpr Millis HealthTimeout{2000};
 
-void logRefusal(const char *Event, Entry::CallerId Caller, const Refusal &Why) {
-  LogLine(Event)
-      .add("caller", Caller)
-      .add("outcome", outcomeName(Why.What))
-      .add("reason", Why.Reason)
-      .add("step", Why.Step)
-      .add("peer", Why.Peer)
-      .debug();
+uint64_t positive(Millis Of) {
+  return static_cast<uint64_t>(std::max<int64_t>(0, Of.count()));
 }
 
 } // namespace
@@ -196,6 +190,36 @@
   return G_SOURCE_REMOVE;
 }
 
+void Node::logCall(const Entry::Note &Of, TimePoint Now) {
+  std::string Kind = std::string(Of.What) + " " + Of.Reason;
+  if (!this->CallLog.allow(Kind, Of.RequestId, Now))
+    return;
+  std::optional<Millis> ListAge = this->Core->control().oldestListAge(Now);
+  LogLine(Of.What)
+      .add("id", Of.RequestId)
+      .add("route", Of.Route)
+      .add("gate", Of.Gate)
+      .add("reason", Of.Reason)
+      .add("step", Of.Step)
+      .add("version", Of.Version)
+      .add("list_age_ms", ListAge ? std::to_string(ListAge->count()) : "none")
+      .add("offers", Of.Offers)
+      .add("age_ms", positive(Of.Age))
+      .add("left_ms", positive(Of.Left))
+      .info();
+}
+
+void Node::logSuppressed(TimePoint Now) {
+  for (const LogLimit::Sum &One : this->CallLog.due(Now))
+    LogLine("suppressed")
+        .add("kind", One.Kind)
+        .add("lines", One.Lines)
+        .add("first_id", One.FirstId)
+        .add("last_id", One.LastId)
+        .add("dropped_total", droppedLogLines())
+        .info();
+}
+
 Entry::Hooks Node::callerHooks() {
   Entry::Hooks Hooks;
   Hooks.Head = [this](Entry::CallerId Caller, const ResponseHead &Head) {
@@ -207,12 +231,13 @@
   Hooks.BodyEnd = [this](Entry::CallerId Caller) {
     this->Http->bodyEnd(Caller);
   };
-  Hooks.Abort = [this](Entry::CallerId Caller, const Refusal &Why) {
-    logRefusal("answer-broken", Caller, Why);
+  Hooks.Decided = [this](const Entry::Note &Of, TimePoint Now) {
+    this->logCall(Of, Now);
+  };
+  Hooks.Abort = [this](Entry::CallerId Caller, const Refusal &) {
     this->Http->abort(Caller);
   };
   Hooks.Refuse = [this](Entry::CallerId Caller, const Refusal &Why) {
-    logRefusal("call-refused", Caller, Why);
     this->Http->refuse(Caller, Why);
   };
   Hooks.PauseRequest = [this](Entry::CallerId Caller, bool Paused) {
@@ -250,13 +275,14 @@
   Hooks.End = [&At](const CallId &Id, TimePoint Now) {
     At.upstreamEnd(Id, Now);
   };
-  Hooks.Failed = [&At](const CallId &Id, bool Sent, const Error &Why,
-                       TimePoint Now) {
-    LogLine("call-failed")
-        .add("call", Id.text())
-        .add("sent", Sent ? "yes" : "no")
-        .add("why", Why.text())
-        .info();
+  Hooks.Failed = [this, &At](const CallId &Id, bool Sent, const Error &Why,
+                             TimePoint Now) {
+    if (this->CallLog.allow("call-failed", Id.text(), Now))
+      LogLine("call-failed")
+          .add("call", Id.text())
+          .add("sent", Sent ? "yes" : "no")
+          .add("why", Why.text())
+          .info();
     At.upstreamFailed(Id, Sent, Why, Now);
   };
   Hooks.Consumed = [&At](const CallId &Id, uint64_t Total, TimePoint Now) {
@@ -309,6 +335,7 @@
   TimePoint Now = Self->now();
   Self->Core->controlTick(Now);
   Self->Http->tick(Now);
+  Self->logSuppressed(Now);
   Self->Upstream->tick(Now);
   return G_SOURCE_CONTINUE;
 }
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -1,6 +1,7 @@
 #ifndef HICKORYLIFT_NODE_NODE_H
 #define HICKORYLIFT_NODE_NODE_H
 
+#include "base/LogLimit.h"
 #include "http/CallerServer.h"
 #include "node/NodeCore.h"
 #include "peer/Transport.h"
@@ -55,6 +56,8 @@
   void makeTransport();
   void makeUpstream();
   void makeCallerServer();
+  void logCall(const Entry::Note &Of, TimePoint Now);
+  void logSuppressed(TimePoint Now);
   Entry::Hooks callerHooks();
   Gate::Hooks upstreamHooks();
   void post(std::function<void(TimePoint)> Work);
@@ -75,6 +78,7 @@
   std::vector<std::function<void(TimePoint)>> Posted;
   guint PostedTurn = 0;
   std::vector<guint> Timers;
+  LogLimit CallLog{LogLimit::Options()};
   TimePoint StartedAt;
 };
 
--- a/src/routing/Chooser.cpp
+++ b/src/routing/Chooser.cpp
@@ -3,18 +3,33 @@
 #include <algorithm>
 #include <cmath>
 
-// A few gates are drawn at random; among those with room the one that promises
+// Soonest takes the gate from which the answer is expected first: its run time,
+// the wait for a slot, the way, and what its failures cost. The load is what
+// the gate wrote on its last answer, plus what this entry has sent since: the
+// load endpoints that upstreams publish lag and mislead, and a gate knows its
+// own slots. What is known grows old: a queue is soon another, and a run time
+// drifts back to what is typical, so that a gate which was slow is tried again.
+//
+// Hot draws a few gates at random; among those with room the one that promises
 // the shortest wait is taken, and if none has room the one with the least share
 // of its slots in use (the hot-cold rule of Prequal: Wydrowski et al., "Load is
-// not what you should balance", NSDI 2024). The load is what the gate wrote on
-// its last answer, plus what this entry has sent since: the load endpoints that
-// upstreams publish lag and mislead, and a gate knows its own slots.
+// not what you should balance", NSDI 2024).
 //
 // Drawing a few, and not looking for the best of all, keeps entries that learn
 // the same from running to the same gate together.
 
 namespace hickorylift {
 
+namespace {
+
+/// The weight that something of that age still has.
+double halved(Clock::duration Age, Millis HalfLife) {
+  return std::exp2(-std::chrono::duration<double>(Age) /
+                   std::chrono::duration<double>(HalfLife));
+}
+
+} // namespace
+
 double Chooser::share(const State &Of, TimePoint Now) const {
   bool Fresh = Of.LoadAt && Now - *Of.LoadAt <= this->Opts.LoadFresh;
   if (!Fresh)
@@ -66,11 +81,13 @@
 }
 
 const Instance *Chooser::pick(const std::vector<const Instance *> &Upstreams,
-                              const std::set<std::string> &Tried,
-                              TimePoint Now) {
+                              const std::set<std::string> &Tried, TimePoint Now,
+                              const Want &For) {
   std::vector<const Instance *> Open = this->usable(Upstreams, Tried, Now);
   if (Open.empty())
     return nullptr;
+  if (this->Opts.How == Policy::Soonest)
+    return this->pickSoonest(Open, For, Now);
   if (this->Opts.How == Policy::Hot)
     if (const Instance *Own = this->pickOwn(Open, Now))
       return Own;
@@ -95,6 +112,7 @@
                                       this->Gates[B->Name].Load.in_flight();
                              });
   case Policy::Hot:
+  case Policy::Soonest:
     break;
   }
   return this->pickHot(Among, Now);
@@ -127,8 +145,88 @@
   return Best;
 }
 
+// Mean of the run times that the gates have told, in microseconds.
+double Chooser::typicalRun(const std::vector<const Instance *> &Among) const {
+  double Sum = 0;
+  double Count = 0;
+  for (const Instance *One : Among) {
+    auto Found = this->Gates.find(One->Name);
+    if (Found == this->Gates.end() || Found->second.Load.latency_us() == 0)
+      continue;
+    Sum += Found->second.Load.latency_us();
+    ++Count;
+  }
+  return Count > 0 ? Sum / Count
+                   : static_cast<double>(this->Opts.FirstRun.count());
+}
+
+double Chooser::failShare(const State &Of, TimePoint Now) const {
+  return Of.FailShare * halved(Now - Of.FailAt, this->Opts.FailHalfLife);
+}
+
+double Chooser::way(const Instance &Gate, const Want &For) const {
+  if (Gate.Name == this->Self)
+    return 0;
+  if (Gate.DataCentre == this->DataCentre)
+    return static_cast<double>(this->Opts.NearWay.count());
+  constexpr double Kilobyte = 1024;
+  return static_cast<double>(this->Opts.FarWay.count()) +
+         this->Opts.FarShare * static_cast<double>(Micros(For.Target).count()) +
+         static_cast<double>(this->Opts.FarPerKilobyte.count()) *
+             static_cast<double>(For.BodyBytes) / Kilobyte;
+}
+
+// Microseconds until the answer, were the call sent there now.
+double Chooser::expected(const Instance &Gate, const State &Of, double Typical,
+                         const Want &For, TimePoint Now) const {
+  Clock::duration Age =
+      Of.LoadAt ? Now - *Of.LoadAt : Clock::duration::max() / 2;
+  double Told = Of.Load.latency_us();
+  double Known = Told > 0 ? halved(Age, this->Opts.RunHalfLife) : 0;
+  double Run = Told * Known + Typical * (1 - Known);
+  double Slots = Of.Load.slots() > 0 ? Of.Load.slots()
+                 : Gate.Slots > 0    ? Gate.Slots
+                                     : this->Opts.FirstSlots;
+  double Busy = (Of.Load.in_flight() + Of.Load.queued()) *
+                    halved(Age, this->Opts.QueueHalfLife) +
+                Of.SentSince;
+  Busy = std::max<double>(Busy, Of.Outstanding);
+  double Wait = std::max(0.0, Busy + 1 - Slots) * Run / Slots;
+  Millis Cost = For.Target.count() > 0 ? For.Target : this->Opts.FailCost;
+  return Run + Wait +
+         this->failShare(Of, Now) * static_cast<double>(Micros(Cost).count());
+}
+
+const Instance *Chooser::pickSoonest(std::vector<const Instance *> &Among,
+                                     const Want &For, TimePoint Now) {
+  double Typical = this->typicalRun(Among);
+  std::uniform_real_distribution<double> Longer(1, 1 + this->Opts.Noise);
+  size_t Draw = std::min(this->Opts.DrawSoonest, Among.size());
+  const Instance *Best = nullptr;
+  double BestTime = 0;
+  for (size_t I = 0; I < Draw; ++I) {
+    std::swap(Among[I], Among[I + this->Random() % (Among.size() - I)]);
+    const Instance &One = *Among[I];
+    double Time = this->expected(One, this->Gates[One.Name], Typical, For, Now);
+    Time = Time * Longer(this->Random) + this->way(One, For);
+    if (Best && Time >= BestTime)
+      continue;
+    Best = &One;
+    BestTime = Time;
+  }
+  return Best;
+}
+
 void Chooser::started(const std::string &Gate) {
   ++this->Gates[Gate].Outstanding;
+  ++this->Gates[Gate].SentSince;
+}
+
+void Chooser::judged(const std::string &Gate, bool Failure, TimePoint Now) {
+  State &Of = this->Gates[Gate];
+  Of.FailShare = this->failShare(Of, Now) * (1 - this->Opts.FailWeight) +
+                 (Failure ? this->Opts.FailWeight : 0);
+  Of.FailAt = Now;
 }
 
 void Chooser::ended(const std::string &Gate, bool Answered,
@@ -137,8 +235,12 @@
   if (Of.Outstanding > 0)
     --Of.Outstanding;
   if (!Answered) {
-    if (++Of.FailuresInRow >= this->Opts.EjectAfter)
+    this->judged(Gate, /*Failure=*/true, Now);
+    if (++Of.FailuresInRow >= this->Opts.EjectAfter) {
       Of.EjectedUntil = Now + this->Opts.EjectFor;
+      // It comes back with a clean record, or nobody would try it.
+      Of.FailShare = 0;
+    }
     return;
   }
   Of.FailuresInRow = 0;
@@ -153,6 +255,7 @@
   State &Of = this->Gates[Gate];
   Of.Load = Load;
   Of.LoadAt = Now;
+  Of.SentSince = 0;
 }
 
 void Chooser::refused(const std::string &Gate, TimePoint Now) {
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -25,14 +25,46 @@
 
 class Chooser {
 public:
-  /// Other policies, to measure ours against.
-  enum class Policy { Hot, Random, RoundRobin, LeastLoaded };
+  /// Soonest is ours; the others are there to measure it against.
+  enum class Policy { Soonest, Hot, Random, RoundRobin, LeastLoaded };
+
+  /// What is to be placed.
+  struct Want {
+    /// Of the request's body.
+    uint64_t BodyBytes = 0;
+    /// Within this an answer is worth most; zero where nothing is said.
+    Millis Target{0};
+  };
 
   struct Options {
-    /// Hot is ours; the others are for the bench.
-    Policy How = Policy::Hot;
-    /// Candidates drawn for one call.
+    Policy How = Policy::Soonest;
+    /// Candidates drawn for one call, by Hot and by Soonest. Few gates are all
+    /// looked at; among many, a draw keeps a decision cheap.
     size_t Draw = 3;
+    size_t DrawSoonest = 8;
+    /// Run time assumed where no gate of a service has told any.
+    Micros FirstRun{20000};
+    /// Slots assumed of a gate that has told nothing.
+    uint32_t FirstSlots = 8;
+    /// The way to a gate of the own data centre, and how much longer a wait is
+    /// accepted there before a call leaves the data centre: bytes between data
+    /// centres are dear, and the way may be cut. A share of the target besides,
+    /// and more for each kilobyte of body.
+    Micros NearWay{500};
+    Micros FarWay{5000};
+    double FarShare = 0.1;
+    Micros FarPerKilobyte{1000};
+    /// Entries that learn the same at the same time must not all choose the
+    /// same gate: each expected time is drawn up to this share longer.
+    double Noise = 0.2;
+    /// Weight of the newest answer in a gate's share of failures, what a sure
+    /// failure counts as, and the time in which a share halves.
+    double FailWeight = 0.1;
+    Millis FailCost{300};
+    Millis FailHalfLife{1000};
+    /// What a gate said of its queue, and of its run time, halves in weight.
+    Millis QueueHalfLife{200};
+    Millis RunHalfLife{3000};
     /// What a gate said of its load counts for this long.
     Millis LoadFresh{1000};
     /// A gate is full, for the draw, from this share of its slots on.
@@ -60,12 +92,19 @@
   /// Null where no candidate is left. Own upstream first while it has room,
   /// then the own data centre, then the others.
   const Instance *pick(const std::vector<const Instance *> &Upstreams,
-                       const std::set<std::string> &Tried, TimePoint Now);
+                       const std::set<std::string> &Tried, TimePoint Now,
+                       const Want &For);
+  const Instance *pick(const std::vector<const Instance *> &Upstreams,
+                       const std::set<std::string> &Tried, TimePoint Now) {
+    return this->pick(Upstreams, Tried, Now, Want());
+  }
 
   void started(const std::string &Gate);
   /// A call ended. Answered is false if the gate or its link failed.
   void ended(const std::string &Gate, bool Answered, Clock::duration Took,
              TimePoint Now);
+  /// An answer of the upstream itself: whether it was a failure of its own.
+  void judged(const std::string &Gate, bool Failure, TimePoint Now);
   void learn(const std::string &Gate, const wire::Load &Load, TimePoint Now);
   /// The gate refused for want of room; it is left out until one of its slots
   /// is likely to have come free.
@@ -85,6 +124,10 @@
 private:
   struct State {
     uint32_t Outstanding = 0;
+    // Sent since the gate last told its load.
+    uint32_t SentSince = 0;
+    double FailShare = 0;
+    TimePoint FailAt;
     wire::Load Load;
     std::optional<TimePoint> LoadAt;
     double MeanLatencyUs = 0;
@@ -102,6 +145,13 @@
                           TimePoint Now);
   const Instance *pickAmong(std::vector<const Instance *> Among, TimePoint Now);
   const Instance *pickHot(std::vector<const Instance *> &Among, TimePoint Now);
+  const Instance *pickSoonest(std::vector<const Instance *> &Among,
+                              const Want &For, TimePoint Now);
+  double typicalRun(const std::vector<const Instance *> &Among) const;
+  double expected(const Instance &Gate, const State &Of, double Typical,
+                  const Want &For, TimePoint Now) const;
+  double way(const Instance &Gate, const Want &For) const;
+  double failShare(const State &Of, TimePoint Now) const;
   double share(const State &Of, TimePoint Now) const;
   double cost(const State &Of, TimePoint Now) const;
 
