--- a/src/routing/Chooser.cpp
+++ b/src/routing/Chooser.cpp
@@ -145,19 +145,19 @@
   return Best;
 }
 
-// Mean of the run times that the gates have told, in microseconds.
-double Chooser::typicalRun(const std::vector<const Instance *> &Among) const {
-  double Sum = 0;
-  double Count = 0;
+// The shortest run time that a gate has told, in microseconds. What is unknown
+// or long ago is hoped to be as good: a mean would hold the slow gate's own
+// time, and the gate would never be tried again.
+double Chooser::bestRun(const std::vector<const Instance *> &Among) const {
+  std::optional<double> Best;
   for (const Instance *One : Among) {
     auto Found = this->Gates.find(One->Name);
     if (Found == this->Gates.end() || Found->second.Load.latency_us() == 0)
       continue;
-    Sum += Found->second.Load.latency_us();
-    ++Count;
+    double Told = Found->second.Load.latency_us();
+    Best = Best ? std::min(*Best, Told) : Told;
   }
-  return Count > 0 ? Sum / Count
-                   : static_cast<double>(this->Opts.FirstRun.count());
+  return Best.value_or(static_cast<double>(this->Opts.FirstRun.count()));
 }
 
 double Chooser::failShare(const State &Of, TimePoint Now) const {
@@ -177,13 +177,13 @@
 }
 
 // Microseconds until the answer, were the call sent there now.
-double Chooser::expected(const Instance &Gate, const State &Of, double Typical,
+double Chooser::expected(const Instance &Gate, const State &Of, double BestRun,
                          const Want &For, TimePoint Now) const {
   Clock::duration Age =
       Of.LoadAt ? Now - *Of.LoadAt : Clock::duration::max() / 2;
   double Told = Of.Load.latency_us();
   double Known = Told > 0 ? halved(Age, this->Opts.RunHalfLife) : 0;
-  double Run = Told * Known + Typical * (1 - Known);
+  double Run = Told * Known + BestRun * (1 - Known);
   double Slots = Of.Load.slots() > 0 ? Of.Load.slots()
                  : Gate.Slots > 0    ? Gate.Slots
                                      : this->Opts.FirstSlots;
@@ -199,7 +199,7 @@
 
 const Instance *Chooser::pickSoonest(std::vector<const Instance *> &Among,
                                      const Want &For, TimePoint Now) {
-  double Typical = this->typicalRun(Among);
+  double BestRun = this->bestRun(Among);
   std::uniform_real_distribution<double> Longer(1, 1 + this->Opts.Noise);
   size_t Draw = std::min(this->Opts.DrawSoonest, Among.size());
   const Instance *Best = nullptr;
@@ -207,7 +207,7 @@
   for (size_t I = 0; I < Draw; ++I) {
     std::swap(Among[I], Among[I + this->Random() % (Among.size() - I)]);
     const Instance &One = *Among[I];
-    double Time = this->expected(One, this->Gates[One.Name], Typical, For, Now);
+    double Time = this->expected(One, this->Gates[One.Name], BestRun, For, Now);
     Time = Time * Longer(this->Random) + this->way(One, For);
     if (Best && Time >= BestTime)
       continue;
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -147,8 +147,8 @@
   const Instance *pickHot(std::vector<const Instance *> &Among, TimePoint Now);
   const Instance *pickSoonest(std::vector<const Instance *> &Among,
                               const Want &For, TimePoint Now);
-  double typicalRun(const std::vector<const Instance *> &Among) const;
-  double expected(const Instance &Gate, const State &Of, double Typical,
+  double bestRun(const std::vector<const Instance *> &Among) const;
+  double expected(const Instance &Gate, const State &Of, double BestRun,
                   const Want &For, TimePoint Now) const;
   double way(const Instance &Gate, const Want &For) const;
   double failShare(const State &Of, TimePoint Now) const;
--- /dev/null
+++ b/src/routing/ChooserTest.cpp
@@ -0,0 +1,156 @@
+#include "routing/Chooser.h"
+#include "routing/AgeEstimate.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace hickorylift {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+const TimePoint Start = TimePoint(std::chrono::hours(1));
+
+constexpr uint32_t Ms = 1000;
+
+/// What two gates say of themselves, and which one a call should go to.
+struct TwoGates {
+  const char *What;
+  wire::Load Near;
+  wire::Load Far;
+  uint64_t BodyBytes;
+  const char *Chosen;
+};
+std::ostream &operator<<(std::ostream &To, const TwoGates &Of) {
+  return To << Of.What;
+}
+
+const TwoGates Choices[] = {
+    {"both idle", {0, 0, 10, 50 * Ms}, {0, 0, 10, 50 * Ms}, 0, "near"},
+    {"near is slower, but by less than the way",
+     {0, 0, 10, 60 * Ms},
+     {0, 0, 10, 50 * Ms},
+     0,
+     "near"},
+    {"near is much slower",
+     {0, 0, 10, 250 * Ms},
+     {0, 0, 10, 50 * Ms},
+     0,
+     "far"},
+    {"near has a queue", {10, 12, 10, 50 * Ms}, {0, 0, 10, 50 * Ms}, 0, "far"},
+    {"near has a queue, and the body is large",
+     {10, 12, 10, 50 * Ms},
+     {0, 0, 10, 50 * Ms},
+     200 * 1024,
+     "near"},
+    {"both have a queue",
+     {10, 12, 10, 50 * Ms},
+     {10, 12, 10, 50 * Ms},
+     0,
+     "near"},
+};
+
+std::vector<Instance> nearAndFar() {
+  std::vector<Instance> Out(2);
+  Out[0].Name = "near";
+  Out[0].DataCentre = "north";
+  Out[1].Name = "far";
+  Out[1].DataCentre = "south";
+  return Out;
+}
+
+std::vector<const Instance *> pointers(const std::vector<Instance> &Of) {
+  std::vector<const Instance *> Out;
+  for (const Instance &One : Of)
+    Out.push_back(&One);
+  return Out;
+}
+
+Chooser::Want want(uint64_t BodyBytes) {
+  Chooser::Want Out;
+  Out.BodyBytes = BodyBytes;
+  Out.Target = Millis(300);
+  return Out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Placing)
+
+BOOST_DATA_TEST_CASE(TheSoonestAnswerIsChosen, data::make(Choices), Row) {
+  std::vector<Instance> All = nearAndFar();
+  for (uint64_t Seed = 1; Seed < 50; ++Seed) {
+    Chooser Choose({}, "north", "me", Seed);
+    Choose.learn("near", Row.Near, Start);
+    Choose.learn("far", Row.Far, Start);
+    BOOST_TEST(
+        Choose.pick(pointers(All), {}, Start, want(Row.BodyBytes))->Name ==
+        Row.Chosen);
+  }
+}
+
+// The gate answers quickly, and half of its answers are failures. Those who
+// look at the time alone send it more and more.
+BOOST_AUTO_TEST_CASE(QuickFailuresDoNotAttract) {
+  std::vector<Instance> All = nearAndFar();
+  Chooser Choose({}, "north", "me", 1);
+  Choose.learn("near", wire::Load(0, 0, 10, 5 * Ms), Start);
+  Choose.learn("far", wire::Load(0, 0, 10, 50 * Ms), Start);
+  for (int I = 0; I < 40; ++I)
+    Choose.judged("near", I % 2 == 0, Start);
+  BOOST_TEST(Choose.pick(pointers(All), {}, Start, want(0))->Name == "far");
+  TimePoint Later = Start + std::chrono::seconds(5);
+  BOOST_TEST(Choose.pick(pointers(All), {}, Later, want(0))->Name == "near");
+}
+
+// What this entry has sent counts before the gate has told of it: a burst must
+// not go to one place.
+BOOST_AUTO_TEST_CASE(ABurstIsSpread) {
+  std::vector<Instance> All = nearAndFar();
+  All[1].DataCentre = "north";
+  Chooser Choose({}, "north", "me", 1);
+  std::map<std::string, int> Count;
+  for (const Instance &One : All)
+    Choose.learn(One.Name, wire::Load(0, 0, 10, 50 * Ms), Start);
+  for (int I = 0; I < 60; ++I) {
+    const Instance *To = Choose.pick(pointers(All), {}, Start, want(0));
+    Choose.started(To->Name);
+    ++Count[To->Name];
+  }
+  BOOST_TEST(Count["near"] >= 25);
+  BOOST_TEST(Count["far"] >= 25);
+}
+
+// A gate that was slow is not asked, and so cannot show that it has recovered.
+BOOST_AUTO_TEST_CASE(SlowGateIsTriedAgainInTime) {
+  std::vector<Instance> All = nearAndFar();
+  Chooser Choose({}, "north", "me", 1);
+  Choose.learn("near", wire::Load(0, 0, 10, 400 * Ms), Start);
+  bool Tried = false;
+  for (int I = 0; I < 300 && !Tried; ++I) {
+    TimePoint Now = Start + Millis(100 * I);
+    Choose.learn("far", wire::Load(0, 0, 10, 50 * Ms), Now);
+    Tried = Choose.pick(pointers(All), {}, Now, want(0))->Name == "near";
+    if (I < 10)
+      BOOST_TEST(!Tried);
+  }
+  BOOST_TEST(Tried);
+}
+
+BOOST_AUTO_TEST_CASE(ThoseWhoSayLessHaveWaited) {
+  AgeEstimate Ages;
+  BOOST_TEST(Ages.age("r", Millis(1200), Start).count() == 0);
+  BOOST_TEST(Ages.age("r", Millis(1199), Start).count() == 0);
+  BOOST_TEST(Ages.age("r", Millis(900), Start).count() == 300);
+  BOOST_TEST(Ages.age("other", Millis(900), Start).count() == 0);
+  // All callers are given a shorter patience: none of them is old.
+  TimePoint Later = Start + std::chrono::seconds(11);
+  BOOST_TEST(Ages.age("r", Millis(900), Later).count() == 0);
+  BOOST_TEST(Ages.age("r", Millis(890), Later).count() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace hickorylift
