A stopping node keeps its gate open while callers come; lost gates cost callers less

At SIGTERM the gate closed at once, and its upstream stood idle for the five seconds of the stop: with nodes stopped in turn, a quarter of the capacity. It now closes when callers do. Calls that wait for a hanging dial move on after 80 ms, lost gates are dialled without a call, safe calls leave a lost link at once, and bodies over 16 KB are sent only to the gate that runs the call.

--- a/src/calls/Calls_generated.h
+++ b/src/calls/Calls_generated.h
@@ -617,6 +617,7 @@
   std::string upstream{};
   uint32_t target_ms = 0;
   std::string route{};
+  bool holds_body = false;
   OpenT() = default;
   OpenT(const OpenT &o);
   OpenT(OpenT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -646,7 +647,8 @@
     VT_CALLER_CLASS = 34,
     VT_UPSTREAM = 36,
     VT_TARGET_MS = 38,
-    VT_ROUTE = 40
+    VT_ROUTE = 40,
+    VT_HOLDS_BODY = 42
   };
   uint64_t seq() const {
     return GetField<uint64_t>(VT_SEQ, 0);
@@ -705,6 +707,9 @@
   const flatbuffers::String *route() const {
     return GetPointer<const flatbuffers::String *>(VT_ROUTE);
   }
+  bool holds_body() const {
+    return GetField<uint8_t>(VT_HOLDS_BODY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQ, 8) &&
@@ -736,6 +741,7 @@
            VerifyField<uint32_t>(verifier, VT_TARGET_MS, 4) &&
            VerifyOffset(verifier, VT_ROUTE) &&
            verifier.VerifyString(route()) &&
+           VerifyField<uint8_t>(verifier, VT_HOLDS_BODY, 1) &&
            verifier.EndTable();
   }
   OpenT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -804,6 +810,9 @@
   void add_route(flatbuffers::Offset<flatbuffers::String> route) {
     fbb_.AddOffset(Open::VT_ROUTE, route);
   }
+  void add_holds_body(bool holds_body) {
+    fbb_.AddElement<uint8_t>(Open::VT_HOLDS_BODY, static_cast<uint8_t>(holds_body), 0);
+  }
   explicit OpenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -835,7 +844,8 @@
     flatbuffers::Offset<flatbuffers::String> caller_class = 0,
     flatbuffers::Offset<flatbuffers::String> upstream = 0,
     uint32_t target_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> route = 0) {
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    bool holds_body = false) {
   OpenBuilder builder_(_fbb);
   builder_.add_length(length);
   builder_.add_answer_received(answer_received);
@@ -853,6 +863,7 @@
   builder_.add_path(path);
   builder_.add_method(method);
   builder_.add_service(service);
+  builder_.add_holds_body(holds_body);
   builder_.add_idempotent(idempotent);
   builder_.add_have_head(have_head);
   builder_.add_resume(resume);
@@ -884,7 +895,8 @@
     const char *caller_class = nullptr,
     const char *upstream = nullptr,
     uint32_t target_ms = 0,
-    const char *route = nullptr) {
+    const char *route = nullptr,
+    bool holds_body = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
   auto path__ = path ? _fbb.CreateString(path) : 0;
@@ -914,7 +926,8 @@
       caller_class__,
       upstream__,
       target_ms,
-      route__);
+      route__,
+      holds_body);
 }
 
 flatbuffers::Offset<Open> CreateOpen(flatbuffers::FlatBufferBuilder &_fbb, const OpenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1988,7 +2001,8 @@
         caller_class(o.caller_class),
         upstream(o.upstream),
         target_ms(o.target_ms),
-        route(o.route) {
+        route(o.route),
+        holds_body(o.holds_body) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new hickorylift::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -2013,6 +2027,7 @@
   std::swap(upstream, o.upstream);
   std::swap(target_ms, o.target_ms);
   std::swap(route, o.route);
+  std::swap(holds_body, o.holds_body);
   return *this;
 }
 
@@ -2044,6 +2059,7 @@
   { auto _e = upstream(); if (_e) _o->upstream = _e->str(); }
   { auto _e = target_ms(); _o->target_ms = _e; }
   { auto _e = route(); if (_e) _o->route = _e->str(); }
+  { auto _e = holds_body(); _o->holds_body = _e; }
 }
 
 inline flatbuffers::Offset<Open> Open::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OpenT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2073,6 +2089,7 @@
   auto _upstream = _o->upstream.empty() ? 0 : _fbb.CreateString(_o->upstream);
   auto _target_ms = _o->target_ms;
   auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
+  auto _holds_body = _o->holds_body;
   return hickorylift::wire::CreateOpen(
       _fbb,
       _seq,
@@ -2093,7 +2110,8 @@
       _caller_class,
       _upstream,
       _target_ms,
-      _route);
+      _route,
+      _holds_body);
 }
 
 inline AdmittedT *Admitted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -271,6 +271,7 @@
   if (!Known)
     return this->loseLink(Gate, On, Now);
   On.ConnectingSince = Now;
+  On.DialledAt = Now;
   this->Hook.Connect(*Known);
 }
 
@@ -296,6 +297,9 @@
     Open.idempotent = One.Idempotent;
     Open.idempotency_key = One.Key;
     Open.length = One.Head.Length;
+    One.HoldsBody =
+        One.Gate != this->Opts.Self && One.Head.Length > this->Opts.EagerBytes;
+    Open.holds_body = One.HoldsBody;
     Open.caller_class = One.Class;
     Open.limit = One.Taken->Bound ? One.Taken->Bound->Name : "";
     auto Class = One.Taken->ClassPriority.find(One.Class);
@@ -311,7 +315,7 @@
 }
 
 void Entry::sendBody(Call &One) {
-  if (One.Now != State::Sent)
+  if (One.Now != State::Sent || One.HoldsBody)
     return;
   while (auto Piece = One.Request.next(this->Opts.PieceBytes)) {
     wire::DataT Data;
@@ -444,6 +448,11 @@
   Call &One = this->Calls.at(Caller);
   if (!this->mayTryAnother(One, Why, Now))
     return this->giveUp(Caller, Why, Now);
+  this->moveOn(Caller, Why, Now);
+}
+
+void Entry::moveOn(CallerId Caller, const Refusal &Why, TimePoint Now) {
+  Call &One = this->Calls.at(Caller);
   ++this->Counts.Retries;
   this->note("call-retried", One, Why, Now);
   if (!One.LastRefusal || One.LastRefusal->What == Outcome::NotRun)
@@ -481,6 +490,7 @@
   On.LostAt.reset();
   On.NextPing = Now + this->Opts.PingInterval;
   this->Choose.ready(Gate);
+  this->Choose.reachable(Gate);
   for (uint64_t Seq : std::exchange(On.Orphans, {})) {
     wire::CancelT Cancel;
     Cancel.seq = Seq;
@@ -510,13 +520,15 @@
 
 void Entry::gateDown(const std::string &Gate, TimePoint Now) {
   Link &On = this->Links[Gate];
+  if (On.ConnectingSince)
+    this->Choose.unreachable(Gate, Now);
   On.Up = false;
   On.ConnectingSince.reset();
   this->loseLink(Gate, On, Now);
 }
 
-// Calls that were never sent go elsewhere at once. The others wait for a new
-// link, for FindAgain or until their deadline.
+// Calls that were never sent, or may run twice, go elsewhere at once. The
+// others wait for a new link, for FindAgain or until their deadline.
 void Entry::loseLink(const std::string &Gate, Link &On, TimePoint Now) {
   On.PingAt.reset();
   if (!On.LostAt)
@@ -533,6 +545,13 @@
           Now);
     else if (One.Now == State::Sent) {
       One.Now = State::Searching;
+      // It may run twice, so there is nothing to find out first.
+      Refusal Lost =
+          this->refusal(Outcome::Unknown, "link-lost", StepLink, Gate);
+      if (One.Idempotent && this->mayTryAnother(One, Lost, Now)) {
+        this->moveOn(Caller, Lost, Now);
+        continue;
+      }
       this->note("call-searching", One,
                  this->refusal(Outcome::Unknown, "link-lost", StepLink, Gate),
                  Now);
@@ -544,6 +563,8 @@
 // track of this connection while a new one works.
 void Entry::condemn(const std::string &Gate, Link &On, TimePoint Now) {
   this->Hook.Close(Gate);
+  if (On.ConnectingSince)
+    this->Choose.unreachable(Gate, Now);
   On.Up = false;
   On.ConnectingSince.reset();
   this->loseLink(Gate, On, Now);
@@ -575,6 +596,11 @@
       On.ConnectingSince && Now - *On.ConnectingSince > this->Opts.ConnectLimit;
   if ((Silent || NeverUp) && this->Opts.Guards.CondemnSilentLinks)
     this->condemn(Gate, On, Now);
+  bool Slow = On.ConnectingSince &&
+              Now - *On.ConnectingSince > this->Opts.ConnectPatience;
+  if (Slow)
+    this->moveWaiting(Gate, On, Now);
+  this->redial(Gate, On, Now);
   bool Wanted = !On.Calls.empty() || !On.Orphans.empty();
   if (On.Up || On.ConnectingSince || !Wanted)
     return;
@@ -586,6 +612,30 @@
   }
 }
 
+// The dial goes on for those who search there; who only waits goes elsewhere.
+void Entry::moveWaiting(const std::string &Gate, Link &On, TimePoint Now) {
+  this->Choose.unreachable(Gate, Now);
+  for (CallerId Caller : std::set<CallerId>(On.Calls)) {
+    Call *Found = this->find(Caller);
+    if (Found && Found->Now == State::Connecting)
+      this->tryAnother(
+          Caller,
+          this->refusal(Outcome::NotRun, "gate-unreachable", StepLink, Gate),
+          Now);
+  }
+}
+
+// A gate that was lost is left out of the choice, so no call would find out
+// that it is back.
+void Entry::redial(const std::string &Gate, Link &On, TimePoint Now) {
+  bool Due = On.LostAt && !On.Up && !On.ConnectingSince && On.Calls.empty() &&
+             Now - *On.LostAt < this->Opts.RedialFor &&
+             Now - On.DialledAt >= this->Opts.RedialEvery;
+  const Instance *Known = Due ? this->Fleet.find(Gate) : nullptr;
+  if (Known && !Known->Leaving)
+    this->connect(Gate, On, Now);
+}
+
 void Entry::giveUpSearch(const std::string &Gate, Link &On, TimePoint Now) {
   for (CallerId Caller : std::set<CallerId>(On.Calls)) {
     Call *Found = this->find(Caller);
@@ -697,6 +747,9 @@
   Why.Status = Failed.status;
   if (Why.Reason == "draining")
     this->Choose.draining(Gate);
+  // The list is behind: something else stands there now.
+  if (Why.Reason == "not-my-service" || Why.Reason == "upstream-replaced")
+    this->Choose.unreachable(Gate, Now);
   if (Why.Reason == "overload")
     this->Choose.refused(Gate, Now);
   std::optional<CallerId> Caller = this->callOn(Gate, Failed.seq);
@@ -714,6 +767,7 @@
   if (!Caller)
     return;
   Call &One = this->Calls.at(*Caller);
+  One.HoldsBody = false;
   if (!One.Request.rewind(Joined.request_received))
     return this->giveUp(
         *Caller, this->refusal(Outcome::Unknown, "body-gap", StepLink, Gate),
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -53,6 +53,10 @@
     /// sent: a caller that sends slowly then holds no slot, and the gate gets
     /// the call in one piece.
     int64_t GatherBytes = 32 * 1024;
+    /// A longer body is sent only once the gate has started the call. A refused
+    /// call then costs no bytes, and a waiting one no memory at the gate; the
+    /// upstream waits for one way there and back.
+    int64_t EagerBytes = 16 * 1024;
     /// Calls at once; more are refused as not run.
     size_t MaxCalls = 4096;
     /// Between two pings of a link that carries calls, and how long one may
@@ -67,6 +71,13 @@
     Millis PauseGrace{50};
     /// A link on which the gate has not said its name by then is given up.
     Millis ConnectLimit{2500};
+    /// A call that waits for a link to be made goes elsewhere after this. The
+    /// way takes milliseconds; a machine that is gone does not answer at all.
+    Millis ConnectPatience{80};
+    /// Between two attempts to reach a gate again that no call waits for, and
+    /// for how long.
+    Millis RedialEvery{250};
+    Millis RedialFor{15000};
     /// A link without calls is closed after this.
     Millis IdleLink{60000};
     /// Gates that one call may be offered to in all. Those that refuse it
@@ -105,8 +116,8 @@
   };
 
   struct Hooks {
-    std::function<void(const Note &, TimePoint)> Decided =
-        [](const Note &, TimePoint) {};
+    std::function<void(const Note &, TimePoint)> Decided = [](const Note &,
+                                                              TimePoint) {};
     /// Opens a call link to a gate; gateUp or gateDown follows.
     std::function<void(const Instance &)> Connect;
     std::function<void(const std::string &Gate, wire::CallFrameT)> Send;
@@ -205,6 +216,8 @@
     TimePoint StartedAt;
     SendStream Request;
     bool RequestPaused = false;
+    // Until the gate has started the call.
+    bool HoldsBody = false;
     bool HaveHead = false;
     ReceiveStream Response;
     std::optional<Refusal> LastRefusal;
@@ -216,6 +229,7 @@
     bool Up = false;
     // From the dial until the gate has said its name.
     std::optional<TimePoint> ConnectingSince;
+    TimePoint DialledAt;
     uint64_t Incarnation = 0;
     TimePoint HeardAt;
     TimePoint UsedAt;
@@ -244,6 +258,7 @@
   void sendBody(Call &One);
   void leaveGate(CallerId Caller, Call &One, bool Answered, TimePoint Now);
   void tryAnother(CallerId Caller, const Refusal &Why, TimePoint Now);
+  void moveOn(CallerId Caller, const Refusal &Why, TimePoint Now);
   bool mayTryAnother(Call &One, const Refusal &Why, TimePoint Now);
   void refuse(CallerId Caller, const Refusal &Why);
   void giveUp(CallerId Caller, const Refusal &Why, TimePoint Now);
@@ -264,6 +279,8 @@
   void loseLink(const std::string &Gate, Link &On, TimePoint Now);
   void driveLinks(TimePoint Now);
   void driveLink(const std::string &Gate, Link &On, TimePoint Now);
+  void redial(const std::string &Gate, Link &On, TimePoint Now);
+  void moveWaiting(const std::string &Gate, Link &On, TimePoint Now);
   void giveUpSearch(const std::string &Gate, Link &On, TimePoint Now);
   std::optional<CallerId> callOn(const std::string &Gate, uint64_t Seq) const;
 
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -112,6 +112,13 @@
         Out.emplace_back(Gate, Open);
     return Out;
   }
+  size_t bodyBytes() const {
+    size_t Sum = 0;
+    for (const auto &[Gate, Frame] : this->Sent)
+      if (const auto *Data = Frame.payload.AsData())
+        Sum += Data->bytes.size();
+    return Sum;
+  }
   size_t cancels(const std::string &To) const {
     size_t Count = 0;
     for (const auto &[Gate, Frame] : this->Sent)
@@ -204,6 +211,75 @@
   BOOST_TEST(this->cancels(Gate) == 1u);
 }
 
+// A machine has lost power, and dials to it hang. Callers must not wait for the
+// dial's own limit while another gate would answer.
+BOOST_FIXTURE_TEST_CASE(CallsDoNotWaitForAHangingDial, Fixture) {
+  this->request(1, "/write/1");
+  std::string Dark = this->Dialled.back();
+  this->pass(Millis(120));
+  BOOST_REQUIRE(this->Dialled.size() >= 2u);
+  BOOST_TEST(this->Dialled[1] != Dark);
+  this->hello(this->Dialled[1]);
+  BOOST_TEST(this->opens().size() == 1u);
+  for (Entry::CallerId Id = 2; Id < 12; ++Id)
+    this->request(Id, "/write/1");
+  size_t ToDark = 0;
+  for (const auto &[Gate, Open] : this->opens())
+    ToDark += Gate == Dark;
+  BOOST_TEST(ToDark == 0u);
+}
+
+// A gate's process ends, and a new one starts there. No call is sent to a gate
+// that is thought gone, so the entry itself looks whether it is back.
+BOOST_FIXTURE_TEST_CASE(LostGateIsDialledWithoutACall, Fixture) {
+  this->request(1, "/read/1");
+  std::string Gate = this->Dialled.back();
+  this->hello(Gate);
+  this->From->gateDown(Gate, this->Now);
+  size_t Before = std::count(this->Dialled.begin(), this->Dialled.end(), Gate);
+  this->pass(Millis(400));
+  BOOST_TEST(static_cast<size_t>(std::count(
+                 this->Dialled.begin(), this->Dialled.end(), Gate)) > Before);
+}
+
+// The link is lost after the call was sent. A call that may run twice is tried
+// elsewhere at once; of another it must first be found out whether it ran.
+BOOST_FIXTURE_TEST_CASE(OnlySafeCallsLeaveALostLink, Fixture) {
+  this->request(1, "/write/1");
+  std::string Gate = this->Dialled.back();
+  this->hello(Gate);
+  this->From->gateDown(Gate, this->Now);
+  BOOST_TEST(this->opens().size() == 1u);
+  this->request(2, "/read/1");
+  std::string Other = this->Dialled.back();
+  this->hello(Other);
+  BOOST_REQUIRE(this->opens().back().first == Other);
+  this->From->gateDown(Other, this->Now);
+  BOOST_TEST(this->Dialled.back() != Other);
+}
+
+// A long body is sent once, to the gate that runs the call, and not to those
+// that refuse it.
+BOOST_FIXTURE_TEST_CASE(LongBodiesWaitForTheGate, Fixture) {
+  RequestHead Head;
+  Head.Method = "POST";
+  Head.Path = "/write/1";
+  Head.Length = 20000;
+  this->From->request(1, Head, this->Now);
+  this->From->body(1, std::string(20000, 'x'), this->Now);
+  this->From->bodyEnd(1, this->Now);
+  this->hello(this->Dialled.back());
+  auto [Gate, Open] = this->opens().back();
+  BOOST_TEST(Open->holds_body);
+  BOOST_TEST(this->bodyBytes() == 0u);
+  this->fail(Gate, Open->seq, wire::Outcome::NotRun, "overload");
+  this->hello(this->Dialled.back());
+  wire::AdmittedT Go;
+  Go.seq = this->opens().back().second->seq;
+  this->From->frame(this->opens().back().first, callFrame(Go), this->Now);
+  BOOST_TEST(this->bodyBytes() == 20000u);
+}
+
 BOOST_FIXTURE_TEST_CASE(CallsSayWhereTheyComeFromAndWhomTheyMean, Fixture) {
   this->request(1, "/read/1");
   this->hello(this->Dialled.back());
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -181,6 +181,7 @@
   One.Head.Headers = fromWire(Open.headers);
   One.Head.Length = Open.length;
   One.Upstream = Open.upstream;
+  One.BodyHeld = Open.holds_body;
   One.Key = Open.idempotency_key;
   One.Idempotent = Open.idempotent;
   this->judge(Id, One, Open, Now);
@@ -266,6 +267,12 @@
   if (!this->Opts.Names.Expect.empty() && !One.Upstream.empty())
     setHeader(One.Head.Headers, this->Opts.Names.Expect, One.Upstream);
   this->Hook.Start(Id, One.Head, One.Idempotent);
+  if (std::exchange(One.BodyHeld, false) && One.Linked) {
+    wire::AdmittedT Go;
+    Go.seq = Id.Seq;
+    Go.request_received = One.Request.received();
+    this->Hook.Send(One.Link, callFrame(Go));
+  }
   std::string Early = std::exchange(One.EarlyBody, "");
   this->forwardBody(Id, One, Early);
 }
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -131,6 +131,8 @@
     RequestHead Head;
     // The upstream that the entry means; empty for whichever is there.
     std::string Upstream;
+    // The entry sends the body only once it is told that the call runs.
+    bool BodyHeld = false;
     std::string Key;
     bool Idempotent = false;
     TimePoint Deadline;
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -290,14 +290,16 @@
                              "draining");
   this->StopBy = Now + this->Opts.StopWithin;
   this->LingerUntil = Now + this->Opts.StopLinger;
-  this->drainGate("stop", Now);
   this->Hook.Leaving();
   if (this->Opts.StopLinger.count() == 0)
-    this->endLinger();
+    this->endLinger(Now);
 }
 
-void NodeCore::endLinger() {
+// The upstream is well, and its slots are needed until the process really goes:
+// so the gate stays open as long as callers are taken.
+void NodeCore::endLinger(TimePoint Now) {
   this->LingerUntil.reset();
+  this->drainGate("stop", Now);
   this->From->drain();
   this->Hook.StopListening();
 }
@@ -307,7 +309,7 @@
   this->At->tick(Now);
   this->From->tick(Now);
   if (this->LingerUntil && Now >= *this->LingerUntil)
-    this->endLinger();
+    this->endLinger(Now);
   if (this->StopBy && !this->StopDone)
     this->finishStop(Now);
 }
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -131,7 +131,7 @@
   std::optional<TimePoint> LastEvent;
   bool UpstreamUp = false;
   std::string UpstreamSays;
-  void endLinger();
+  void endLinger(TimePoint Now);
   void pausedFor(Millis Gap, TimePoint Now);
 
   std::optional<TimePoint> StopBy;
--- a/src/routing/Chooser.cpp
+++ b/src/routing/Chooser.cpp
@@ -61,7 +61,8 @@
     if (One->Leaving || Of.Draining || Tried.count(One->Name) ||
         Now < Of.FullUntil)
       continue;
-    (Now < Of.EjectedUntil ? Ejected : Open).push_back(One);
+    bool Out = Now < std::max(Of.EjectedUntil, Of.UnreachableUntil);
+    (Out ? Ejected : Open).push_back(One);
   }
   // Failures of the network look like failures of every gate. If the bound is
   // passed the verdicts prove nothing, and the ejected are asked again.
@@ -266,6 +267,14 @@
                                           this->Opts.LongestFull);
 }
 
+void Chooser::unreachable(const std::string &Gate, TimePoint Now) {
+  this->Gates[Gate].UnreachableUntil = Now + this->Opts.EjectFor;
+}
+
+void Chooser::reachable(const std::string &Gate) {
+  this->Gates[Gate].UnreachableUntil = TimePoint();
+}
+
 void Chooser::draining(const std::string &Gate) {
   this->Gates[Gate].Draining = true;
 }
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -113,6 +113,10 @@
   /// until it answers again.
   void draining(const std::string &Gate);
   void ready(const std::string &Gate);
+  /// Nobody answers there, or not who was meant; it is left out for a while,
+  /// or until somebody does.
+  void unreachable(const std::string &Gate, TimePoint Now);
+  void reachable(const std::string &Gate);
   /// Forgets the gates that are on no list any more.
   void keepOnly(const std::set<std::string> &Listed);
 
@@ -135,6 +139,7 @@
     uint32_t FailuresInRow = 0;
     TimePoint EjectedUntil;
     TimePoint FullUntil;
+    TimePoint UnreachableUntil;
     bool Draining = false;
   };
 
