Sheds below the listed slots no longer close the gate

Where the list tells the slots, sheds do not change them, and callers that were shed are told to come back at once. Test ShedsBelowTheListedSlotsKeepTheGateOpen.

--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -472,7 +472,10 @@
 bool Gate::turnedAway(const CallId &Id, Call &One, const ResponseHead &Head,
                       TimePoint Now) {
   const std::string &Mark = this->Opts.Names.NotRun;
-  if (Head.Status == ShedStatus)
+  // Where the list tells the slots, no more than those are ever in use, and a
+  // shed is a fault of the upstream and not a want of room. Fewer calls would
+  // be shed as often, and most slots would stand idle.
+  if (Head.Status == ShedStatus && !this->ListedSlots)
     this->Slots.shed(Now);
   bool Promises = Head.Status == ShedStatus || Head.Status == TooManyStatus ||
                   Head.Status == TimeoutStatus ||
@@ -484,11 +487,11 @@
                 !findHeader(Head.Headers, Mark).empty();
   bool Misdirected = Head.Status == MisdirectedStatus;
   if (Marked) {
-    this->refuse(Id, One,
-                 because(Outcome::NotRun,
-                         Misdirected ? "upstream-replaced" : "upstream-shed",
-                         StepUpstream, this->Opts.Self),
-                 Now);
+    Refusal Why = because(Outcome::NotRun,
+                          Misdirected ? "upstream-replaced" : "upstream-shed",
+                          StepUpstream, this->Opts.Self);
+    Why.RetryAfter = this->Opts.ShedComeBack;
+    this->refuse(Id, One, std::move(Why), Now);
     return true;
   }
   this->Slots.finished(Id, /*Answered=*/false, Now);
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -51,6 +51,10 @@
     /// Must leave the entry time to come back over another; one that does not
     /// is gone, and so is its caller.
     Millis OrphanGrace{500};
+    /// Advice to a caller whose call the upstream turned away although it had a
+    /// slot: the next upstream, or the next moment, may take it, so it comes
+    /// back while its target can still be met.
+    Millis ShedComeBack{30};
     /// Ids remembered at once. New calls are refused when full.
     size_t MaxRemembered = 100000;
     /// All on, but in scenarios.
--- /dev/null
+++ b/src/calls/GateCallsTest.cpp
@@ -0,0 +1,212 @@
+#include "calls/Gate.h"
+
+#include "config/RecordFile.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace hickorylift {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+const TimePoint Start = TimePoint(std::chrono::hours(1));
+constexpr Gate::LinkId Link = 1;
+
+const std::string Records = R"([
+  {"kind":"service","name":"a","schema":1,"slots":10},
+  {"kind":"route","name":"r","schema":3,"match":{"prefix":"/"},
+   "service":"a","idempotent":false}])";
+
+/// A gate whose upstream and one entry the test plays.
+struct Fixture {
+  std::unique_ptr<Gate> At;
+  std::vector<wire::CallFrameT> Sent;
+  std::vector<std::pair<CallId, RequestHead>> Started;
+  std::vector<CallId> Cancelled;
+  TimePoint Now = Start;
+
+  Fixture() {
+    Gate::Options Opts;
+    Opts.Self = "me";
+    Opts.Service = "a";
+    Opts.Names.NotRun = "Not-Run";
+    Opts.Names.Expect = "Expect-Upstream";
+    Opts.Names.Budget = "Budget";
+    Gate::Hooks Hooks;
+    Hooks.Send = [this](Gate::LinkId, wire::CallFrameT Frame) {
+      this->Sent.push_back(std::move(Frame));
+    };
+    Hooks.Start = [this](const CallId &Id, const RequestHead &Head, bool) {
+      this->Started.emplace_back(Id, Head);
+    };
+    Hooks.Body = [](const CallId &, std::string_view) {};
+    Hooks.BodyEnd = [](const CallId &) {};
+    Hooks.Cancel = [this](const CallId &Id) { this->Cancelled.push_back(Id); };
+    Hooks.PauseAnswer = [](const CallId &, bool) {};
+    this->At = std::make_unique<Gate>(Opts, Hooks);
+    FaultList Faults;
+    this->At->configure(
+        compileConfig(
+            *Document::make(1, 1, *readRecordFile(Records, "f", Faults)),
+            CompileOptions())
+            .Compiled,
+        this->Now);
+    this->At->linkUp(Link, this->Now);
+    wire::CallHelloT Hello;
+    Hello.incarnation = 7;
+    this->At->frame(Link, callFrame(std::move(Hello)), this->Now);
+  }
+
+  void listSlots(uint32_t Slots) {
+    Instance Own;
+    Own.Name = "me";
+    Own.Service = "a";
+    Own.Slots = Slots;
+    this->At->members({&Own}, this->Now);
+  }
+
+  wire::OpenT openOf(uint64_t Seq) const {
+    wire::OpenT Open;
+    Open.seq = Seq;
+    Open.entry = 7;
+    Open.service = "a";
+    Open.method = "GET";
+    Open.path = "/x";
+    Open.budget_ms = 1000;
+    Open.target_ms = 300;
+    Open.route = "r";
+    Open.upstream = "up-1";
+    return Open;
+  }
+  void open(wire::OpenT Open) {
+    this->At->frame(Link, callFrame(std::move(Open)), this->Now);
+  }
+
+  /// The last frame about a call that failed; null if there is none.
+  const wire::FailedT *failed() const {
+    const wire::FailedT *Last = nullptr;
+    for (const wire::CallFrameT &One : this->Sent)
+      if (const auto *Failed = One.payload.AsFailed())
+        Last = Failed;
+    return Last;
+  }
+  size_t admitted() const {
+    size_t Count = 0;
+    for (const wire::CallFrameT &One : this->Sent)
+      Count += One.payload.AsAdmitted() != nullptr;
+    return Count;
+  }
+};
+
+struct AnswerRow {
+  unsigned Status;
+  bool Marked;
+  // Empty where the answer is passed on.
+  const char *Reason;
+  wire::Outcome What;
+};
+std::ostream &operator<<(std::ostream &To, const AnswerRow &Of) {
+  return To << Of.Status << (Of.Marked ? " marked" : "");
+}
+
+const AnswerRow Answers[] = {
+    {200, false, "", wire::Outcome::NotRun},
+    {500, false, "", wire::Outcome::NotRun},
+    {504, false, "", wire::Outcome::NotRun},
+    {400, true, "", wire::Outcome::NotRun},
+    {503, true, "upstream-shed", wire::Outcome::NotRun},
+    {429, true, "upstream-shed", wire::Outcome::NotRun},
+    {421, false, "upstream-replaced", wire::Outcome::NotRun},
+    {503, false, "upstream-unmarked-refusal", wire::Outcome::Unknown},
+    {429, false, "upstream-unmarked-refusal", wire::Outcome::Unknown},
+    {408, false, "upstream-unmarked-refusal", wire::Outcome::Unknown},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GateCalls)
+
+// The caller takes 503, 429, 408 and 421 for a promise that nothing ran. Only
+// the upstream's mark, or another process at its address, makes that true.
+BOOST_DATA_TEST_CASE(OnlyMarkedRefusalsArePromises, data::make(Answers), Row) {
+  Fixture Of;
+  Of.open(Of.openOf(1));
+  BOOST_REQUIRE(Of.Started.size() == 1u);
+  ResponseHead Head;
+  Head.Status = Row.Status;
+  Head.Length = 0;
+  if (Row.Marked)
+    Head.Headers = {{"Not-Run", "1"}};
+  Of.At->upstreamHead({7, 1}, Head, Of.Now);
+  const wire::FailedT *Failed = Of.failed();
+  BOOST_TEST((Failed ? Failed->reason : "") == Row.Reason);
+  if (Failed)
+    BOOST_TEST((Failed->outcome == Row.What));
+}
+
+BOOST_FIXTURE_TEST_CASE(CallsNameTheUpstreamThatIsMeant, Fixture) {
+  this->open(this->openOf(1));
+  const HeaderList &Headers = this->Started.at(0).second.Headers;
+  BOOST_TEST(findHeader(Headers, "Expect-Upstream") == "up-1");
+  BOOST_TEST(findHeader(Headers, "Budget") == "1000");
+}
+
+// An upstream fails half of its calls by shedding them, with slots free.
+// Callers of the other half must not find its gate closed: nine calls at once
+// run, as many as the list says, however many were shed before.
+BOOST_FIXTURE_TEST_CASE(ShedsBelowTheListedSlotsKeepTheGateOpen, Fixture) {
+  this->listSlots(9);
+  ResponseHead Shed;
+  Shed.Status = 503;
+  Shed.Headers = {{"Not-Run", "1"}};
+  for (uint64_t Seq = 1; Seq <= 20; ++Seq) {
+    this->open(this->openOf(Seq));
+    this->At->upstreamHead({7, Seq}, Shed, this->Now);
+  }
+  BOOST_TEST(this->failed()->retry_after_ms == 30u);
+  size_t Before = this->Started.size();
+  for (uint64_t Seq = 101; Seq <= 110; ++Seq)
+    this->open(this->openOf(Seq));
+  BOOST_TEST(this->Started.size() - Before == 9u);
+}
+
+// The entry's process is gone, and with it the caller's connection. What may be
+// repeated is not worked on for nobody; an approval that runs is left to run.
+BOOST_FIXTURE_TEST_CASE(SafeCallsOfALostEntryEnd, Fixture) {
+  wire::OpenT Safe = this->openOf(1);
+  Safe.idempotent = true;
+  this->open(std::move(Safe));
+  this->open(this->openOf(2));
+  this->At->linkDown(Link, this->Now);
+  this->Now += Millis(400);
+  this->At->tick(this->Now);
+  BOOST_TEST(this->Cancelled.empty());
+  this->Now += Millis(200);
+  this->At->tick(this->Now);
+  BOOST_REQUIRE(this->Cancelled.size() == 1u);
+  BOOST_TEST(this->Cancelled.at(0).Seq == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(HeldBodyIsAskedForWhenTheCallRuns, Fixture) {
+  this->listSlots(1);
+  this->open(this->openOf(1));
+  wire::OpenT Long = this->openOf(2);
+  Long.length = 20000;
+  Long.holds_body = true;
+  this->open(std::move(Long));
+  BOOST_TEST(this->admitted() == 0u);
+  ResponseHead Head;
+  Head.Status = 200;
+  Head.Length = 0;
+  this->Now += Millis(50);
+  this->At->upstreamHead({7, 1}, Head, this->Now);
+  BOOST_TEST(this->Started.size() == 2u);
+  BOOST_TEST(this->admitted() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace hickorylift
