--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -208,7 +208,8 @@
   const Route *Taken = this->findRoute(Head);
   Call &One = this->Calls.emplace(Caller, this->makeCall(Head, *Taken, Now))
                   .first->second;
-  this->Budgets[One.Target->Name].firstTry(Taken->Retry->BudgetPercent);
+  this->budgetOf(One).firstTry(
+      std::min(Taken->Retry->BudgetPercent, this->Opts.MaxRetryPercent));
   if (Head.Length == 0)
     One.Request.finish();
   bool Gathers = Head.Length > 0 && Head.Length <= this->Opts.GatherBytes;
@@ -441,7 +442,20 @@
     return false;
   // The budget guards upstreams. A call that none of them saw is still to be
   // tried for the first time.
-  return !Reached || this->Budgets[One.Target->Name].retry(Now);
+  return !Reached || this->budgetOf(One).retry(Now);
+}
+
+// No node knows what the others spend. So each has a fixed part of the whole: a
+// share of its own first tries, and an equal part of the reserve. The sum over
+// all nodes is then within both, whoever lives; a node that starts again has
+// its part of the reserve once more.
+RetryBudget &Entry::budgetOf(const Call &One) {
+  RetryBudget &Of = this->Budgets[One.Target->Name];
+  if (this->Opts.FleetRetryReserve > 0)
+    Of.limitReserve(std::max(
+        1.0, this->Opts.FleetRetryReserve /
+                 static_cast<double>(std::max<size_t>(1, this->Fleet.size()))));
+  return Of;
 }
 
 void Entry::tryAnother(CallerId Caller, const Refusal &Why, TimePoint Now) {
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -86,6 +86,12 @@
     uint32_t MaxOffers = 4;
     /// Advice to callers that are refused before a gate is chosen.
     Millis ComeBack{1000};
+    /// Retries in reserve for one service, summed over all nodes: each keeps
+    /// its part of them. Zero for ten at each node, however many there are.
+    double FleetRetryReserve = 0;
+    /// Retries for each hundred first tries, where that is less than what the
+    /// retry policy says.
+    double MaxRetryPercent = 100;
     /// Calls of one lost link that are cancelled when it is back; those over
     /// this run to their deadlines.
     size_t MaxOrphans = 1000;
@@ -259,6 +265,7 @@
   void leaveGate(CallerId Caller, Call &One, bool Answered, TimePoint Now);
   void tryAnother(CallerId Caller, const Refusal &Why, TimePoint Now);
   void moveOn(CallerId Caller, const Refusal &Why, TimePoint Now);
+  RetryBudget &budgetOf(const Call &One);
   bool mayTryAnother(Call &One, const Refusal &Why, TimePoint Now);
   void refuse(CallerId Caller, const Refusal &Why);
   void giveUp(CallerId Caller, const Refusal &Why, TimePoint Now);
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -38,6 +38,8 @@
     Opts.Service = "b";
     Opts.Names.RequestId = "Request-Id";
     Opts.Names.Origin = "Origin";
+    Opts.FleetRetryReserve = 6;
+    Opts.MaxRetryPercent = 5;
     Opts.PingInterval = Millis(100);
     Opts.SilenceLimit = Millis(400);
     this->From = std::make_unique<Entry>(Opts, this->hooks(), this->Fleet);
@@ -174,6 +176,23 @@
   BOOST_TEST(this->Refused[1] == "not-run overload");
 }
 
+// Every call to one service fails after it may have run. The retries of all
+// nodes together stay within the deployment's share and reserve: three nodes,
+// each with a third of the reserve of six and a twentieth of its first tries.
+BOOST_FIXTURE_TEST_CASE(RetriesOfAllNodesStayWithinTheReserve, Fixture) {
+  for (Entry::CallerId Id = 1; Id <= 200; ++Id)
+    this->request(Id, "/read/1");
+  for (const char *Gate : {"g-1", "g-2", "g-3"})
+    this->hello(Gate);
+  for (size_t Done = 0; Done < this->opens().size(); ++Done) {
+    auto [Gate, Open] = this->opens()[Done];
+    this->fail(Gate, Open->seq, wire::Outcome::Unknown, "upstream-closed");
+  }
+  size_t Retries = this->opens().size() - 200;
+  BOOST_TEST(Retries >= 2u);
+  BOOST_TEST(Retries <= 2u + 200 / 20);
+}
+
 BOOST_FIXTURE_TEST_CASE(UnknownOutcomeOfUnsafeCallIsNotRepeated, Fixture) {
   this->request(1, "/write/1");
   this->hello(this->Dialled.back());
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -335,6 +335,9 @@
   Call *One = this->find(Id);
   if (!One)
     return;
+  // Nobody takes the rest of its answer, and a stop need not wait for that.
+  if (One->Now == State::Finished)
+    One->Linked = false;
   if (One->Now == State::Waiting)
     this->refuse(
         Id, *One,
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -176,12 +176,20 @@
 class RetryBudget {
 public:
   /// Percent of first tries, and the reserve that an idle service has.
-  explicit RetryBudget(double Reserve = 10) : Tokens(0, Reserve) {}
+  explicit RetryBudget(double Reserve = 10)
+      : Reserve(Reserve), Tokens(0, Reserve) {}
 
   void firstTry(double Percent) { this->Tokens.earn(Percent / 100); }
   bool retry(TimePoint Now) { return this->Tokens.take(Now); }
+  /// What this node may keep of a reserve that all nodes share.
+  void limitReserve(double New) {
+    if (New < this->Reserve)
+      this->Tokens = TokenBucket(0, New);
+    this->Reserve = std::min(this->Reserve, New);
+  }
 
 private:
+  double Reserve;
   TokenBucket Tokens;
 };
 
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -184,6 +184,10 @@
     this->Out.Core.CallGate.Window = To.Window;
     To.GatherBytes = Calls.integer("gather_bytes", To.GatherBytes, 0, 64 << 20);
     To.ComeBack = Calls.millis("come_back_ms", To.ComeBack.count(), 1, MaxMs);
+    To.FleetRetryReserve =
+        Calls.number("retry_reserve", To.FleetRetryReserve, 0, 1e6);
+    To.MaxRetryPercent =
+        Calls.number("max_retry_percent", To.MaxRetryPercent, 0, 100);
     To.ConnectLimit =
         Calls.millis("connect_ms", To.ConnectLimit.count(), 10, 60000);
     To.MaxCalls = static_cast<size_t>(
