--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -419,6 +419,7 @@
                      : Final.What == Outcome::Unknown ? "call-unknown"
                                                       : "call-refused";
   this->note(What, One, Final, Now);
+  this->Hook.Took(Now - One.CameAt, /*Answered=*/false);
   this->leaveGate(Caller, One, !blamesGate(Why), Now);
   this->Calls.erase(Caller);
   if (HaveHead) {
@@ -743,6 +744,7 @@
   Credit.consumed = Found->second.Response.received();
   this->Hook.Send(Gate, callFrame(Credit));
   ++this->Counts.Answered;
+  this->Hook.Took(Now - Found->second.CameAt, /*Answered=*/true);
   this->finish(*Caller, Now);
   this->Hook.BodyEnd(*Caller);
 }
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -124,6 +124,9 @@
   struct Hooks {
     std::function<void(const Note &, TimePoint)> Decided = [](const Note &,
                                                               TimePoint) {};
+    /// A call is over: how long its caller waited, and whether for an answer.
+    std::function<void(Clock::duration, bool Answered)> Took =
+        [](Clock::duration, bool) {};
     /// Opens a call link to a gate; gateUp or gateDown follows.
     std::function<void(const Instance &)> Connect;
     std::function<void(const std::string &Gate, wire::CallFrameT)> Send;
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -160,6 +160,7 @@
   Call &One = this->Calls.emplace(Id, Call(this->Opts.Window)).first->second;
   One.Link = Link;
   One.Linked = true;
+  One.CameAt = Now;
   One.Deadline = Now + Budget;
   this->Due.emplace(One.Deadline, Id);
   return One;
@@ -260,6 +261,7 @@
   if (!this->judgeKey(Id, One, Now))
     return;
   One.Now = State::Running;
+  One.StartedAt = Now;
   ++this->Counts.Started;
   // What the upstream calls in turn has this much left.
   setHeader(One.Head.Headers, this->Opts.Names.Budget,
@@ -537,6 +539,7 @@
     return;
   One->Now = State::Finished;
   ++this->Counts.Answered;
+  this->Hook.Took(One->StartedAt - One->CameAt, Now - One->StartedAt);
   One->Response.finish();
   if (!One->Key.empty()) {
     std::string Body = std::exchange(One->Recorded, "");
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -78,6 +78,9 @@
     std::function<void(const CallId &)> Cancel;
     /// Stops or resumes reading the upstream's answer.
     std::function<void(const CallId &, bool Paused)> PauseAnswer;
+    /// A call was answered whole: how long it waited for a slot, and ran.
+    std::function<void(Clock::duration Waited, Clock::duration Ran)> Took =
+        [](Clock::duration, Clock::duration) {};
     std::function<std::optional<Millis>(TimePoint)> ListAge = [](TimePoint) {
       return Millis(0);
     };
@@ -139,6 +142,8 @@
     bool BodyHeld = false;
     std::string Key;
     bool Idempotent = false;
+    TimePoint CameAt;
+    TimePoint StartedAt;
     TimePoint Deadline;
     ReceiveStream Request;
     std::string EarlyBody;
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -231,6 +231,9 @@
   Hooks.BodyEnd = [this](Entry::CallerId Caller) {
     this->Http->bodyEnd(Caller);
   };
+  Hooks.Took = [this](Clock::duration Length, bool Answered) {
+    this->Operators->metrics().callTook(Length, Answered);
+  };
   Hooks.Decided = [this](const Entry::Note &Of, TimePoint Now) {
     this->logCall(Of, Now);
   };
@@ -261,6 +264,9 @@
   Hooks.PauseAnswer = [this](const CallId &Id, bool Paused) {
     this->Upstream->pauseAnswer(Id, Paused);
   };
+  Hooks.Took = [this](Clock::duration Waited, Clock::duration Ran) {
+    this->Operators->metrics().gateTook(Waited, Ran);
+  };
   return Hooks;
 }
 
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -39,6 +39,7 @@
   const Dialect &names() const { return this->Names; }
   const Settings &settings() const { return this->Set; }
   uint64_t incarnation() const { return this->Incarnation; }
+  uint64_t upstreamDials() const { return this->Upstream->dials(); }
   uint64_t controlBytesSent() const;
   uint64_t controlBytesReceived() const;
   TimePoint startedAt() const { return this->StartedAt; }
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -2,12 +2,54 @@
 
 #include "node/Node.h"
 
+#include "base/Log.h"
+
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/text_serializer.h>
 
 namespace hickorylift {
 
-Metrics::Metrics() : Registry(std::make_shared<prometheus::Registry>()) {}
+namespace {
+
+// Around the targets of calls: from a millisecond on the way to the ten seconds
+// after which nobody waits any more.
+const prometheus::Histogram::BucketBoundaries Seconds = {
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2.5, 10};
+
+double seconds(Clock::duration Of) {
+  return std::chrono::duration<double>(Of).count();
+}
+
+} // namespace
+
+Metrics::Metrics() : Registry(std::make_shared<prometheus::Registry>()) {
+  auto &Calls = prometheus::BuildHistogram()
+                    .Name("hickorylift_call_seconds")
+                    .Help("Time that callers waited, by outcome")
+                    .Register(*this->Registry);
+  this->AnsweredCalls = &Calls.Add({{"outcome", "answered"}}, Seconds);
+  this->OtherCalls = &Calls.Add({{"outcome", "none"}}, Seconds);
+  this->GateWaits = &prometheus::BuildHistogram()
+                         .Name("hickorylift_gate_wait_seconds")
+                         .Help("Time that calls waited for a slot")
+                         .Register(*this->Registry)
+                         .Add({}, Seconds);
+  this->UpstreamRuns = &prometheus::BuildHistogram()
+                            .Name("hickorylift_upstream_seconds")
+                            .Help("Time from a call's start to its answer")
+                            .Register(*this->Registry)
+                            .Add({}, Seconds);
+}
+
+void Metrics::callTook(Clock::duration Length, bool Answered) {
+  (Answered ? this->AnsweredCalls : this->OtherCalls)->Observe(seconds(Length));
+}
+
+void Metrics::gateTook(Clock::duration Waited, Clock::duration Ran) {
+  this->GateWaits->Observe(seconds(Waited));
+  this->UpstreamRuns->Observe(seconds(Ran));
+}
 
 void Metrics::set(const std::string &Name, const std::string &Help,
                   double Value,
@@ -76,6 +118,14 @@
   Set("hickorylift_gate_running", "Calls at the upstream", Load.in_flight());
   Set("hickorylift_gate_waiting", "Calls that wait", Load.queued());
   Set("hickorylift_gate_slots", "Slots open", Load.slots());
+  Set("hickorylift_upstream_connections", "Connections made to the upstream",
+      Of.upstreamDials());
+  Set("hickorylift_log_dropped_lines",
+      "Log lines left out because the output was full", droppedLogLines());
+  std::optional<Millis> ListAge = Of.core().control().oldestListAge(Now);
+  this->set("hickorylift_list_age_seconds",
+            "Age of the oldest list, -1 while one is unknown",
+            ListAge ? seconds(*ListAge) : -1, {});
   Set("hickorylift_ready", "1 when /ready says so", Of.core().ready());
   return prometheus::TextSerializer().Serialize(this->Registry->Collect());
 }
--- a/src/operator/Metrics.h
+++ b/src/operator/Metrics.h
@@ -1,6 +1,9 @@
 #ifndef HICKORYLIFT_OPERATOR_METRICS_H
 #define HICKORYLIFT_OPERATOR_METRICS_H
 
+#include "base/Time.h"
+
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <map>
@@ -17,6 +20,11 @@
 public:
   Metrics();
 
+  /// How long a caller waited, for an answer or in vain.
+  void callTook(Clock::duration Length, bool Answered);
+  /// How long a call waited at the gate for a slot, and ran at the upstream.
+  void gateTook(Clock::duration Waited, Clock::duration Ran);
+
   std::string text(Node &Of);
 
 private:
@@ -24,6 +32,10 @@
            const std::map<std::string, std::string> &Labels = {});
 
   std::shared_ptr<prometheus::Registry> Registry;
+  prometheus::Histogram *AnsweredCalls = nullptr;
+  prometheus::Histogram *OtherCalls = nullptr;
+  prometheus::Histogram *GateWaits = nullptr;
+  prometheus::Histogram *UpstreamRuns = nullptr;
   std::map<std::string, prometheus::Family<prometheus::Gauge> *> Families;
 };
 
--- a/src/operator/OperatorServer.h
+++ b/src/operator/OperatorServer.h
@@ -21,6 +21,7 @@
   explicit OperatorServer(Node &Of);
   ~OperatorServer();
 
+  Metrics &metrics() { return this->Measured; }
   Result<bool> listen(const NetAddress &At);
 
 private:
