Gates that cannot be reached are left out, also where they are most

What is certainly unreachable is now left out for two seconds or until it answers. A refusal without advice gets the entry's own. Test UnreachableGatesAreLeftOutEvenIfTheyAreMost.

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -415,6 +415,9 @@
   bool RanEarlier =
       One.LastRefusal && One.LastRefusal->What == Outcome::Unknown;
   Refusal Final = RanEarlier ? *One.LastRefusal : Why;
+  bool MayComeBack = Final.What == Outcome::NotRun && Final.Status == 0;
+  if (MayComeBack && Final.RetryAfter.count() == 0)
+    Final.RetryAfter = this->Opts.ComeBack;
   const char *What = HaveHead                         ? "call-broken"
                      : Final.What == Outcome::Unknown ? "call-unknown"
                                                       : "call-refused";
--- a/src/operator/OperatorServer.h
+++ b/src/operator/OperatorServer.h
@@ -10,7 +10,7 @@
 
 // The OperatorServer answers operators over HTTP: /status, /fleet, /audit,
 // /explain, /metrics, /ready, and by POST /drain and /undrain. The bodies are
-// JSON but for /metrics; docs/OPERATING.md describes them.
+// JSON but for /metrics; docs/OPERATIONS.md describes them.
 
 namespace hickorylift {
 
--- a/src/routing/Chooser.cpp
+++ b/src/routing/Chooser.cpp
@@ -59,10 +59,9 @@
   for (const Instance *One : Upstreams) {
     const State &Of = this->Gates[One->Name];
     if (One->Leaving || Of.Draining || Tried.count(One->Name) ||
-        Now < Of.FullUntil)
+        Now < Of.FullUntil || Now < Of.UnreachableUntil)
       continue;
-    bool Out = Now < std::max(Of.EjectedUntil, Of.UnreachableUntil);
-    (Out ? Ejected : Open).push_back(One);
+    (Now < Of.EjectedUntil ? Ejected : Open).push_back(One);
   }
   // Failures of the network look like failures of every gate. If the bound is
   // passed the verdicts prove nothing, and the ejected are asked again.
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -117,7 +117,8 @@
   void draining(const std::string &Gate);
   void ready(const std::string &Gate);
   /// Nobody answers there, or not who was meant; it is left out for a while,
-  /// or until somebody does.
+  /// or until somebody does, also where no other is left. Unlike failed answers
+  /// this is certain, and a call that waits there could be refused at once.
   void unreachable(const std::string &Gate, TimePoint Now);
   void reachable(const std::string &Gate);
   /// Forgets the gates that are on no list any more.
--- a/src/routing/ChooserTest.cpp
+++ b/src/routing/ChooserTest.cpp
@@ -110,6 +110,26 @@
   BOOST_TEST(Choose.pick(pointers(All), {}, Later, want(0))->Name == "near");
 }
 
+// A data centre is cut off, and most gates of a service with it. Calls must go
+// to the one that is left, and where none is, be refused at once: each that is
+// sent after the others waits in vain.
+BOOST_AUTO_TEST_CASE(UnreachableGatesAreLeftOutEvenIfTheyAreMost) {
+  std::vector<Instance> All = nearAndFar();
+  All.push_back(All[1]);
+  All[2].Name = "third";
+  Chooser Choose({}, "north", "me", 1);
+  Choose.unreachable("far", Start);
+  Choose.unreachable("third", Start);
+  for (int I = 0; I < 20; ++I)
+    BOOST_TEST(Choose.pick(pointers(All), {}, Start, want(0))->Name == "near");
+  Choose.unreachable("near", Start);
+  BOOST_TEST(!Choose.pick(pointers(All), {}, Start, want(0)));
+  Choose.reachable("far");
+  BOOST_TEST(Choose.pick(pointers(All), {}, Start, want(0))->Name == "far");
+  TimePoint Later = Start + Millis(2001);
+  BOOST_TEST(Choose.pick(pointers(All), {}, Later, want(0)));
+}
+
 // What this entry has sent counts before the gate has told of it: a burst must
 // not go to one place.
 BOOST_AUTO_TEST_CASE(ABurstIsSpread) {
