A gate's pace is measured route by route

Entries compared the mean runs that gates told. Now each run is held against its route's usual one, and old means lose weight by time. Tests ShortCallsDoNotMakeAGateFast, SlowGateIsTriedAgainInTime.

--- a/src/calls/Calls_generated.h
+++ b/src/calls/Calls_generated.h
@@ -1185,6 +1185,7 @@
   std::vector<std::unique_ptr<hickorylift::wire::HeaderT>> headers{};
   int64_t length = 0;
   std::unique_ptr<hickorylift::wire::Load> load{};
+  uint32_t ran_us = 0;
   HeadT() = default;
   HeadT(const HeadT &o);
   HeadT(HeadT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1201,7 +1202,8 @@
     VT_REASON = 8,
     VT_HEADERS = 10,
     VT_LENGTH = 12,
-    VT_LOAD = 14
+    VT_LOAD = 14,
+    VT_RAN_US = 16
   };
   uint64_t seq() const {
     return GetField<uint64_t>(VT_SEQ, 0);
@@ -1221,6 +1223,9 @@
   const hickorylift::wire::Load *load() const {
     return GetStruct<const hickorylift::wire::Load *>(VT_LOAD);
   }
+  uint32_t ran_us() const {
+    return GetField<uint32_t>(VT_RAN_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQ, 8) &&
@@ -1232,6 +1237,7 @@
            verifier.VerifyVectorOfTables(headers()) &&
            VerifyField<int64_t>(verifier, VT_LENGTH, 8) &&
            VerifyField<hickorylift::wire::Load>(verifier, VT_LOAD, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RAN_US, 4) &&
            verifier.EndTable();
   }
   HeadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1261,6 +1267,9 @@
   void add_load(const hickorylift::wire::Load *load) {
     fbb_.AddStruct(Head::VT_LOAD, load);
   }
+  void add_ran_us(uint32_t ran_us) {
+    fbb_.AddElement<uint32_t>(Head::VT_RAN_US, ran_us, 0);
+  }
   explicit HeadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1279,10 +1288,12 @@
     flatbuffers::Offset<flatbuffers::String> reason = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::Header>>> headers = 0,
     int64_t length = 0,
-    const hickorylift::wire::Load *load = nullptr) {
+    const hickorylift::wire::Load *load = nullptr,
+    uint32_t ran_us = 0) {
   HeadBuilder builder_(_fbb);
   builder_.add_length(length);
   builder_.add_seq(seq);
+  builder_.add_ran_us(ran_us);
   builder_.add_load(load);
   builder_.add_headers(headers);
   builder_.add_reason(reason);
@@ -1302,7 +1313,8 @@
     const char *reason = nullptr,
     const std::vector<flatbuffers::Offset<hickorylift::wire::Header>> *headers = nullptr,
     int64_t length = 0,
-    const hickorylift::wire::Load *load = nullptr) {
+    const hickorylift::wire::Load *load = nullptr,
+    uint32_t ran_us = 0) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<hickorylift::wire::Header>>(*headers) : 0;
   return hickorylift::wire::CreateHead(
@@ -1312,7 +1324,8 @@
       reason__,
       headers__,
       length,
-      load);
+      load,
+      ran_us);
 }
 
 flatbuffers::Offset<Head> CreateHead(flatbuffers::FlatBufferBuilder &_fbb, const HeadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2212,7 +2225,8 @@
         status(o.status),
         reason(o.reason),
         length(o.length),
-        load((o.load) ? new hickorylift::wire::Load(*o.load) : nullptr) {
+        load((o.load) ? new hickorylift::wire::Load(*o.load) : nullptr),
+        ran_us(o.ran_us) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new hickorylift::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -2224,6 +2238,7 @@
   std::swap(headers, o.headers);
   std::swap(length, o.length);
   std::swap(load, o.load);
+  std::swap(ran_us, o.ran_us);
   return *this;
 }
 
@@ -2242,6 +2257,7 @@
   { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = std::unique_ptr<hickorylift::wire::HeaderT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = length(); _o->length = _e; }
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<hickorylift::wire::Load>(new hickorylift::wire::Load(*_e)); }
+  { auto _e = ran_us(); _o->ran_us = _e; }
 }
 
 inline flatbuffers::Offset<Head> Head::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2258,6 +2274,7 @@
   auto _headers = _o->headers.size() ? _fbb.CreateVector<flatbuffers::Offset<hickorylift::wire::Header>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return CreateHeader(*__va->__fbb, __va->__o->headers[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _length = _o->length;
   auto _load = _o->load ? _o->load.get() : nullptr;
+  auto _ran_us = _o->ran_us;
   return hickorylift::wire::CreateHead(
       _fbb,
       _seq,
@@ -2265,7 +2282,8 @@
       _reason,
       _headers,
       _length,
-      _load);
+      _load,
+      _ran_us);
 }
 
 inline FailedT::FailedT(const FailedT &o)
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -65,6 +65,7 @@
   Chooser::Want Out;
   Out.BodyBytes = static_cast<uint64_t>(std::max<int64_t>(0, Head.Length));
   Out.Target = Taken.TargetLatency;
+  Out.Route = Taken.Name;
   return Out;
 }
 
@@ -713,7 +714,11 @@
   if (One.HaveHead)
     return;
   One.HaveHead = true;
-  this->Choose.judged(Gate, Head.status >= FirstServerError, Now);
+  bool Failure = Head.status >= FirstServerError;
+  this->Choose.judged(Gate, Failure, Now);
+  // A failure says nothing about how long an answer takes.
+  if (!Failure && Head.ran_us > 0)
+    this->Choose.ran(Gate, One.Taken->Name, Micros(Head.ran_us), Now);
   ResponseHead Answer;
   Answer.Status = Head.status;
   Answer.Reason = Head.reason;
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -399,6 +399,9 @@
   Head.headers = toWire(One.Answer.Headers);
   Head.length = One.Answer.Length;
   Head.load = std::make_unique<wire::Load>(this->load(Now));
+  Head.ran_us = static_cast<uint32_t>(
+      std::chrono::duration_cast<Micros>(One.AnsweredAt - One.StartedAt)
+          .count());
   this->Hook.Send(One.Link, callFrame(std::move(Head)));
 }
 
@@ -464,6 +467,7 @@
   if (this->turnedAway(Id, *One, Head, Now))
     return this->pump(Now);
   One->HaveHead = true;
+  One->AnsweredAt = Now;
   One->Answer = Head;
   this->sendHead(Id, *One, Now);
   if (Head.Length == 0)
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -144,6 +144,7 @@
     bool Idempotent = false;
     TimePoint CameAt;
     TimePoint StartedAt;
+    TimePoint AnsweredAt;
     TimePoint Deadline;
     ReceiveStream Request;
     std::string EarlyBody;
--- a/src/gate/Admission.cpp
+++ b/src/gate/Admission.cpp
@@ -197,10 +197,13 @@
 void Admission::learnRun(const RunningCall &Of, TimePoint Now) {
   using Nanos = std::chrono::duration<double, std::nano>;
   Clock::duration Took = Now - Of.Since;
+  double Age = std::chrono::duration<double>(Now - this->RunLearntAt) /
+               std::chrono::duration<double>(this->Opts.LatencyHalfLife);
+  double Weight = std::max(this->Opts.LatencyWeight, 1 - std::exp2(-Age));
+  this->RunLearntAt = Now;
   auto Blend = [&](Clock::duration Old) {
     return std::chrono::duration_cast<Clock::duration>(
-        Nanos(Old) * (1 - this->Opts.LatencyWeight) +
-        Nanos(Took) * this->Opts.LatencyWeight);
+        Nanos(Old) * (1 - Weight) + Nanos(Took) * Weight);
   };
   this->MeanRun = Blend(this->MeanRun.value_or(Took));
   auto Known = this->RunByKind.find(Of.Kind);
--- a/src/gate/Admission.h
+++ b/src/gate/Admission.h
@@ -26,8 +26,12 @@
 class Admission {
 public:
   struct Options {
-    /// Weight of the newest call in the mean run time.
+    /// Weight of the newest call in the mean run time: at least this, and more
+    /// the longer ago the last one was, by half for each half-life. An upstream
+    /// that was slow while it was cold is else remembered so for ever: nobody
+    /// sends it the calls that would show otherwise.
     double LatencyWeight = 0.1;
+    Millis LatencyHalfLife{1000};
     /// Assumed run time before the first call ended.
     Millis FirstLatency{20};
     /// A call is dropped when what is left of its deadline is less than this
@@ -164,6 +168,7 @@
   // Learned from shedding; never above Of.Slots.
   double Window = 1;
   std::optional<Clock::duration> MeanRun;
+  TimePoint RunLearntAt;
   std::map<CallId, RunningCall> Running;
   std::map<std::string, Clock::duration> RunByKind;
   // Those that can still meet their target, and those that cannot.
--- a/src/routing/Chooser.cpp
+++ b/src/routing/Chooser.cpp
@@ -145,19 +145,39 @@
   return Best;
 }
 
-// The shortest run time that a gate has told, in microseconds. What is unknown
-// or long ago is hoped to be as good: a mean would hold the slow gate's own
-// time, and the gate would never be tried again.
-double Chooser::bestRun(const std::vector<const Instance *> &Among) const {
+// The best pace that a gate has shown. What is unknown or long ago is hoped to
+// be as good: a mean would hold the slow gate's own, and the gate would never
+// be tried again.
+double Chooser::bestPace(const std::vector<const Instance *> &Among) const {
   std::optional<double> Best;
   for (const Instance *One : Among) {
     auto Found = this->Gates.find(One->Name);
-    if (Found == this->Gates.end() || Found->second.Load.latency_us() == 0)
+    if (Found == this->Gates.end() || Found->second.Pace == 0)
       continue;
-    double Told = Found->second.Load.latency_us();
-    Best = Best ? std::min(*Best, Told) : Told;
+    Best = Best ? std::min(*Best, Found->second.Pace) : Found->second.Pace;
   }
-  return Best.value_or(static_cast<double>(this->Opts.FirstRun.count()));
+  return Best.value_or(1);
+}
+
+// A gate that is sent the short calls of a service has short runs, and is not
+// fast for that. So each run is held against what its own route usually takes.
+void Chooser::ran(const std::string &Gate, const std::string &Route,
+                  Micros Length, TimePoint Now) {
+  auto Took = static_cast<double>(Length.count());
+  auto Usual = this->UsualRun.find(Route);
+  if (Usual == this->UsualRun.end()) {
+    if (this->UsualRun.size() >= this->Opts.MaxRoutes)
+      return;
+    Usual = this->UsualRun.emplace(Route, Took).first;
+  }
+  Usual->second += (Took - Usual->second) * this->Opts.RouteWeight;
+  State &Of = this->Gates[Gate];
+  double Sample = Took / Usual->second;
+  double Weight =
+      std::max(this->Opts.PaceWeight,
+               1 - halved(Now - Of.PaceAt, this->Opts.PaceHalfLife));
+  Of.Pace = Of.Pace == 0 ? Sample : Of.Pace + (Sample - Of.Pace) * Weight;
+  Of.PaceAt = Now;
 }
 
 double Chooser::failShare(const State &Of, TimePoint Now) const {
@@ -177,13 +197,19 @@
 }
 
 // Microseconds until the answer, were the call sent there now.
-double Chooser::expected(const Instance &Gate, const State &Of, double BestRun,
+double Chooser::expected(const Instance &Gate, const State &Of, double BestPace,
                          const Want &For, TimePoint Now) const {
   Clock::duration Age =
       Of.LoadAt ? Now - *Of.LoadAt : Clock::duration::max() / 2;
-  double Told = Of.Load.latency_us();
-  double Known = Told > 0 ? halved(Age, this->Opts.RunHalfLife) : 0;
-  double Run = Told * Known + BestRun * (1 - Known);
+  double Known =
+      Of.Pace > 0 ? halved(Now - Of.PaceAt, this->Opts.RunHalfLife) : 0;
+  double Pace = Of.Pace * Known + BestPace * (1 - Known);
+  auto Usual = this->UsualRun.find(For.Route);
+  double Run = Pace * (Usual == this->UsualRun.end()
+                           ? static_cast<double>(this->Opts.FirstRun.count())
+                           : Usual->second);
+  // Those ahead are of all routes.
+  double RunAhead = Of.Load.latency_us() > 0 ? Of.Load.latency_us() : Run;
   double Slots = Of.Load.slots() > 0 ? Of.Load.slots()
                  : Gate.Slots > 0    ? Gate.Slots
                                      : this->Opts.FirstSlots;
@@ -191,7 +217,7 @@
                     halved(Age, this->Opts.QueueHalfLife) +
                 Of.SentSince;
   Busy = std::max<double>(Busy, Of.Outstanding);
-  double Wait = std::max(0.0, Busy + 1 - Slots) * Run / Slots;
+  double Wait = std::max(0.0, Busy + 1 - Slots) * RunAhead / Slots;
   Millis Cost = For.Target.count() > 0 ? For.Target : this->Opts.FailCost;
   return Run + Wait +
          this->failShare(Of, Now) * static_cast<double>(Micros(Cost).count());
@@ -199,7 +225,7 @@
 
 const Instance *Chooser::pickSoonest(std::vector<const Instance *> &Among,
                                      const Want &For, TimePoint Now) {
-  double BestRun = this->bestRun(Among);
+  double BestPace = this->bestPace(Among);
   std::uniform_real_distribution<double> Longer(1, 1 + this->Opts.Noise);
   size_t Draw = std::min(this->Opts.DrawSoonest, Among.size());
   const Instance *Best = nullptr;
@@ -207,7 +233,8 @@
   for (size_t I = 0; I < Draw; ++I) {
     std::swap(Among[I], Among[I + this->Random() % (Among.size() - I)]);
     const Instance &One = *Among[I];
-    double Time = this->expected(One, this->Gates[One.Name], BestRun, For, Now);
+    double Time =
+        this->expected(One, this->Gates[One.Name], BestPace, For, Now);
     Time = Time * Longer(this->Random) + this->way(One, For);
     if (Best && Time >= BestTime)
       continue;
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -34,6 +34,8 @@
     uint64_t BodyBytes = 0;
     /// Within this an answer is worth most; zero where nothing is said.
     Millis Target{0};
+    /// Calls of one route take about as long as each other.
+    std::string Route;
   };
 
   struct Options {
@@ -68,6 +70,14 @@
     /// What a gate said of its queue, and of its run time, halves in weight.
     Millis QueueHalfLife{200};
     Millis RunHalfLife{3000};
+    /// Weight of one run in a route's usual time, and of one in a gate's pace:
+    /// at least that, and more the longer ago the last one was, by half for
+    /// each second.
+    double RouteWeight = 0.05;
+    double PaceWeight = 0.1;
+    Millis PaceHalfLife{1000};
+    /// Routes whose usual time is remembered.
+    size_t MaxRoutes = 10000;
     /// What a gate said of its load counts for this long.
     Millis LoadFresh{1000};
     /// A gate is full, for the draw, from this share of its slots on.
@@ -108,6 +118,9 @@
              TimePoint Now);
   /// An answer of the upstream itself: whether it was a failure of its own.
   void judged(const std::string &Gate, bool Failure, TimePoint Now);
+  /// A call of that route ran so long at the upstream, the wait not counted.
+  void ran(const std::string &Gate, const std::string &Route, Micros Length,
+           TimePoint Now);
   void learn(const std::string &Gate, const wire::Load &Load, TimePoint Now);
   /// The gate refused for want of room; it is left out until one of its slots
   /// is likely to have come free.
@@ -134,6 +147,10 @@
     uint32_t Outstanding = 0;
     // Sent since the gate last told its load.
     uint32_t SentSince = 0;
+    // Its run times against those of all gates, route by route; 0 where
+    // nothing is known.
+    double Pace = 0;
+    TimePoint PaceAt;
     double FailShare = 0;
     TimePoint FailAt;
     wire::Load Load;
@@ -156,8 +173,8 @@
   const Instance *pickHot(std::vector<const Instance *> &Among, TimePoint Now);
   const Instance *pickSoonest(std::vector<const Instance *> &Among,
                               const Want &For, TimePoint Now);
-  double bestRun(const std::vector<const Instance *> &Among) const;
-  double expected(const Instance &Gate, const State &Of, double BestRun,
+  double bestPace(const std::vector<const Instance *> &Among) const;
+  double expected(const Instance &Gate, const State &Of, double BestPace,
                   const Want &For, TimePoint Now) const;
   double way(const Instance &Gate, const Want &For) const;
   double failShare(const State &Of, TimePoint Now) const;
@@ -169,6 +186,8 @@
   std::string Self;
   std::mt19937_64 Random;
   std::map<std::string, State> Gates;
+  // Microseconds that a call of the route usually runs, at all gates together.
+  std::map<std::string, double> UsualRun;
   std::map<std::string, size_t> NextInTurn;
 };
 
--- a/src/routing/ChooserTest.cpp
+++ b/src/routing/ChooserTest.cpp
@@ -15,7 +15,8 @@
 
 constexpr uint32_t Ms = 1000;
 
-/// What two gates say of themselves, and which one a call should go to.
+/// How fast two gates were, what they say of themselves, and which one a call
+/// should go to.
 struct TwoGates {
   const char *What;
   wire::Load Near;
@@ -73,8 +74,16 @@
   return Out;
 }
 
+/// What a gate shows by an answer of the usual route.
+void tell(Chooser &To, const std::string &Gate, const wire::Load &Load,
+          TimePoint Now) {
+  To.learn(Gate, Load, Now);
+  To.ran(Gate, "usual", Micros(Load.latency_us()), Now);
+}
+
 Chooser::Want want(uint64_t BodyBytes) {
   Chooser::Want Out;
+  Out.Route = "usual";
   Out.BodyBytes = BodyBytes;
   Out.Target = Millis(300);
   return Out;
@@ -88,8 +97,8 @@
   std::vector<Instance> All = nearAndFar();
   for (uint64_t Seed = 1; Seed < 50; ++Seed) {
     Chooser Choose({}, "north", "me", Seed);
-    Choose.learn("near", Row.Near, Start);
-    Choose.learn("far", Row.Far, Start);
+    tell(Choose, "near", Row.Near, Start);
+    tell(Choose, "far", Row.Far, Start);
     BOOST_TEST(
         Choose.pick(pointers(All), {}, Start, want(Row.BodyBytes))->Name ==
         Row.Chosen);
@@ -101,8 +110,8 @@
 BOOST_AUTO_TEST_CASE(QuickFailuresDoNotAttract) {
   std::vector<Instance> All = nearAndFar();
   Chooser Choose({}, "north", "me", 1);
-  Choose.learn("near", wire::Load(0, 0, 10, 5 * Ms), Start);
-  Choose.learn("far", wire::Load(0, 0, 10, 50 * Ms), Start);
+  tell(Choose, "near", wire::Load(0, 0, 10, 5 * Ms), Start);
+  tell(Choose, "far", wire::Load(0, 0, 10, 50 * Ms), Start);
   for (int I = 0; I < 40; ++I)
     Choose.judged("near", I % 2 == 0, Start);
   BOOST_TEST(Choose.pick(pointers(All), {}, Start, want(0))->Name == "far");
@@ -130,6 +139,28 @@
   BOOST_TEST(Choose.pick(pointers(All), {}, Later, want(0)));
 }
 
+// One gate was sent the short calls of a service and the other the long ones.
+// By their mean runs the first looks five times as fast, and would be sent all.
+BOOST_AUTO_TEST_CASE(ShortCallsDoNotMakeAGateFast) {
+  std::vector<Instance> All = nearAndFar();
+  All[1].DataCentre = "north";
+  Chooser Choose({}, "north", "me", 1);
+  for (int I = 0; I < 100; ++I) {
+    TimePoint Now = Start + Millis(10 * I);
+    Choose.ran("near", "short", Micros(20 * Ms), Now);
+    Choose.ran("far", "long", Micros(100 * Ms), Now);
+    Choose.learn("near", wire::Load(5, 0, 10, 20 * Ms), Now);
+    Choose.learn("far", wire::Load(5, 0, 10, 100 * Ms), Now);
+  }
+  Chooser::Want Long = want(0);
+  Long.Route = "long";
+  std::map<std::string, int> Count;
+  for (int I = 0; I < 100; ++I)
+    ++Count[Choose.pick(pointers(All), {}, Start + Millis(1000), Long)->Name];
+  BOOST_TEST(Count["near"] > 25);
+  BOOST_TEST(Count["far"] > 25);
+}
+
 // What this entry has sent counts before the gate has told of it: a burst must
 // not go to one place.
 BOOST_AUTO_TEST_CASE(ABurstIsSpread) {
@@ -152,11 +183,12 @@
 BOOST_AUTO_TEST_CASE(SlowGateIsTriedAgainInTime) {
   std::vector<Instance> All = nearAndFar();
   Chooser Choose({}, "north", "me", 1);
-  Choose.learn("near", wire::Load(0, 0, 10, 400 * Ms), Start);
+  tell(Choose, "far", wire::Load(0, 0, 10, 50 * Ms), Start);
+  tell(Choose, "near", wire::Load(0, 0, 10, 400 * Ms), Start);
   bool Tried = false;
   for (int I = 0; I < 300 && !Tried; ++I) {
     TimePoint Now = Start + Millis(100 * I);
-    Choose.learn("far", wire::Load(0, 0, 10, 50 * Ms), Now);
+    tell(Choose, "far", wire::Load(0, 0, 10, 50 * Ms), Now);
     Tried = Choose.pick(pointers(All), {}, Now, want(0))->Name == "near";
     if (I < 10)
       BOOST_TEST(!Tried);
