--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -22,7 +22,6 @@
 namespace {
 
 const char StepEntry[] = "entry";
-const char StepLink[] = "gate-link";
 const char UpstreamReason[] = "upstream-";
 const char KeyHeader[] = "Idempotency-Key";
 const char ClassHeader[] = "Hickorylift-Caller-Class";
@@ -85,12 +84,7 @@
 
 Refusal Entry::refusal(Outcome What, const std::string &Reason,
                        const std::string &Step, const std::string &Peer) const {
-  Refusal Why;
-  Why.What = What;
-  Why.Reason = Reason;
-  Why.Step = Step;
-  Why.Peer = Peer.empty() ? this->Opts.Self : Peer;
-  return Why;
+  return makeRefusal(What, Reason, Step, Peer.empty() ? this->Opts.Self : Peer);
 }
 
 // To answer one caller may end the calls of others: an answer that closes its
@@ -266,17 +260,6 @@
     this->connect(Gate.Name, On, Now);
 }
 
-void Entry::connect(const std::string &Gate, Link &On, TimePoint Now) {
-  if (On.ConnectingSince || On.Up)
-    return;
-  const Instance *Known = this->Fleet.find(Gate);
-  if (!Known)
-    return this->loseLink(Gate, On, Now);
-  On.ConnectingSince = Now;
-  On.DialledAt = Now;
-  this->Hook.Connect(*Known);
-}
-
 void Entry::open(CallerId, Call &One, bool Resume, TimePoint Now) {
   wire::OpenT Open;
   Open.seq = One.Id.Seq;
@@ -491,183 +474,6 @@
              : std::nullopt;
 }
 
-void Entry::gateUp(const std::string &Gate, TimePoint Now) {
-  Link &On = this->Links[Gate];
-  On.HeardAt = Now;
-  On.PingAt.reset();
-  wire::CallHelloT Hello;
-  Hello.node = this->Opts.Self;
-  Hello.incarnation = this->Opts.Incarnation;
-  this->Hook.Send(Gate, callFrame(std::move(Hello)));
-}
-
-void Entry::onHello(const std::string &Gate, Link &On,
-                    const wire::CallHelloT &Hello, TimePoint Now) {
-  On.Up = true;
-  On.ConnectingSince.reset();
-  On.Incarnation = Hello.incarnation;
-  On.LostAt.reset();
-  On.NextPing = Now + this->Opts.PingInterval;
-  this->Choose.ready(Gate);
-  this->Choose.reachable(Gate);
-  for (uint64_t Seq : std::exchange(On.Orphans, {})) {
-    wire::CancelT Cancel;
-    Cancel.seq = Seq;
-    Cancel.reason = "caller-gone";
-    this->Hook.Send(Gate, callFrame(std::move(Cancel)));
-  }
-  for (CallerId Caller : std::set<CallerId>(On.Calls)) {
-    Call *Found = this->find(Caller);
-    if (!Found)
-      continue;
-    Call &One = *Found;
-    if (One.Now == State::Connecting) {
-      this->open(Caller, One, /*Resume=*/false, Now);
-    } else if (One.GateIncarnation == Hello.incarnation ||
-               !this->Opts.Guards.ProveIncarnation) {
-      ++this->Counts.Resumed;
-      this->note("call-resumed", One, Refusal(), Now);
-      this->open(Caller, One, /*Resume=*/true, Now);
-    } else {
-      this->tryAnother(
-          Caller,
-          this->refusal(Outcome::Unknown, "gate-restarted", StepLink, Gate),
-          Now);
-    }
-  }
-}
-
-void Entry::gateDown(const std::string &Gate, TimePoint Now) {
-  Link &On = this->Links[Gate];
-  if (On.ConnectingSince)
-    this->Choose.unreachable(Gate, Now);
-  On.Up = false;
-  On.ConnectingSince.reset();
-  this->loseLink(Gate, On, Now);
-}
-
-// Calls that were never sent, or may run twice, go elsewhere at once. The
-// others wait for a new link, for FindAgain or until their deadline.
-void Entry::loseLink(const std::string &Gate, Link &On, TimePoint Now) {
-  On.PingAt.reset();
-  if (!On.LostAt)
-    On.LostAt = Now;
-  for (CallerId Caller : std::set<CallerId>(On.Calls)) {
-    Call *Found = this->find(Caller);
-    if (!Found)
-      continue;
-    Call &One = *Found;
-    if (One.Now == State::Connecting)
-      this->tryAnother(
-          Caller,
-          this->refusal(Outcome::NotRun, "gate-unreachable", StepLink, Gate),
-          Now);
-    else if (One.Now == State::Sent) {
-      One.Now = State::Searching;
-      // It may run twice, so there is nothing to find out first.
-      Refusal Lost =
-          this->refusal(Outcome::Unknown, "link-lost", StepLink, Gate);
-      if (One.Idempotent && this->mayTryAnother(One, Lost, Now)) {
-        this->moveOn(Caller, Lost, Now);
-        continue;
-      }
-      this->note("call-searching", One,
-                 this->refusal(Outcome::Unknown, "link-lost", StepLink, Gate),
-                 Now);
-    }
-  }
-}
-
-// The link is condemned, not the gate: something between the two may have lost
-// track of this connection while a new one works.
-void Entry::condemn(const std::string &Gate, Link &On, TimePoint Now) {
-  this->Hook.Close(Gate);
-  if (On.ConnectingSince)
-    this->Choose.unreachable(Gate, Now);
-  On.Up = false;
-  On.ConnectingSince.reset();
-  this->loseLink(Gate, On, Now);
-}
-
-void Entry::driveLinks(TimePoint Now) {
-  std::vector<std::string> Names;
-  for (const auto &[Gate, On] : this->Links)
-    Names.push_back(Gate);
-  for (const std::string &Gate : Names) {
-    Link &On = this->Links[Gate];
-    this->driveLink(Gate, On, Now);
-    if (On.Calls.empty() && Now - On.UsedAt > this->Opts.IdleLink) {
-      this->Hook.Close(Gate);
-      this->Links.erase(Gate);
-    }
-  }
-}
-
-void Entry::driveLink(const std::string &Gate, Link &On, TimePoint Now) {
-  bool Quiet = Now - On.HeardAt >= this->Opts.PingInterval;
-  if (On.Up && !On.Calls.empty() && !On.PingAt && Quiet && Now >= On.NextPing) {
-    On.PingAt = Now;
-    On.NextPing = Now + this->Opts.PingInterval;
-    this->Hook.Send(Gate, callFrame(wire::PingT()));
-  }
-  bool Silent = On.PingAt && Now - *On.PingAt > this->Opts.SilenceLimit;
-  bool NeverUp =
-      On.ConnectingSince && Now - *On.ConnectingSince > this->Opts.ConnectLimit;
-  if ((Silent || NeverUp) && this->Opts.Guards.CondemnSilentLinks)
-    this->condemn(Gate, On, Now);
-  bool Slow = On.ConnectingSince &&
-              Now - *On.ConnectingSince > this->Opts.ConnectPatience;
-  if (Slow)
-    this->moveWaiting(Gate, On, Now);
-  this->redial(Gate, On, Now);
-  bool Wanted = !On.Calls.empty() || !On.Orphans.empty();
-  if (On.Up || On.ConnectingSince || !Wanted)
-    return;
-  if (On.LostAt && Now - *On.LostAt > this->Opts.FindAgain) {
-    On.Orphans.clear();
-    this->giveUpSearch(Gate, On, Now);
-  } else {
-    this->connect(Gate, On, Now);
-  }
-}
-
-// The dial goes on for those who search there; who only waits goes elsewhere.
-void Entry::moveWaiting(const std::string &Gate, Link &On, TimePoint Now) {
-  this->Choose.unreachable(Gate, Now);
-  for (CallerId Caller : std::set<CallerId>(On.Calls)) {
-    Call *Found = this->find(Caller);
-    if (Found && Found->Now == State::Connecting)
-      this->tryAnother(
-          Caller,
-          this->refusal(Outcome::NotRun, "gate-unreachable", StepLink, Gate),
-          Now);
-  }
-}
-
-// A gate that was lost is left out of the choice, so no call would find out
-// that it is back.
-void Entry::redial(const std::string &Gate, Link &On, TimePoint Now) {
-  bool Due = On.LostAt && !On.Up && !On.ConnectingSince && On.Calls.empty() &&
-             Now - *On.LostAt < this->Opts.RedialFor &&
-             Now - On.DialledAt >= this->Opts.RedialEvery;
-  const Instance *Known = Due ? this->Fleet.find(Gate) : nullptr;
-  if (Known && !Known->Leaving)
-    this->connect(Gate, On, Now);
-}
-
-void Entry::giveUpSearch(const std::string &Gate, Link &On, TimePoint Now) {
-  for (CallerId Caller : std::set<CallerId>(On.Calls)) {
-    Call *Found = this->find(Caller);
-    if (!Found)
-      continue;
-    bool Sent = Found->Now != State::Connecting;
-    this->tryAnother(Caller,
-                     this->refusal(Sent ? Outcome::Unknown : Outcome::NotRun,
-                                   "gate-lost", StepLink, Gate),
-                     Now);
-  }
-}
-
 void Entry::frame(const std::string &Gate, const wire::CallFrameT &Frame,
                   TimePoint Now) {
   auto Found = this->Links.find(Gate);
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -23,23 +23,6 @@
 namespace {
 
 const char StepAdmission[] = "admission";
-const char StepUpstream[] = "upstream";
-constexpr unsigned ShedStatus = 503;
-constexpr unsigned TooManyStatus = 429;
-constexpr unsigned TimeoutStatus = 408;
-constexpr unsigned MisdirectedStatus = 421;
-// Pending answers of one call are read no further than this ahead.
-constexpr size_t AnswerHighWater = 2;
-
-Refusal because(Outcome What, const std::string &Reason,
-                const std::string &Step, const std::string &Peer) {
-  Refusal Why;
-  Why.What = What;
-  Why.Reason = Reason;
-  Why.Step = Step;
-  Why.Peer = Peer;
-  return Why;
-}
 
 } // namespace
 
@@ -103,10 +86,10 @@
     if (One.Now == State::Running && One.Idempotent)
       this->Unlinked.emplace(Id, Now);
     if (One.Now == State::Waiting)
-      this->refuse(
-          Id, One,
-          because(Outcome::NotRun, "link-lost", StepAdmission, this->Opts.Self),
-          Now);
+      this->refuse(Id, One,
+                   makeRefusal(Outcome::NotRun, "link-lost", StepAdmission,
+                               this->Opts.Self),
+                   Now);
   }
   this->pump(Now);
 }
@@ -193,7 +176,8 @@
   auto NotRun = [&](const std::string &Reason) {
     this->refuse(
         Id, One,
-        because(Outcome::NotRun, Reason, StepAdmission, this->Opts.Self), Now);
+        makeRefusal(Outcome::NotRun, Reason, StepAdmission, this->Opts.Self),
+        Now);
   };
   // Bytes that lay in the socket while this process stood still: the budget
   // that they name ran out without being counted. Run now, the call could
@@ -254,10 +238,10 @@
 
 void Gate::start(const CallId &Id, Call &One, TimePoint Now) {
   if (Now >= One.Deadline)
-    return this->refuse(
-        Id, One,
-        because(Outcome::NotRun, "deadline", StepAdmission, this->Opts.Self),
-        Now);
+    return this->refuse(Id, One,
+                        makeRefusal(Outcome::NotRun, "deadline", StepAdmission,
+                                    this->Opts.Self),
+                        Now);
   if (!this->judgeKey(Id, One, Now))
     return;
   One.Now = State::Running;
@@ -297,10 +281,10 @@
       One->Request.accept(Data.offset, Bytes, Data.end);
   if (!New) {
     if (One->Now == State::Running)
-      this->breakOff(
-          Id, *One,
-          because(Outcome::Unknown, "body-gap", StepAdmission, this->Opts.Self),
-          Now);
+      this->breakOff(Id, *One,
+                     makeRefusal(Outcome::Unknown, "body-gap", StepAdmission,
+                                 this->Opts.Self),
+                     Now);
     return;
   }
   if (One->Now == State::Running)
@@ -309,16 +293,6 @@
     One->EarlyBody.append(*New);
 }
 
-void Gate::upstreamConsumed(const CallId &Id, uint64_t Total, TimePoint) {
-  Call *One = this->find(Id);
-  if (!One || !One->Linked)
-    return;
-  wire::CreditT Credit;
-  Credit.seq = Id.Seq;
-  Credit.consumed = Total;
-  this->Hook.Send(One->Link, callFrame(Credit));
-}
-
 void Gate::onCredit(LinkId Link, const wire::CreditT &Credit, TimePoint) {
   CallId Id = this->idOn(Link, Credit.seq);
   Call *One = this->find(Id);
@@ -341,15 +315,15 @@
   if (One->Now == State::Finished)
     One->Linked = false;
   if (One->Now == State::Waiting)
-    this->refuse(
-        Id, *One,
-        because(Outcome::NotRun, "cancelled", StepAdmission, this->Opts.Self),
-        Now);
+    this->refuse(Id, *One,
+                 makeRefusal(Outcome::NotRun, "cancelled", StepAdmission,
+                             this->Opts.Self),
+                 Now);
   else if (One->Now == State::Running)
-    this->breakOff(
-        Id, *One,
-        because(Outcome::Unknown, "cancelled", StepUpstream, this->Opts.Self),
-        Now);
+    this->breakOff(Id, *One,
+                   makeRefusal(Outcome::Unknown, "cancelled", StepUpstream,
+                               this->Opts.Self),
+                   Now);
   this->pump(Now);
 }
 
@@ -365,8 +339,8 @@
   if (!One) {
     One = &this->enter(Id, Millis(Open.budget_ms), Link, Now);
     return this->refuse(Id, *One,
-                        because(Outcome::NotRun, "never-arrived", StepAdmission,
-                                this->Opts.Self),
+                        makeRefusal(Outcome::NotRun, "never-arrived",
+                                    StepAdmission, this->Opts.Self),
                         Now);
   }
   One->Link = Link;
@@ -376,8 +350,8 @@
     return this->sendFailed(Id, *One, Now);
   if (!One->Response.rewind(Open.answer_received)) {
     return this->breakOff(Id, *One,
-                          because(Outcome::Unknown, "answer-lost",
-                                  StepAdmission, this->Opts.Self),
+                          makeRefusal(Outcome::Unknown, "answer-lost",
+                                      StepAdmission, this->Opts.Self),
                           Now);
   }
   wire::AdmittedT Joined;
@@ -459,122 +433,6 @@
   this->sendFailed(Id, One, Now);
 }
 
-void Gate::upstreamHead(const CallId &Id, const ResponseHead &Head,
-                        TimePoint Now) {
-  Call *One = this->find(Id);
-  if (!One || One->Now != State::Running)
-    return;
-  if (this->turnedAway(Id, *One, Head, Now))
-    return this->pump(Now);
-  One->HaveHead = true;
-  One->AnsweredAt = Now;
-  One->Answer = Head;
-  this->sendHead(Id, *One, Now);
-  if (Head.Length == 0)
-    this->upstreamEnd(Id, Now);
-}
-
-// An answer whose status promises that the call did not run is passed on as
-// that promise, so that the entry may try elsewhere; but only if the upstream
-// marks it. Without the mark, the same status says nothing, and to hand it on
-// would promise what nobody knows.
-bool Gate::turnedAway(const CallId &Id, Call &One, const ResponseHead &Head,
-                      TimePoint Now) {
-  const std::string &Mark = this->Opts.Names.NotRun;
-  // Where the list tells the slots, no more than those are ever in use, and a
-  // shed is a fault of the upstream and not a want of room. Fewer calls would
-  // be shed as often, and most slots would stand idle.
-  if (Head.Status == ShedStatus && !this->ListedSlots)
-    this->Slots.shed(Now);
-  bool Promises = Head.Status == ShedStatus || Head.Status == TooManyStatus ||
-                  Head.Status == TimeoutStatus ||
-                  Head.Status == MisdirectedStatus;
-  if (Mark.empty() || !Promises)
-    return false;
-  // Whoever answers 421 is not the one that was meant, and ran nothing.
-  bool Marked = Head.Status == MisdirectedStatus ||
-                !findHeader(Head.Headers, Mark).empty();
-  bool Misdirected = Head.Status == MisdirectedStatus;
-  if (Marked) {
-    Refusal Why = because(Outcome::NotRun,
-                          Misdirected ? "upstream-replaced" : "upstream-shed",
-                          StepUpstream, this->Opts.Self);
-    Why.RetryAfter = this->Opts.ShedComeBack;
-    this->refuse(Id, One, std::move(Why), Now);
-    return true;
-  }
-  this->Slots.finished(Id, /*Answered=*/false, Now);
-  One.Now = State::Finished;
-  this->breakOff(Id, One,
-                 because(Outcome::Unknown, "upstream-unmarked-refusal",
-                         StepUpstream, this->Opts.Self),
-                 Now);
-  return true;
-}
-
-void Gate::upstreamData(const CallId &Id, std::string_view Bytes,
-                        TimePoint Now) {
-  Call *One = this->find(Id);
-  if (!One || One->Now != State::Running)
-    return;
-  if (!One->Key.empty() && One->Recordable) {
-    One->Recordable =
-        One->Recorded.size() + Bytes.size() <= this->Opts.Keys.MaxAnswerBytes;
-    One->Recorded.append(Bytes);
-  }
-  One->Response.append(Bytes);
-  One->AnswerBytes += Bytes.size();
-  // An answer of known length is over with its last byte. The event that says
-  // so comes a turn of the loop later, and the caller need not wait for it.
-  if (One->Answer.Length > 0 &&
-      One->AnswerBytes == static_cast<uint64_t>(One->Answer.Length))
-    return this->upstreamEnd(Id, Now);
-  this->sendAnswer(Id, *One);
-  if (!One->AnswerPaused &&
-      One->Response.buffered() > AnswerHighWater * this->Opts.Window) {
-    One->AnswerPaused = true;
-    this->Hook.PauseAnswer(Id, true);
-  }
-}
-
-void Gate::upstreamEnd(const CallId &Id, TimePoint Now) {
-  Call *One = this->find(Id);
-  if (!One || One->Now != State::Running)
-    return;
-  One->Now = State::Finished;
-  ++this->Counts.Answered;
-  this->Hook.Took(One->StartedAt - One->CameAt, Now - One->StartedAt);
-  One->Response.finish();
-  if (!One->Key.empty()) {
-    std::string Body = std::exchange(One->Recorded, "");
-    // Too long to replay: judged by its size there.
-    this->Judge.answered(One->Key, One->Answer, std::move(Body), Now);
-  }
-  this->Slots.finished(Id, One->Answer.Status != ShedStatus, Now);
-  this->sendAnswer(Id, *One);
-  this->pump(Now);
-}
-
-void Gate::upstreamFailed(const CallId &Id, bool Sent, const Error &Why,
-                          TimePoint Now) {
-  Call *One = this->find(Id);
-  if (!One || One->Now != State::Running)
-    return;
-  std::string Reason = "upstream-" + Why.Code.message();
-  if (!Sent) {
-    if (!One->Key.empty())
-      this->Judge.notRun(One->Key);
-    this->refuse(Id, *One, because(Outcome::NotRun, Reason, Why.Step, Why.Peer),
-                 Now);
-  } else {
-    this->Slots.finished(Id, /*Answered=*/false, Now);
-    One->Now = State::Finished;
-    this->breakOff(Id, *One,
-                   because(Outcome::Unknown, Reason, Why.Step, Why.Peer), Now);
-  }
-  this->pump(Now);
-}
-
 void Gate::pump(TimePoint Now) {
   Admission::Next Turn = this->Slots.next(Now);
   for (Admission::Dropped &Late : Turn.Drop) {
@@ -636,8 +494,8 @@
     Call *One = this->find(Id);
     if (One && One->Now == State::Running && !One->Linked)
       this->breakOff(Id, *One,
-                     because(Outcome::Unknown, "entry-lost", StepUpstream,
-                             this->Opts.Self),
+                     makeRefusal(Outcome::Unknown, "entry-lost", StepUpstream,
+                                 this->Opts.Self),
                      Now);
   }
 }
@@ -658,10 +516,10 @@
   if (!One)
     return;
   if (One->Now == State::Running)
-    this->breakOff(
-        Id, *One,
-        because(Outcome::Unknown, "deadline", StepUpstream, this->Opts.Self),
-        Now);
+    this->breakOff(Id, *One,
+                   makeRefusal(Outcome::Unknown, "deadline", StepUpstream,
+                               this->Opts.Self),
+                   Now);
   TimePoint ForgetAt = One->Deadline + this->Opts.RememberSlack;
   if (Now >= ForgetAt && One->Now != State::Waiting)
     this->Calls.erase(Id);
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -193,6 +193,8 @@
   CallId idOn(LinkId Link, uint64_t Seq) const;
   const Limit *limitNamed(const std::string &Name) const;
 
+  static constexpr char StepUpstream[] = "upstream";
+
   Options Opts;
   Hooks Hook;
   Admission Slots;
--- a/src/calls/Message.cpp
+++ b/src/calls/Message.cpp
@@ -10,19 +10,10 @@
 
 namespace {
 
-// Date is no such field, but the library writes one of its own into each
-// message, and two are not allowed.
-constexpr std::array<const char *, 11> ConnectionFields = {"Connection",
-                                                           "Keep-Alive",
-                                                           "Proxy-Connection",
-                                                           "TE",
-                                                           "Trailer",
-                                                           "Transfer-Encoding",
-                                                           "Upgrade",
-                                                           "Expect",
-                                                           "Content-Length",
-                                                           "Proxy-Authenticate",
-                                                           "Date"};
+constexpr std::array<const char *, 10> ConnectionFields = {
+    "Connection",     "Keep-Alive",        "Proxy-Connection", "TE",
+    "Trailer",        "Transfer-Encoding", "Upgrade",          "Expect",
+    "Content-Length", "Proxy-Authenticate"};
 
 bool sameName(std::string_view A, std::string_view B) {
   return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
@@ -66,6 +57,16 @@
   return Out;
 }
 
+Refusal makeRefusal(Outcome What, const std::string &Reason,
+                    const std::string &Step, const std::string &Peer) {
+  Refusal Out;
+  Out.What = What;
+  Out.Reason = Reason;
+  Out.Step = Step;
+  Out.Peer = Peer;
+  return Out;
+}
+
 unsigned statusOf(const Refusal &Why) {
   if (Why.Status)
     return Why.Status;
--- a/src/calls/Message.h
+++ b/src/calls/Message.h
@@ -83,6 +83,9 @@
   unsigned Status = 0;
 };
 
+Refusal makeRefusal(Outcome What, const std::string &Reason,
+                    const std::string &Step, const std::string &Peer);
+
 /// 503 for what was not run, 504 for what may have run, or the refusal's own.
 unsigned statusOf(const Refusal &Why);
 const char *outcomeName(Outcome What);
