A started node learns from seeds while the store is away

The store is down then, nodes are stopped and started in turn, and one that starts knew nobody: the role served no control address, so its settings named no seeds. Ruled out: reading the store more eagerly, for it answers nobody. Such a seed was never dialled again once its link had broken, for the link is known by the node's name and the seed by its address (ControlPlaneTest, failed first).

--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -240,8 +240,8 @@
     return this->Hook.Close(Link);
   Peer &New = this->Peers[Link];
   New.Name = Dialled;
-  New.Dialled = !Dialled.empty();
-  if (!New.Dialled)
+  New.Target = Dialled;
+  if (Dialled.empty())
     return;
   auto Found = this->Targets.find(Dialled);
   if (Found == this->Targets.end())
@@ -262,16 +262,16 @@
     return;
   From.Greeted = true;
   From.Name = Hello.node;
-  if (!From.Dialled) {
+  if (From.Target.empty()) {
     From.Kind = Hello.tie == 0   ? Tie::Tree
                 : Hello.tie == 2 ? Tie::Bridge
                                  : Tie::Backup;
     this->greet(Link, From);
-  } else if (auto Found = this->Targets.find(From.Name);
+  } else if (auto Found = this->Targets.find(From.Target);
              Found != this->Targets.end()) {
     Found->second.Failures = 0;
-    this->AvoidedAt.erase(From.Name);
-    this->NeedRetarget |= this->Avoid.erase(From.Name) != 0;
+    this->AvoidedAt.erase(From.Target);
+    this->NeedRetarget |= this->Avoid.erase(From.Target) != 0;
   }
   this->Spread.linkUp(Link, From.Name, From.Kind == Tie::Tree, Now);
 }
@@ -350,15 +350,14 @@
   auto Found = this->Peers.find(Link);
   if (Found == this->Peers.end())
     return;
-  std::string Name = Found->second.Name;
-  bool Dialled = Found->second.Dialled;
+  std::string Target = Found->second.Target;
   this->Peers.erase(Found);
   this->Spread.linkDown(Link);
   this->View.dropChild(Link);
-  auto To = this->Targets.find(Name);
-  if (Dialled && To != this->Targets.end() && To->second.Link == Link) {
+  auto To = this->Targets.find(Target);
+  if (To != this->Targets.end() && To->second.Link == Link) {
     To->second.Link.reset();
-    this->dialFailed(Name, Now);
+    this->dialFailed(Target, Now);
   }
 }
 
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -39,7 +39,8 @@
     uint32_t Build = BuildNumber;
     /// Seed of all jitter.
     uint64_t Seed = 1;
-    /// Peers to try before the platform's list is known: name to address.
+    /// Peers to try before the platform's list is known: name to address, or
+    /// address to address where the name is not known.
     std::map<std::string, std::string> Seeds;
     /// How long a starting node waits for peers before it asks the platform.
     Millis PeersFirst{1000};
@@ -138,8 +139,10 @@
 
   struct Peer {
     std::string Name;
+    // The target that was dialled; empty where the peer dialled us. A seed may
+    // be known by its address alone, and then has another name than its target.
+    std::string Target;
     bool Greeted = false;
-    bool Dialled = false;
     Tie Kind = Tie::Tree;
   };
 
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -150,6 +150,13 @@
       if (Name != this->Out.Name)
         this->Out.Core.Control.Seeds[Name] = To.text();
     }
+    for (const std::string &Text : Top.strings("seed_addresses")) {
+      std::optional<NetAddress> To = parseAddress(Text);
+      if (!To)
+        Top.fault("seed_addresses", "expected \"ip:port\": " + Text);
+      else if (To->text() != this->Out.Peers.text())
+        this->Out.Core.Control.Seeds[Text] = To->text();
+    }
   }
 
   void readSpread(JsonObject &Top) {
