Requests whose callers have left are not started

Cause: a busy node reads a request late; its caller's time is over by then, and the close lies right behind the request in the socket. The call was started all the same and reached its upstream after its caller had gone. Test: HttpSockets/RequestsOfCallersThatLeftAreNotStarted, three rows, failed first. Callers' connections are taken sixteen a turn instead of one.

--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -28,6 +28,10 @@
 constexpr unsigned RequestTimeout = 408;
 constexpr unsigned BodyTooLarge = 413;
 constexpr int Backlog = 512;
+// A turn of a busy loop may take tens of milliseconds, and callers that are
+// refused come back on new connections: one a turn would keep them waiting
+// longer than their call takes.
+constexpr int AcceptsATurn = 16;
 constexpr int MsInSecond = 1000;
 
 const char *reasonOf(unsigned Status) {
@@ -168,9 +172,12 @@
 
 gboolean CallerServer::onAccept(gint Fd, GIOCondition, gpointer Data) {
   auto *Self = static_cast<CallerServer *>(Data);
-  int New = accept4(Fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-  if (New >= 0)
+  for (int I = 0; I < AcceptsATurn; ++I) {
+    int New = accept4(Fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (New < 0)
+      break;
     Self->adopt(New);
+  }
   return G_SOURCE_CONTINUE;
 }
 
@@ -261,6 +268,8 @@
     this->refuseUnread(On, BodyTooLarge, "body-too-large", At);
     return false;
   }
+  if (this->dropIfLeft(On, At))
+    return false;
   auto New = std::make_unique<Exchange>();
   Exchange &Of = *New;
   Of.Id = ++this->LastId;
@@ -278,6 +287,16 @@
   return true;
 }
 
+// While this node is busy, a request lies in its socket, and its caller may give
+// up meanwhile; the close then lies behind the request. Started all the same,
+// the call would come to an upstream long after its caller has gone.
+bool CallerServer::dropIfLeft(const ConnectionPtr &On, TimePoint At) {
+  if (!On->Stream->peerEnded())
+    return false;
+  this->drop(On, At);
+  return true;
+}
+
 bool CallerServer::parseBody(const ConnectionPtr &On, TimePoint At) {
   Exchange &Of = *On->Reading;
   if (!On->Parser->done()) {
@@ -302,6 +321,8 @@
   }
   if (!On->Parser->done() || !On->Reading)
     return On->Reading == nullptr;
+  if (Of.BodyRead > 0 && this->dropIfLeft(On, At))
+    return false;
   Of.RequestRead = true;
   On->Reading = nullptr;
   On->Parser.reset();
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -97,6 +97,7 @@
   void parse(const ConnectionPtr &On, TimePoint At);
   bool parseHead(const ConnectionPtr &On, TimePoint At);
   bool startRequest(const ConnectionPtr &On, TimePoint At);
+  bool dropIfLeft(const ConnectionPtr &On, TimePoint At);
   bool parseBody(const ConnectionPtr &On, TimePoint At);
   void takeBody(Exchange &Of, std::string_view Piece, TimePoint At);
   void refuseUnread(const ConnectionPtr &On, unsigned Status,
--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -273,6 +273,9 @@
   bool came(const std::string &Path) {
     return turnUntil([&] { return this->Open.count(Path) != 0; });
   }
+  bool holds(size_t Connections) {
+    return turnUntil([&] { return this->Http->connections() == Connections; });
+  }
   void answer(const std::string &Path, const std::string &Body) {
     ResponseHead Head;
     Head.Status = 200;
@@ -424,6 +427,35 @@
   BOOST_TEST(this->Gone.at(0) == "/a");
 }
 
+/// A request of a caller that is gone before it is read.
+struct GoneCaller {
+  const char *Bytes;
+  bool Resets;
+};
+std::ostream &operator<<(std::ostream &To, const GoneCaller &Of) {
+  return To << Of.Bytes << (Of.Resets ? " reset" : " closed");
+}
+
+const GoneCaller GoneCallers[] = {
+    {"GET /a HTTP/1.1\r\nHost: x\r\n\r\n", false},
+    {"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody", false},
+    {"GET /a HTTP/1.1\r\nHost: x\r\n\r\n", true},
+};
+
+// The node is busy, and a request lies in its socket until the caller's time is
+// over and it leaves; its close then lies right behind the request. Started all
+// the same, the call would reach an upstream long after the caller has gone.
+BOOST_DATA_TEST_CASE(RequestsOfCallersThatLeftAreNotStarted,
+                     data::make(GoneCallers), Row) {
+  ServerFixture Of;
+  RawPeer Caller = RawPeer::dial(Of.Port);
+  Caller.send(Row.Bytes);
+  BOOST_REQUIRE(Of.holds(1));
+  Row.Resets ? Caller.reset() : Caller.close();
+  BOOST_TEST(Of.holds(0));
+  BOOST_TEST(Of.Open.count("/a") == 0u);
+}
+
 // The caller is refused while it still sends. Were the socket closed with
 // unread bytes in it, a reset would take the refusal from it.
 BOOST_FIXTURE_TEST_CASE(RefusalReachesACallerThatStillSends, ServerFixture) {
--- a/src/http/TcpStream.cpp
+++ b/src/http/TcpStream.cpp
@@ -198,6 +198,14 @@
   this->Fd = -1;
 }
 
+bool TcpStream::peerEnded() const {
+  if (!this->isOpen())
+    return true;
+  char Byte = 0;
+  ssize_t Got = recv(this->Fd, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Got == 0 || (Got < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 bool TcpStream::hasUnread() const {
   if (!this->isOpen())
     return true;
--- a/src/http/TcpStream.h
+++ b/src/http/TcpStream.h
@@ -56,6 +56,9 @@
   bool isOpen() const { return this->Fd >= 0; }
   /// Whether bytes or an end lie in the socket, not yet seen by a hook.
   bool hasUnread() const;
+  /// Whether the peer has ended or reset the connection and no bytes lie before
+  /// that. Looks at the socket: an end is there before any hook hears of it.
+  bool peerEnded() const;
 
 private:
   struct Source;
