Large fleets read the platform in few places, and slow links are not condemned in turn

Cause: on the grown deployment a configuration has 1,600 routes, and each of 102 nodes read it whole at each change over links of 5 Mbit/s: a second of the link each time. What gates said came later than the 0.4 s after which their link was condemned; all calls there then searched for their answers over a new link, which was condemned in turn (5,500 calls of 20 s, most at the eleven gates that take uploads). Ruled out: the processor, at a quarter of what the machines have. A link to a gate that was condemned for silence is followed by one with twice the time, then four times. Tests: Controlling/NodesWithoutAParentRead and EntryDecisions/SlowLinksAreReplacedOnce, both failed first.

--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -63,6 +63,12 @@
     /// stay unanswered before the link is condemned and another is tried.
     Millis PingInterval{500};
     Millis SilenceLimit{1500};
+    /// A link that was condemned for its silence may be one whose way is
+    /// narrow. For this long the next to the same gate gets twice the time, and
+    /// four times after another: as with a sender's timeout in TCP, a limit that
+    /// proved too short must grow, or every link is condemned in turn and each
+    /// new one carries all the calls again.
+    Millis SlowMemory{10000};
     /// How long a gate that is gone is tried again, to find out what became
     /// of the calls that it had.
     Millis FindAgain{3000};
@@ -245,6 +251,9 @@
     std::optional<TimePoint> PingAt;
     TimePoint NextPing;
     std::optional<TimePoint> LostAt;
+    // Links in a row that were condemned for silence, and the last of them.
+    unsigned Silences = 0;
+    std::optional<TimePoint> SilentAt;
     std::set<CallerId> Calls;
     // Calls that nobody waits for any more and that may still run there: to be
     // cancelled over the next link.
@@ -286,6 +295,7 @@
                 TimePoint Now);
   void connect(const std::string &Gate, Link &On, TimePoint Now);
   void condemn(const std::string &Gate, Link &On, TimePoint Now);
+  int64_t patience(const Link &On, TimePoint Now) const;
   void loseLink(const std::string &Gate, Link &On, TimePoint Now);
   void driveLinks(TimePoint Now);
   void driveLink(const std::string &Gate, Link &On, TimePoint Now);
--- a/src/calls/EntryLinks.cpp
+++ b/src/calls/EntryLinks.cpp
@@ -1,5 +1,7 @@
 #include "calls/Entry.h"
 
+#include <algorithm>
+
 // The links to gates, one for each gate, for as long as calls go there.
 //
 // Silence is told from slowness by a ping: sent when nothing came for an
@@ -11,6 +13,14 @@
 
 namespace hickorylift {
 
+namespace {
+
+// Calls are given two seconds by most callers; four times the usual limit is
+// the longest that still leaves them time to be tried elsewhere.
+constexpr unsigned MostDoublings = 2;
+
+} // namespace
+
 void Entry::connect(const std::string &Gate, Link &On, TimePoint Now) {
   if (On.ConnectingSince || On.Up)
     return;
@@ -133,6 +143,12 @@
   }
 }
 
+// How many times the usual limits this link is given.
+int64_t Entry::patience(const Link &On, TimePoint Now) const {
+  bool Recent = On.SilentAt && Now - *On.SilentAt < this->Opts.SlowMemory;
+  return Recent ? int64_t(1) << std::min(On.Silences, MostDoublings) : 1;
+}
+
 void Entry::driveLink(const std::string &Gate, Link &On, TimePoint Now) {
   bool Quiet = Now - On.HeardAt >= this->Opts.PingInterval;
   if (On.Up && !On.Calls.empty() && !On.PingAt && Quiet && Now >= On.NextPing) {
@@ -140,13 +156,20 @@
     On.NextPing = Now + this->Opts.PingInterval;
     this->Hook.Send(Gate, callFrame(wire::PingT()));
   }
-  bool Silent = On.PingAt && Now - *On.PingAt > this->Opts.SilenceLimit;
+  int64_t Patience = this->patience(On, Now);
+  bool Silent =
+      On.PingAt && Now - *On.PingAt > this->Opts.SilenceLimit * Patience;
   bool NeverUp =
-      On.ConnectingSince && Now - *On.ConnectingSince > this->Opts.ConnectLimit;
+      On.ConnectingSince &&
+      Now - *On.ConnectingSince > this->Opts.ConnectLimit * Patience;
+  if (Silent) {
+    On.Silences = Patience > 1 ? On.Silences + 1 : 1;
+    On.SilentAt = Now;
+  }
   if ((Silent || NeverUp) && this->Opts.Guards.CondemnSilentLinks)
     this->condemn(Gate, On, Now);
   bool Slow = On.ConnectingSince &&
-              Now - *On.ConnectingSince > this->Opts.ConnectPatience;
+              Now - *On.ConnectingSince > this->Opts.ConnectPatience * Patience;
   if (Slow)
     this->moveWaiting(Gate, On, Now);
   this->redial(Gate, On, Now);
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -277,6 +277,29 @@
   BOOST_TEST(this->Dialled.back() != Other);
 }
 
+// The way to a gate is narrow, and what it says comes half a second late. The
+// link looks silent once and is replaced. Were the new one judged as strictly,
+// each would be replaced in turn, and all calls there would search for their
+// answers until their callers are gone.
+BOOST_FIXTURE_TEST_CASE(SlowLinksAreReplacedOnce, Fixture) {
+  this->list({"g-1"});
+  this->request(1, "/write/1");
+  this->hello("g-1");
+  this->pass(Millis(650));
+  BOOST_TEST(this->Dialled.size() == 2u);
+  this->hello("g-1");
+  this->request(2, "/write/2");
+  this->pass(Millis(650));
+  BOOST_TEST(this->Dialled.size() == 2u);
+  // Long after, silence is silence again.
+  this->pass(Millis(15000));
+  this->hello("g-1");
+  size_t Before = this->Dialled.size();
+  this->request(3, "/write/3");
+  this->pass(Millis(650));
+  BOOST_TEST(this->Dialled.size() == Before + 1);
+}
+
 // A long body is sent once, to the gate that runs the call, and not to those
 // that refuse it.
 BOOST_FIXTURE_TEST_CASE(LongBodiesWaitForTheGate, Fixture) {
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -129,7 +129,9 @@
   }
   bool PeersHadTheirTurn =
       this->Spread.heardFromAny() || Waited >= this->Opts.PeersFirst;
-  bool Reads = this->Fleet.isReader(this->Avoid) || this->takesOver(Now);
+  bool Orphan = this->isOrphan(Now);
+  bool Reads =
+      this->Fleet.isReader(this->Avoid) || this->takesOver(Now) || Orphan;
   if (Reads && PeersHadTheirTurn)
     return ReadDuty::Watch;
   if (!this->InForce && Waited >= 3 * this->Opts.PeersFirst)
@@ -137,6 +139,17 @@
   return ReadDuty::None;
 }
 
+// Whoever stands at the top of what is left of the tree reads, and those below
+// it have what it reads.
+bool ControlPlane::isOrphan(TimePoint Now) {
+  if (this->Opts.OrphanReadsAfter.count() == 0)
+    return false;
+  std::optional<LinkId> Up = this->parentLink();
+  if (!this->ParentSeen || (Up && this->Peers[*Up].Greeted))
+    this->ParentSeen = Now;
+  return Now - *this->ParentSeen >= this->Opts.OrphanReadsAfter;
+}
+
 // The platform's outage makes everybody's documents old as well; the bound on
 // the rank keeps the fleet from asking all together.
 bool ControlPlane::takesOver(TimePoint Now) const {
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -60,6 +60,10 @@
     int64_t TakeoverHeartbeats = 10;
     Millis TakeoverStep{5000};
     size_t TakeoverMost = 8;
+    /// A node that has had no link to its parent for this long reads by itself,
+    /// until it has one again. Zero for never. What its neighbours know may
+    /// never reach it, while it can reach the platform as well as they can.
+    Millis OrphanReadsAfter{0};
     /// Links accepted at once. More are closed at the handshake, and the peer
     /// comes back later.
     size_t MaxLinks = 256;
@@ -149,6 +153,7 @@
   void retarget(TimePoint Now);
   void forgetAvoided(TimePoint Now);
   bool takesOver(TimePoint Now) const;
+  bool isOrphan(TimePoint Now);
   void dialTargets(TimePoint Now);
   void greet(LinkId Link, const Peer &To);
   void onHello(LinkId Link, Peer &From, const wire::HelloT &Hello,
@@ -183,6 +188,8 @@
   std::optional<TimePoint> InForceSince;
   std::optional<TimePoint> StartedAt;
   std::optional<TimePoint> LastTick;
+  // When the node was last seen to have a link to its parent.
+  std::optional<TimePoint> ParentSeen;
   bool NeedRetarget = true;
   TimePoint NextExchange;
   TimePoint NowForHooks;
--- a/src/control/ControlPlaneTest.cpp
+++ b/src/control/ControlPlaneTest.cpp
@@ -20,8 +20,15 @@
 /// A platform that is away: nothing ever comes of asking it.
 class SilentSource : public DocumentSource {
 public:
-  void tick(TimePoint, ReadDuty) override {}
+  explicit SilentSource(ReadDuty *Wanted = nullptr) : Wanted(Wanted) {}
+  void tick(TimePoint, ReadDuty Now) override {
+    if (this->Wanted)
+      *this->Wanted = Now;
+  }
   uint64_t reads() const override { return 0; }
+
+private:
+  ReadDuty *Wanted;
 };
 
 DocumentPtr versionOf(uint64_t Number) {
@@ -113,10 +120,125 @@
   TimePoint Now = TimePoint(std::chrono::hours(1));
 };
 
+DocumentPtr listOf(size_t Size) {
+  EntryMap Entries;
+  for (size_t I = 0; I < Size; ++I) {
+    Instance One;
+    One.Name = "n-" + std::to_string(I);
+    One.DataCentre = "north";
+    One.Service = "portal";
+    One.Node = "10.0.0.1:7000";
+    One.Operator = "10.0.0.1:9000";
+    Entries[One.Name] = makeEntry(One.Name, writeInstance(One));
+  }
+  return Document::make(1, 1, std::move(Entries));
+}
+
+Membership::Options fleetOptions(const std::string &Self) {
+  Membership::Options Out;
+  Out.Self = Self;
+  Out.DataCentre = "north";
+  Out.Readers = 1;
+  Out.SpareReaders = 1;
+  return Out;
+}
+
+/// A node of a larger fleet that neither reads nor stands at the root of the
+/// tree, and its parent.
+struct ChildNode {
+  static constexpr LinkId Link = 7;
+
+  ChildNode() {
+    for (size_t I = 0; I < FleetSize && this->Self.empty(); ++I) {
+      Membership Seen(fleetOptions("n-" + std::to_string(I)));
+      Seen.update("north", *listOf(FleetSize));
+      if (Seen.isReader() || !Seen.parent())
+        continue;
+      this->Self = "n-" + std::to_string(I);
+      this->Parent = Seen.parent()->Name;
+    }
+    BOOST_REQUIRE(!this->Self.empty());
+    this->Node = this->make(this->Self, &this->Wanted);
+    this->Above = this->make(this->Parent, nullptr);
+    this->Publish(listTopic("north"), listOf(FleetSize), this->Now);
+    this->Publish(ConfigTopic, versionOf(1), this->Now);
+  }
+
+  std::unique_ptr<ControlPlane> make(const std::string &Name,
+                                     ReadDuty *Wanted) {
+    ControlPlane::Options Opts;
+    Opts.Self = Name;
+    Opts.DataCentre = "north";
+    Opts.DataCentres = {"north"};
+    Opts.Members = fleetOptions(Name);
+    Opts.PeersFirst = Millis(0);
+    Opts.OrphanReadsAfter = Millis(300);
+    ControlPlane::Hooks Hooks;
+    Hooks.Dial = [](const std::string &, const std::string &) {};
+    Hooks.Send = [this, Wanted](LinkId, std::string Bytes) {
+      this->Frames.emplace_back(Wanted ? 0 : 1, std::move(Bytes));
+    };
+    Hooks.Close = [](LinkId) {};
+    return std::make_unique<ControlPlane>(
+        Opts,
+        [this, Wanted](SourceHooks Given) {
+          if (Wanted)
+            this->Publish = Given.Publish;
+          return std::make_unique<SilentSource>(Wanted);
+        },
+        Hooks);
+  }
+
+  void run(Millis Length) {
+    for (TimePoint End = this->Now + Length; this->Now < End;
+         this->Now += Millis(100)) {
+      this->Node->tick(this->Now);
+      while (!this->Frames.empty()) {
+        auto [From, Bytes] = std::move(this->Frames.front());
+        this->Frames.pop_front();
+        (From == 0 ? *this->Above : *this->Node)
+            .frame(Link, Bytes, this->Now);
+      }
+    }
+  }
+
+  void link() {
+    this->Above->linkOpened(Link, "", this->Now);
+    this->Node->linkOpened(Link, this->Parent, this->Now);
+  }
+
+  static constexpr size_t FleetSize = 12;
+  std::string Self;
+  std::string Parent;
+  ReadDuty Wanted = ReadDuty::None;
+  std::unique_ptr<ControlPlane> Node;
+  std::unique_ptr<ControlPlane> Above;
+  std::function<void(const std::string &, DocumentPtr, TimePoint)> Publish;
+  std::deque<std::pair<int, std::string>> Frames;
+  TimePoint Now = TimePoint(std::chrono::hours(1));
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Controlling)
 
+// Versions come to this node from its parent, and the parent is cut off. The
+// node can still reach the platform, and its callers expect the version that
+// was accepted: it must read by itself until it has a parent again.
+BOOST_FIXTURE_TEST_CASE(NodesWithoutAParentRead, ChildNode) {
+  this->run(Millis(100));
+  this->link();
+  this->run(Millis(1000));
+  BOOST_TEST((this->Wanted == ReadDuty::None));
+  this->Node->linkClosed(Link, this->Now);
+  this->run(Millis(500));
+  BOOST_TEST((this->Wanted == ReadDuty::Watch));
+  this->Above->linkClosed(Link, this->Now);
+  this->link();
+  this->run(Millis(300));
+  BOOST_TEST((this->Wanted == ReadDuty::None));
+}
+
 // Callers of a node that has just started are refused for as long as it knows
 // no configuration. The platform is away, so the node can only learn it from a
 // seed; the settings may name the seed, or tell its address alone. Its link
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -203,6 +203,7 @@
 
 bool Membership::isReader(const AvoidSet &Avoid) const {
   return this->size(this->Opts.DataCentre) == 0 ||
+         this->size() <= this->Opts.AllReadUpTo ||
          this->readerRank(Avoid) < this->Opts.Readers;
 }
 
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -84,6 +84,8 @@
     std::string DataCentre;
     /// Nodes that watch the platform, in each data centre.
     size_t Readers = 2;
+    /// In a fleet of up to this many instances every node reads.
+    size_t AllReadUpTo = 0;
     /// Nodes next in line to read, which watch over the readers by a link.
     size_t SpareReaders = 2;
     /// Children of one node in a spreading tree. More make the tree flatter
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -174,6 +174,10 @@
         static_cast<size_t>(Spread.integer("fanout", Members.Fanout, 1, 64));
     Members.Readers = static_cast<size_t>(
         Spread.integer("readers", Members.Readers, 1, 100000));
+    Members.AllReadUpTo = static_cast<size_t>(
+        Spread.integer("all_read_up_to", Members.AllReadUpTo, 0, 100000));
+    this->Out.Core.Control.OrphanReadsAfter =
+        Spread.millis("orphan_reads_after_ms", 0, 0, 60000);
     Members.Bridges =
         static_cast<size_t>(Spread.integer("bridges", Members.Bridges, 1, 16));
     this->Out.Core.Control.PeersFirst = Spread.millis(
