Long bodies come to a gate two at a time

Cause: the gates of the upload service on the grown deployment have links of 5 Mbit/s. Change: a gate asks for the bodies of the calls that it runs in turn, two at a time; one that is not whole after 0.25 s keeps no turn. Test: GateCalls/LongBodiesComeAFewAtATime (without turns, all five are asked for at once).

--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -29,7 +29,8 @@
 Gate::Gate(Options GivenOpts, Hooks Hooks)
     : Opts(std::move(GivenOpts)), Hook(std::move(Hooks)),
       Slots(this->Opts.Slots, this->Opts.Seed),
-      Judge(this->Opts.Keys, this->Opts.Self) {}
+      Judge(this->Opts.Keys, this->Opts.Self),
+      Transfers(this->Opts.Transfers) {}
 
 void Gate::configure(const ConfigPtr &New, TimePoint Now) {
   const Service *Named = New->findService(this->Opts.Service);
@@ -253,16 +254,27 @@
   if (!this->Opts.Names.Expect.empty() && !One.Upstream.empty())
     setHeader(One.Head.Headers, this->Opts.Names.Expect, One.Upstream);
   this->Hook.Start(Id, One.Head, One.Idempotent);
-  if (std::exchange(One.BodyHeld, false) && One.Linked) {
-    wire::AdmittedT Go;
-    Go.seq = Id.Seq;
-    Go.request_received = One.Request.received();
-    this->Hook.Send(One.Link, callFrame(Go));
-  }
+  if (std::exchange(One.BodyHeld, false) && this->Transfers.ask(Id, Now))
+    this->askForBody(Id, One);
   std::string Early = std::exchange(One.EarlyBody, "");
   this->forwardBody(Id, One, Early);
 }
 
+void Gate::askForBody(const CallId &Id, const Call &One) {
+  if (!One.Linked)
+    return;
+  wire::AdmittedT Go;
+  Go.seq = Id.Seq;
+  Go.request_received = One.Request.received();
+  this->Hook.Send(One.Link, callFrame(Go));
+}
+
+void Gate::grantTransfers(TimePoint Now) {
+  for (const CallId &Id : this->Transfers.next(Now))
+    if (Call *One = this->find(Id); One && One->Now == State::Running)
+      this->askForBody(Id, *One);
+}
+
 void Gate::forwardBody(const CallId &Id, Call &One, std::string_view Bytes) {
   if (!Bytes.empty())
     this->Hook.Body(Id, Bytes);
@@ -287,10 +299,16 @@
                      Now);
     return;
   }
-  if (One->Now == State::Running)
-    return this->forwardBody(Id, *One, *New);
   if (One->Now == State::Waiting)
     One->EarlyBody.append(*New);
+  if (One->Now != State::Running)
+    return;
+  bool Whole = One->Request.ended();
+  this->forwardBody(Id, *One, *New);
+  if (!Whole)
+    return;
+  this->Transfers.ended(Id);
+  this->grantTransfers(Now);
 }
 
 void Gate::onCredit(LinkId Link, const wire::CreditT &Credit, TimePoint) {
@@ -411,6 +429,7 @@
 void Gate::refuse(const CallId &Id, Call &One, Refusal Why, TimePoint Now) {
   if (One.Now == State::Waiting || One.Now == State::Running)
     this->Slots.finished(Id, /*Answered=*/false, Now);
+  this->Transfers.ended(Id);
   ++this->Counts.RefusedBy[Why.Reason];
   One.Now = State::Refused;
   One.Why = std::move(Why);
@@ -425,6 +444,7 @@
     this->Hook.Cancel(Id);
     this->Slots.finished(Id, /*Answered=*/false, Now);
   }
+  this->Transfers.ended(Id);
   if (!One.Key.empty())
     this->Judge.lost(One.Key, Now);
   ++this->Counts.Unknown;
@@ -443,6 +463,7 @@
   for (const CallId &Id : Turn.Run)
     if (Call *One = this->find(Id))
       this->start(Id, *One, Now);
+  this->grantTransfers(Now);
 }
 
 void Gate::drain(const std::string &By, TimePoint Now) {
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -7,6 +7,7 @@
 #include "config/Config.h"
 #include "gate/Admission.h"
 #include "gate/KeyJudge.h"
+#include "gate/TransferTurns.h"
 
 #include <functional>
 #include <map>
@@ -61,6 +62,8 @@
     Safeguards Guards;
     /// Of the upstream's slots and queue.
     Admission::Options Slots;
+    /// Of the long bodies that come to the upstream.
+    TransferTurns::Options Transfers;
     /// Of the idempotency keys.
     KeyJudge::Options Keys;
   };
@@ -174,6 +177,8 @@
               TimePoint Now);
   void start(const CallId &Id, Call &One, TimePoint Now);
   void onData(LinkId Link, const wire::DataT &Data, TimePoint Now);
+  void askForBody(const CallId &Id, const Call &One);
+  void grantTransfers(TimePoint Now);
   void forwardBody(const CallId &Id, Call &One, std::string_view Bytes);
   void onCredit(LinkId Link, const wire::CreditT &Credit, TimePoint Now);
   void onCancel(LinkId Link, const wire::CancelT &Cancel, TimePoint Now);
@@ -199,6 +204,7 @@
   Hooks Hook;
   Admission Slots;
   KeyJudge Judge;
+  TransferTurns Transfers;
   ConfigPtr InForce;
   const Service *Of = nullptr;
   // Of this upstream, by the list; 0 where it does not say.
--- a/src/calls/GateCallsTest.cpp
+++ b/src/calls/GateCallsTest.cpp
@@ -28,6 +28,29 @@
   std::vector<CallId> Cancelled;
   TimePoint Now = Start;
 
+  /// A call with a long body that its entry sends once it is asked to.
+  void openUpload(uint64_t Seq) {
+    wire::OpenT Open;
+    Open.seq = Seq;
+    Open.entry = 7;
+    Open.service = "a";
+    Open.method = "POST";
+    Open.path = "/x";
+    Open.budget_ms = 2000;
+    Open.target_ms = 500;
+    Open.length = 20000;
+    Open.holds_body = true;
+    this->At->frame(Link, callFrame(std::move(Open)), this->Now);
+  }
+  /// The calls whose bodies were asked for, in that order.
+  std::vector<uint64_t> asked() const {
+    std::vector<uint64_t> Out;
+    for (const wire::CallFrameT &Frame : this->Sent)
+      if (const auto *Go = Frame.payload.AsAdmitted())
+        Out.push_back(Go->seq);
+    return Out;
+  }
+
   Fixture() {
     Gate::Options Opts;
     Opts.Self = "me";
@@ -207,6 +230,27 @@
   BOOST_TEST(this->admitted() == 1u);
 }
 
+// Five uploads are admitted together, on a link that carries one body at a
+// time well. Those whose turn it is not yet are asked for theirs as the others
+// end: whole, given up by the caller, or too slow to keep their turn.
+BOOST_FIXTURE_TEST_CASE(LongBodiesComeAFewAtATime, Fixture) {
+  for (uint64_t Seq = 1; Seq <= 5; ++Seq)
+    this->openUpload(Seq);
+  BOOST_TEST(this->asked() == (std::vector<uint64_t>{1, 2}));
+  wire::DataT Whole;
+  Whole.seq = 1;
+  Whole.bytes.assign(20000, 'x');
+  Whole.end = true;
+  this->At->frame(Link, callFrame(std::move(Whole)), this->Now);
+  BOOST_TEST(this->asked() == (std::vector<uint64_t>{1, 2, 3}));
+  wire::CancelT Gone;
+  Gone.seq = 2;
+  this->At->frame(Link, callFrame(std::move(Gone)), this->Now);
+  BOOST_TEST(this->asked() == (std::vector<uint64_t>{1, 2, 3, 4}));
+  this->At->tick(this->Now + Millis(300));
+  BOOST_TEST(this->asked() == (std::vector<uint64_t>{1, 2, 3, 4, 5}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
