Gates are chosen by how late their answers come

Cause: on the grown deployment, gates with full links went on being chosen: the choice knew a gate's run times and its queue, and took the way to it for fixed. Change: a gate says with each answer how long the call waited there; what is left of the time until the answer is the way, which counts where it is longer than usual and is forgotten by half each second. Test: Placing/GatesBehindAFullLinkAreLeftAside.

--- a/src/calls/Calls_generated.h
+++ b/src/calls/Calls_generated.h
@@ -1186,6 +1186,7 @@
   int64_t length = 0;
   std::unique_ptr<hickorylift::wire::Load> load{};
   uint32_t ran_us = 0;
+  uint32_t waited_us = 0;
   HeadT() = default;
   HeadT(const HeadT &o);
   HeadT(HeadT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1203,7 +1204,8 @@
     VT_HEADERS = 10,
     VT_LENGTH = 12,
     VT_LOAD = 14,
-    VT_RAN_US = 16
+    VT_RAN_US = 16,
+    VT_WAITED_US = 18
   };
   uint64_t seq() const {
     return GetField<uint64_t>(VT_SEQ, 0);
@@ -1226,6 +1228,9 @@
   uint32_t ran_us() const {
     return GetField<uint32_t>(VT_RAN_US, 0);
   }
+  uint32_t waited_us() const {
+    return GetField<uint32_t>(VT_WAITED_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQ, 8) &&
@@ -1238,6 +1243,7 @@
            VerifyField<int64_t>(verifier, VT_LENGTH, 8) &&
            VerifyField<hickorylift::wire::Load>(verifier, VT_LOAD, 4) &&
            VerifyField<uint32_t>(verifier, VT_RAN_US, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WAITED_US, 4) &&
            verifier.EndTable();
   }
   HeadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1270,6 +1276,9 @@
   void add_ran_us(uint32_t ran_us) {
     fbb_.AddElement<uint32_t>(Head::VT_RAN_US, ran_us, 0);
   }
+  void add_waited_us(uint32_t waited_us) {
+    fbb_.AddElement<uint32_t>(Head::VT_WAITED_US, waited_us, 0);
+  }
   explicit HeadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1289,10 +1298,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::Header>>> headers = 0,
     int64_t length = 0,
     const hickorylift::wire::Load *load = nullptr,
-    uint32_t ran_us = 0) {
+    uint32_t ran_us = 0,
+    uint32_t waited_us = 0) {
   HeadBuilder builder_(_fbb);
   builder_.add_length(length);
   builder_.add_seq(seq);
+  builder_.add_waited_us(waited_us);
   builder_.add_ran_us(ran_us);
   builder_.add_load(load);
   builder_.add_headers(headers);
@@ -1314,7 +1325,8 @@
     const std::vector<flatbuffers::Offset<hickorylift::wire::Header>> *headers = nullptr,
     int64_t length = 0,
     const hickorylift::wire::Load *load = nullptr,
-    uint32_t ran_us = 0) {
+    uint32_t ran_us = 0,
+    uint32_t waited_us = 0) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<hickorylift::wire::Header>>(*headers) : 0;
   return hickorylift::wire::CreateHead(
@@ -1325,7 +1337,8 @@
       headers__,
       length,
       load,
-      ran_us);
+      ran_us,
+      waited_us);
 }
 
 flatbuffers::Offset<Head> CreateHead(flatbuffers::FlatBufferBuilder &_fbb, const HeadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2226,7 +2239,8 @@
         reason(o.reason),
         length(o.length),
         load((o.load) ? new hickorylift::wire::Load(*o.load) : nullptr),
-        ran_us(o.ran_us) {
+        ran_us(o.ran_us),
+        waited_us(o.waited_us) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new hickorylift::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -2239,6 +2253,7 @@
   std::swap(length, o.length);
   std::swap(load, o.load);
   std::swap(ran_us, o.ran_us);
+  std::swap(waited_us, o.waited_us);
   return *this;
 }
 
@@ -2258,6 +2273,7 @@
   { auto _e = length(); _o->length = _e; }
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<hickorylift::wire::Load>(new hickorylift::wire::Load(*_e)); }
   { auto _e = ran_us(); _o->ran_us = _e; }
+  { auto _e = waited_us(); _o->waited_us = _e; }
 }
 
 inline flatbuffers::Offset<Head> Head::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2275,6 +2291,7 @@
   auto _length = _o->length;
   auto _load = _o->load ? _o->load.get() : nullptr;
   auto _ran_us = _o->ran_us;
+  auto _waited_us = _o->waited_us;
   return hickorylift::wire::CreateHead(
       _fbb,
       _seq,
@@ -2283,7 +2300,8 @@
       _headers,
       _length,
       _load,
-      _ran_us);
+      _ran_us,
+      _waited_us);
 }
 
 inline FailedT::FailedT(const FailedT &o)
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -294,6 +294,7 @@
                         : Class->second;
   }
   One.Now = State::Sent;
+  One.SentAt = Now;
   One.GateIncarnation = this->Links[One.Gate].Incarnation;
   this->Hook.Send(One.Gate, callFrame(std::move(Open)));
   if (!Resume)
@@ -510,6 +511,18 @@
   }
 }
 
+// What is left of the time until the head, without the gate's own, went by on
+// the way. A long body takes its time on it, which says nothing of the way.
+void Entry::learnWay(const std::string &Gate, const Call &One,
+                     const wire::HeadT &Head, TimePoint Now) {
+  bool LongBody = One.Head.Length < 0 || One.Head.Length > this->Opts.EagerBytes;
+  if (LongBody || One.Now != State::Sent || Head.ran_us == 0)
+    return;
+  auto Took = std::chrono::duration_cast<Micros>(Now - One.SentAt);
+  Micros AtGate = Micros(Head.ran_us) + Micros(Head.waited_us);
+  this->Choose.cameBack(Gate, std::max(Micros(0), Took - AtGate), Now);
+}
+
 void Entry::onHead(const std::string &Gate, const wire::HeadT &Head,
                    TimePoint Now) {
   if (Head.load)
@@ -526,6 +539,7 @@
   // A failure says nothing about how long an answer takes.
   if (!Failure && Head.ran_us > 0)
     this->Choose.ran(Gate, One.Taken->Name, Micros(Head.ran_us), Now);
+  this->learnWay(Gate, One, Head, Now);
   ResponseHead Answer;
   Answer.Status = Head.status;
   Answer.Reason = Head.reason;
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -229,6 +229,8 @@
     std::string Gate;
     uint64_t GateIncarnation = 0;
     TimePoint StartedAt;
+    // Of the frame that opened it, over the link of now.
+    TimePoint SentAt;
     SendStream Request;
     bool RequestPaused = false;
     // Until the gate has started the call.
@@ -286,6 +288,8 @@
   void onHello(const std::string &Gate, Link &On, const wire::CallHelloT &Hello,
                TimePoint Now);
   void onHead(const std::string &Gate, const wire::HeadT &Head, TimePoint Now);
+  void learnWay(const std::string &Gate, const Call &One,
+                const wire::HeadT &Head, TimePoint Now);
   void onData(const std::string &Gate, const wire::DataT &Data, TimePoint Now);
   void onFailed(const std::string &Gate, const wire::FailedT &Failed,
                 TimePoint Now);
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -394,6 +394,8 @@
   Head.ran_us = static_cast<uint32_t>(
       std::chrono::duration_cast<Micros>(One.AnsweredAt - One.StartedAt)
           .count());
+  Head.waited_us = static_cast<uint32_t>(
+      std::chrono::duration_cast<Micros>(One.StartedAt - One.CameAt).count());
   this->Hook.Send(One.Link, callFrame(std::move(Head)));
 }
 
--- a/src/routing/Chooser.cpp
+++ b/src/routing/Chooser.cpp
@@ -184,13 +184,26 @@
   return Of.FailShare * halved(Now - Of.FailAt, this->Opts.FailHalfLife);
 }
 
-double Chooser::way(const Instance &Gate, const Want &For) const {
+void Chooser::cameBack(const std::string &Gate, Micros Way, TimePoint Now) {
+  State &Of = this->Gates[Gate];
+  double Known = Of.Way * halved(Now - Of.WayAt, this->Opts.WayHalfLife);
+  double Newest = static_cast<double>(Way.count());
+  Of.Way = Known + (Newest - Known) * this->Opts.WayWeight;
+  Of.WayAt = Now;
+}
+
+// A link that carries long bodies, or that others fill, is known by how late
+// its answers are. What is left of that knowledge counts where it is more than
+// what a way usually takes.
+double Chooser::way(const Instance &Gate, const State &Of, const Want &For,
+                    TimePoint Now) const {
   if (Gate.Name == this->Self)
     return 0;
+  double Seen = Of.Way * halved(Now - Of.WayAt, this->Opts.WayHalfLife);
   if (Gate.DataCentre == this->DataCentre)
-    return static_cast<double>(this->Opts.NearWay.count());
+    return std::max(Seen, static_cast<double>(this->Opts.NearWay.count()));
   constexpr double Kilobyte = 1024;
-  return static_cast<double>(this->Opts.FarWay.count()) +
+  return std::max(Seen, static_cast<double>(this->Opts.FarWay.count())) +
          this->Opts.FarShare * static_cast<double>(Micros(For.Target).count()) +
          static_cast<double>(this->Opts.FarPerKilobyte.count()) *
              static_cast<double>(For.BodyBytes) / Kilobyte;
@@ -235,7 +248,8 @@
     const Instance &One = *Among[I];
     double Time =
         this->expected(One, this->Gates[One.Name], BestPace, For, Now);
-    Time = Time * Longer(this->Random) + this->way(One, For);
+    Time = Time * Longer(this->Random) +
+           this->way(One, this->Gates[One.Name], For, Now);
     if (Best && Time >= BestTime)
       continue;
     Best = &One;
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -70,6 +70,11 @@
     /// What a gate said of its queue, and of its run time, halves in weight.
     Millis QueueHalfLife{200};
     Millis RunHalfLife{3000};
+    /// Weight of one answer in what the way to a gate takes, there and back,
+    /// and the time in which a way that was long halves: one that nobody is
+    /// sent over cannot show that it is free again.
+    double WayWeight = 0.3;
+    Millis WayHalfLife{1000};
     /// Weight of one run in a route's usual time, and of one in a gate's pace:
     /// at least that, and more the longer ago the last one was, by half for
     /// each second.
@@ -121,6 +126,8 @@
   /// A call of that route ran so long at the upstream, the wait not counted.
   void ran(const std::string &Gate, const std::string &Route, Micros Length,
            TimePoint Now);
+  /// An answer was so long on the way, there and back.
+  void cameBack(const std::string &Gate, Micros Way, TimePoint Now);
   void learn(const std::string &Gate, const wire::Load &Load, TimePoint Now);
   /// The gate refused for want of room; it is left out until one of its slots
   /// is likely to have come free.
@@ -151,6 +158,9 @@
     // nothing is known.
     double Pace = 0;
     TimePoint PaceAt;
+    // Microseconds that the way takes, there and back.
+    double Way = 0;
+    TimePoint WayAt;
     double FailShare = 0;
     TimePoint FailAt;
     wire::Load Load;
@@ -176,7 +186,8 @@
   double bestPace(const std::vector<const Instance *> &Among) const;
   double expected(const Instance &Gate, const State &Of, double BestPace,
                   const Want &For, TimePoint Now) const;
-  double way(const Instance &Gate, const Want &For) const;
+  double way(const Instance &Gate, const State &Of, const Want &For,
+             TimePoint Now) const;
   double failShare(const State &Of, TimePoint Now) const;
   double share(const State &Of, TimePoint Now) const;
   double cost(const State &Of, TimePoint Now) const;
--- a/src/routing/ChooserTest.cpp
+++ b/src/routing/ChooserTest.cpp
@@ -119,6 +119,23 @@
   BOOST_TEST(Choose.pick(pointers(All), {}, Later, want(0))->Name == "near");
 }
 
+// The gate is idle and its upstream fast, but its machine's link is full of
+// other callers' bodies: each answer comes a third of a second late. Calls that
+// go by the gate's own figures miss their targets there one after the other.
+BOOST_AUTO_TEST_CASE(GatesBehindAFullLinkAreLeftAside) {
+  std::vector<Instance> All = nearAndFar();
+  Chooser Choose({}, "north", "me", 1);
+  tell(Choose, "near", wire::Load(0, 0, 10, 50 * Ms), Start);
+  tell(Choose, "far", wire::Load(0, 0, 10, 50 * Ms), Start);
+  for (int I = 0; I < 5; ++I) {
+    Choose.cameBack("near", Millis(330), Start);
+    Choose.cameBack("far", Millis(3), Start);
+  }
+  BOOST_TEST(Choose.pick(pointers(All), {}, Start, want(0))->Name == "far");
+  TimePoint Later = Start + std::chrono::seconds(5);
+  BOOST_TEST(Choose.pick(pointers(All), {}, Later, want(0))->Name == "near");
+}
+
 // A data centre is cut off, and most gates of a service with it. Calls must go
 // to the one that is left, and where none is, be refused at once: each that is
 // sent after the others waits in vain.
