--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -515,7 +515,8 @@
 // the way. A long body takes its time on it, which says nothing of the way.
 void Entry::learnWay(const std::string &Gate, const Call &One,
                      const wire::HeadT &Head, TimePoint Now) {
-  bool LongBody = One.Head.Length < 0 || One.Head.Length > this->Opts.EagerBytes;
+  bool LongBody =
+      One.Head.Length < 0 || One.Head.Length > this->Opts.EagerBytes;
   if (LongBody || One.Now != State::Sent || Head.ran_us == 0)
     return;
   auto Took = std::chrono::duration_cast<Micros>(Now - One.SentAt);
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -65,9 +65,9 @@
     Millis SilenceLimit{1500};
     /// A link that was condemned for its silence may be one whose way is
     /// narrow. For this long the next to the same gate gets twice the time, and
-    /// four times after another: as with a sender's timeout in TCP, a limit that
-    /// proved too short must grow, or every link is condemned in turn and each
-    /// new one carries all the calls again.
+    /// four times after another: as with a sender's timeout in TCP, a limit
+    /// that proved too short must grow, or every link is condemned in turn and
+    /// each new one carries all the calls again.
     Millis SlowMemory{10000};
     /// How long a gate that is gone is tried again, to find out what became
     /// of the calls that it had.
--- a/src/calls/EntryLinks.cpp
+++ b/src/calls/EntryLinks.cpp
@@ -159,9 +159,8 @@
   int64_t Patience = this->patience(On, Now);
   bool Silent =
       On.PingAt && Now - *On.PingAt > this->Opts.SilenceLimit * Patience;
-  bool NeverUp =
-      On.ConnectingSince &&
-      Now - *On.ConnectingSince > this->Opts.ConnectLimit * Patience;
+  bool NeverUp = On.ConnectingSince &&
+                 Now - *On.ConnectingSince > this->Opts.ConnectLimit * Patience;
   if (Silent) {
     On.Silences = Patience > 1 ? On.Silences + 1 : 1;
     On.SilentAt = Now;
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -29,8 +29,8 @@
 Gate::Gate(Options GivenOpts, Hooks Hooks)
     : Opts(std::move(GivenOpts)), Hook(std::move(Hooks)),
       Slots(this->Opts.Slots, this->Opts.Seed),
-      Judge(this->Opts.Keys, this->Opts.Self),
-      Transfers(this->Opts.Transfers) {}
+      Judge(this->Opts.Keys, this->Opts.Self), Transfers(this->Opts.Transfers) {
+}
 
 void Gate::configure(const ConfigPtr &New, TimePoint Now) {
   const Service *Named = New->findService(this->Opts.Service);
--- a/src/control/ControlPlaneTest.cpp
+++ b/src/control/ControlPlaneTest.cpp
@@ -64,7 +64,7 @@
       this->Frames.emplace_back(1 - Which, std::move(Bytes));
     };
     Hooks.Close = [](LinkId) {};
-    MakeSource Make = [this, Which](SourceHooks Given) {
+    MakeSource Make = [this, Which](const SourceHooks &Given) {
       if (Which == 0)
         this->Publish = Given.Publish;
       return std::make_unique<SilentSource>();
@@ -181,7 +181,7 @@
     Hooks.Close = [](LinkId) {};
     return std::make_unique<ControlPlane>(
         Opts,
-        [this, Wanted](SourceHooks Given) {
+        [this, Wanted](const SourceHooks &Given) {
           if (Wanted)
             this->Publish = Given.Publish;
           return std::make_unique<SilentSource>(Wanted);
@@ -196,8 +196,7 @@
       while (!this->Frames.empty()) {
         auto [From, Bytes] = std::move(this->Frames.front());
         this->Frames.pop_front();
-        (From == 0 ? *this->Above : *this->Node)
-            .frame(Link, Bytes, this->Now);
+        (From == 0 ? *this->Above : *this->Node).frame(Link, Bytes, this->Now);
       }
     }
   }
--- a/src/gate/TransferTurns.h
+++ b/src/gate/TransferTurns.h
@@ -57,8 +57,7 @@
   std::vector<CallId> next(TimePoint Now) {
     this->forgetSlow(Now);
     std::vector<CallId> Out;
-    while (!this->Waiting.empty() &&
-           this->Coming.size() < this->Opts.AtOnce) {
+    while (!this->Waiting.empty() && this->Coming.size() < this->Opts.AtOnce) {
       Out.push_back(this->Waiting.front());
       this->Coming[this->Waiting.front()] = Now;
       this->Waiting.pop_front();
--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -269,9 +269,9 @@
   return true;
 }
 
-// While this node is busy, a request lies in its socket, and its caller may give
-// up meanwhile; the close then lies behind the request. Started all the same,
-// the call would come to an upstream long after its caller has gone.
+// While this node is busy, a request lies in its socket, and its caller may
+// give up meanwhile; the close then lies behind the request. Started all the
+// same, the call would come to an upstream long after its caller has gone.
 bool CallerServer::dropIfLeft(const ConnectionPtr &On, TimePoint At) {
   if (!On->Stream->peerEnded())
     return false;
--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -473,8 +473,9 @@
   BOOST_TEST(Caller.waitForEnd());
 }
 
-// A planned stop closes idle connections in the very turn in which an answer was
-// written: its bytes have not gone to the kernel yet. The caller must get them.
+// A planned stop closes idle connections in the very turn in which an answer
+// was written: its bytes have not gone to the kernel yet. The caller must get
+// them.
 BOOST_FIXTURE_TEST_CASE(AnswersInFlightOutliveAStop, ServerFixture) {
   RawPeer Caller = RawPeer::dial(this->Port);
   Caller.send(get("/a"));
--- a/src/net/Listen.cpp
+++ b/src/net/Listen.cpp
@@ -24,9 +24,9 @@
   Address.sin_family = AF_INET;
   Address.sin_port = htons(At.Port);
   inet_pton(AF_INET, At.Ip.c_str(), &Address.sin_addr);
-  bool Bound = bind(Fd, reinterpret_cast<sockaddr *>(&Address),
-                    sizeof(Address)) == 0 &&
-               listen(Fd, Backlog) == 0;
+  bool Bound =
+      bind(Fd, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) == 0 &&
+      listen(Fd, Backlog) == 0;
   if (Bound)
     return Fd;
   Error Why{Errc::Refused, Step, At.text(),
--- a/src/net/Reactor.cpp
+++ b/src/net/Reactor.cpp
@@ -57,9 +57,12 @@
 }
 
 Reactor::Reactor() : Epoll(epoll_create1(EPOLL_CLOEXEC)) {
-  static GSourceFuncs Functions = {&Reactor::onPrepare, nullptr,
-                                   &Reactor::onDispatch, nullptr,
-                                   nullptr,              nullptr};
+  static GSourceFuncs Functions = {&Reactor::onPrepare,
+                                   nullptr,
+                                   &Reactor::onDispatch,
+                                   nullptr,
+                                   nullptr,
+                                   nullptr};
   this->Attached = g_source_new(&Functions, sizeof(Source));
   reinterpret_cast<Source *>(this->Attached)->Of = this;
   g_source_add_unix_fd(this->Attached, this->Epoll, G_IO_IN);
--- a/src/net/TcpStream.cpp
+++ b/src/net/TcpStream.cpp
@@ -67,12 +67,11 @@
 
 void TcpStream::watch(uint32_t Wanted) {
   std::weak_ptr<TcpStream> Weak = this->weak_from_this();
-  this->Watch = Reactor::get().watch(this->Fd, Wanted,
-                                     [Weak](uint32_t What) {
-                                       // A hook may let go of the stream.
-                                       if (auto Alive = Weak.lock())
-                                         Alive->ready(What);
-                                     });
+  this->Watch = Reactor::get().watch(this->Fd, Wanted, [Weak](uint32_t What) {
+    // A hook may let go of the stream.
+    if (auto Alive = Weak.lock())
+      Alive->ready(What);
+  });
 }
 
 void TcpStream::updateWatch() {
@@ -151,7 +150,7 @@
   bool Had = this->pending() != 0;
   while (this->pending() != 0) {
     ssize_t Went = ::send(this->Fd, this->Out.data() + this->Sent,
-                        this->pending(), MSG_NOSIGNAL);
+                          this->pending(), MSG_NOSIGNAL);
     if (Went < 0 && errno == EINTR)
       continue;
     if (Went < 0) {
--- a/src/peer/Transport.cpp
+++ b/src/peer/Transport.cpp
@@ -166,9 +166,9 @@
       Length |= static_cast<uint32_t>(static_cast<unsigned char>(Rest[I]))
                 << (8 * I);
     if (Length > this->Opts.MaxFrameBytes)
-      return this->fail(*Of, Error{Errc::TooLarge, "receive", Of->PeerText,
-                                   std::to_string(Length) +
-                                       " bytes in one frame"});
+      return this->fail(*Of,
+                        Error{Errc::TooLarge, "receive", Of->PeerText,
+                              std::to_string(Length) + " bytes in one frame"});
     if (Rest.size() < LengthBytes || Rest.size() - LengthBytes < Length) {
       Of->Reading.erase(0, At);
       return;
@@ -196,11 +196,10 @@
     return;
   Of.Stream->close();
   if (this->Failed.empty())
-    Reactor::get().atTurnEnd(
-        [this, Still = std::weak_ptr<bool>(this->Alive)] {
-          if (Still.lock())
-            this->reap();
-        });
+    Reactor::get().atTurnEnd([this, Still = std::weak_ptr<bool>(this->Alive)] {
+      if (Still.lock())
+        this->reap();
+    });
   this->Failed.emplace_back(Of.Id, Why);
 }
 
