--- /dev/null
+++ b/scenario/Soak.cpp
@@ -0,0 +1,408 @@
+#include "harness/Fleet.h"
+
+#include "base/Hash.h"
+#include "base/Json.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/strings/str_cat.h>
+#include <libsoup/soup.h>
+
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <set>
+#include <sstream>
+
+// A randomized soak. Real nodes, upstreams and a platform run as processes on
+// loopback; faults come from outside, by signals and by the wires between
+// nodes, in series and overlapping; callers keep their connections open and go
+// on calling. What is checked is what callers and upstreams saw:
+//
+//   a call that may not repeat ran at most once;
+//   a call that was told "not run" never ran;
+//   an answer is whole and the caller's own;
+//   no process goes back to an older version while it lives;
+//   a planned stop ends in order and in time;
+//   once the faults are over, every node has the newest version.
+//
+//   soak --seed=7 --seeds=50 --seconds=10
+//
+// The seed gives the faults and the calls; when a process gets to run is the
+// machine's. A seed that failed once is a row of Regressions below.
+
+ABSL_FLAG(uint64_t, seed, 1, "seed of the first run");
+ABSL_FLAG(uint64_t, seeds, 1, "how many seeds to run, counting up");
+ABSL_FLAG(uint64_t, seconds, 10, "length of the faults in each run");
+ABSL_FLAG(bool, regressions, false, "run the seeds that failed once instead");
+
+namespace hickorylift {
+
+namespace {
+
+/// Seeds that failed, each with its cause.
+struct Regression {
+  uint64_t Seed;
+  const char *Cause;
+};
+const std::vector<Regression> Regressions = {};
+
+constexpr Millis CallEvery{15};
+constexpr Millis Settle{12000};
+// A planned stop ends within this: stop.within_ms below, and time to start.
+constexpr Millis StopLimit{9000};
+constexpr int MaxConnections = 200;
+
+const char Settings[] =
+    R"("spread": {"heartbeat_ms": 400, "silence_ms": 1200},)"
+    R"("calls": {"ping_ms": 100, "silence_ms": 400, "find_again_ms": 1500,)"
+    R"("connect_ms": 400}, "stop": {"within_ms": 6000, "linger_ms": 300})";
+
+std::string records(uint64_t Version) {
+  std::string Out = R"([{"kind":"service","name":"a","schema":1},)"
+                    R"({"kind":"service","name":"b","schema":1})";
+  for (const char *Name : {"a", "b"})
+    absl::StrAppend(&Out, R"(,{"kind":"route","name":")", Name,
+                    R"(","schema":3,"match":{"prefix":"/)", Name,
+                    R"(/"},"service":")", Name, R"(","idempotent":)",
+                    *Name == 'a' ? "true" : "false",
+                    R"(,"attempts":2,"timeout_ms":)", 1500 + Version, "}");
+  return Out + "]";
+}
+
+/// One call as its caller sees it.
+struct SoakCall {
+  std::string Label;
+  std::string Sent;
+  std::string Outcome;
+  bool Repeats = false;
+  bool Whole = false;
+  SoupMessage *Message = nullptr;
+};
+
+class SoakRun {
+public:
+  explicit SoakRun(uint64_t Seed)
+      : All(options()), Random(Seed),
+        Session(SOUP_SESSION(g_object_new(SOUP_TYPE_SESSION, "max-conns",
+                                          MaxConnections, "max-conns-per-host",
+                                          MaxConnections, "proxy-resolver",
+                                          nullptr, "timeout", 10U, nullptr))) {
+    for (const char *Place : {"north", "south"})
+      for (const char *Service : {"a", "a", "b"}) {
+        std::string Name = absl::StrCat(Place, "-", this->Names.size());
+        this->All.addNode(Name, Place, Service, /*Wired=*/true);
+        this->Names.push_back(Name);
+      }
+  }
+  ~SoakRun() { g_object_unref(this->Session); }
+
+  /// What was broken; empty if nothing.
+  std::vector<std::string> run(Millis Length) {
+    if (!this->All.startAll() || !this->publishNext() ||
+        !this->All.waitFor([this] { return this->converged(); }))
+      return {"the fleet did not start"};
+    TimePoint End = Clock::now() + Length;
+    TimePoint NextFault = Clock::now();
+    while (Clock::now() < End) {
+      this->call();
+      if (Clock::now() >= NextFault) {
+        this->fault(End);
+        NextFault = Clock::now() + Millis(this->draw(100, 700));
+      }
+      this->doDue();
+      this->All.runFor(CallEvery);
+    }
+    this->settle();
+    this->judge();
+    return this->Broken;
+  }
+
+  std::string summary() const {
+    std::map<std::string, size_t> ByOutcome;
+    for (const auto &[Label, One] : this->Calls)
+      ++ByOutcome[One.Outcome.empty() ? "open" : One.Outcome];
+    std::string Out;
+    for (const auto &[Outcome, Count] : ByOutcome)
+      absl::StrAppend(&Out, " ", Outcome, "=", Count);
+    return absl::StrCat(Out, " faults=", this->Faults);
+  }
+
+private:
+  static harness::Fleet::Options options() {
+    harness::Fleet::Options Out;
+    Out.Settings = Settings;
+    Out.LogLevel = "info";
+    return Out;
+  }
+
+  uint64_t draw(uint64_t Low, uint64_t High) {
+    return Low + this->Random() % (High - Low + 1);
+  }
+  const std::string &anyNode() {
+    return this->Names[this->Random() % this->Names.size()];
+  }
+  void later(Millis In, std::function<void()> What) {
+    this->Due.emplace(Clock::now() + In, std::move(What));
+  }
+  void doDue() {
+    while (!this->Due.empty() && this->Due.begin()->first <= Clock::now()) {
+      auto What = std::move(this->Due.begin()->second);
+      this->Due.erase(this->Due.begin());
+      What();
+    }
+  }
+
+  bool publishNext() {
+    ++this->Version;
+    return this->All.publish(this->Version, records(this->Version));
+  }
+  bool converged() {
+    for (const std::string &Name : this->Names)
+      if (this->All.version(Name) != this->Version)
+        return false;
+    return true;
+  }
+
+  void post(const std::string &Address, const std::string &Path) {
+    SoupMessage *Message =
+        soup_message_new("POST", ("http://" + Address + Path).c_str());
+    soup_session_send_async(this->Session, Message, G_PRIORITY_DEFAULT, nullptr,
+                            nullptr, nullptr);
+    g_object_unref(Message);
+  }
+
+  // Faults of one node follow each other; those of several overlap.
+  void fault(TimePoint End) {
+    ++this->Faults;
+    std::string Name = this->anyNode();
+    uint64_t Kind = this->draw(0, 6);
+    bool Signals = Kind <= 2;
+    // A stop needs its time, and one node is not signalled twice at once.
+    if (Signals && (this->Busy.count(Name) || this->Busy.size() >= 3))
+      return;
+    switch (Kind) {
+    case 0:
+      return this->freeze(Name);
+    case 1:
+      return this->kill(Name);
+    case 2:
+      return Clock::now() + Millis(2000) < End ? this->stop(Name) : void();
+    case 3:
+      return this->wire(Name, "silence");
+    case 4:
+      return this->wire(Name, "cut");
+    case 5:
+      return this->outage();
+    default:
+      if (!this->publishNext())
+        --this->Version;
+    }
+  }
+
+  void freeze(const std::string &Name) {
+    this->Busy.insert(Name);
+    this->All.signal(Name, SIGSTOP);
+    this->later(Millis(this->draw(50, 1500)), [this, Name] {
+      this->All.signal(Name, SIGCONT);
+      this->Busy.erase(Name);
+    });
+  }
+  void kill(const std::string &Name) {
+    this->Busy.insert(Name);
+    this->All.signal(Name, SIGKILL);
+    this->later(Millis(this->draw(100, 1000)), [this, Name] {
+      this->restart(Name);
+      this->Busy.erase(Name);
+    });
+  }
+  void restart(const std::string &Name) {
+    this->checkOrder(Name);
+    // The next process writes from the start of the same file.
+    this->All.writeFile(Name + ".log", "");
+    this->All.startNode(Name);
+  }
+  // The log of one process names each version that it put in force.
+  void checkOrder(const std::string &Name) {
+    std::istringstream In(this->All.readFile(Name + ".log"));
+    const std::string Mark = "event=version-in-force subject=";
+    uint64_t Last = 0;
+    for (std::string Line; std::getline(In, Line);) {
+      size_t At = Line.find(Mark);
+      if (At == std::string::npos)
+        continue;
+      uint64_t Next =
+          std::strtoull(Line.c_str() + At + Mark.size(), nullptr, 10);
+      if (Next < Last)
+        this->Broken.push_back(absl::StrCat(Name, ": went back from version ",
+                                            Last, " to ", Next));
+      Last = Next;
+    }
+  }
+  void stop(const std::string &Name) {
+    this->Busy.insert(Name);
+    this->All.signal(Name, SIGTERM);
+    this->awaitStop(Name, Clock::now());
+  }
+  void awaitStop(const std::string &Name, TimePoint Since) {
+    std::optional<int> Status = this->All.exited(Name);
+    bool TooLong = Clock::now() - Since > StopLimit;
+    if (!Status && !TooLong)
+      return this->later(Millis(50),
+                         [this, Name, Since] { this->awaitStop(Name, Since); });
+    if (!Status || *Status != 0)
+      this->Broken.push_back(Name + ": its planned stop did not end in order");
+    this->restart(Name);
+    this->Busy.erase(Name);
+  }
+  void wire(const std::string &Name, const std::string &How) {
+    this->post(this->All.node(Name).WireAdmin, "/" + How);
+  }
+  void outage() {
+    this->post(this->All.platformAddress(), "/admin/outage?on=1");
+    this->later(Millis(this->draw(300, 2500)), [this] {
+      this->post(this->All.platformAddress(), "/admin/outage?on=0");
+    });
+  }
+
+  void call() {
+    bool Repeats = this->draw(0, 1) == 0;
+    std::string Label = "c" + std::to_string(++this->LastCall);
+    SoakCall &New = this->Calls[Label];
+    New.Label = Label;
+    New.Repeats = Repeats;
+    std::string Url =
+        absl::StrCat("http://", this->All.node(this->anyNode()).Callers,
+                     Repeats ? "/a/" : "/b/", Label, "?ms=", this->draw(1, 120),
+                     "&size=", this->draw(1, 20000));
+    New.Message = soup_message_new(Repeats ? "GET" : "POST", Url.c_str());
+    soup_message_headers_append(soup_message_get_request_headers(New.Message),
+                                "X-Call-Id", Label.c_str());
+    if (!Repeats) {
+      New.Sent.assign(this->draw(1, 60000), static_cast<char>('a' + Label[1]));
+      GBytes *Body = g_bytes_new_static(New.Sent.data(), New.Sent.size());
+      soup_message_set_request_body_from_bytes(New.Message, "text/plain", Body);
+      g_bytes_unref(Body);
+    }
+    soup_session_send_and_read_async(this->Session, New.Message,
+                                     G_PRIORITY_DEFAULT, nullptr, onAnswer,
+                                     &New);
+  }
+
+  static void onAnswer(GObject *Source, GAsyncResult *Got, gpointer Data) {
+    auto *Of = static_cast<SoakCall *>(Data);
+    GBytes *Body =
+        soup_session_send_and_read_finish(SOUP_SESSION(Source), Got, nullptr);
+    SoupMessageHeaders *Headers =
+        soup_message_get_response_headers(Of->Message);
+    auto Field = [&](const char *Name) {
+      const char *Found = soup_message_headers_get_one(Headers, Name);
+      return std::string(Found ? Found : "");
+    };
+    Of->Outcome = "broken";
+    if (Body) {
+      gsize Size = 0;
+      const char *At = static_cast<const char *>(g_bytes_get_data(Body, &Size));
+      Of->Outcome = Field("Hickorylift-Outcome");
+      Of->Whole =
+          Field("X-Answer-Hash") ==
+              hexHash(contentHash(std::string_view(At ? At : "", Size))) &&
+          Field("X-Body-Hash") == hexHash(contentHash(Of->Sent)) &&
+          Field("X-Call-Id") == Of->Label;
+      g_bytes_unref(Body);
+    }
+    g_clear_object(&Of->Message);
+  }
+
+  // Faults end, every process is back, and every call has its outcome.
+  void settle() {
+    this->All.waitFor([this] {
+      this->doDue();
+      return this->Due.empty();
+    });
+    this->post(this->All.platformAddress(), "/admin/outage?on=0");
+    TimePoint GiveUp = Clock::now() + Settle;
+    bool Same = this->All.waitFor(
+        [&] { return this->converged() || Clock::now() > GiveUp; });
+    if (!Same || !this->converged())
+      this->Broken.push_back(absl::StrCat("not every node has version ",
+                                          this->Version, " after the faults"));
+    this->All.waitFor([this] {
+      for (const auto &[Label, One] : this->Calls)
+        if (One.Message)
+          return false;
+      return true;
+    });
+  }
+
+  void judge() {
+    for (const std::string &Name : this->Names)
+      this->checkOrder(Name);
+    std::map<std::string, uint64_t> Runs;
+    for (const std::string &Name : this->Names) {
+      Json::Value Ran = this->All.upstreamCounters(Name)["executions"];
+      for (const std::string &Label : Ran.getMemberNames())
+        Runs[Label] += Ran[Label].asUInt64();
+    }
+    for (const auto &[Label, One] : this->Calls) {
+      uint64_t Count = Runs.count(Label) ? Runs[Label] : 0;
+      auto Break = [&](const char *What) {
+        this->Broken.push_back(absl::StrCat(Label, ": ", What, " (outcome ",
+                                            One.Outcome, ", runs ", Count,
+                                            ")"));
+      };
+      if (One.Message)
+        Break("never answered");
+      if (!One.Repeats && Count > 1)
+        Break("ran more than once");
+      if (One.Outcome == "not-run" && Count > 0)
+        Break("was told that it had not run");
+      if (One.Outcome == "answered" && (!One.Whole || Count == 0))
+        Break("its answer is not whole, or not its own");
+    }
+  }
+
+  harness::Fleet All;
+  std::mt19937_64 Random;
+  SoupSession *Session;
+  std::vector<std::string> Names;
+  std::map<std::string, SoakCall> Calls;
+  std::multimap<TimePoint, std::function<void()>> Due;
+  // Nodes under a signal.
+  std::set<std::string> Busy;
+  std::vector<std::string> Broken;
+  uint64_t Version = 0;
+  uint64_t LastCall = 0;
+  uint64_t Faults = 0;
+};
+
+bool runSeed(uint64_t Seed, Millis Length) {
+  SoakRun One(Seed);
+  std::vector<std::string> Broken = One.run(Length);
+  std::cout << "seed " << Seed << ":" << One.summary()
+            << (Broken.empty() ? "" : " BROKEN") << "\n";
+  for (const std::string &What : Broken)
+    std::cout << "  " << What << "\n";
+  return Broken.empty();
+}
+
+} // namespace
+
+} // namespace hickorylift
+
+int main(int Argc, char **Argv) {
+  using namespace hickorylift;
+  absl::ParseCommandLine(Argc, Argv);
+  Millis Length(1000 * absl::GetFlag(FLAGS_seconds));
+  std::vector<uint64_t> Seeds;
+  if (absl::GetFlag(FLAGS_regressions))
+    for (const Regression &One : Regressions)
+      Seeds.push_back(One.Seed);
+  else
+    for (uint64_t I = 0; I < absl::GetFlag(FLAGS_seeds); ++I)
+      Seeds.push_back(absl::GetFlag(FLAGS_seed) + I);
+  bool Good = true;
+  for (uint64_t Seed : Seeds)
+    Good = runSeed(Seed, Length) && Good;
+  return Good ? 0 : 1;
+}
