--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Log.h"
 #include "cli/Http.h"
+#include "cli/Trace.h"
 #include "cli/Views.h"
 #include "config/RecordFile.h"
 #include "node/Node.h"
@@ -34,6 +35,11 @@
 ABSL_FLAG(uint32_t, timeout_s, 30, "how long to wait, in seconds");
 ABSL_FLAG(std::string, method, "GET", "method of the request (explain)");
 ABSL_FLAG(std::string, path, "/", "path of the request (explain)");
+ABSL_FLAG(std::string, host, "", "host of the request (explain)");
+ABSL_FLAG(std::string, id, "", "id of the caller's attempt (trace)");
+ABSL_FLAG(std::vector<std::string>, logs, {},
+          "files with nodes' logs, separated by commas; standard input where "
+          "none is named (trace)");
 ABSL_FLAG(std::string, key, "", "idempotency key of the request (explain)");
 
 namespace hickorylift {
@@ -204,10 +210,35 @@
   };
   return show("/explain?method=" + Escape(absl::GetFlag(FLAGS_method)) +
                   "&path=" + Escape(absl::GetFlag(FLAGS_path)) +
+                  "&host=" + Escape(absl::GetFlag(FLAGS_host)) +
                   "&key=" + Escape(absl::GetFlag(FLAGS_key)),
               printExplain);
 }
 
+int traceCall() {
+  std::string Id = absl::GetFlag(FLAGS_id);
+  if (Id.empty()) {
+    std::cerr << "trace needs --id\n";
+    return WrongUse;
+  }
+  Trace Of(Id);
+  std::vector<std::string> Paths = absl::GetFlag(FLAGS_logs);
+  if (Paths.empty())
+    Of.read("-", std::cin);
+  for (const std::string &Path : Paths) {
+    std::ifstream In(Path, std::ios::binary);
+    if (!In) {
+      std::cerr << Path << ": cannot be read\n";
+      return WrongUse;
+    }
+    Of.read(Path, In);
+  }
+  Of.print(std::cout);
+  std::cerr << Of.found() << " events, " << Of.unreadable()
+            << " lines passed over\n";
+  return Of.found() ? Done : AnswerIsNo;
+}
+
 int drainNode() {
   Result<std::string> Said = fetch("POST", absl::GetFlag(FLAGS_node), "/drain",
                                    absl::GetFlag(FLAGS_timeout_s));
@@ -251,11 +282,16 @@
      "not answer.",
      watchFleet},
     {"explain",
-     "hickorylift explain [--node=IP:PORT] [--method=M] [--path=P] [--key=K] "
-     "[--json]",
+     "hickorylift explain [--node=IP:PORT] [--method=M] [--host=H] [--path=P] "
+     "[--key=K] [--json]",
      "Where this node would send a request now and why, and where its "
      "configuration came from. Nothing is sent.",
      showExplain},
+    {"trace", "hickorylift trace --id=ID [--logs=FILE,FILE]",
+     "The story of one call from the logs of the nodes, in order, with what "
+     "decided each step. Lines that are no events are counted and passed over. "
+     "Exit 0 if anything was found, else 1.",
+     traceCall},
     {"audit", "hickorylift audit [--node=IP:PORT] [--json]",
      "The changes that one node remembers, oldest first.", showAudit},
     {"drain", "hickorylift drain [--node=IP:PORT]",
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -196,6 +196,9 @@
   RequestHead Head;
   Head.Method = queryValue(Query, "method", "GET");
   Head.Path = queryValue(Query, "path", "/");
+  std::string Host = queryValue(Query, "host", "");
+  if (!Host.empty())
+    Head.Headers.push_back({"Host", Host});
   std::string Key = queryValue(Query, "key", "");
   if (!Key.empty())
     Head.Headers.push_back({"Idempotency-Key", Key});
