--- a/scenario/Soak.cpp
+++ b/scenario/Soak.cpp
@@ -344,10 +344,11 @@
       for (const std::string &Label : Ran.getMemberNames())
         Runs[Label] += Ran[Label].asUInt64();
     }
-    for (const auto &[Label, One] : this->Calls) {
-      uint64_t Count = Runs.count(Label) ? Runs[Label] : 0;
+    for (const auto &Entry : this->Calls) {
+      const SoakCall &One = Entry.second;
+      uint64_t Count = Runs.count(One.Label) ? Runs[One.Label] : 0;
       auto Break = [&](const char *What) {
-        this->Broken.push_back(absl::StrCat(Label, ": ", What, " (outcome ",
+        this->Broken.push_back(absl::StrCat(One.Label, ": ", What, " (outcome ",
                                             One.Outcome, ", runs ", Count,
                                             ")"));
       };
