Calls that are left when the time of a planned stop runs out are answered

Change: such calls are answered first, as not run where nothing was sent, else as unknown; the process ends a tick later. Test: EntryDecisions/CallsLeftAtAStopAreAnswered.

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -647,25 +647,37 @@
   }
 }
 
+// The gate is told, so that nothing goes on running for nobody.
+void Entry::giveUpInTime(CallerId Caller, const char *Reason, TimePoint Now) {
+  Call &One = this->Calls.at(Caller);
+  bool MayHaveRun = One.Now != State::Connecting;
+  if (One.Now == State::Sent) {
+    wire::CancelT Cancel;
+    Cancel.seq = One.Id.Seq;
+    Cancel.reason = Reason;
+    this->Hook.Send(One.Gate, callFrame(std::move(Cancel)));
+  }
+  this->giveUp(Caller,
+               this->refusal(MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
+                             Reason, StepEntry, One.Gate),
+               Now);
+}
+
+void Entry::abandon(TimePoint Now) {
+  std::vector<CallerId> Left;
+  for (const auto &[Caller, One] : this->Calls)
+    Left.push_back(Caller);
+  for (CallerId Caller : Left)
+    if (this->find(Caller))
+      this->giveUpInTime(Caller, "stopped", Now);
+}
+
 void Entry::tick(TimePoint Now) {
   while (!this->Due.empty() && this->Due.begin()->first <= Now) {
     CallerId Caller = this->Due.begin()->second;
     this->Due.erase(this->Due.begin());
-    Call *Found = this->find(Caller);
-    if (!Found)
-      continue;
-    Call &One = *Found;
-    bool MayHaveRun = One.Now != State::Connecting;
-    if (One.Now == State::Sent) {
-      wire::CancelT Cancel;
-      Cancel.seq = One.Id.Seq;
-      Cancel.reason = "deadline";
-      this->Hook.Send(One.Gate, callFrame(std::move(Cancel)));
-    }
-    this->giveUp(Caller,
-                 this->refusal(MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
-                               "deadline", StepEntry, One.Gate),
-                 Now);
+    if (this->find(Caller))
+      this->giveUpInTime(Caller, "deadline", Now);
   }
   this->driveLinks(Now);
 }
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -189,6 +189,9 @@
 
   /// Refuses new requests from now on; those under way go on.
   void drain() { this->Draining = true; }
+  /// Answers all calls that are left, for the process ends: those that were
+  /// never sent as not run, the others as unknown.
+  void abandon(TimePoint Now);
   bool idle() const { return this->Calls.empty(); }
   size_t calls() const { return this->Calls.size(); }
   /// This process stood still, and what lies in its sockets is of unknown age.
@@ -282,6 +285,7 @@
   RetryBudget &budgetOf(const Call &One);
   bool mayTryAnother(Call &One, const Refusal &Why, TimePoint Now);
   void refuse(CallerId Caller, const Refusal &Why);
+  void giveUpInTime(CallerId Caller, const char *Reason, TimePoint Now);
   void giveUp(CallerId Caller, const Refusal &Why, TimePoint Now);
   void finish(CallerId Caller, TimePoint Now);
 
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -277,6 +277,21 @@
   BOOST_TEST(this->Dialled.back() != Other);
 }
 
+// The time of a planned stop runs out with calls under way. Their callers are
+// told what is known, not cut: one call was sent, of the other nothing was.
+BOOST_FIXTURE_TEST_CASE(CallsLeftAtAStopAreAnswered, Fixture) {
+  this->request(1, "/write/1");
+  std::string Gate = this->Dialled.back();
+  this->hello(Gate);
+  this->list({"g-4"});
+  this->request(2, "/write/2");
+  this->From->abandon(this->Now);
+  BOOST_TEST(this->Refused[1] == "unknown stopped");
+  BOOST_TEST(this->Refused[2] == "not-run stopped");
+  BOOST_TEST(this->cancels(Gate) == 1u);
+  BOOST_TEST(this->From->idle());
+}
+
 // The way to a gate is narrow, and what it says comes half a second late. The
 // link looks silent once and is replaced. Were the new one judged as strictly,
 // each would be replaced in turn, and all calls there would search for their
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -1,5 +1,7 @@
 #include "node/NodeCore.h"
 
+#include <utility>
+
 // Every event passes through observe(), and the call tick alone comes fifty
 // times a second; so a gap between two events means that the process stood
 // still, and the event at hand is the first after it. Entry and gate hear of
@@ -328,6 +330,11 @@
   bool Wait = !Idle && Now < *this->StopBy && this->Opts.Guards.StopWaits;
   if (Wait)
     return;
+  // Callers whose time is not over yet get an answer rather than a cut. It
+  // leaves before the next tick.
+  if (!Idle && this->Opts.Guards.StopWaits &&
+      !std::exchange(this->Abandoned, true))
+    return this->From->abandon(Now);
   this->StopDone = true;
   this->Control->audit().add(Now, "stopped", this->Opts.CallGate.Self, "",
                              Idle ? "nothing cut" : "time ran out");
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -138,6 +138,9 @@
   std::optional<TimePoint> LingerUntil;
   // Whether anything asks the upstream how it is.
   bool AsksUpstream = true;
+  // The calls that were left when the time for a planned stop ran out have been
+  // answered.
+  bool Abandoned = false;
   bool StopDone = false;
 };
 
