--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -253,6 +253,7 @@
   Options.Node = absl::GetFlag(FLAGS_node);
   Options.Version = absl::GetFlag(FLAGS_version);
   Options.Limit = std::chrono::seconds(absl::GetFlag(FLAGS_timeout_s));
+  Options.Now = [] { return Clock::now(); };
   Options.Json = absl::GetFlag(FLAGS_json);
   Options.Terminal = isatty(STDOUT_FILENO) != 0;
   Result<bool> InForce = watchVersion(Options);
--- a/src/cli/Views.cpp
+++ b/src/cli/Views.cpp
@@ -155,7 +155,7 @@
 }
 
 Result<bool> watchVersion(const WatchOptions &Options) {
-  TimePoint End = Clock::now() + Options.Limit;
+  TimePoint End = Options.Now() + Options.Limit;
   uint64_t Version = Options.Version;
   if (Version == 0) {
     Result<uint64_t> Newest = newestVersion(Options.Node);
@@ -178,7 +178,7 @@
                   << std::endl;
     }
     Last = Now;
-    bool Over = Now.everywhere() || Now.Refusing > 0 || Clock::now() >= End;
+    bool Over = Now.everywhere() || Now.Refusing > 0 || Options.Now() >= End;
     if (Over && Options.Terminal && !Options.Json)
       std::cout << "\n";
     if (Over)
--- a/src/cli/Views.h
+++ b/src/cli/Views.h
@@ -6,6 +6,7 @@
 
 #include <json/value.h>
 
+#include <functional>
 #include <string>
 
 namespace hickorylift {
@@ -19,6 +20,8 @@
   /// 0 for the newest that the node knows.
   uint64_t Version = 0;
   std::chrono::seconds Limit{30};
+  /// Gives the present time.
+  std::function<TimePoint()> Now;
   bool Json = false;
   /// Progress on one line, redrawn; else a line for each change.
   bool Terminal = false;
--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -1,7 +1,5 @@
 #include "http/CallerServer.h"
 
-#include "net/Listen.h"
-
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
@@ -132,36 +130,16 @@
     : Opts(std::move(Opts)), Hook(std::move(Hooks)), Now(std::move(Clock)) {}
 
 CallerServer::~CallerServer() {
-  this->stopListening();
   for (auto &[Id, On] : this->Connections)
     On->Stream->close();
 }
 
 Result<bool> CallerServer::listen(const NetAddress &At) {
-  Result<int> Bound = listenOn(At, "listen-callers");
-  if (!Bound)
-    return Bound.error();
-  this->Listener = *Bound;
-  this->Accepting = Reactor::get().watch(this->Listener, Reactor::Read,
-                                         [this](uint32_t) { this->accept(); });
-  return true;
-}
-
-void CallerServer::stopListening() {
-  if (this->Listener < 0)
-    return;
-  Reactor::get().forget(this->Accepting);
-  ::close(std::exchange(this->Listener, -1));
+  return this->Listening.open(At, "listen-callers", AcceptsATurn,
+                              [this](int Fd) { this->adopt(Fd); });
 }
 
-void CallerServer::accept() {
-  for (int I = 0; I < AcceptsATurn && this->Listener >= 0; ++I) {
-    int New = acceptOn(this->Listener);
-    if (New < 0)
-      return;
-    this->adopt(New);
-  }
-}
+void CallerServer::stopListening() { this->Listening.close(); }
 
 void CallerServer::adopt(int Fd) {
   if (this->Connections.size() >= this->Opts.MaxConnections) {
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -5,6 +5,7 @@
 #include "calls/Dialect.h"
 #include "calls/Entry.h"
 #include "http/MessageParser.h"
+#include "net/Listen.h"
 #include "net/TcpStream.h"
 
 #include <deque>
@@ -91,7 +92,6 @@
   struct Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
 
-  void accept();
   void adopt(int Fd);
   void onData(const ConnectionPtr &On, std::string_view Bytes, TimePoint At);
   void parse(const ConnectionPtr &On, TimePoint At);
@@ -118,8 +118,7 @@
   std::function<TimePoint()> Now;
   CallerBounds Bounds;
   bool Leaving = false;
-  int Listener = -1;
-  Reactor::WatchId Accepting = 0;
+  Listener Listening;
   std::map<uint64_t, ConnectionPtr> Connections;
   std::map<CallerId, Exchange *> Exchanges;
   uint64_t LastConnection = 0;
--- a/src/net/Listen.cpp
+++ b/src/net/Listen.cpp
@@ -2,10 +2,15 @@
 
 #include <arpa/inet.h>
 #include <cerrno>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <utility>
+
+// Those who come back together, callers after a refusal or a fleet after a cut,
+// fill the queue of new connections. Taking a few in each turn keeps those that
+// are open served in between.
+
 namespace hickorylift {
 
 namespace {
@@ -16,27 +21,50 @@
 
 } // namespace
 
-Result<int> listenOn(const NetAddress &At, const char *Step) {
-  int Fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+sockaddr_in socketAddress(const NetAddress &Of) {
+  sockaddr_in Out{};
+  Out.sin_family = AF_INET;
+  Out.sin_port = htons(Of.Port);
+  inet_pton(AF_INET, Of.Ip.c_str(), &Out.sin_addr);
+  return Out;
+}
+
+Result<bool> Listener::open(const NetAddress &At, const char *Step, int ATurn,
+                            std::function<void(int)> OnNew) {
+  this->Fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   int On = 1;
-  setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_port = htons(At.Port);
-  inet_pton(AF_INET, At.Ip.c_str(), &Address.sin_addr);
-  bool Bound =
-      bind(Fd, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) == 0 &&
-      listen(Fd, Backlog) == 0;
-  if (Bound)
-    return Fd;
-  Error Why{Errc::Refused, Step, At.text(),
-            std::error_code(errno, std::generic_category()).message()};
-  ::close(Fd);
-  return Why;
+  setsockopt(this->Fd, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  sockaddr_in Address = socketAddress(At);
+  bool Bound = bind(this->Fd, reinterpret_cast<sockaddr *>(&Address),
+                    sizeof(Address)) == 0 &&
+               listen(this->Fd, Backlog) == 0;
+  if (!Bound) {
+    Error Why{Errc::Refused, Step, At.text(),
+              std::error_code(errno, std::generic_category()).message()};
+    ::close(std::exchange(this->Fd, -1));
+    return Why;
+  }
+  this->ATurn = ATurn;
+  this->OnNew = std::move(OnNew);
+  this->Watch = Reactor::get().watch(this->Fd, Reactor::Read,
+                                     [this](uint32_t) { this->acceptSome(); });
+  return true;
+}
+
+void Listener::close() {
+  if (this->Fd < 0)
+    return;
+  Reactor::get().forget(this->Watch);
+  ::close(std::exchange(this->Fd, -1));
 }
 
-int acceptOn(int Listener) {
-  return accept4(Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+void Listener::acceptSome() {
+  for (int I = 0; I < this->ATurn && this->Fd >= 0; ++I) {
+    int New = accept4(this->Fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (New < 0)
+      return;
+    this->OnNew(New);
+  }
 }
 
 } // namespace hickorylift
--- a/src/net/Listen.h
+++ b/src/net/Listen.h
@@ -3,20 +3,47 @@
 
 #include "base/Error.h"
 #include "base/NetAddress.h"
+#include "net/Reactor.h"
 
-// Listening sockets, without waiting.
+#include <netinet/in.h>
+
+#include <functional>
+
+// A Listener takes connections at one address, from the loop.
 //
-//   Result<int> Fd = listenOn(Address, "listen-callers");
-//   for (int New = acceptOn(*Fd); New >= 0; New = acceptOn(*Fd)) ...
+//   Listener At;
+//   Result<bool> Open = At.open(Address, "listen-callers", /*ATurn=*/16,
+//                               [&](int Fd) { adopt(Fd); });
+//   At.close();
 
 namespace hickorylift {
 
-/// A socket that listens at that address. Its caller closes it. Step is what
-/// the error names.
-Result<int> listenOn(const NetAddress &At, const char *Step);
+/// The same as the kernel takes it.
+sockaddr_in socketAddress(const NetAddress &Of);
+
+class Listener {
+public:
+  Listener() = default;
+  ~Listener() { this->close(); }
+  Listener(const Listener &) = delete;
+  Listener &operator=(const Listener &) = delete;
+
+  /// Calls OnNew with each connection, which then belongs to it and does not
+  /// block; at most ATurn of them in one turn of the loop. Step is what an
+  /// error names.
+  Result<bool> open(const NetAddress &At, const char *Step, int ATurn,
+                    std::function<void(int Fd)> OnNew);
+  /// Takes no more. May be called from OnNew.
+  void close();
+
+private:
+  void acceptSome();
 
-/// The next connection, not blocking; negative where none waits.
-int acceptOn(int Listener);
+  int Fd = -1;
+  int ATurn = 1;
+  Reactor::WatchId Watch = 0;
+  std::function<void(int)> OnNew;
+};
 
 } // namespace hickorylift
 
--- a/src/net/TcpStream.cpp
+++ b/src/net/TcpStream.cpp
@@ -1,6 +1,7 @@
 #include "net/TcpStream.h"
 
-#include <arpa/inet.h>
+#include "net/Listen.h"
+
 #include <array>
 #include <cerrno>
 #include <netinet/in.h>
@@ -46,10 +47,7 @@
   int Fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   int On = 1;
   setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_port = htons(To.Port);
-  inet_pton(AF_INET, To.Ip.c_str(), &Address.sin_addr);
+  sockaddr_in Address = socketAddress(To);
   bool Failed = connect(Fd, reinterpret_cast<sockaddr *>(&Address),
                         sizeof(Address)) != 0 &&
                 errno != EINPROGRESS;
--- a/src/peer/Transport.cpp
+++ b/src/peer/Transport.cpp
@@ -1,7 +1,5 @@
 #include "peer/Transport.h"
 
-#include "net/Listen.h"
-
 #include <utility>
 
 #include <unistd.h>
@@ -31,20 +29,11 @@
     this->Links.begin()->second->Stream->flush();
     this->release(*this->Links.begin()->second);
   }
-  if (this->Listener < 0)
-    return;
-  Reactor::get().forget(this->Accepting);
-  ::close(this->Listener);
 }
 
 Result<bool> Transport::listen(const NetAddress &At) {
-  Result<int> Bound = listenOn(At, "listen");
-  if (!Bound)
-    return Bound.error();
-  this->Listener = *Bound;
-  this->Accepting = Reactor::get().watch(this->Listener, Reactor::Read,
-                                         [this](uint32_t) { this->accept(); });
-  return true;
+  return this->Listening.open(At, "listen", this->Opts.AcceptsPerTurn,
+                              [this](int Fd) { this->adopt(Fd); });
 }
 
 Transport::Connection *Transport::find(uint64_t Id) {
@@ -73,20 +62,13 @@
   return Out;
 }
 
-// A herd that reconnects fills the listener's queue. Taking a few in each turn
-// keeps the running links served in between.
-void Transport::accept() {
-  for (size_t I = 0; I < this->Opts.AcceptsPerTurn; ++I) {
-    int Fd = acceptOn(this->Listener);
-    if (Fd < 0)
-      return;
-    if (this->Links.size() >= this->Opts.MaxLinks) {
-      ::close(Fd);
-      continue;
-    }
-    Connection &New = this->add();
-    New.Stream = TcpStream::adopt(Fd, this->streamHooks(New.Id), this->Now);
+void Transport::adopt(int Fd) {
+  if (this->Links.size() >= this->Opts.MaxLinks) {
+    ::close(Fd);
+    return;
   }
+  Connection &New = this->add();
+  New.Stream = TcpStream::adopt(Fd, this->streamHooks(New.Id), this->Now);
 }
 
 void Transport::dial(char Purpose, const std::string &Name,
--- a/src/peer/Transport.h
+++ b/src/peer/Transport.h
@@ -4,6 +4,7 @@
 #include "base/Error.h"
 #include "base/NetAddress.h"
 #include "base/Time.h"
+#include "net/Listen.h"
 #include "net/TcpStream.h"
 
 #include <glib.h>
@@ -39,7 +40,7 @@
     /// A dial that has not connected by then has failed.
     Millis DialTimeout{2000};
     /// Connections accepted in one turn of the loop; the rest wait.
-    size_t AcceptsPerTurn = 32;
+    int AcceptsPerTurn = 32;
     /// Connections held at once.
     size_t MaxLinks = 4096;
   };
@@ -90,7 +91,7 @@
   };
 
   static gboolean onDialTimeout(gpointer Data);
-  void accept();
+  void adopt(int Fd);
   Connection &add();
   TcpStream::Hooks streamHooks(uint64_t Id);
   void dialled(uint64_t Id, TimePoint At);
@@ -106,8 +107,7 @@
   Options Opts;
   Hooks Hook;
   std::function<TimePoint()> Now;
-  int Listener = -1;
-  Reactor::WatchId Accepting = 0;
+  Listener Listening;
   std::map<uint64_t, std::unique_ptr<Connection>> Links;
   // Links that failed within a call from above, told from the loop.
   std::vector<std::pair<uint64_t, Error>> Failed;
--- a/src/spread/Spreader.h
+++ b/src/spread/Spreader.h
@@ -80,7 +80,7 @@
         [](LinkId) { return nullptr; };
   };
 
-  /// What was sent, for the metrics and the bench.
+  /// What was sent, for the metrics.
   struct Counters {
     uint64_t PushedParts = 0;
     uint64_t SnapshotParts = 0;
