--- a/scenario/Soak.cpp
+++ b/scenario/Soak.cpp
@@ -34,7 +34,7 @@
 ABSL_FLAG(uint64_t, seed, 1, "seed of the first run");
 ABSL_FLAG(uint64_t, seeds, 1, "how many seeds to run, counting up");
 ABSL_FLAG(uint64_t, seconds, 10, "length of the faults in each run");
-ABSL_FLAG(bool, regressions, false, "run the seeds that failed once instead");
+ABSL_FLAG(bool, regressions, true, "run the seeds that failed once as well");
 
 namespace hickorylift {
 
@@ -399,9 +399,8 @@
   if (absl::GetFlag(FLAGS_regressions))
     for (const Regression &One : Regressions)
       Seeds.push_back(One.Seed);
-  else
-    for (uint64_t I = 0; I < absl::GetFlag(FLAGS_seeds); ++I)
-      Seeds.push_back(absl::GetFlag(FLAGS_seed) + I);
+  for (uint64_t I = 0; I < absl::GetFlag(FLAGS_seeds); ++I)
+    Seeds.push_back(absl::GetFlag(FLAGS_seed) + I);
   bool Good = true;
   for (uint64_t Seed : Seeds)
     Good = runSeed(Seed, Length) && Good;
