--- a/harness/Fleet.cpp
+++ b/harness/Fleet.cpp
@@ -117,6 +117,9 @@
   if (!New) {
     std::cerr << Path << ": " << Why->message << "\n";
     g_clear_error(&Why);
+    // Nothing runs the destructor on this way out.
+    for (GSubprocess *One : this->Processes)
+      g_subprocess_force_exit(One);
     std::exit(2);
   }
   this->Processes.push_back(New);
