Entries of other writers name no upstream; a later start under an old name has a clear record

An upstream that started again under its name kept the drain mark, pace and failures of its earlier process, and what that still had under way could bring the mark back.

An upstream of which only unreachable gates are known is no longer reported as overloaded ('no-gate').

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -114,8 +114,10 @@
   std::set<std::string> Listed;
   if (this->InForce)
     for (const auto &[Name, One] : this->InForce->services())
-      for (const Instance *Up : this->Fleet.upstreams(Name))
+      for (const Instance *Up : this->Fleet.upstreams(Name)) {
         Listed.insert(Up->Name);
+        this->Choose.listed(*Up);
+      }
   this->Choose.keepOnly(Listed);
 }
 
@@ -230,10 +232,12 @@
   if (One.LastRefusal)
     return this->giveUp(Caller, *One.LastRefusal, Now);
   const auto &Upstreams = this->Fleet.upstreams(One.Target->Name);
-  Refusal Why = this->refusal(Outcome::NotRun,
-                              Upstreams.empty() ? "no-upstream" : "overload",
-                              "choose-gate", "");
-  Why.RetryAfter = this->Choose.soonest(Upstreams, Now);
+  std::optional<Millis> Soonest = this->Choose.soonest(Upstreams, Now);
+  const char *Reason = Upstreams.empty() ? "no-upstream"
+                       : Soonest         ? "overload"
+                                         : "no-gate";
+  Refusal Why = this->refusal(Outcome::NotRun, Reason, "choose-gate", "");
+  Why.RetryAfter = Soonest.value_or(this->Opts.ComeBack);
   this->giveUp(Caller, Why, Now);
 }
 
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -55,7 +55,12 @@
                    TimePoint Now) {
   this->Judge.members(Upstreams, Now);
   for (const Instance *One : Upstreams) {
-    if (One->Name != this->Opts.Self || One->Slots == this->ListedSlots)
+    if (One->Name != this->Opts.Self)
+      continue;
+    if (this->ListedAs && !One->sameStart(*this->ListedAs))
+      this->Slots.restarted(Now);
+    this->ListedAs = *One;
+    if (One->Slots == this->ListedSlots)
       continue;
     this->ListedSlots = One->Slots;
     this->configureSlots(Now);
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -209,6 +209,8 @@
   const Service *Of = nullptr;
   // Of this upstream, by the list; 0 where it does not say.
   uint32_t ListedSlots = 0;
+  // The upstream that the list named last, where it named one.
+  std::optional<Instance> ListedAs;
   // Calls whose link was lost, and when.
   std::map<CallId, TimePoint> Unlinked;
   std::map<CallId, Call> Calls;
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -82,6 +82,12 @@
     this->Trail.add(Now, "platform-read", Why.Step, Why.Peer,
                     Why.Code.message() + ": " + Why.Detail);
   };
+  Out.Unreadable = [this](const Error &Why, TimePoint Now) {
+    ++this->UnreadableItems;
+    if (this->UnreadableLog.take(Now))
+      this->Trail.add(Now, "item-unreadable", Why.Detail, Why.Peer,
+                      "names no upstream");
+  };
   Out.Recovered = [this](TimePoint Now) {
     this->LastReaderError.clear();
     this->Trail.add(Now, "platform-back", "", "platform", "answers again");
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -119,6 +119,8 @@
   }
   const AuditTrail &audit() const { return this->Trail; }
   AuditTrail &audit() { return this->Trail; }
+  /// Items of the platform that could not be used, so far.
+  uint64_t unreadableItems() const { return this->UnreadableItems; }
   const Spreader &spreader() const { return this->Spread; }
   const DocumentSource &reader() const { return *this->Read; }
   /// Names of the peers with a control link.
@@ -173,6 +175,9 @@
   Options Opts;
   Hooks Hook;
   AuditTrail Trail;
+  uint64_t UnreadableItems = 0;
+  // Whoever writes rubbish may do so often.
+  TokenBucket UnreadableLog{/*Rate=*/1, /*Burst=*/10};
   Membership Fleet;
   FleetView View;
   Spreader Spread;
--- a/src/gate/Admission.cpp
+++ b/src/gate/Admission.cpp
@@ -84,12 +84,17 @@
   return Now < One.Deadline && One.Deadline - Now >= Needed;
 }
 
-bool Admission::onTarget(const Ask &One, Clock::duration Wait,
-                         TimePoint Now) const {
+// A call that starts later is expected to miss its target.
+TimePoint Admission::latestStart(const Ask &One) const {
   TimePoint Goal = std::min(One.Target, One.Deadline);
   auto Run = std::chrono::duration_cast<Clock::duration>(
       this->expectedRun(One.Kind) * this->Opts.TargetMargin);
-  return Now + Wait + Run <= Goal;
+  return Goal - Run;
+}
+
+bool Admission::onTarget(const Ask &One, Clock::duration Wait,
+                         TimePoint Now) const {
+  return Now + Wait <= this->latestStart(One);
 }
 
 size_t Admission::lateLimit(TimePoint Now) const {
@@ -242,6 +247,13 @@
   this->Window = std::max(1.0, Used * this->Opts.ShedFactor);
 }
 
+void Admission::restarted(TimePoint Now) {
+  this->ReadySince = Now;
+  this->Window = this->Of.Slots;
+  this->MeanRun.reset();
+  this->RunByKind.clear();
+}
+
 void Admission::drain(const std::string &By) {
   if (this->DrainedBy.empty())
     this->DrainedBy = By;
--- a/src/gate/Admission.h
+++ b/src/gate/Admission.h
@@ -102,6 +102,10 @@
   /// Calls that may start now, and calls that waited in vain.
   Next next(TimePoint Now);
 
+  /// Another process serves at the upstream's place: what was learnt of the
+  /// last one's speed and room is not true of it.
+  void restarted(TimePoint Now);
+
   /// The first reason closes the gate to new work; waiting calls are dropped
   /// by the next call of next().
   void drain(const std::string &By);
@@ -133,8 +137,8 @@
     uint32_t Running = 0;
   };
 
-  // Most urgent first, then the nearest target or deadline, then the order of
-  // arrival.
+  // Most urgent first, then whichever must start first, or, among the late
+  // ones, the nearest deadline; then the order of arrival.
   using QueueKey = std::tuple<uint32_t, TimePoint, CallId>;
   using QueueMap = std::map<QueueKey, Waiting>;
 
@@ -154,6 +158,7 @@
   void release(const std::string &LimitKey);
   Clock::duration expectedRun(const std::string &Kind) const;
   bool inTime(const Ask &One, TimePoint Now) const;
+  TimePoint latestStart(const Ask &One) const;
   bool onTarget(const Ask &One, Clock::duration Wait, TimePoint Now) const;
   std::optional<bool> findPlace(const Ask &One, TimePoint Now) const;
   void wait(const Ask &One, bool IsLate, TimePoint Since,
--- a/src/gate/GateTest.cpp
+++ b/src/gate/GateTest.cpp
@@ -181,6 +181,22 @@
   BOOST_TEST(Slots.load(Start + Millis(10000)).slots() == 10u);
 }
 
+// An upstream was slow, and a new process stands in its place. A call that the
+// old one could not have answered in time is not refused on its account.
+BOOST_AUTO_TEST_CASE(ANewStartIsNotTakenForSlow) {
+  Admission Slots({}, 1);
+  Slots.configure(serviceOf(1, 10), Start);
+  Slots.ask(askOf(1, Millis(9000)), Start);
+  Slots.finished({1, 1}, true, Start + Millis(900));
+  TimePoint Now = Start + Millis(900);
+  Slots.ask(askOf(2, Millis(9000)), Now);
+  Slots.ask(askOf(3, Millis(1300)), Now);
+  BOOST_TEST(Slots.waiting() == 0u);
+  Slots.restarted(Now);
+  Slots.ask(askOf(4, Millis(1300)), Now);
+  BOOST_TEST(Slots.waiting() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(SheddingLowersTheWindowAndAnswersRaiseIt) {
   Admission Slots({}, 1);
   Slots.configure(serviceOf(10, 0), Start);
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -52,6 +52,8 @@
     Out["upstream"] = One.Upstream;
   if (One.Slots)
     Out["slots"] = One.Slots;
+  if (One.Incarnation)
+    Out["incarnation"] = Json::UInt64(One.Incarnation);
   return writeJson(Out);
 }
 
@@ -68,6 +70,8 @@
       Top.oneOf("state", std::nullopt, {"live", "leaving"}) == "leaving";
   One.Upstream = Top.string("upstream", "");
   One.Slots = static_cast<uint32_t>(Top.integer("slots", 0, 0, MaxSlots));
+  One.Incarnation =
+      static_cast<uint64_t>(Top.integer("incarnation", 0, 0, INT64_MAX));
   return One;
 }
 
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -38,6 +38,15 @@
   std::string Upstream{};
   /// Calls that this upstream runs at once; 0 for what its service says.
   uint32_t Slots = 0;
+  /// Tells the starts of one upstream process under the same name apart; the
+  /// greater is the later. 0 where the platform does not say.
+  uint64_t Incarnation = 0;
+
+  /// Whether it is the same start of the same upstream process as Other.
+  bool sameStart(const Instance &Other) const {
+    return this->Upstream == Other.Upstream &&
+           this->Incarnation == Other.Incarnation;
+  }
 
   bool operator==(const Instance &) const = default;
 };
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -78,6 +78,9 @@
       Of.core().control().spreader().linkCount());
   Set("hickorylift_platform_reads", "Calls to the platform",
       Of.core().control().reader().reads());
+  Set("hickorylift_platform_unreadable",
+      "Items of the platform that could not be used",
+      Of.core().control().unreadableItems());
   Set("hickorylift_spread_parts_sent", "Pieces of documents sent",
       Spread.PushedParts);
   Set("hickorylift_spread_snapshots_sent", "Whole documents sent",
--- a/src/reading/DocumentSource.h
+++ b/src/reading/DocumentSource.h
@@ -42,6 +42,9 @@
   /// What this node holds already, so that only the rest is read.
   std::function<DocumentPtr(const std::string &Topic)> Held;
   std::function<void(const Error &, TimePoint)> Failed;
+  /// The platform answers, but one item says nothing that can be used.
+  std::function<void(const Error &, TimePoint)> Unreadable = [](const Error &,
+                                                                TimePoint) {};
   /// The platform answers again after failures.
   std::function<void(TimePoint)> Recovered = [](TimePoint) {};
 };
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -163,11 +163,33 @@
       this->Config = Item;
     return;
   }
-  if (Item.Key.rfind(this->Contents.InstancePrefix, 0) != 0)
-    return;
+  if (Item.Key.rfind(this->Contents.InstancePrefix, 0) == 0)
+    this->putInstance(Item, Now);
+}
+
+// An item that cannot be read names no upstream: whatever stood there before is
+// no longer what the platform says. The other items are not touched by it.
+//
+// An upstream that starts again under its old name has a later start. What its
+// earlier process still has under way to the store may be written after that,
+// and would bring a drain mark back that is over: callers would find an
+// upstream left out that serves.
+void StoreReader::putInstance(const StoredItem &Item, TimePoint Now) {
   Result<Instance> Read = this->Contents.ReadInstance(Item);
-  if (!Read)
-    return this->Hook.Failed(Read.error(), Now);
+  if (!Read) {
+    this->Instances.erase(Item.Key);
+    return this->Hook.Unreadable(Read.error(), Now);
+  }
+  if (Read->Incarnation != 0) {
+    uint64_t &Latest = this->LatestStart[Item.Key];
+    if (Read->Incarnation < Latest)
+      return;
+    Latest = Read->Incarnation;
+    if (this->LatestStart.size() > this->Opts.MaxRemembered)
+      std::erase_if(this->LatestStart, [this](const auto &One) {
+        return !this->Instances.count(One.first);
+      });
+  }
   this->Instances[Item.Key] = {*Read, Item.Created};
 }
 
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -37,6 +37,9 @@
     /// Calls a second, and at once.
     double ReadsPerSecond = 20;
     double ReadBurst = 20;
+    /// Items whose latest start is remembered after they are gone. A fleet that
+    /// replaces 2,500 upstreams a day fills this in some weeks.
+    size_t MaxRemembered = 50000;
   };
 
   StoreReader(Options Opts, KeyValueStore &From, StoreContents Contents,
@@ -56,6 +59,7 @@
   void succeed(TimePoint Now);
   void fail(const Error &Why, TimePoint Now);
   void put(const StoredItem &Item, TimePoint Now);
+  void putInstance(const StoredItem &Item, TimePoint Now);
   void publishConfig(TimePoint Now);
   void publishLists(TimePoint Now);
   bool lacksListed() const;
@@ -89,6 +93,9 @@
   uint64_t GatheredAt = 0;
   // The copy: instances by key, and the newest version.
   std::map<std::string, Listed> Instances;
+  // The latest start seen under each key, where the platform tells starts
+  // apart.
+  std::map<std::string, uint64_t> LatestStart;
   std::optional<StoredItem> Config;
   DocumentPtr ConfigDoc;
   std::map<std::string, DocumentPtr> Published;
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -1,6 +1,8 @@
 #include "reading/StoreReader.h"
 #include "reading/SplitReader.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <deque>
@@ -70,7 +72,12 @@
     One.Service = "a";
     One.Node = "127.0.0.1:1";
     One.Operator = "127.0.0.1:2";
-    One.Leaving = Item.Value == "leaving";
+    // "leaving", or the same with the number of the start before it.
+    One.Leaving = Item.Value.find("leaving") != std::string::npos;
+    if (std::isdigit(static_cast<unsigned char>(Item.Value.front())))
+      One.Incarnation = std::stoull(Item.Value);
+    if (Item.Value == "rubbish")
+      return Error{Errc::Invalid, "read-item", "store", Item.Key};
     return One;
   };
   return Out;
@@ -80,8 +87,10 @@
   FakeStore Store;
   std::map<std::string, DocumentPtr> Seen;
   std::vector<std::string> Failures;
+  std::vector<std::string> Unreadable;
   std::unique_ptr<StoreReader> Read;
   TimePoint Now = Start;
+  uint64_t Revision = 100;
 
   SourceHooks hooks() {
     SourceHooks Hooks;
@@ -95,6 +104,9 @@
     Hooks.Failed = [this](const Error &Why, TimePoint) {
       this->Failures.push_back(Why.Detail);
     };
+    Hooks.Unreadable = [this](const Error &Why, TimePoint) {
+      this->Unreadable.push_back(Why.Detail);
+    };
     return Hooks;
   }
 
@@ -123,6 +135,25 @@
     this->Store.page(ItemPage{std::move(Items), false, At}, this->Now);
   }
 
+  /// The instance's entry takes these values one after the other.
+  void write(const std::string &Name, const std::vector<std::string> &Values) {
+    for (const std::string &Value : Values) {
+      ++this->Revision;
+      StoredItem New{"i/" + Name, Value, this->Revision, 1};
+      ItemChange Change{New.Key, this->Revision, New};
+      if (Value.empty())
+        Change.Now.reset();
+      this->untilAsked();
+      this->Store.changes(ItemChanges{{Change}, this->Revision}, this->Now);
+    }
+  }
+
+  std::string entryOf(const std::string &Name) const {
+    const EntryMap &Entries = this->Seen.at("instances/north")->entries();
+    auto Found = Entries.find(Name);
+    return Found == Entries.end() ? "none" : *Found->second.Bytes;
+  }
+
   size_t listed() const {
     return this->Seen.at("instances/north")->entries().size();
   }
@@ -247,6 +278,65 @@
   BOOST_TEST(List->entries().at("x").Bytes->find("x+new") != std::string::npos);
 }
 
+/// What is written to one entry, in order, and what callers then find.
+struct Starts {
+  const char *What;
+  std::vector<std::string> Written;
+  const char *State;
+  const char *Incarnation;
+};
+std::ostream &operator<<(std::ostream &To, const Starts &Of) {
+  return To << Of.What;
+}
+
+const Starts StartsOfOne[] = {
+    {"it drains", {"5 live", "5 leaving"}, "leaving", "5"},
+    {"a new start serves again", {"5 leaving", "6 live"}, "live", "6"},
+    {"the old start writes late",
+     {"5 leaving", "6 live", "5 leaving"},
+     "live",
+     "6"},
+    {"the old start writes after the new one was removed",
+     {"5 live", "6 live", "", "5 live"},
+     "none",
+     "none"},
+    {"without starts the newest counts", {"leaving", "live"}, "live", "none"},
+};
+
+// An upstream starts again under the name that it had, and what its earlier
+// process still had under way is written after that. Callers find the new one;
+// the drain mark of the old one is not theirs.
+BOOST_DATA_TEST_CASE_F(Fixture, TheLatestStartCounts,
+                       boost::unit_test::data::make(StartsOfOne), Row) {
+  this->startWith({instance("x", 1)}, 1);
+  this->write("x", Row.Written);
+  std::string Entry = this->entryOf("x");
+  BOOST_TEST((Row.State == std::string("none")) == (Entry == "none"));
+  if (Entry == "none")
+    return;
+  BOOST_TEST(Entry.find(std::string("\"state\":\"") + Row.State + "\"") !=
+             std::string::npos);
+  bool Tells = Row.Incarnation != std::string("none");
+  std::string Wanted = "\"incarnation\":" + std::string(Row.Incarnation);
+  BOOST_TEST((Entry.find("incarnation") != std::string::npos) == Tells);
+  BOOST_TEST((!Tells || Entry.find(Wanted) != std::string::npos));
+}
+
+// Someone writes rubbish over the entry of an upstream and beside it. Callers
+// are not sent there, and go on to all the others.
+BOOST_FIXTURE_TEST_CASE(RubbishNamesNobodyAndTheOthersHold, Fixture) {
+  this->startWith({instance("x", 1), instance("y", 2)}, 2);
+  this->write("x", {"rubbish"});
+  this->write("z", {"rubbish"});
+  BOOST_TEST(this->entryOf("x") == "none");
+  BOOST_TEST(this->entryOf("z") == "none");
+  BOOST_TEST(this->entryOf("y") != "none");
+  BOOST_TEST((this->Unreadable == std::vector<std::string>{"i/x", "i/z"}));
+  BOOST_TEST(this->Failures.empty());
+  this->write("x", {"live"});
+  BOOST_TEST(this->entryOf("x") != "none");
+}
+
 BOOST_FIXTURE_TEST_CASE(FailuresAreAskedAgainEverLater, Fixture) {
   for (int I = 0; I < 20; ++I) {
     this->Store.page(unreachable(), this->Now);
--- a/src/routing/Chooser.cpp
+++ b/src/routing/Chooser.cpp
@@ -323,14 +323,26 @@
   this->Gates[Gate].Draining = false;
 }
 
+void Chooser::listed(const Instance &One) {
+  State &Of = this->Gates[One.Name];
+  std::pair<std::string, uint64_t> Start(One.Upstream, One.Incarnation);
+  if (Of.Start && *Of.Start != Start) {
+    State Fresh;
+    Fresh.Outstanding = Of.Outstanding;
+    Of = Fresh;
+  }
+  Of.Start = Start;
+}
+
 void Chooser::keepOnly(const std::set<std::string> &Listed) {
   std::erase_if(this->Gates, [&](const auto &One) {
     return !Listed.count(One.first) && One.second.Outstanding == 0;
   });
 }
 
-Millis Chooser::soonest(const std::vector<const Instance *> &Upstreams,
-                        TimePoint Now) const {
+std::optional<Millis>
+Chooser::soonest(const std::vector<const Instance *> &Upstreams,
+                 TimePoint Now) const {
   std::optional<Millis> Best;
   for (const Instance *One : Upstreams) {
     auto Found = this->Gates.find(One->Name);
@@ -339,7 +351,7 @@
     Millis Wait = toMillis(Found->second.FullUntil - Now);
     Best = Best ? std::min(*Best, Wait) : Wait;
   }
-  return Best.value_or(Millis(1000));
+  return Best;
 }
 
 } // namespace hickorylift
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -7,6 +7,7 @@
 #include "membership/Membership.h"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -141,13 +142,18 @@
   /// this is certain, and a call that waits there could be refused at once.
   void unreachable(const std::string &Gate, TimePoint Now);
   void reachable(const std::string &Gate);
+  /// What the list says of a gate. If another start of its upstream stands
+  /// there now, what was learnt of the last one is forgotten: its pace, its
+  /// failures and its drain mark would keep callers from one that is well.
+  void listed(const Instance &One);
   /// Forgets the gates that are on no list any more.
   void keepOnly(const std::set<std::string> &Listed);
 
   bool isEjected(const std::string &Gate, TimePoint Now) const;
-  /// The soonest time at which a gate that refused may be asked again.
-  Millis soonest(const std::vector<const Instance *> &Upstreams,
-                 TimePoint Now) const;
+  /// In what time the first of the gates that refused for want of room may be
+  /// asked again; nothing where none of them did so lately.
+  std::optional<Millis> soonest(const std::vector<const Instance *> &Upstreams,
+                                TimePoint Now) const;
 
 private:
   struct State {
@@ -172,6 +178,8 @@
     TimePoint FullUntil;
     TimePoint UnreachableUntil;
     bool Draining = false;
+    // Which start of which upstream all this was learnt of.
+    std::optional<std::pair<std::string, uint64_t>> Start;
   };
 
   std::vector<const Instance *>
--- a/src/routing/ChooserTest.cpp
+++ b/src/routing/ChooserTest.cpp
@@ -225,6 +225,42 @@
   BOOST_TEST(Ages.age("r", Millis(890), Later).count() == 0);
 }
 
+/// What is listed at one place after its upstream drained, failed and was slow,
+/// and whether a call may go there.
+struct ListedAgain {
+  const char *What;
+  const char *Upstream;
+  uint64_t Incarnation;
+  bool Chosen;
+};
+std::ostream &operator<<(std::ostream &To, const ListedAgain &Of) {
+  return To << Of.What;
+}
+
+const ListedAgain ListedAgains[] = {
+    {"the same start", "up-1", 5, false},
+    {"a later start under the same name", "up-1", 6, true},
+    {"another upstream", "up-2", 5, true},
+};
+
+// An upstream drains and fails, ends, and starts again under its old name.
+// Callers reach the new one at once: the old one's marks are not its own.
+BOOST_DATA_TEST_CASE(ANewStartHasAClearRecord, data::make(ListedAgains), Row) {
+  std::vector<Instance> One(1);
+  One[0].Name = "near";
+  One[0].DataCentre = "north";
+  One[0].Upstream = "up-1";
+  One[0].Incarnation = 5;
+  Chooser Choose(Chooser::Options(), "north", "me", 1);
+  Choose.listed(One[0]);
+  Choose.draining("near");
+  One[0].Upstream = Row.Upstream;
+  One[0].Incarnation = Row.Incarnation;
+  Choose.listed(One[0]);
+  const Instance *Chosen = Choose.pick(pointers(One), {}, Start);
+  BOOST_TEST((Chosen != nullptr) == Row.Chosen);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
