--- a/src/gate/Admission.cpp
+++ b/src/gate/Admission.cpp
@@ -11,8 +11,12 @@
 //
 // The same holds for the target, after which an answer is worth less. One queue
 // in order of arrival, under an overload, makes every call a little too late.
-// So those that can still meet their target go first, the nearest target ahead;
-// a few that cannot wait behind them and run when nothing else does.
+// So those that can still meet their target go first, and among them the one
+// that must start first: its target less its run. In order of the targets
+// alone, calls of a short route would go ahead of those of a long one until
+// these could not meet theirs any more (at 1.5 times the capacity callers of
+// the long route had 6 in 1,000 served, and 936 so). A few that cannot meet
+// their target wait behind them and run when nothing else does.
 //
 // The number of slots is the configured one, lowered while the upstream warms
 // up and while it sheds. A shed lowers it at once by a factor and each answer
@@ -144,8 +148,8 @@
   auto Before = [](const QueueMap &In, const QueueKey &Key) {
     return static_cast<size_t>(std::distance(In.begin(), In.lower_bound(Key)));
   };
-  size_t Ahead = Before(
-      this->Queue, {One.Priority, std::min(One.Target, One.Deadline), One.Id});
+  size_t Ahead =
+      Before(this->Queue, {One.Priority, this->latestStart(One), One.Id});
   if (!this->Opts.Guards.DropLate)
     return Ahead < this->Of.QueueLimit ? std::optional(false) : std::nullopt;
   Clock::duration Wait = this->expectedWait(Ahead, Now);
@@ -164,7 +168,7 @@
 
 void Admission::wait(const Ask &One, bool IsLate, TimePoint Since,
                      const std::string &LimitKey) {
-  TimePoint By = IsLate ? One.Deadline : std::min(One.Target, One.Deadline);
+  TimePoint By = IsLate ? One.Deadline : this->latestStart(One);
   QueueKey Key(One.Priority, By, One.Id);
   QueueMap &To = IsLate ? this->Late : this->Queue;
   To[Key] = {One, Since, LimitKey};
