--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -99,6 +99,17 @@
     this->From->request(Id, Head, this->Now);
   }
 
+  /// A call that must not repeat, with a body of 20,000 bytes.
+  void upload(Entry::CallerId Id) {
+    RequestHead Head;
+    Head.Method = "POST";
+    Head.Path = "/write/1";
+    Head.Length = 20000;
+    this->From->request(Id, Head, this->Now);
+    this->From->body(Id, std::string(20000, 'x'), this->Now);
+    this->From->bodyEnd(Id, this->Now);
+  }
+
   void hello(const std::string &Gate, uint64_t Incarnation = 1) {
     this->From->gateUp(Gate, this->Now);
     wire::CallHelloT Hello;
@@ -318,13 +329,7 @@
 // A long body is sent once, to the gate that runs the call, and not to those
 // that refuse it.
 BOOST_FIXTURE_TEST_CASE(LongBodiesWaitForTheGate, Fixture) {
-  RequestHead Head;
-  Head.Method = "POST";
-  Head.Path = "/write/1";
-  Head.Length = 20000;
-  this->From->request(1, Head, this->Now);
-  this->From->body(1, std::string(20000, 'x'), this->Now);
-  this->From->bodyEnd(1, this->Now);
+  this->upload(1);
   this->hello(this->Dialled.back());
   auto [Gate, Open] = this->opens().back();
   BOOST_TEST(Open->holds_body);
@@ -345,13 +350,7 @@
 // The upstream turns an upload away when most of it has arrived. Its caller
 // does not notice: the whole body is still held, and goes to another gate.
 BOOST_FIXTURE_TEST_CASE(UploadsAreSentAgainFromTheirFirstByte, Fixture) {
-  RequestHead Head;
-  Head.Method = "POST";
-  Head.Path = "/write/1";
-  Head.Length = 20000;
-  this->From->request(1, Head, this->Now);
-  this->From->body(1, std::string(20000, 'x'), this->Now);
-  this->From->bodyEnd(1, this->Now);
+  this->upload(1);
   for (int Gate = 0; Gate < 2; ++Gate) {
     size_t Before = this->bodyBytes();
     this->hello(this->Dialled.back());
