--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -42,9 +42,9 @@
     /// An answer up to this many bytes is handed on when it is whole, so that
     /// one that breaks off is never begun towards the caller.
     size_t HoldBytes = 256 * 1024;
-    /// Bytes of a request's body between two reports of Consumed. At most half of
-    /// what an entry sends ahead of them, or it would wait for one that never
-    /// comes.
+    /// Bytes of a request's body between two reports of Consumed. At most half
+    /// of what an entry sends ahead of them, or it would wait for one that
+    /// never comes.
     uint64_t TellEvery = 4 * 1024;
     /// Largest head of an answer.
     size_t MaxHeaderBytes = 64 * 1024;
