A draw of gates holds some of the own data centre and some of others

Soonest drew eight of all gates of a service. Now twelve are looked at: the own gate, up to six of other data centres, the rest of the own one.

--- a/src/routing/Chooser.cpp
+++ b/src/routing/Chooser.cpp
@@ -248,23 +248,52 @@
          this->failShare(Of, Now) * static_cast<double>(Micros(Cost).count());
 }
 
-const Instance *Chooser::pickSoonest(std::vector<const Instance *> &Among,
+namespace {
+
+/// Puts Count of them, drawn at random, at the front.
+void shuffleFirst(std::vector<const Instance *> &Of, size_t Count,
+                  std::mt19937_64 &Random) {
+  for (size_t I = 0; I < Count; ++I)
+    std::swap(Of[I], Of[I + Random() % (Of.size() - I)]);
+}
+
+} // namespace
+
+// The own gate always, for nothing is known better than its load and a call to
+// it costs no link; then gates of the own data centre, and a few of others.
+std::vector<const Instance *>
+Chooser::drawSoonest(const std::vector<const Instance *> &Among) {
+  std::vector<const Instance *> Out, Near, Far;
+  for (const Instance *One : Among) {
+    if (One->Name == this->Self)
+      Out.push_back(One);
+    else
+      (One->DataCentre == this->DataCentre ? Near : Far).push_back(One);
+  }
+  size_t Left = this->Opts.DrawSoonest - Out.size();
+  size_t FromFar = std::min(Far.size(), this->Opts.DrawFar);
+  size_t FromNear = std::min(Near.size(), Left - FromFar);
+  FromFar = std::min(Far.size(), Left - FromNear);
+  shuffleFirst(Near, FromNear, this->Random);
+  shuffleFirst(Far, FromFar, this->Random);
+  Out.insert(Out.end(), Near.begin(), Near.begin() + FromNear);
+  Out.insert(Out.end(), Far.begin(), Far.begin() + FromFar);
+  return Out;
+}
+
+const Instance *Chooser::pickSoonest(const std::vector<const Instance *> &Among,
                                      const Want &For, TimePoint Now) {
   double BestPace = this->bestPace(Among);
   std::uniform_real_distribution<double> Longer(1, 1 + this->Opts.Noise);
-  size_t Draw = std::min(this->Opts.DrawSoonest, Among.size());
   const Instance *Best = nullptr;
   double BestTime = 0;
-  for (size_t I = 0; I < Draw; ++I) {
-    std::swap(Among[I], Among[I + this->Random() % (Among.size() - I)]);
-    const Instance &One = *Among[I];
-    double Time =
-        this->expected(One, this->Gates[One.Name], BestPace, For, Now);
-    Time = Time * Longer(this->Random) +
-           this->way(One, this->Gates[One.Name], For, Now);
+  for (const Instance *One : this->drawSoonest(Among)) {
+    const State &Of = this->Gates[One->Name];
+    double Time = this->expected(*One, Of, BestPace, For, Now);
+    Time = Time * Longer(this->Random) + this->way(*One, Of, For, Now);
     if (Best && Time >= BestTime)
       continue;
-    Best = &One;
+    Best = One;
     BestTime = Time;
   }
   return Best;
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -44,7 +44,13 @@
     /// Candidates drawn for one call, by Hot and by Soonest. Few gates are all
     /// looked at; among many, a draw keeps a decision cheap.
     size_t Draw = 3;
-    size_t DrawSoonest = 8;
+    size_t DrawSoonest = 12;
+    /// So many of those that Soonest draws are of other data centres, if there
+    /// are as many; the others are of the own one. With two the room that other
+    /// data centres had was found too seldom. Of eight drawn from all gates
+    /// alike, one draw in six in five data centres holds none of the own one,
+    /// and its call crosses for nothing.
+    size_t DrawFar = 6;
     /// Run time assumed where no gate of a service has told any.
     Micros FirstRun{20000};
     /// Slots assumed of a gate that has told nothing.
@@ -197,8 +203,10 @@
                           TimePoint Now);
   const Instance *pickAmong(std::vector<const Instance *> Among, TimePoint Now);
   const Instance *pickHot(std::vector<const Instance *> &Among, TimePoint Now);
-  const Instance *pickSoonest(std::vector<const Instance *> &Among,
+  const Instance *pickSoonest(const std::vector<const Instance *> &Among,
                               const Want &For, TimePoint Now);
+  std::vector<const Instance *>
+  drawSoonest(const std::vector<const Instance *> &Among);
   double bestPace(const std::vector<const Instance *> &Among) const;
   double expected(const Instance &Gate, const State &Of, double BestPace,
                   const Want &For, TimePoint Now) const;
--- a/src/routing/ChooserTest.cpp
+++ b/src/routing/ChooserTest.cpp
@@ -178,6 +178,54 @@
   BOOST_TEST(Count["far"] > 25);
 }
 
+/// A fleet of data centres of the same size, and in how many of a thousand
+/// calls the own one may be left while nothing is wrong anywhere.
+struct IdleFleet {
+  size_t DataCentres;
+  size_t GatesInEach;
+};
+std::ostream &operator<<(std::ostream &To, const IdleFleet &Of) {
+  return To << Of.DataCentres << " x " << Of.GatesInEach;
+}
+
+const IdleFleet IdleFleets[] = {{3, 1}, {3, 3}, {3, 20}, {5, 30}, {12, 60}};
+
+// All gates are idle and alike. Nobody gains from a call that leaves its data
+// centre, and it pays for the way; so none leaves, however many gates there
+// are elsewhere.
+BOOST_DATA_TEST_CASE(CallsStayWhereThereIsRoom, data::make(IdleFleets), Row) {
+  std::vector<Instance> All(Row.DataCentres * Row.GatesInEach);
+  for (size_t I = 0; I < All.size(); ++I) {
+    All[I].Name = "gate-" + std::to_string(I);
+    All[I].DataCentre = "dc-" + std::to_string(I % Row.DataCentres);
+  }
+  Chooser Choose({}, "dc-0", "me", 1);
+  for (const Instance &One : All)
+    tell(Choose, One.Name, wire::Load(0, 0, 10, 50 * Ms), Start);
+  int Left = 0;
+  for (int I = 0; I < 1000; ++I)
+    Left +=
+        Choose.pick(pointers(All), {}, Start, want(0))->DataCentre != "dc-0";
+  BOOST_TEST(Left == 0);
+}
+
+// Every gate of the own data centre is full, and there is room in the others:
+// a draw must not hold gates of the own one alone.
+BOOST_AUTO_TEST_CASE(RoomElsewhereIsFound) {
+  std::vector<Instance> All(60);
+  Chooser Choose({}, "dc-0", "me", 1);
+  for (size_t I = 0; I < All.size(); ++I) {
+    All[I].Name = "gate-" + std::to_string(I);
+    All[I].DataCentre = "dc-" + std::to_string(I % 3);
+    bool Near = I % 3 == 0;
+    tell(Choose, All[I].Name,
+         wire::Load(Near ? 10 : 0, Near ? 40 : 0, 10, 50 * Ms), Start);
+  }
+  for (int I = 0; I < 100; ++I)
+    BOOST_TEST(Choose.pick(pointers(All), {}, Start, want(0))->DataCentre !=
+               "dc-0");
+}
+
 // What this entry has sent counts before the gate has told of it: a burst must
 // not go to one place.
 BOOST_AUTO_TEST_CASE(ABurstIsSpread) {
