Safe calls return to a run that goes on at a gate whose link was lost

Cause: a safe call whose link fell silent went to another gate at once; where none had room its caller was told that the outcome is unknown, while the first upstream was still at work. Now the call is asked about over the next link, unless that has cancelled it. Test SafeCallsReturnToARunThatGoesOn fails without (unknown link-lost).

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -230,6 +230,8 @@
   const Instance *Gate = this->chooseGate(One, Now);
   if (Gate)
     return this->assign(Caller, One, *Gate, Now);
+  if (this->returnToLeft(Caller, One, Now))
+    return;
   if (One.LastRefusal)
     return this->giveUp(Caller, *One.LastRefusal, Now);
   const auto &Upstreams = this->Fleet.upstreams(One.Target->Name);
@@ -459,8 +461,11 @@
 
 void Entry::tryAnother(CallerId Caller, const Refusal &Why, TimePoint Now) {
   Call &One = this->Calls.at(Caller);
-  if (!this->mayTryAnother(One, Why, Now))
-    return this->giveUp(Caller, Why, Now);
+  if (!this->mayTryAnother(One, Why, Now)) {
+    if (!this->returnToLeft(Caller, One, Now))
+      this->giveUp(Caller, Why, Now);
+    return;
+  }
   this->moveOn(Caller, Why, Now);
 }
 
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -220,6 +220,13 @@
     Searching,
   };
 
+  /// Where a call ran when its link was lost, and may still be running.
+  struct LeftRun {
+    std::string Gate;
+    uint64_t Incarnation = 0;
+    CallId Id;
+  };
+
   struct Call {
     State Now = State::Connecting;
     CallId Id;
@@ -251,6 +258,7 @@
     bool HaveHead = false;
     ReceiveStream Response;
     std::optional<Refusal> LastRefusal;
+    std::optional<LeftRun> Left;
 
     explicit Call(const Options &Opts)
         : Request(Opts.BodyWindow, Opts.GatherBytes) {}
@@ -320,6 +328,7 @@
   void driveLink(const std::string &Gate, Link &On, TimePoint Now);
   void redial(const std::string &Gate, Link &On, TimePoint Now);
   void moveWaiting(const std::string &Gate, Link &On, TimePoint Now);
+  bool returnToLeft(CallerId Caller, Call &One, TimePoint Now);
   void giveUpSearch(const std::string &Gate, Link &On, TimePoint Now);
   std::optional<CallerId> callOn(const std::string &Gate, uint64_t Seq) const;
 
--- a/src/calls/EntryLinks.cpp
+++ b/src/calls/EntryLinks.cpp
@@ -109,6 +109,7 @@
       Refusal Lost =
           this->refusal(Outcome::Unknown, "link-lost", StepLink, Gate);
       if (One.Idempotent && this->mayTryAnother(One, Lost, Now)) {
+        One.Left = LeftRun{Gate, One.GateIncarnation, One.Id};
         this->moveOn(Caller, Lost, Now);
         continue;
       }
@@ -119,6 +120,34 @@
   }
 }
 
+// A safe call whose link was lost is offered to other gates, and these have no
+// room. Its first run may be nearly over: given up now, its caller would get a
+// failure and the upstream would have worked for nothing. So it is asked about
+// over the next link, as a call that must not repeat is. Once that link has
+// told the gate that nobody waits, there is nothing to return to.
+bool Entry::returnToLeft(CallerId Caller, Call &One, TimePoint Now) {
+  if (!One.Left || One.HaveHead || One.Head.Length != 0 || Now >= One.Deadline)
+    return false;
+  LeftRun To = *std::exchange(One.Left, std::nullopt);
+  Link &On = this->Links[To.Gate];
+  auto Orphan = std::find(On.Orphans.begin(), On.Orphans.end(), To.Id.Seq);
+  if (Orphan == On.Orphans.end())
+    return false;
+  On.Orphans.erase(Orphan);
+  this->leaveGate(Caller, One, /*Answered=*/true, Now);
+  One.Now = State::Searching;
+  One.Gate = To.Gate;
+  One.GateIncarnation = To.Incarnation;
+  One.Id = To.Id;
+  One.StartedAt = Now;
+  this->BySeq[One.Id.Seq] = Caller;
+  this->Choose.started(To.Gate);
+  On.Calls.insert(Caller);
+  if (!On.LostAt)
+    On.LostAt = Now;
+  return true;
+}
+
 // The link is condemned, not the gate: something between the two may have lost
 // track of this connection while a new one works.
 void Entry::condemn(const std::string &Gate, Link &On, TimePoint Now) {
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -288,6 +288,51 @@
   BOOST_TEST(this->Dialled.back() != Other);
 }
 
+// The link to a gate falls silent while an upstream works on a safe call, and
+// the other gates have no room. Its caller gets the answer of the first run
+// over the next link, and not a failure while that run goes on.
+BOOST_FIXTURE_TEST_CASE(SafeCallsReturnToARunThatGoesOn, Fixture) {
+  this->request(1, "/read/1");
+  std::string First = this->Dialled.back();
+  this->hello(First);
+  uint64_t Seq = this->opens().back().second->seq;
+  this->From->gateDown(First, this->Now);
+  for (int I = 0; I < 2; ++I) {
+    this->hello(this->Dialled.back());
+    auto [Gate, Open] = this->opens().back();
+    BOOST_REQUIRE(Gate != First);
+    this->fail(Gate, Open->seq, wire::Outcome::NotRun, "overload");
+  }
+  BOOST_TEST(this->Refused.empty());
+  this->pass(Millis(40));
+  BOOST_REQUIRE(this->Dialled.back() == First);
+  this->hello(First);
+  BOOST_TEST(this->cancels(First) == 0u);
+  BOOST_TEST(this->opens().back().second->resume);
+  BOOST_TEST(this->opens().back().second->seq == Seq);
+  wire::HeadT Head;
+  Head.seq = Seq;
+  Head.status = 200;
+  this->From->frame(First, callFrame(std::move(Head)), this->Now);
+  BOOST_TEST(this->Answered.count(1) == 1u);
+}
+
+// The same, but the gate's process has ended, and its run with it.
+BOOST_FIXTURE_TEST_CASE(RunsOfAnEndedGateAreNotWaitedFor, Fixture) {
+  this->list({"g-1", "g-2"});
+  this->request(1, "/read/1");
+  std::string First = this->Dialled.back();
+  this->hello(First);
+  this->From->gateDown(First, this->Now);
+  this->hello(this->Dialled.back());
+  auto [Gate, Open] = this->opens().back();
+  this->fail(Gate, Open->seq, wire::Outcome::NotRun, "overload");
+  this->pass(Millis(40));
+  this->hello(First, /*Incarnation=*/2);
+  BOOST_TEST(this->Refused[1].rfind("unknown", 0) == 0);
+  BOOST_TEST(this->From->idle());
+}
+
 // The time of a planned stop runs out with calls under way. Their callers are
 // told what is known, not cut: one call was sent, of the other nothing was.
 BOOST_FIXTURE_TEST_CASE(CallsLeftAtAStopAreAnswered, Fixture) {
