A start costs the platform next to nothing: lists from seeds, readers go on from what is held

Cause: every start and every node whose parent fell silent read the whole store, page by page, and each data centre had three readers. Heartbeats now say up to which revision of the platform nothing is missing; whoever begins to read begins with a watch from there. A starting node asks its seeds, one after the other; a seed that knows no more reads at once. The first two of the tree's order read, the second as a spare.

SnapshotsAreHandedOutWithinABudget now plays documents ten times as long and a budget ten times as large: short documents are outside the budget, which it checks as well.

--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -1,5 +1,7 @@
 #include "control/ControlPlane.h"
 
+#include "base/Hash.h"
+
 #include <algorithm>
 
 namespace hickorylift {
@@ -9,6 +11,30 @@
 constexpr Millis ExchangeInterval{2000};
 constexpr unsigned MaxBackoffShift = 10;
 
+const char *dutyName(ReadDuty Of) {
+  switch (Of) {
+  case ReadDuty::None:
+    return "none";
+  case ReadDuty::List:
+  case ReadDuty::ListForOthers:
+    return "list";
+  case ReadDuty::Once:
+    return "once";
+  case ReadDuty::Spare:
+    return "spare";
+  case ReadDuty::Watch:
+    return "watch";
+  }
+  return "";
+}
+
+/// The kind of a link as the other end names it. What a later build may add is
+/// a link that announces.
+Tie tieOf(uint8_t Named) {
+  bool Known = Named <= static_cast<uint8_t>(Tie::Seed);
+  return Known ? static_cast<Tie>(Named) : Tie::Backup;
+}
+
 wire::SpreadFrameT helloFrame(const ControlPlane::Options &Opts, Tie Kind) {
   wire::HelloT Hello;
   Hello.node = Opts.Self;
@@ -74,6 +100,8 @@
   Out.Held = [this](const std::string &Topic) {
     return this->Spread.held(Topic);
   };
+  Out.Complete = [this](uint64_t Revision) { this->Spread.complete(Revision); };
+  Out.CompleteAt = [this] { return this->Spread.completeAt(); };
   Out.Failed = [this](const Error &Why, TimePoint Now) {
     // A long outage is one event, not one for each attempt.
     if (Why.text() == this->LastReaderError)
@@ -113,7 +141,7 @@
     this->Read->tick(Now, ReadDuty::None);
   }
   this->LastTick = Now;
-  this->Read->tick(Now, this->duty(Now));
+  this->read(Now);
   this->Spread.tick(Now);
   this->dialTargets(Now);
   if (Now >= this->NextExchange) {
@@ -125,24 +153,61 @@
 // Peers first: they answer from memory and there are many of them, while the
 // platform's rate is shared by the whole fleet. A node turns to the platform
 // only when its peers had time to answer and it still lacks what it needs.
-ReadDuty ControlPlane::duty(TimePoint Now) {
-  bool HaveList =
-      this->Spread.held(listTopic(this->Opts.DataCentre)) != nullptr;
+ControlPlane::Duty ControlPlane::duty(TimePoint Now) {
+  if (!this->hasList())
+    return this->startDuty(Now);
   Millis Waited = toMillis(Now - *this->StartedAt);
-  if (!HaveList) {
-    bool MayAsk = this->Opts.Seeds.empty() || Waited >= this->Opts.PeersFirst;
-    return MayAsk ? ReadDuty::List : ReadDuty::None;
-  }
   bool PeersHadTheirTurn =
       this->Spread.heardFromAny() || Waited >= this->Opts.PeersFirst;
   bool Orphan = this->isOrphan(Now);
-  bool Reads =
-      this->Fleet.isReader(this->Avoid) || this->takesOver(Now) || Orphan;
-  if (Reads && PeersHadTheirTurn)
-    return ReadDuty::Watch;
+  bool Reader = this->Fleet.isReader(this->Avoid) && !this->hasSeedLink();
+  // In a small fleet nodes do not rely on each other for what they can read.
+  bool First =
+      this->Fleet.allRead() || this->Fleet.readerRank(this->Avoid) == 0;
+  if (PeersHadTheirTurn && Reader && First)
+    return {ReadDuty::Watch, "reader"};
+  if (PeersHadTheirTurn && Orphan)
+    return {ReadDuty::Watch, "no parent"};
+  if (PeersHadTheirTurn && this->takesOver(Now))
+    return {ReadDuty::Watch, "readers fell behind"};
+  if (PeersHadTheirTurn && Reader)
+    return {ReadDuty::Spare, "spare reader"};
   if (!this->InForce && Waited >= 3 * this->Opts.PeersFirst)
-    return ReadDuty::Once;
-  return ReadDuty::None;
+    return {ReadDuty::Once, "no version"};
+  return {ReadDuty::None, "told by others"};
+}
+
+ControlPlane::Duty ControlPlane::startDuty(TimePoint Now) const {
+  if (this->TakenForSeed)
+    return {ReadDuty::ListForOthers, "taken for a seed"};
+  if (this->Opts.Seeds.empty())
+    return {ReadDuty::List, "no seeds"};
+  if (toMillis(Now - *this->StartedAt) >= this->Opts.PeersFirst)
+    return {ReadDuty::List, "seeds did not tell"};
+  return {ReadDuty::None, "asks its seeds"};
+}
+
+void ControlPlane::read(TimePoint Now) {
+  Duty Wanted = this->duty(Now);
+  if (Wanted.What != this->LastDuty)
+    this->Trail.add(Now, "reading", dutyName(Wanted.What), "platform",
+                    Wanted.Why);
+  this->LastDuty = Wanted.What;
+  this->Read->tick(Now, Wanted.What);
+}
+
+bool ControlPlane::hasList() const {
+  return this->Spread.held(listTopic(this->Opts.DataCentre)) != nullptr;
+}
+
+// A node keeps to its seeds while the list names nobody: upstreams are listed a
+// second or more after their nodes start. The seeds read for it.
+bool ControlPlane::hasSeedLink() const {
+  return !this->TakenForSeed &&
+         std::any_of(
+             this->Peers.begin(), this->Peers.end(), [](const auto &One) {
+               return One.second.Greeted && One.second.Kind == Tie::Seed;
+             });
 }
 
 // Whoever stands at the top of what is left of the tree reads, and those below
@@ -151,7 +216,8 @@
   if (this->Opts.OrphanReadsAfter.count() == 0)
     return false;
   std::optional<LinkId> Up = this->parentLink();
-  if (!this->ParentSeen || (Up && this->Peers[*Up].Greeted))
+  bool Linked = (Up && this->Peers[*Up].Greeted) || this->hasSeedLink();
+  if (!this->ParentSeen || Linked)
     this->ParentSeen = Now;
   return Now - *this->ParentSeen >= this->Opts.OrphanReadsAfter;
 }
@@ -204,14 +270,10 @@
     if (this->Avoid.count(One.Who->Name))
       Want(One);
   // A node that knows no neighbour, or is the only one listed, keeps to its
-  // seeds: they may know more.
-  if (Wanted.empty() && this->Fleet.size() < 2)
-    for (const auto &[Name, Address] : this->Opts.Seeds) {
-      Target &New = Wanted[Name];
-      New.Address = Address;
-      New.Kind = Tie::Backup;
-      New.NextDial = Now;
-    }
+  // seeds: they may know more. So does one that has no version yet: those above
+  // it may have none either.
+  if ((Wanted.empty() && this->Fleet.size() < 2) || !this->InForce)
+    this->wantSeeds(Wanted, Now);
   for (auto &[Name, Old] : this->Targets) {
     auto Kept = Wanted.find(Name);
     if (Kept != Wanted.end() && Kept->second.Address == Old.Address &&
@@ -225,6 +287,23 @@
     this->drop(Link, Now);
 }
 
+void ControlPlane::wantSeeds(std::map<std::string, Target> &Wanted,
+                             TimePoint Now) const {
+  std::map<uint64_t, std::string> Order;
+  for (const auto &[Name, Address] : this->Opts.Seeds)
+    Order[rendezvousScore(this->Opts.Self, Name)] = Name;
+  TimePoint Dial = Now;
+  for (const auto &[Score, Name] : Order) {
+    auto [At, New] = Wanted.try_emplace(Name);
+    if (!New)
+      continue;
+    At->second.Address = this->Opts.Seeds.at(Name);
+    At->second.Kind = Tie::Seed;
+    At->second.NextDial = Dial;
+    Dial += this->Opts.NextSeedAfter;
+  }
+}
+
 void ControlPlane::dialTargets(TimePoint Now) {
   for (auto &[Name, To] : this->Targets) {
     if (To.Link || To.Dialling || Now < To.NextDial)
@@ -282,10 +361,10 @@
   From.Greeted = true;
   From.Name = Hello.node;
   if (From.Target.empty()) {
-    From.Kind = Hello.tie == 0   ? Tie::Tree
-                : Hello.tie == 2 ? Tie::Bridge
-                                 : Tie::Backup;
+    From.Kind = tieOf(Hello.tie);
     this->greet(Link, From);
+    if (From.Kind == Tie::Seed)
+      this->introduce(Now);
   } else if (auto Found = this->Targets.find(From.Target);
              Found != this->Targets.end()) {
     Found->second.Failures = 0;
@@ -295,6 +374,13 @@
   this->Spread.linkUp(Link, From.Name, From.Kind == Tie::Tree, Now);
 }
 
+// Whoever turned to this node for a list waits for it.
+void ControlPlane::introduce(TimePoint Now) {
+  this->TakenForSeed = true;
+  if (this->StartedAt && !this->hasList())
+    this->read(Now);
+}
+
 void ControlPlane::frame(LinkId Link, std::string_view Bytes, TimePoint Now) {
   this->NowForHooks = Now;
   auto Found = this->Peers.find(Link);
@@ -407,6 +493,8 @@
     this->reportSoon(Now);
     return false;
   }
+  // Seeds are left once there is a version.
+  this->NeedRetarget |= !this->InForce;
   this->InForce = Made.Compiled;
   this->InForceFrom = Arrived.From;
   this->InForceSince = Now;
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -43,7 +43,13 @@
     /// address to address where the name is not known.
     std::map<std::string, std::string> Seeds;
     /// How long a starting node waits for peers before it asks the platform.
+    /// One that others take for their seed does not wait: if it knows no more
+    /// than they do, somebody has to ask.
     Millis PeersFirst{1000};
+    /// A node tries its seeds one after the other, in an order of its own, so
+    /// long after the last if it has no list by then: a herd that starts
+    /// together draws on all of them alike.
+    Millis NextSeedAfter{150};
     /// Between two attempts to reach a neighbour; doubles, with jitter.
     Millis FirstRedial{100};
     Millis LongestRedial{5000};
@@ -143,6 +149,12 @@
     bool Seed = false;
   };
 
+  /// What this node is to read, and why.
+  struct Duty {
+    ReadDuty What = ReadDuty::None;
+    const char *Why = "";
+  };
+
   struct Peer {
     std::string Name;
     // The target that was dialled; empty where the peer dialled us. A seed may
@@ -153,6 +165,7 @@
   };
 
   void retarget(TimePoint Now);
+  void wantSeeds(std::map<std::string, Target> &Wanted, TimePoint Now) const;
   void forgetAvoided(TimePoint Now);
   bool takesOver(TimePoint Now) const;
   bool isOrphan(TimePoint Now);
@@ -160,12 +173,17 @@
   void greet(LinkId Link, const Peer &To);
   void onHello(LinkId Link, Peer &From, const wire::HelloT &Hello,
                TimePoint Now);
+  void introduce(TimePoint Now);
   void onReport(LinkId Link, const wire::FleetReportT &Report, TimePoint Now);
   void drop(LinkId Link, TimePoint Now);
   bool accept(const Spreader::Arrival &Arrived, TimePoint Now);
   bool acceptConfig(const Spreader::Arrival &Arrived, TimePoint Now);
   void acceptList(const Spreader::Arrival &Arrived, TimePoint Now);
-  ReadDuty duty(TimePoint Now);
+  bool hasList() const;
+  bool hasSeedLink() const;
+  Duty startDuty(TimePoint Now) const;
+  Duty duty(TimePoint Now);
+  void read(TimePoint Now);
   void exchangeReports(TimePoint Now);
   void reportSoon(TimePoint Now);
   std::optional<LinkId> parentLink() const;
@@ -196,6 +214,9 @@
   // When the node was last seen to have a link to its parent.
   std::optional<TimePoint> ParentSeen;
   bool NeedRetarget = true;
+  // Somebody who has no list has turned to this node.
+  bool TakenForSeed = false;
+  ReadDuty LastDuty = ReadDuty::None;
   TimePoint NextExchange;
   TimePoint NowForHooks;
   std::string LastReaderError;
--- a/src/control/ControlPlaneTest.cpp
+++ b/src/control/ControlPlaneTest.cpp
@@ -42,8 +42,9 @@
 /// One node and the seed that it is told of, joined by links that the test
 /// makes and cuts.
 struct SeededNode {
-  explicit SeededNode(const std::string &SeedKey) {
-    this->Seed = this->make(0, SeedName, {});
+  explicit SeededNode(const std::string &SeedKey, Millis PeersFirst = Millis(0))
+      : PeersFirst(PeersFirst) {
+    this->Seed = this->make(0, SeedName, {{"10.0.0.9", "10.0.0.9:7000"}});
     this->Node = this->make(1, "10.0.0.2", {{SeedKey, SeedAddress}});
   }
 
@@ -54,9 +55,12 @@
     Opts.DataCentre = Opts.Members.DataCentre = "north";
     Opts.DataCentres = {"north"};
     Opts.Seeds = std::move(Seeds);
-    Opts.PeersFirst = Millis(0);
+    Opts.PeersFirst = this->PeersFirst;
     ControlPlane::Hooks Hooks;
-    Hooks.Dial = [this](const std::string &Peer, const std::string &Address) {
+    Hooks.Dial = [this, Which](const std::string &Peer,
+                               const std::string &Address) {
+      if (Which == 0)
+        return;
       this->Dialled.push_back(Peer);
       BOOST_TEST(Address == SeedAddress);
     };
@@ -67,7 +71,7 @@
     MakeSource Make = [this, Which](const SourceHooks &Given) {
       if (Which == 0)
         this->Publish = Given.Publish;
-      return std::make_unique<SilentSource>();
+      return std::make_unique<SilentSource>(&this->Wanted[Which]);
     };
     return std::make_unique<ControlPlane>(Opts, Make, Hooks);
   }
@@ -110,6 +114,8 @@
     return this->Node->config() ? this->Node->config()->stamp().Version : 0;
   }
 
+  Millis PeersFirst;
+  ReadDuty Wanted[2] = {ReadDuty::None, ReadDuty::None};
   std::unique_ptr<ControlPlane> Seed;
   std::unique_ptr<ControlPlane> Node;
   std::function<void(const std::string &, DocumentPtr, TimePoint)> Publish;
@@ -256,6 +262,30 @@
   BOOST_TEST(Pair.inForce() == 2u);
 }
 
+// All nodes of a fleet lose power and start together. Were each to read the
+// platform, hundreds of nodes would read hundreds of entries each; were all to
+// wait for the others, callers would be refused until their patience ends. So
+// the one that the others turn to reads, and they have the list from it.
+BOOST_AUTO_TEST_CASE(WhoIsTakenForASeedReadsForTheOthers) {
+  SeededNode Pair(SeedAddress, Millis(800));
+  Pair.run(Millis(300));
+  BOOST_TEST((Pair.Wanted[0] == ReadDuty::ListForOthers));
+  BOOST_TEST((Pair.Wanted[1] == ReadDuty::None));
+  Pair.Publish(listTopic("north"), listOf(1), Pair.Now);
+  Pair.run(Millis(100));
+  BOOST_TEST(Pair.Node->members().size() == 1u);
+}
+
+// The seed answers, but cannot reach the platform: those who start must not
+// wait for it for ever.
+BOOST_AUTO_TEST_CASE(WhoHasNothingFromItsSeedReads) {
+  SeededNode Pair(SeedAddress, Millis(800));
+  Pair.run(Millis(700));
+  BOOST_TEST((Pair.Wanted[1] == ReadDuty::None));
+  Pair.run(Millis(300));
+  BOOST_TEST((Pair.Wanted[1] == ReadDuty::List));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -10,6 +10,10 @@
 // (i - 1) / k. Nothing has to be agreed on. A second tree with another salt
 // gives the backup links; an inner node of the first is most likely a leaf of
 // the second, so one death seldom cuts both.
+//
+// The readers are the first of the same order: the root has nobody above it to
+// be told by, and so reads in any case, and what it reads goes down the tree at
+// once. With readers in an order of their own each data centre had one more.
 
 namespace hickorylift {
 
@@ -17,7 +21,6 @@
 
 const std::string TreeSalt = "tree";
 const std::string BackupSalt = "backup";
-const std::string ReaderSalt = "reader";
 const std::string ListPrefix = "instances/";
 constexpr int64_t MaxSlots = 100000;
 
@@ -194,7 +197,7 @@
 }
 
 size_t Membership::readerRank(const AvoidSet &Avoid) const {
-  auto Ranked = this->ordered(this->Opts.DataCentre, ReaderSalt);
+  auto Ranked = this->ordered(this->Opts.DataCentre, TreeSalt);
   size_t Rank = 0;
   for (const Instance *One : Ranked) {
     if (One->Name == this->Opts.Self)
@@ -206,8 +209,7 @@
 }
 
 bool Membership::isReader(const AvoidSet &Avoid) const {
-  return this->size(this->Opts.DataCentre) == 0 ||
-         this->size() <= this->Opts.AllReadUpTo ||
+  return this->size(this->Opts.DataCentre) == 0 || this->allRead() ||
          this->readerRank(Avoid) < this->Opts.Readers;
 }
 
@@ -275,7 +277,7 @@
 std::vector<const Instance *>
 Membership::readersAbove(const AvoidSet &Avoid) const {
   std::vector<const Instance *> Out;
-  for (const Instance *One : this->ordered(this->Opts.DataCentre, ReaderSalt)) {
+  for (const Instance *One : this->ordered(this->Opts.DataCentre, TreeSalt)) {
     if (One->Name == this->Opts.Self)
       return Out;
     if (!One->Leaving && !Avoid.count(One->Name))
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -74,6 +74,9 @@
   /// centres.
   Backup,
   Bridge,
+  /// To a seed, by a node that has no list: it is told the lists, finds its
+  /// neighbours, and goes to them for the rest.
+  Seed,
 };
 
 struct Neighbour {
@@ -112,6 +115,8 @@
   /// Whether this node is among its data centre's readers. True while its own
   /// list is empty: with nothing known, someone has to ask.
   bool isReader(const AvoidSet &Avoid = {}) const;
+  /// Whether the fleet is so small that every node reads.
+  bool allRead() const { return this->size() <= this->Opts.AllReadUpTo; }
   /// How many would have to be gone for this node to be the first reader.
   size_t readerRank(const AvoidSet &Avoid = {}) const;
   /// Whom this node dials. Each link is dialled by one end only: by the child
--- a/src/reading/DocumentSource.h
+++ b/src/reading/DocumentSource.h
@@ -26,8 +26,12 @@
   None,
   /// Read the own data centre's list once, to find neighbours.
   List,
+  /// The same at once: others wait for it.
+  ListForOthers,
   /// Read everything once: no neighbour has anything.
   Once,
+  /// Keep watching beside another who does, and who tells this node sooner.
+  Spare,
   /// Keep watching.
   Watch,
 };
@@ -45,6 +49,11 @@
   /// The platform answers, but one item says nothing that can be used.
   std::function<void(const Error &, TimePoint)> Unreadable = [](const Error &,
                                                                 TimePoint) {};
+  /// All that the platform said up to this revision was published.
+  std::function<void(uint64_t Revision)> Complete = [](uint64_t) {};
+  /// Up to which revision nothing is missing from what this node holds, whoever
+  /// told it; 0 where that is not known.
+  std::function<uint64_t()> CompleteAt = [] { return uint64_t(0); };
   /// The platform answers again after failures.
   std::function<void(TimePoint)> Recovered = [](TimePoint) {};
 };
--- a/src/reading/KeyValueStore.h
+++ b/src/reading/KeyValueStore.h
@@ -79,6 +79,8 @@
   std::string InstancePrefix;
   std::function<Result<ReadVersion>(const StoredItem &)> ReadConfig;
   std::function<Result<Instance>(const StoredItem &)> ReadInstance;
+  /// The key of the item that an instance was read from.
+  std::function<std::string(const Instance &)> KeyOf;
 };
 
 } // namespace hickorylift
--- a/src/reading/Reader.cpp
+++ b/src/reading/Reader.cpp
@@ -150,7 +150,13 @@
     this->WantLists.insert(listTopic(Name));
 }
 
+// A change of a list costs one read here whoever watches, so no duty is done
+// less often than another.
 void Reader::tick(TimePoint Now, Duty Wanted) {
+  if (Wanted == Duty::Spare)
+    Wanted = Duty::Watch;
+  if (Wanted == Duty::ListForOthers)
+    Wanted = Duty::List;
   if (Wanted != this->Current) {
     this->Current = Wanted;
     ++*this->Epoch;
--- a/src/reading/SplitReader.cpp
+++ b/src/reading/SplitReader.cpp
@@ -23,10 +23,20 @@
                          uint64_t Seed)
     : Opts(Opts), Hook(Hooks),
       All(Opts.Read, From, Contents, Hooks, DataCentres, Seed),
-      Config(Opts.Read, From, narrowed(Contents, Contents.ConfigKey), Hooks, {},
-             Seed + 1),
-      Lists(Opts.Read, From, narrowed(Contents, Contents.InstancePrefix), Hooks,
-            DataCentres, Seed + 2) {}
+      Config(Opts.Read, From, narrowed(Contents, Contents.ConfigKey),
+             this->partHooks(this->ConfigAt), {}, Seed + 1),
+      Lists(Opts.Read, From, narrowed(Contents, Contents.InstancePrefix),
+            this->partHooks(this->ListsAt), DataCentres, Seed + 2) {}
+
+// Only what both have published is complete.
+SourceHooks SplitReader::partHooks(uint64_t &CompleteAt) {
+  SourceHooks Out = this->Hook;
+  Out.Complete = [this, &CompleteAt](uint64_t Revision) {
+    CompleteAt = Revision;
+    this->Hook.Complete(std::min(this->ConfigAt, this->ListsAt));
+  };
+  return Out;
+}
 
 bool SplitReader::isLarge() const {
   DocumentPtr Held = this->Hook.Held(ConfigTopic);
--- a/src/reading/SplitReader.h
+++ b/src/reading/SplitReader.h
@@ -36,9 +36,13 @@
 
 private:
   bool isLarge() const;
+  SourceHooks partHooks(uint64_t &CompleteAt);
 
   Options Opts;
   SourceHooks Hook;
+  // Up to which revision each of the two has published everything.
+  uint64_t ConfigAt = 0;
+  uint64_t ListsAt = 0;
   StoreReader All;
   StoreReader Config;
   StoreReader Lists;
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -5,6 +5,11 @@
 // Read all items once, then wait in one watch for what changes, and read all
 // again only where the store no longer knows what has changed since.
 //
+// A node whose neighbours have told it all that the store held at some revision
+// begins with the watch. Reading all of 300 instances takes seven calls, and a
+// fleet whose nodes lose their parents, or are replaced, made thousands of them
+// in a minute (docs/design/starting.md).
+//
 // Pages are not a snapshot. The watch therefore goes on from the revision of
 // the first page: what changed between the pages comes again, and an item is
 // only ever replaced by a later revision of itself.
@@ -38,8 +43,9 @@
     ++*this->Epoch;
     this->Busy = false;
     this->Gathered.clear();
-    this->NotBefore =
-        Now + Millis(this->Random() % (this->Opts.StartJitter.count() + 1));
+    this->NotBefore = Now + this->startDelay();
+    // Others have read on meanwhile.
+    this->WantAll |= Reads && this->Hook.CompleteAt() > this->At;
   }
   if (this->ListsWait && Now >= this->SettledAt)
     this->publishLists(Now);
@@ -47,17 +53,75 @@
     this->step(Now);
 }
 
+Millis StoreReader::startDelay() {
+  if (this->Current == ReadDuty::ListForOthers)
+    return Millis(0);
+  return Millis(this->Random() % (this->Opts.StartJitter.count() + 1));
+}
+
 void StoreReader::step(TimePoint Now) {
   if (!this->Budget.take(Now))
     return;
   ++this->Reads;
   this->Busy = true;
+  if (this->WantAll && this->Gathered.empty() && this->resume())
+    this->WantAll = false;
   if (!this->WantAll)
     return this->watch(Now);
   std::string After = this->Gathered.empty() ? "" : this->Gathered.back().Key;
   this->list(After, Now);
 }
 
+bool StoreReader::resume() {
+  uint64_t From = this->Hook.CompleteAt();
+  if (From <= this->HistoryGoneAt || From < this->At)
+    return false;
+  if (!this->resumeConfig() || !this->resumeLists())
+    return false;
+  this->At = From;
+  return true;
+}
+
+bool StoreReader::resumeConfig() {
+  if (this->Contents.ConfigKey.rfind(this->Contents.Prefix, 0) != 0)
+    return true;
+  DocumentPtr Held = this->Hook.Held(ConfigTopic);
+  if (!Held)
+    return false;
+  this->ConfigDoc = Held;
+  this->Config = StoredItem();
+  this->Config->Key = this->Contents.ConfigKey;
+  this->Config->Revision = Held->stamp().Revision;
+  return true;
+}
+
+// When an item was created is not in a list. Of two for one place the one that
+// is read later has a greater number, and counts.
+bool StoreReader::resumeLists() {
+  std::map<std::string, Listed> Told;
+  std::map<std::string, DocumentPtr> Lists;
+  FaultList Faults;
+  for (const std::string &Place : this->DataCentres) {
+    DocumentPtr Held = this->Hook.Held(listTopic(Place));
+    if (!Held)
+      return false;
+    for (const auto &[Name, Entry] : Held->entries()) {
+      std::optional<Instance> One = readInstance(*Entry.Bytes, Name, Faults);
+      if (!One || One->Upstream.empty())
+        return false;
+      Told[this->Contents.KeyOf(*One)] = {*One, /*Created=*/0};
+    }
+    Lists[Place] = Held;
+  }
+  for (const auto &[Key, One] : Told)
+    if (One.Who.Incarnation != 0)
+      this->LatestStart[Key] =
+          std::max(this->LatestStart[Key], One.Who.Incarnation);
+  this->Instances = std::move(Told);
+  this->Published = std::move(Lists);
+  return true;
+}
+
 template <typename T>
 std::function<void(Result<T>, TimePoint)>
 StoreReader::guarded(std::function<void(const Result<T> &, TimePoint)> Then) {
@@ -97,9 +161,16 @@
   this->publishConfig(Now);
   this->publishLists(Now);
   this->confirmAll(AskedAt);
+  this->tellComplete();
   this->step(Now);
 }
 
+// Lists that are held back say less than the store does.
+void StoreReader::tellComplete() {
+  if (!this->ListsWait)
+    this->Hook.Complete(this->At);
+}
+
 void StoreReader::watch(TimePoint Now) {
   this->WatchedAt = Now;
   this->From.watch(
@@ -127,7 +198,10 @@
     this->publishLists(Now);
   }
   this->confirmAll(AskedAt);
-  this->NotBefore = this->WatchedAt + this->Opts.WatchGap;
+  this->tellComplete();
+  bool Spare = this->Current == ReadDuty::Spare;
+  this->NotBefore =
+      this->WatchedAt + (Spare ? this->Opts.SpareGap : this->Opts.WatchGap);
   if (Now >= this->NotBefore)
     this->step(Now);
 }
@@ -146,6 +220,8 @@
   this->Gathered.clear();
   bool HistoryGone = Why.Code == Errc::Stale;
   this->WantAll |= HistoryGone;
+  if (HistoryGone)
+    this->HistoryGoneAt = std::max(this->HistoryGoneAt, this->At);
   this->Failing |= !HistoryGone;
   // Full jitter: of a herd that failed together, no two come back together.
   Millis Longest =
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -9,7 +9,8 @@
 #include <random>
 
 // A StoreReader keeps a copy of what matters in a key-value store, and
-// publishes versions and lists of instances from it.
+// publishes versions and lists of instances from it. Where the node has all of
+// that from others already, it only asks what has changed since.
 //
 //   StoreReader Read(StoreReader::Options(), Store, Contents, Hooks,
 //                    {"north", "south"}, /*Seed=*/7);
@@ -25,6 +26,10 @@
     /// Between the starts of two watches. Changes that come in quick
     /// succession are then read together, at one call for all of them.
     Millis WatchGap{250};
+    /// The same of a spare reader. It matters where the first one has fallen
+    /// silent: together with that, what the platform says must still be known
+    /// within the two to three seconds in which operators expect it in force.
+    Millis SpareGap{1500};
     /// First wait after a failure; doubles up to the longest, with jitter.
     Millis FirstBackoff{100};
     Millis LongestBackoff{1000};
@@ -51,6 +56,9 @@
 
 private:
   void step(TimePoint Now);
+  bool resume();
+  bool resumeLists();
+  bool resumeConfig();
   void list(const std::string &After, TimePoint Now);
   void onPage(const Result<ItemPage> &Got, TimePoint AskedAt, TimePoint Now);
   void watch(TimePoint Now);
@@ -65,6 +73,8 @@
   bool lacksListed() const;
   std::map<std::string, EntryMap> listEntries() const;
   void confirmAll(TimePoint AskedAt);
+  void tellComplete();
+  Millis startDelay();
   template <typename T>
   std::function<void(Result<T>, TimePoint)>
   guarded(std::function<void(const Result<T> &, TimePoint)> Then);
@@ -88,6 +98,8 @@
   TimePoint WatchedAt;
   // The revision up to which the copy is complete.
   uint64_t At = 0;
+  // From there on the store had no history any more.
+  uint64_t HistoryGoneAt = 0;
   // Pages read so far, and the store's revision at the first of them.
   std::vector<StoredItem> Gathered;
   uint64_t GatheredAt = 0;
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -80,9 +80,20 @@
       return Error{Errc::Invalid, "read-item", "store", Item.Key};
     return One;
   };
+  Out.KeyOf = [](const Instance &One) { return "i/" + One.Upstream; };
   return Out;
 }
 
+/// A list of the north as a neighbour tells it, of live instances.
+DocumentPtr toldList(const std::vector<std::string> &Names, uint64_t Revision) {
+  EntryMap Entries;
+  for (const std::string &Name : Names) {
+    Result<Instance> One = contents().ReadInstance(instance(Name, Revision));
+    Entries[Name] = makeEntry(Name, writeInstance(*One));
+  }
+  return Document::make(Revision, Revision, std::move(Entries));
+}
+
 struct Fixture {
   FakeStore Store;
   std::map<std::string, DocumentPtr> Seen;
@@ -91,6 +102,8 @@
   std::unique_ptr<StoreReader> Read;
   TimePoint Now = Start;
   uint64_t Revision = 100;
+  uint64_t CompleteAt = 0;
+  uint64_t ToldComplete = 0;
 
   SourceHooks hooks() {
     SourceHooks Hooks;
@@ -101,6 +114,10 @@
       auto Found = this->Seen.find(Topic);
       return Found == this->Seen.end() ? nullptr : Found->second;
     };
+    Hooks.CompleteAt = [this] { return this->CompleteAt; };
+    Hooks.Complete = [this](uint64_t Revision) {
+      this->ToldComplete = Revision;
+    };
     Hooks.Failed = [this](const Error &Why, TimePoint) {
       this->Failures.push_back(Why.Detail);
     };
@@ -337,6 +354,112 @@
   BOOST_TEST(this->entryOf("x") != "none");
 }
 
+/// What neighbours have told a node that is to read, and what it asks first.
+struct Told {
+  const char *What;
+  bool Config;
+  bool North;
+  bool South;
+  uint64_t CompleteAt;
+  const char *Asked;
+};
+std::ostream &operator<<(std::ostream &To, const Told &Of) {
+  return To << Of.What;
+}
+
+const Told Tolds[] = {
+    {"everything", true, true, true, 40, "changes of "},
+    {"everything, but nobody knows up to when", true, true, true, 0, "all of "},
+    {"no version", false, true, true, 40, "all of "},
+    {"one list is missing", true, true, false, 40, "all of "},
+};
+
+// Nodes lose their parents and read by themselves, and others start. Each that
+// reads the whole fleet again, page by page, takes from a rate that all share.
+BOOST_DATA_TEST_CASE(WhatOthersToldIsNotReadAgain,
+                     boost::unit_test::data::make(Tolds), Row) {
+  Fixture At;
+  FakeStore Other;
+  At.Seen.clear();
+  if (Row.Config)
+    At.Seen[ConfigTopic] = Document::make(3, 30, {});
+  if (Row.North)
+    At.Seen["instances/north"] = toldList({"x", "y"}, 35);
+  if (Row.South)
+    At.Seen["instances/south"] = Document::make(20, 20, {});
+  At.CompleteAt = Row.CompleteAt;
+  StoreReader::Options Opts;
+  Opts.StartJitter = Millis(0);
+  StoreReader Read(Opts, Other, contents(), At.hooks(), {"north", "south"}, 7);
+  Read.tick(At.Now, ReadDuty::Watch);
+  BOOST_TEST(Other.Asked == std::vector<std::string>{Row.Asked});
+  BOOST_TEST(Other.WatchAfter ==
+             (Row.Asked == std::string("changes of ") ? Row.CompleteAt : 0));
+}
+
+// A node goes on from what its neighbours told. An upstream leaves, another
+// comes, a third drains: callers find what the store says, as if the node had
+// read it all.
+BOOST_FIXTURE_TEST_CASE(WhatOthersToldIsGoneOnFrom, Fixture) {
+  FakeStore Other;
+  this->Seen[ConfigTopic] = Document::make(3, 30, {});
+  this->Seen["instances/north"] = toldList({"x", "y"}, 35);
+  this->Seen["instances/south"] = Document::make(20, 20, {});
+  this->CompleteAt = 40;
+  StoreReader::Options Opts;
+  Opts.StartJitter = Millis(0);
+  StoreReader Read(Opts, Other, contents(), this->hooks(), {"north", "south"},
+                   7);
+  Read.tick(this->Now, ReadDuty::Watch);
+  StoredItem Leaves{"i/y", "leaving", 43, 2};
+  Other.changes(ItemChanges{{{"i/x", 41, std::nullopt},
+                             {"i/z", 42, instance("z", 42)},
+                             {"i/y", 43, Leaves}},
+                            43},
+                this->Now);
+  BOOST_TEST(this->entryOf("x") == "none");
+  BOOST_TEST(this->entryOf("z") != "none");
+  BOOST_TEST(this->entryOf("y").find("leaving") != std::string::npos);
+  BOOST_TEST(this->ToldComplete == 43u);
+}
+
+// The store has dropped what the neighbours' word would have to go on from, and
+// an upstream that has left meanwhile is found by reading all again, once.
+BOOST_FIXTURE_TEST_CASE(ForgottenHistoryIsNotAskedForTwice, Fixture) {
+  FakeStore Other;
+  this->Seen[ConfigTopic] = Document::make(3, 30, {});
+  this->Seen["instances/north"] = toldList({"x", "y"}, 35);
+  this->Seen["instances/south"] = Document::make(20, 20, {});
+  this->CompleteAt = 40;
+  StoreReader::Options Opts;
+  Opts.StartJitter = Millis(0);
+  StoreReader Read(Opts, Other, contents(), this->hooks(), {"north", "south"},
+                   7);
+  Read.tick(this->Now, ReadDuty::Watch);
+  Other.changes(historyGone(), this->Now);
+  this->Now += Millis(200);
+  Read.tick(this->Now, ReadDuty::Watch);
+  BOOST_TEST(Other.Asked ==
+             (std::vector<std::string>{"changes of ", "all of "}));
+  Other.page(ItemPage{{instance("y", 2)}, false, 90}, this->Now);
+  BOOST_TEST(this->listed() == 1u);
+}
+
+// Lists that are held back after an outage say less than the store does, and
+// nobody may go on from there.
+BOOST_FIXTURE_TEST_CASE(HeldBackListsAreNotComplete, Fixture) {
+  this->startWith({instance("x", 1), instance("y", 2)}, 2);
+  BOOST_TEST(this->ToldComplete == 2u);
+  this->Store.changes(unreachable(), this->Now);
+  this->untilAsked();
+  this->Store.changes(ItemChanges{{{"i/x", 5, std::nullopt}}, 5}, this->Now);
+  BOOST_TEST(this->ToldComplete == 2u);
+  this->step(Millis(2300));
+  this->untilAsked();
+  this->Store.changes(ItemChanges{{}, 6}, this->Now);
+  BOOST_TEST(this->ToldComplete == 6u);
+}
+
 BOOST_FIXTURE_TEST_CASE(FailuresAreAskedAgainEverLater, Fixture) {
   for (int I = 0; I < 20; ++I) {
     this->Store.page(unreachable(), this->Now);
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -143,6 +143,8 @@
     To.ReadBurst = this->Out.Core.Control.Read.ReadBurst;
     To.WatchGap =
         Platform.millis("watch_gap_ms", To.WatchGap.count(), 0, 60000);
+    To.SpareGap =
+        Platform.millis("spare_gap_ms", To.SpareGap.count(), 0, 60000);
     To.SettleFor = Platform.millis("settle_ms", To.SettleFor.count(), 0, MaxMs);
   }
 
--- a/src/spread/SpreadTest.cpp
+++ b/src/spread/SpreadTest.cpp
@@ -94,6 +94,30 @@
   BOOST_TEST(Both.Nodes[0]->counters().SnapshotParts == Before);
 }
 
+// A node that takes over reading goes on from what its neighbours have told. If
+// it did so while one of their documents is still on its way, that change would
+// never be read, and callers would be sent to an upstream that is gone.
+BOOST_AUTO_TEST_CASE(CompleteIsWhoHoldsAllThatWasTold) {
+  PairOfNodes Both{Spreader::Options()};
+  Both.Nodes[0]->publish("config", documentOf(3, 2, 9), Both.Now);
+  Both.Nodes[0]->publish("list", documentOf(4, 2, 9), Both.Now);
+  Both.Nodes[0]->complete(9);
+  Both.link();
+  // The other end has heard of both, and has neither.
+  while (!Both.Queue.empty()) {
+    Both.Queue.front().Frame.payload.AsPart()
+        ? void()
+        : Both.Nodes[Both.Queue.front().To]->receive(
+              1, Both.Queue.front().Frame, Both.Now);
+    Both.Queue.pop_front();
+  }
+  BOOST_TEST(Both.Nodes[1]->completeAt() == 0u);
+  Both.Nodes[1]->complete(20);
+  BOOST_TEST(Both.Nodes[1]->completeAt() == 0u);
+  Both.run(Millis(5000));
+  BOOST_TEST(Both.Nodes[1]->completeAt() == 9u);
+}
+
 BOOST_AUTO_TEST_CASE(OlderIsNeitherTakenNorPublished) {
   PairOfNodes Both{Spreader::Options()};
   Both.Nodes[0]->publish("config", documentOf(3, 2, 9), Both.Now);
@@ -120,19 +144,22 @@
 }
 
 // A herd of empty nodes asks one neighbour for everything. It answers within
-// its budget and puts the rest off; nobody is left without in the end.
+// its budget and puts the rest off; nobody is left without in the end. A short
+// list, by which those who start find others to ask, does not wait behind that.
 BOOST_AUTO_TEST_CASE(SnapshotsAreHandedOutWithinABudget) {
   Spreader::Options Opts;
-  Opts.SnapshotBytesPerSecond = 10000;
-  Opts.SnapshotBurstBytes = 10000;
+  Opts.SnapshotBytesPerSecond = 100000;
+  Opts.SnapshotBurstBytes = 100000;
   PairOfNodes Both(Opts);
-  Both.Nodes[0]->publish("big", documentOf(1, 10, 3000), Both.Now);
-  Both.Nodes[0]->publish("config", documentOf(1, 10, 3000), Both.Now);
+  Both.Nodes[0]->publish("big", documentOf(1, 10, 30000), Both.Now);
+  Both.Nodes[0]->publish("config", documentOf(1, 10, 30000), Both.Now);
+  Both.Nodes[0]->publish("a-list", documentOf(1, 10, 3000), Both.Now);
   Both.link();
   Both.run(Millis(500));
   bool First = Both.Nodes[1]->held("big") != nullptr;
   bool Second = Both.Nodes[1]->held("config") != nullptr;
   BOOST_TEST(First != Second);
+  BOOST_TEST(Both.Nodes[1]->held("a-list"));
   Both.run(Millis(10000));
   BOOST_TEST(Both.Nodes[1]->held("big"));
   BOOST_TEST(Both.Nodes[1]->held("config"));
--- a/src/spread/Spread_generated.h
+++ b/src/spread/Spread_generated.h
@@ -584,6 +584,7 @@
   std::unique_ptr<hickorylift::wire::FleetReportT> report{};
   uint32_t seq = 0;
   uint32_t echo = 0;
+  uint64_t complete_at = 0;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -599,7 +600,8 @@
     VT_AGES_MS = 6,
     VT_REPORT = 8,
     VT_SEQ = 10,
-    VT_ECHO = 12
+    VT_ECHO = 12,
+    VT_COMPLETE_AT = 14
   };
   const flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::TopicState>> *topics() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::TopicState>> *>(VT_TOPICS);
@@ -616,6 +618,9 @@
   uint32_t echo() const {
     return GetField<uint32_t>(VT_ECHO, 0);
   }
+  uint64_t complete_at() const {
+    return GetField<uint64_t>(VT_COMPLETE_AT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TOPICS) &&
@@ -627,6 +632,7 @@
            verifier.VerifyTable(report()) &&
            VerifyField<uint32_t>(verifier, VT_SEQ, 4) &&
            VerifyField<uint32_t>(verifier, VT_ECHO, 4) &&
+           VerifyField<uint64_t>(verifier, VT_COMPLETE_AT, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -653,6 +659,9 @@
   void add_echo(uint32_t echo) {
     fbb_.AddElement<uint32_t>(Heartbeat::VT_ECHO, echo, 0);
   }
+  void add_complete_at(uint64_t complete_at) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_COMPLETE_AT, complete_at, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -670,8 +679,10 @@
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> ages_ms = 0,
     flatbuffers::Offset<hickorylift::wire::FleetReport> report = 0,
     uint32_t seq = 0,
-    uint32_t echo = 0) {
+    uint32_t echo = 0,
+    uint64_t complete_at = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_complete_at(complete_at);
   builder_.add_echo(echo);
   builder_.add_seq(seq);
   builder_.add_report(report);
@@ -691,7 +702,8 @@
     const std::vector<uint32_t> *ages_ms = nullptr,
     flatbuffers::Offset<hickorylift::wire::FleetReport> report = 0,
     uint32_t seq = 0,
-    uint32_t echo = 0) {
+    uint32_t echo = 0,
+    uint64_t complete_at = 0) {
   auto topics__ = topics ? _fbb.CreateVector<flatbuffers::Offset<hickorylift::wire::TopicState>>(*topics) : 0;
   auto ages_ms__ = ages_ms ? _fbb.CreateVector<uint32_t>(*ages_ms) : 0;
   return hickorylift::wire::CreateHeartbeat(
@@ -700,7 +712,8 @@
       ages_ms__,
       report,
       seq,
-      echo);
+      echo,
+      complete_at);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2010,7 +2023,8 @@
       : ages_ms(o.ages_ms),
         report((o.report) ? new hickorylift::wire::FleetReportT(*o.report) : nullptr),
         seq(o.seq),
-        echo(o.echo) {
+        echo(o.echo),
+        complete_at(o.complete_at) {
   topics.reserve(o.topics.size());
   for (const auto &topics_ : o.topics) { topics.emplace_back((topics_) ? new hickorylift::wire::TopicStateT(*topics_) : nullptr); }
 }
@@ -2021,6 +2035,7 @@
   std::swap(report, o.report);
   std::swap(seq, o.seq);
   std::swap(echo, o.echo);
+  std::swap(complete_at, o.complete_at);
   return *this;
 }
 
@@ -2038,6 +2053,7 @@
   { auto _e = report(); if (_e) _o->report = std::unique_ptr<hickorylift::wire::FleetReportT>(_e->UnPack(_resolver)); }
   { auto _e = seq(); _o->seq = _e; }
   { auto _e = echo(); _o->echo = _e; }
+  { auto _e = complete_at(); _o->complete_at = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2053,13 +2069,15 @@
   auto _report = _o->report ? CreateFleetReport(_fbb, _o->report.get(), _rehasher) : 0;
   auto _seq = _o->seq;
   auto _echo = _o->echo;
+  auto _complete_at = _o->complete_at;
   return hickorylift::wire::CreateHeartbeat(
       _fbb,
       _topics,
       _ages_ms,
       _report,
       _seq,
-      _echo);
+      _echo,
+      _complete_at);
 }
 
 inline AnnounceT::AnnounceT(const AnnounceT &o)
--- a/src/spread/Spreader.cpp
+++ b/src/spread/Spreader.cpp
@@ -81,6 +81,22 @@
   return false;
 }
 
+bool Spreader::holdsAllOf(const Link &On) const {
+  return std::all_of(On.Topics.begin(), On.Topics.end(), [&](const auto &One) {
+    return One.second.Theirs <= stampOf(this->held(One.first));
+  });
+}
+
+// A neighbour may have told of something newer that is still on its way here.
+void Spreader::complete(uint64_t Revision) {
+  bool HoldsAll =
+      std::all_of(this->Links.begin(), this->Links.end(), [&](const auto &One) {
+        return this->holdsAllOf(One.second);
+      });
+  if (HoldsAll)
+    this->CompleteAt = std::max(this->CompleteAt, Revision);
+}
+
 bool Spreader::heardFromAny() const {
   for (const auto &[Id, On] : this->Links)
     if (On.HeardSeq != 0)
@@ -126,8 +142,12 @@
 void Spreader::linkDown(LinkId Id) {
   this->Links.erase(Id);
   for (auto &[Name, State] : this->Topics) {
-    if (State.PullFrom == Id)
-      State.PullSent = false;
+    if (State.PullFrom != Id)
+      continue;
+    State.PullSent = false;
+    // Whoever else has it is asked in the next tick.
+    if (State.PullAt)
+      State.PullAt = TimePoint();
   }
 }
 
@@ -249,19 +269,18 @@
 // condemned, and the herd starts over. A debt is allowed, so that a document
 // larger than the burst still goes out, one at a time.
 bool Spreader::spendSnapshot(size_t Bytes, TimePoint Now) {
-  return this->Snapshots.takeWithDebt(Now, static_cast<double>(Bytes));
+  return Bytes <= this->Opts.SnapshotFreeBytes ||
+         this->Snapshots.takeWithDebt(Now, static_cast<double>(Bytes));
 }
 
-// The children of one node mostly hold the same version, so what was packed
-// for the first serves the others.
+// The children of one node mostly hold the same version, and those who start
+// hold none: what was packed for the first serves the others.
 const Spreader::Packed &Spreader::packed(const std::string &Name,
                                          const DocumentPtr &Base,
                                          const DocumentPtr &Target) {
-  Packed &Last = this->LastPacked;
-  if (Last.Topic == Name && Last.Base == stampOf(Base) &&
-      Last.Target == Target->stamp())
+  Packed &Last = this->LastPacked[Name];
+  if (Last.Base == stampOf(Base) && Last.Target == Target->stamp())
     return Last;
-  Last.Topic = Name;
   Last.Base = stampOf(Base);
   Last.Target = Target->stamp();
   Last.Bytes = packChanges(
@@ -327,6 +346,7 @@
   Beat.report = this->Hook.Report(To);
   Beat.seq = ++On.SentSeq;
   Beat.echo = On.HeardSeq;
+  Beat.complete_at = this->CompleteAt;
   On.SentAt.push_back(Now);
   if (On.SentAt.size() > KeptSendTimes)
     On.SentAt.pop_front();
@@ -366,7 +386,11 @@
   if (!this->Opts.Guards.RepairByStamps)
     return;
   if (Theirs > Ours) {
-    this->startPull(From, Name, Now + this->Opts.GraftDelay);
+    // Nobody pushes to a node what it never had: there is nothing to wait for.
+    Millis Delay = State.Held ? this->Opts.GraftDelay : Millis(0);
+    this->startPull(From, Name, Now + Delay);
+    if (!State.Held)
+      this->drivePull(Name, State, Now);
     return;
   }
   // The neighbour is behind: it was away, or a push was lost. It will hear our
@@ -382,7 +406,8 @@
 
 void Spreader::startPull(LinkId From, const std::string &Name, TimePoint At) {
   Topic &State = this->Topics[Name];
-  if (State.PullAt)
+  bool Sooner = State.PullAt && !State.PullSent && At < *State.PullAt;
+  if (State.PullAt && !Sooner)
     return;
   State.PullAt = At;
   State.PullFrom = From;
@@ -487,8 +512,11 @@
   }
   if (const auto *Busy = Frame.payload.AsBusy()) {
     Topic &State = this->Topics[Busy->topic];
-    if (State.PullAt && State.PullFrom == From)
-      State.PullAt = Now + Millis(Busy->retry_after_ms + this->Random() % 200);
+    if (!State.PullAt || State.PullFrom != From)
+      return;
+    State.PullAt = Now + Millis(Busy->retry_after_ms + this->Random() % 200);
+    // Another that has it may be asked sooner.
+    State.PullSent = false;
   }
 }
 
@@ -505,11 +533,17 @@
   std::vector<std::string> Order;
   for (const auto &Item : Beat.topics) {
     Stamp Theirs = fromWire(Item->held.get());
-    this->notice(From, Item->topic, Theirs, Now);
     if (ComposedAfter)
       this->freshen(Item->topic, Theirs, Item->age_ms, *ComposedAfter);
     Order.push_back(Item->topic);
   }
+  // What is asked for first comes first: the lists, of which the names sort
+  // last, before a version that may be half a megabyte.
+  for (auto Item = Beat.topics.rbegin(); Item != Beat.topics.rend(); ++Item)
+    this->notice(From, (*Item)->topic, fromWire((*Item)->held.get()), Now);
+  // What we hold is as new as what they hold, so it lacks nothing either.
+  if (this->holdsAllOf(On))
+    this->CompleteAt = std::max(this->CompleteAt, Beat.complete_at);
   if (!Order.empty()) {
     On.AgeOrder = std::move(Order);
     return;
--- a/src/spread/Spreader.h
+++ b/src/spread/Spreader.h
@@ -55,6 +55,10 @@
     /// herd of empty nodes may draw on one neighbour.
     double SnapshotBytesPerSecond = 4e6;
     double SnapshotBurstBytes = 8e6;
+    /// Documents up to this length are outside that budget: a list of a few
+    /// hundred instances, which whoever starts needs before it can turn to
+    /// anybody else, must not wait behind versions for others.
+    size_t SnapshotFreeBytes = 64 * 1024;
     /// A jump of the clock between two ticks that counts as a pause.
     Millis PauseThreshold{1500};
     Safeguards Guards;
@@ -101,6 +105,12 @@
   void confirm(const std::string &Topic, uint64_t Version, uint64_t Revision,
                TimePoint AskedAt);
 
+  /// All that the platform said up to this revision was published here.
+  void complete(uint64_t Revision);
+  /// Up to which revision of the platform nothing is missing from what is held;
+  /// 0 where that is not known. It never falls: what is held only grows newer.
+  uint64_t completeAt() const { return this->CompleteAt; }
+
   void linkUp(LinkId Link, const std::string &Peer, bool Eager, TimePoint Now);
   void linkDown(LinkId Link);
   void receive(LinkId Link, const wire::SpreadFrameT &Frame, TimePoint Now);
@@ -166,6 +176,7 @@
   };
 
   bool neighbourHasNewer(const std::string &Topic, const Stamp &Than) const;
+  bool holdsAllOf(const Link &On) const;
   bool isOld(const Stamp &New, const DocumentPtr &Than) const;
   void take(const std::string &Name, const DocumentPtr &Doc,
             const std::string &From, std::optional<LinkId> Source,
@@ -180,7 +191,6 @@
   DocumentPtr findBase(const Topic &State, const Stamp &Have) const;
   /// A change set as it goes over the links.
   struct Packed {
-    std::string Topic;
     Stamp Base;
     Stamp Target;
     uint32_t RawSize = 0;
@@ -215,7 +225,9 @@
   std::map<std::string, Topic> Topics;
   std::map<LinkId, Link> Links;
   Counters Counts;
-  Packed LastPacked;
+  // What was sent last of each topic.
+  std::map<std::string, Packed> LastPacked;
+  uint64_t CompleteAt = 0;
   TokenBucket Snapshots;
   std::optional<TimePoint> LastTick;
 };
