--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -1,5 +1,6 @@
 #include "calls/Entry.h"
 
+#include "base/Hash.h"
 #include "gate/KeyJudge.h"
 
 #include <algorithm>
@@ -143,8 +144,14 @@
   };
   if (this->Draining)
     return NotRun("entry-draining", 0);
-  if (!this->InForce)
-    return NotRun("no-configuration", 0);
+  if (!this->InForce) {
+    Refusal Why = NotRun("no-configuration", 0);
+    uint64_t Draw =
+        contentHash(findHeader(Head.Headers, this->Opts.Names.RequestId));
+    Why.RetryAfter = this->Opts.StartComeBack +
+                     Millis(Draw % (this->Opts.StartSpread.count() + 1));
+    return Why;
+  }
   if (this->Calls.size() >= this->Opts.MaxCalls)
     return NotRun("entry-full", 0);
   if (Head.Headers.size() > MaxHeaderFields ||
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -100,6 +100,11 @@
     uint32_t MaxOffers = 4;
     /// Advice to callers that are refused before a gate is chosen.
     Millis ComeBack{1000};
+    /// When callers of a node that holds no version yet should come back, and
+    /// over how long they are spread: a version is in force 0.3 to 0.9 s after
+    /// a process has started, and many callers may come once again only.
+    Millis StartComeBack{400};
+    Millis StartSpread{300};
     /// Retries in reserve for one service, summed over all nodes: each keeps
     /// its part of them. Zero for ten at each node, however many there are.
     double FleetRetryReserve = 0;
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -25,6 +25,7 @@
   std::vector<std::string> Dialled;
   std::vector<std::pair<std::string, wire::CallFrameT>> Sent;
   std::map<Entry::CallerId, std::string> Refused;
+  std::map<Entry::CallerId, Millis> ComeBack;
   std::map<Entry::CallerId, ResponseHead> Answered;
   // Run as a caller is refused.
   std::function<void(Entry::CallerId)> OnRefuse = [](Entry::CallerId) {};
@@ -70,6 +71,7 @@
     };
     Out.Refuse = [this](Entry::CallerId Id, const Refusal &Why) {
       this->Refused[Id] = std::string(outcomeName(Why.What)) + " " + Why.Reason;
+      this->ComeBack[Id] = Why.RetryAfter;
       this->OnRefuse(Id);
     };
     Out.PauseRequest = [](Entry::CallerId, bool) {};
@@ -174,6 +176,24 @@
   BOOST_TEST(this->From->idle());
 }
 
+// A node has started and holds no version yet. Its callers may come back once;
+// told to come too soon they are refused again, and told to come all at the
+// same moment they find the upstream full.
+BOOST_FIXTURE_TEST_CASE(CallersComeBackWhenThereIsAVersion, Fixture) {
+  Entry::Options Opts;
+  Opts.Names.RequestId = "Request-Id";
+  this->From = std::make_unique<Entry>(Opts, this->hooks(), this->Fleet);
+  std::set<Millis> Times;
+  for (Entry::CallerId Id = 1; Id <= 100; ++Id) {
+    this->request(Id, "/read/1");
+    BOOST_TEST(this->Refused[Id] == "not-run no-configuration");
+    BOOST_TEST((this->ComeBack[Id] >= Millis(400)));
+    BOOST_TEST((this->ComeBack[Id] <= Millis(700)));
+    Times.insert(this->ComeBack[Id]);
+  }
+  BOOST_TEST(Times.size() > 50u);
+}
+
 // Each refusal by a gate, before any upstream saw the call, leaves the route's
 // number of tries as it was.
 BOOST_FIXTURE_TEST_CASE(GatesThatRefuseAreNoTries, Fixture) {
