What a node reads of the platform is a decision of its own

Moved out of ControlPlane into control/ReadPlan: a pure function of what the node knows, with a table of starts and one of running nodes. Nothing else changes.

--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -11,23 +11,6 @@
 constexpr Millis ExchangeInterval{2000};
 constexpr unsigned MaxBackoffShift = 10;
 
-const char *dutyName(ReadDuty Of) {
-  switch (Of) {
-  case ReadDuty::None:
-    return "none";
-  case ReadDuty::List:
-  case ReadDuty::ListForOthers:
-    return "list";
-  case ReadDuty::Once:
-    return "once";
-  case ReadDuty::Spare:
-    return "spare";
-  case ReadDuty::Watch:
-    return "watch";
-  }
-  return "";
-}
-
 /// The kind of a link as the other end names it. What a later build may add is
 /// a link that announces.
 Tie tieOf(uint8_t Named) {
@@ -150,50 +133,32 @@
   }
 }
 
-// Peers first: they answer from memory and there are many of them, while the
-// platform's rate is shared by the whole fleet. A node turns to the platform
-// only when its peers had time to answer and it still lacks what it needs.
-ControlPlane::Duty ControlPlane::duty(TimePoint Now) {
-  if (!this->hasList())
-    return this->startDuty(Now);
-  Millis Waited = toMillis(Now - *this->StartedAt);
-  bool PeersHadTheirTurn =
-      this->Spread.heardFromAny() || Waited >= this->Opts.PeersFirst;
-  bool Orphan = this->isOrphan(Now);
-  bool Reader = this->Fleet.isReader(this->Avoid) && !this->hasSeedLink();
+ReadSituation ControlPlane::situation(TimePoint Now) {
+  ReadSituation Out;
+  Out.HasList = this->hasList();
+  Out.HasSeeds = !this->Opts.Seeds.empty();
+  Out.TakenForSeed = this->TakenForSeed;
+  Out.HearsSeed = this->hasSeedLink();
+  Out.HeardFromAny = this->Spread.heardFromAny();
+  Out.IsReader = this->Fleet.isReader(this->Avoid);
   // In a small fleet nodes do not rely on each other for what they can read.
-  bool First =
+  Out.IsFirst =
       this->Fleet.allRead() || this->Fleet.readerRank(this->Avoid) == 0;
-  if (PeersHadTheirTurn && Reader && First)
-    return {ReadDuty::Watch, "reader"};
-  if (PeersHadTheirTurn && Orphan)
-    return {ReadDuty::Watch, "no parent"};
-  if (PeersHadTheirTurn && this->takesOver(Now))
-    return {ReadDuty::Watch, "readers fell behind"};
-  if (PeersHadTheirTurn && Reader)
-    return {ReadDuty::Spare, "spare reader"};
-  if (!this->InForce && Waited >= 3 * this->Opts.PeersFirst)
-    return {ReadDuty::Once, "no version"};
-  return {ReadDuty::None, "told by others"};
-}
-
-ControlPlane::Duty ControlPlane::startDuty(TimePoint Now) const {
-  if (this->TakenForSeed)
-    return {ReadDuty::ListForOthers, "taken for a seed"};
-  if (this->Opts.Seeds.empty())
-    return {ReadDuty::List, "no seeds"};
-  if (toMillis(Now - *this->StartedAt) >= this->Opts.PeersFirst)
-    return {ReadDuty::List, "seeds did not tell"};
-  return {ReadDuty::None, "asks its seeds"};
+  // Not before there is a list: until then nobody can have a parent.
+  Out.IsOrphan = Out.HasList && this->isOrphan(Now);
+  Out.ReadersFellBehind = Out.HasList && this->takesOver(Now);
+  Out.HasVersion = this->InForce != nullptr;
+  Out.Waited = toMillis(Now - *this->StartedAt);
+  Out.PeersFirst = this->Opts.PeersFirst;
+  return Out;
 }
 
 void ControlPlane::read(TimePoint Now) {
-  Duty Wanted = this->duty(Now);
-  if (Wanted.What != this->LastDuty)
-    this->Trail.add(Now, "reading", dutyName(Wanted.What), "platform",
-                    Wanted.Why);
-  this->LastDuty = Wanted.What;
-  this->Read->tick(Now, Wanted.What);
+  ReadPlan Plan = planReading(this->situation(Now));
+  if (Plan.What != this->LastDuty)
+    this->Trail.add(Now, "reading", dutyName(Plan.What), "platform", Plan.Why);
+  this->LastDuty = Plan.What;
+  this->Read->tick(Now, Plan.What);
 }
 
 bool ControlPlane::hasList() const {
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -3,6 +3,7 @@
 
 #include "audit/AuditTrail.h"
 #include "config/Config.h"
+#include "control/ReadPlan.h"
 #include "membership/Membership.h"
 #include "reading/Reader.h"
 #include "spread/FleetView.h"
@@ -149,12 +150,6 @@
     bool Seed = false;
   };
 
-  /// What this node is to read, and why.
-  struct Duty {
-    ReadDuty What = ReadDuty::None;
-    const char *Why = "";
-  };
-
   struct Peer {
     std::string Name;
     // The target that was dialled; empty where the peer dialled us. A seed may
@@ -181,8 +176,7 @@
   void acceptList(const Spreader::Arrival &Arrived, TimePoint Now);
   bool hasList() const;
   bool hasSeedLink() const;
-  Duty startDuty(TimePoint Now) const;
-  Duty duty(TimePoint Now);
+  ReadSituation situation(TimePoint Now);
   void read(TimePoint Now);
   void exchangeReports(TimePoint Now);
   void reportSoon(TimePoint Now);
--- /dev/null
+++ b/src/control/ReadPlanTest.cpp
@@ -0,0 +1,97 @@
+#include "control/ReadPlan.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace hickorylift {
+
+namespace {
+
+struct PlanCase {
+  const char *What;
+  void (*Differs)(ReadSituation &);
+  const char *Duty;
+};
+std::ostream &operator<<(std::ostream &To, const PlanCase &Of) {
+  return To << Of.What;
+}
+
+/// A node that has started just now and was given seeds.
+const PlanCase Starts[] = {
+    {"asks its seeds", [](ReadSituation &) {}, "none"},
+    {"has no seeds", [](ReadSituation &Of) { Of.HasSeeds = false; }, "list"},
+    {"others have turned to it",
+     [](ReadSituation &Of) { Of.TakenForSeed = true; }, "list"},
+    {"its seeds did not answer",
+     [](ReadSituation &Of) { Of.Waited = Of.PeersFirst; }, "list"},
+    {"takes itself for a reader, for its list is empty",
+     [](ReadSituation &Of) { Of.IsReader = Of.IsFirst = true; }, "none"},
+};
+
+/// A node in the midst of a large fleet, with lists and a version.
+const PlanCase Runs[] = {
+    {"is told by others", [](ReadSituation &) {}, "none"},
+    {"the first reader",
+     [](ReadSituation &Of) { Of.IsReader = Of.IsFirst = true; }, "watch"},
+    {"the second reader", [](ReadSituation &Of) { Of.IsReader = true; },
+     "spare"},
+    {"the second reader, without a parent",
+     [](ReadSituation &Of) { Of.IsReader = Of.IsOrphan = true; }, "watch"},
+    {"has lost its parent", [](ReadSituation &Of) { Of.IsOrphan = true; },
+     "watch"},
+    {"the readers are gone in a way that nobody sees",
+     [](ReadSituation &Of) { Of.ReadersFellBehind = true; }, "watch"},
+    {"its data centre is empty so far, and its seed tells it",
+     [](ReadSituation &Of) { Of.IsReader = Of.IsFirst = Of.HearsSeed = true; },
+     "none"},
+    {"a reader that has just started and heard nobody",
+     [](ReadSituation &Of) {
+       Of.IsReader = Of.IsFirst = true;
+       Of.HeardFromAny = false;
+       Of.Waited = Millis(0);
+     },
+     "none"},
+    {"has no version after long",
+     [](ReadSituation &Of) {
+       Of.HasVersion = false;
+       Of.Waited = 3 * Of.PeersFirst;
+     },
+     "once"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ReadPlans)
+
+// Callers are refused for as long as a node knows nothing, and a platform that
+// is asked too much refuses the whole fleet.
+BOOST_DATA_TEST_CASE(StartingNodesReadWhereNobodyElseDoes,
+                     boost::unit_test::data::make(Starts), Row) {
+  ReadSituation At;
+  At.HasSeeds = true;
+  At.PeersFirst = Millis(800);
+  Row.Differs(At);
+  BOOST_TEST(dutyName(planReading(At).What) == std::string(Row.Duty));
+}
+
+BOOST_DATA_TEST_CASE(RunningNodesReadWhatNobodyTells,
+                     boost::unit_test::data::make(Runs), Row) {
+  ReadSituation At;
+  At.HasSeeds = At.HasList = At.HeardFromAny = At.HasVersion = true;
+  At.PeersFirst = Millis(800);
+  At.Waited = Millis(10000);
+  Row.Differs(At);
+  BOOST_TEST(dutyName(planReading(At).What) == std::string(Row.Duty));
+}
+
+// Those who wait for a seed must not wait for its jitter as well.
+BOOST_AUTO_TEST_CASE(SeedsReadAtOnce) {
+  ReadSituation At;
+  At.HasSeeds = At.TakenForSeed = true;
+  BOOST_TEST((planReading(At).What == ReadDuty::ListForOthers));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace hickorylift
