--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -193,8 +193,10 @@
   if (!this->Opts.Spread.Guards.ClimbPastDead)
     return false;
   size_t Rank = this->Fleet.readerRank(this->Avoid);
+  // A version that has come just now is not confirmed yet, and is not old.
   std::optional<Millis> Age = this->Spread.age(ConfigTopic, Now);
-  Millis Held = Age ? *Age : toMillis(Now - *this->StartedAt);
+  TimePoint Since = this->InForceSince.value_or(*this->StartedAt);
+  Millis Held = Age ? *Age : toMillis(Now - Since);
   Millis Bound =
       2 * this->Opts.Read.WatchWait +
       this->Opts.TakeoverHeartbeats * this->Opts.Spread.HeartbeatInterval +
--- a/src/control/ControlPlaneTest.cpp
+++ b/src/control/ControlPlaneTest.cpp
@@ -244,6 +244,22 @@
   BOOST_TEST((this->Wanted == ReadDuty::None));
 }
 
+// Versions come one after the other to a node that is next in line to read.
+// Each is unconfirmed for a moment; were it taken for old, the node would turn
+// to the platform at every version, beside the readers that are well.
+BOOST_FIXTURE_TEST_CASE(NewVersionsAreNotTakenForOldOnes, ChildNode) {
+  this->run(Millis(100));
+  this->link();
+  for (int I = 0; I < 600; ++I) {
+    this->Above->tick(this->Now);
+    this->run(Millis(100));
+  }
+  BOOST_TEST((this->Wanted == ReadDuty::Watch));
+  this->Publish(ConfigTopic, versionOf(2), this->Now);
+  this->run(Millis(200));
+  BOOST_TEST((this->Wanted == ReadDuty::None));
+}
+
 // Callers of a node that has just started are refused for as long as it knows
 // no configuration. The platform is away, so the node can only learn it from a
 // seed; the settings may name the seed, or tell its address alone. Its link
