--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -66,9 +66,8 @@
     TransferTurns::Options Transfers;
     /// Where bodies take this long, they come before the call has a slot. Less
     /// is a small part of most runs, and a body that comes first may come for
-    /// nothing, for the slots may be taken when it is there: on fast links more
-    /// bytes crossed between data centres, for 0.01 of the worth of ten heavy
-    /// days.
+    /// nothing, for the slots may be taken when it is there: on fast links that
+    /// only sends more bytes between data centres.
     Millis FetchFirstFrom{25};
     /// Of the idempotency keys.
     KeyJudge::Options Keys;
--- a/src/gate/Admission.cpp
+++ b/src/gate/Admission.cpp
@@ -14,7 +14,7 @@
 // So a call waits only while it can still meet its target; one that cannot runs
 // if a slot is free when it comes, and is told when to come back otherwise. A
 // few late calls that waited behind the others took slots from calls that came
-// in time (with them the worth of ten heavy days was 0.683 instead of 0.702).
+// in time (docs/design/deciding-under-load.md has what that cost callers).
 //
 // Among those that wait, the one that must start first goes first: its target
 // less its run. In order of the targets alone, calls of a short route would go
--- a/src/gate/Admission.h
+++ b/src/gate/Admission.h
@@ -39,15 +39,13 @@
     double NeededShare = 1.0;
     /// Runs differ: a call counts as one that can meet its target if this many
     /// times the mean run still fits. One that just fits by the mean may well
-    /// end late, and has then used a slot for less. Worth of three heavy days,
-    /// one run each, at 1, 1.25 and 1.6: 0.724, 0.732, 0.730; 0.600, 0.626,
-    /// 0.621; 0.691, 0.697, 0.702. One run cannot tell such steps from noise.
+    /// end late, and has then used a slot for less; much more turns calls away
+    /// that would have been in time (docs/design/deciding-under-load.md).
     double TargetMargin = 1.25;
     /// How much later a call of the last rank counts as having to start than
     /// one of the first. As long as the nearest targets asked for: less hardly
     /// separates calls of one route, more puts those of routes with far targets
-    /// behind. Worth of ten heavy days with 0, 60, 120 and 200 ms: 0.702,
-    /// 0.704, 0.707, 0.707.
+    /// behind (docs/design/deciding-under-load.md).
     Millis RankSpread{120};
     /// Kinds whose run time is remembered.
     size_t MaxKinds = 1000;
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -6,9 +6,9 @@
 // again only where the store no longer knows what has changed since.
 //
 // A node whose neighbours have told it all that the store held at some revision
-// begins with the watch. Reading all of 300 instances takes seven calls, and a
-// fleet whose nodes lose their parents, or are replaced, made thousands of them
-// in a minute (docs/design/starting.md).
+// begins with the watch. Reading all of 300 instances takes seven calls, and
+// nodes that start, or lose their parents, would make thousands of them in a
+// minute, of a rate that the whole fleet shares (docs/design/starting.md).
 //
 // Pages are not a snapshot. The watch therefore goes on from the revision of
 // the first page: what changed between the pages comes again, and an item is
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -46,10 +46,10 @@
     size_t Draw = 3;
     size_t DrawSoonest = 12;
     /// So many of those that Soonest draws are of other data centres, if there
-    /// are as many; the others are of the own one. With two the room that other
-    /// data centres had was found too seldom. Of eight drawn from all gates
-    /// alike, one draw in six in five data centres holds none of the own one,
-    /// and its call crosses for nothing.
+    /// are as many; the others are of the own one. Drawn from all gates alike,
+    /// one draw of eight in six holds none of the own one where there are five
+    /// data centres, and its call crosses for nothing; with two of other ones,
+    /// the room that these have is found too seldom.
     size_t DrawFar = 6;
     /// Run time assumed where no gate of a service has told any.
     Micros FirstRun{20000};
@@ -58,10 +58,8 @@
     /// The way to a gate of the own data centre, and how much longer a wait is
     /// accepted there before a call leaves the data centre: bytes between data
     /// centres are dear, and the way may be cut. A share of the target besides:
-    /// an answer well before its target is worth no more to its caller. At
-    /// 0.3 instead of 0.1 of the target 0.106 GB crossed instead of 0.140 on
-    /// one recorded day of 13 nodes, with as much worth served; one run each.
-    /// More for each kilobyte of body.
+    /// an answer well before its target is worth no more to its caller. More
+    /// for each kilobyte of body.
     Micros NearWay{500};
     Micros FarWay{5000};
     double FarShare = 0.3;
