--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -176,6 +176,23 @@
   }
 };
 
+/// A reader whose node has everything from its neighbours when it begins.
+struct ToldFixture : Fixture {
+  ToldFixture() {
+    this->Store = FakeStore();
+    this->Seen[ConfigTopic] = Document::make(3, 30, {});
+    this->Seen["instances/north"] = toldList({"x", "y"}, 35);
+    this->Seen["instances/south"] = Document::make(20, 20, {});
+    this->CompleteAt = 40;
+    StoreReader::Options Opts;
+    Opts.StartJitter = Millis(0);
+    this->Read = std::make_unique<StoreReader>(
+        Opts, this->Store, contents(), this->hooks(),
+        std::vector<std::string>{"north", "south"}, 7);
+    this->step(Millis(0));
+  }
+};
+
 Error unreachable() { return Error{Errc::Unreachable, "s", "p", "away"}; }
 Error historyGone() { return Error{Errc::Stale, "s", "p", "gone"}; }
 
@@ -400,23 +417,13 @@
 // A node goes on from what its neighbours told. An upstream leaves, another
 // comes, a third drains: callers find what the store says, as if the node had
 // read it all.
-BOOST_FIXTURE_TEST_CASE(WhatOthersToldIsGoneOnFrom, Fixture) {
-  FakeStore Other;
-  this->Seen[ConfigTopic] = Document::make(3, 30, {});
-  this->Seen["instances/north"] = toldList({"x", "y"}, 35);
-  this->Seen["instances/south"] = Document::make(20, 20, {});
-  this->CompleteAt = 40;
-  StoreReader::Options Opts;
-  Opts.StartJitter = Millis(0);
-  StoreReader Read(Opts, Other, contents(), this->hooks(), {"north", "south"},
-                   7);
-  Read.tick(this->Now, ReadDuty::Watch);
+BOOST_FIXTURE_TEST_CASE(WhatOthersToldIsGoneOnFrom, ToldFixture) {
   StoredItem Leaves{"i/y", "leaving", 43, 2};
-  Other.changes(ItemChanges{{{"i/x", 41, std::nullopt},
-                             {"i/z", 42, instance("z", 42)},
-                             {"i/y", 43, Leaves}},
-                            43},
-                this->Now);
+  this->Store.changes(ItemChanges{{{"i/x", 41, std::nullopt},
+                                   {"i/z", 42, instance("z", 42)},
+                                   {"i/y", 43, Leaves}},
+                                  43},
+                      this->Now);
   BOOST_TEST(this->entryOf("x") == "none");
   BOOST_TEST(this->entryOf("z") != "none");
   BOOST_TEST(this->entryOf("y").find("leaving") != std::string::npos);
@@ -425,23 +432,13 @@
 
 // The store has dropped what the neighbours' word would have to go on from, and
 // an upstream that has left meanwhile is found by reading all again, once.
-BOOST_FIXTURE_TEST_CASE(ForgottenHistoryIsNotAskedForTwice, Fixture) {
-  FakeStore Other;
-  this->Seen[ConfigTopic] = Document::make(3, 30, {});
-  this->Seen["instances/north"] = toldList({"x", "y"}, 35);
-  this->Seen["instances/south"] = Document::make(20, 20, {});
-  this->CompleteAt = 40;
-  StoreReader::Options Opts;
-  Opts.StartJitter = Millis(0);
-  StoreReader Read(Opts, Other, contents(), this->hooks(), {"north", "south"},
-                   7);
-  Read.tick(this->Now, ReadDuty::Watch);
-  Other.changes(historyGone(), this->Now);
+BOOST_FIXTURE_TEST_CASE(ForgottenHistoryIsNotAskedForTwice, ToldFixture) {
+  this->Store.changes(historyGone(), this->Now);
   this->Now += Millis(200);
-  Read.tick(this->Now, ReadDuty::Watch);
-  BOOST_TEST(Other.Asked ==
+  this->Read->tick(this->Now, ReadDuty::Watch);
+  BOOST_TEST(this->Store.Asked ==
              (std::vector<std::string>{"changes of ", "all of "}));
-  Other.page(ItemPage{{instance("y", 2)}, false, 90}, this->Now);
+  this->Store.page(ItemPage{{instance("y", 2)}, false, 90}, this->Now);
   BOOST_TEST(this->listed() == 1u);
 }
 
