The audit says what the list tells of the own upstream, and what a closing gate holds

Logs could not tell why a gate stayed open after its upstream had left: nothing was written when the own entry was taken away, and nothing of the calls that were still held. Sight only, no change of what is decided.

--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -553,6 +553,18 @@
       });
 }
 
+Gate::Held Gate::held() const {
+  Held Out;
+  for (const auto &[Id, One] : this->Calls) {
+    bool Whole = One.Head.Length == 0 || One.Request.ended();
+    Out.Waiting += One.Now == State::Waiting;
+    Out.WaitingForBody += One.Now == State::Waiting && One.Fetching;
+    Out.Running += One.Now == State::Running;
+    Out.RunningWithoutBody += One.Now == State::Running && !Whole;
+  }
+  return Out;
+}
+
 void Gate::paused(TimePoint Now) {
   if (!this->Opts.Guards.PauseBarrier)
     return;
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -127,6 +127,16 @@
   const std::string &drainedBy() const { return this->Slots.drainedBy(); }
   /// Whether nothing runs, waits, or still has to be told to an entry.
   bool idle() const;
+  /// How far the calls are that are not over yet.
+  struct Held {
+    size_t Waiting = 0;
+    /// Of those, how many wait for their bodies.
+    size_t WaitingForBody = 0;
+    size_t Running = 0;
+    /// Of those, how many have not come here whole.
+    size_t RunningWithoutBody = 0;
+  };
+  Held held() const;
 
   /// This process stood still, and what lies in its sockets is of unknown age.
   void paused(TimePoint Now);
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -237,12 +237,29 @@
   this->From->membersChanged(Now);
   this->At->members(Fleet.upstreams(this->Opts.CallGate.Service), Now);
   const Instance *Own = Fleet.find(this->Opts.CallGate.Self);
+  this->noteOwnEntry(Own, Now);
   if (Own && Own->Leaving)
     this->drainGate("list", Now);
   else if (Own && this->At->drainedBy() == "list")
     this->reopenGate(Now);
 }
 
+// A gate that is closed, or not, is explained by what the list said of its
+// upstream: that it leaves, or nothing any more.
+void NodeCore::noteOwnEntry(const Instance *Own, TimePoint Now) {
+  OwnEntry Seen = !Own           ? OwnEntry::Missing
+                  : Own->Leaving ? OwnEntry::Leaving
+                                 : OwnEntry::Live;
+  if (Seen == this->SeenAs)
+    return;
+  this->SeenAs = Seen;
+  const char *Says = Seen == OwnEntry::Missing   ? "missing"
+                     : Seen == OwnEntry::Leaving ? "leaving"
+                                                 : "live";
+  this->Control->audit().add(Now, "own-entry", this->Opts.CallGate.Self, "list",
+                             Says);
+}
+
 // The endpoint lags and misleads, so it closes the gate when it says that the
 // upstream drains, and decides nothing else.
 void NodeCore::health(const Result<std::string> &Said, TimePoint Now) {
@@ -272,8 +289,14 @@
 void NodeCore::drainGate(const std::string &By, TimePoint Now) {
   if (this->At->draining())
     return;
+  Gate::Held Left = this->At->held();
+  std::string Outcome =
+      "no new work; waiting=" + std::to_string(Left.Waiting) +
+      " of them for bodies=" + std::to_string(Left.WaitingForBody) +
+      ", running=" + std::to_string(Left.Running) +
+      " of them without bodies=" + std::to_string(Left.RunningWithoutBody);
   this->Control->audit().add(Now, "gate-draining", this->Opts.CallGate.Self, By,
-                             "no new work");
+                             Outcome);
   this->At->drain(By, Now);
 }
 
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -112,10 +112,14 @@
   Gate &gate() { return *this->At; }
 
 private:
+  /// What the list says of this node's own upstream.
+  enum class OwnEntry { Missing, Live, Leaving };
+
   ControlPlane::Hooks controlHooks();
   Entry::Hooks entryHooks();
   Gate::Hooks gateHooks();
   void membersChanged(TimePoint Now);
+  void noteOwnEntry(const Instance *Own, TimePoint Now);
   void sendToGate(const std::string &Gate, wire::CallFrameT Frame);
   void sendToEntry(LinkId Link, wire::CallFrameT Frame);
   void finishStop(TimePoint Now);
@@ -129,6 +133,7 @@
   std::map<std::string, LinkId> GateLinks;
   std::map<LinkId, std::string> LinkGates;
   std::optional<TimePoint> LastEvent;
+  OwnEntry SeenAs = OwnEntry::Missing;
   bool UpstreamUp = false;
   std::string UpstreamSays;
   void endLinger(TimePoint Now);
