Failing tests: a gate whose upstream's entry is taken away, and what a closing gate holds

drain-entry-removed: the entry of a leaving upstream is removed instead of marked, and an entry without the news goes on calling: new work 2 s later. GateClosing: calls whose bodies are still coming are held, with or without a slot, and reach the upstream when the bodies are whole.

--- a/scenario/Script.cpp
+++ b/scenario/Script.cpp
@@ -102,6 +102,7 @@
         {"stop", &Run::stop},
         {"leaving", &Run::leaving},
         {"gone", &Run::gone},
+        {"removed", &Run::removed},
         {"listed", &Run::listed},
         {"cut", &Run::cut},
         {"cut-platform", &Run::cutPlatform},
@@ -194,11 +195,11 @@
     this->All.run(*Length);
   }
 
-  void mark(const Words &W, bool Listed, bool Leaving) {
+  void mark(const Words &W, bool Listed, bool Leaving, bool Drains) {
     for (const std::string &Name : this->names(W.at(0))) {
       this->All.node(Name).Listed = Listed;
       this->All.node(Name).Leaving = Leaving;
-      if (Leaving)
+      if (Drains)
         this->All.node(Name).DrainedAt = this->All.now();
       else
         this->All.node(Name).DrainedAt.reset();
@@ -206,9 +207,10 @@
     this->All.publishLists();
   }
 
-  void leaving(const Words &W) { this->mark(W, true, true); }
-  void gone(const Words &W) { this->mark(W, false, false); }
-  void listed(const Words &W) { this->mark(W, true, false); }
+  void leaving(const Words &W) { this->mark(W, true, true, true); }
+  void gone(const Words &W) { this->mark(W, false, false, false); }
+  void removed(const Words &W) { this->mark(W, false, false, true); }
+  void listed(const Words &W) { this->mark(W, true, false, false); }
 
   void pairs(const Words &W,
              void (World::*Do)(const std::string &, const std::string &)) {
--- a/src/calls/GateCallsTest.cpp
+++ b/src/calls/GateCallsTest.cpp
@@ -338,4 +338,72 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// An upstream leaves: its gate closes, and what the upstream has begun goes on.
+// What it has seen nothing of must not reach it any more, however long ago the
+// call was taken: a body of 60 KB on a thin link comes seconds after its call,
+// and the upstream may end in the midst of the run. Nothing of it has run, so
+// the caller is told so at once, while there is time for another upstream.
+BOOST_AUTO_TEST_SUITE(GateClosing)
+
+namespace {
+
+enum class Takes { Slot, Queue, BodyFirst };
+
+struct HeldRow {
+  const char *Name;
+  Takes How;
+  // Bytes of its 20,000 that have come when the gate closes.
+  size_t Came;
+};
+std::ostream &operator<<(std::ostream &To, const HeldRow &Of) {
+  return To << Of.Name << ", " << Of.Came << " bytes there";
+}
+
+const HeldRow HeldRows[] = {
+    {"has a slot and waits for its body", Takes::Slot, 0},
+    {"has a slot and a part of its body", Takes::Slot, 10000},
+    {"waits for a slot", Takes::Queue, 0},
+    {"is to come before it takes a slot", Takes::BodyFirst, 0},
+    {"comes before it takes a slot", Takes::BodyFirst, 10000},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(WhatTheUpstreamHasNotSeenIsRefusedAtOnce,
+                     data::make(HeldRows), Row) {
+  Fixture Of;
+  Of.listSlots(1);
+  if (Row.How == Takes::BodyFirst)
+    Of.slowLink();
+  if (Row.How == Takes::Queue)
+    Of.open(Of.openOf(1));
+  Of.openUpload(2);
+  if (Row.Came)
+    Of.body(2, 0, Row.Came, /*End=*/false);
+  Of.Started.clear();
+  Of.At->drain("list", Of.Now);
+  BOOST_REQUIRE(Of.failed());
+  BOOST_TEST(Of.failed()->seq == 2u);
+  BOOST_TEST(Of.failed()->reason == "draining");
+  BOOST_TEST((Of.failed()->outcome == wire::Outcome::NotRun));
+  Of.body(2, Row.Came, 20000 - Row.Came, /*End=*/true);
+  Of.At->tick(Of.Now + Millis(100));
+  BOOST_TEST(Of.Started.empty());
+  BOOST_TEST(Of.Cancelled.empty());
+}
+
+// The other side of it: a run that has begun is not broken off.
+BOOST_FIXTURE_TEST_CASE(WhatRunsGoesOn, Fixture) {
+  this->open(this->openOf(1));
+  this->openUpload(2);
+  this->body(2, 0, 20000, /*End=*/true);
+  BOOST_TEST(this->Started.size() == 2u);
+  this->At->drain("list", this->Now);
+  BOOST_TEST(!this->failed());
+  BOOST_TEST(this->Cancelled.empty());
+  BOOST_TEST(!this->At->idle());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace hickorylift
