A gate closes when its upstream's entry is taken away, and hands over nothing late

Cause: NodeCore closed the gate for an entry marked as leaving and did nothing where the entry was gone. Entries left the gate aside, but uploads that it held already asked for a slot when their bodies were whole, seconds later, and got it.

A gate that closes also refuses what its upstream has seen nothing of: bodies on their way, with or without a slot (a new state, Admitted: the upstream gets the call with its whole body).

--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -4,9 +4,9 @@
 
 #include <algorithm>
 
-// A call goes through Waiting, Running and Finished; one that never ran ends
-// in Refused. Its record stays until its deadline and RememberSlack have
-// passed, and that memory carries two promises.
+// A call goes through Waiting, perhaps Admitted, Running and Finished; one that
+// never ran ends in Refused. Its record stays until its deadline and
+// RememberSlack have passed, and that memory carries two promises.
 //
 // At most once: an entry whose link went silent asks for the same id over a
 // new link. A known id joins the call as it stands and is never started again.
@@ -14,9 +14,15 @@
 // that the first copy, should it still come out of the silent link, finds the
 // record and does not run.
 //
-// True refusals: a call may be told "not run" only from the states Waiting and
-// Refused. Start, the only step that cannot be taken back, is the last thing
-// start() does, after the deadline was checked against a fresh clock.
+// True refusals: a call may be told "not run" only from the states Waiting,
+// Admitted and Refused. Start, the only step that cannot be taken back, is the
+// last thing start() does, after the deadline was checked against a fresh
+// clock.
+//
+// The upstream sees nothing of a call whose body can be held here before that
+// is whole. A body on a thin link may come seconds after its call: until then
+// the call can be refused truly, when its caller, its entry or the upstream
+// goes, and none reaches an upstream that has stopped taking calls meanwhile.
 
 namespace hickorylift {
 
@@ -91,7 +97,7 @@
     One.Linked = false;
     if (One.Now == State::Running && One.Idempotent)
       this->Unlinked.emplace(Id, Now);
-    if (One.Now == State::Waiting)
+    if (One.isUnseen())
       this->refuse(Id, One,
                    makeRefusal(Outcome::NotRun, "link-lost", StepAdmission,
                                this->Opts.Self),
@@ -131,14 +137,8 @@
     return this->onCredit(Link, *Credit, Now);
   if (const auto *Cancel = Frame.payload.AsCancel())
     return this->onCancel(Link, *Cancel, Now);
-  if (const auto *Ping = Frame.payload.AsPing()) {
-    wire::PongT Pong;
-    Pong.nonce = Ping->nonce;
-    Pong.load = std::make_unique<wire::Load>(this->load(Now));
-    Pong.draining = this->draining();
-    this->Hook.Send(Link, callFrame(std::move(Pong)));
-    return;
-  }
+  if (const auto *Ping = Frame.payload.AsPing())
+    return this->sendPong(Link, Ping->nonce, Now);
   if (const auto *Pong = Frame.payload.AsPong())
     if (Found->second.Barrier == Pong->nonce)
       Found->second.Barrier.reset();
@@ -208,9 +208,13 @@
 }
 
 // A body that is held here until it is whole costs memory, up to the window.
-bool Gate::fetchesFirst(const Call &One, TimePoint Now) const {
+bool Gate::isHoldable(const Call &One) const {
   return One.BodyHeld && One.Head.Length > 0 &&
-         static_cast<uint64_t>(One.Head.Length) <= this->Opts.Window &&
+         static_cast<uint64_t>(One.Head.Length) <= this->Opts.Window;
+}
+
+bool Gate::fetchesFirst(const Call &One, TimePoint Now) const {
+  return this->isHoldable(One) &&
          this->Transfers.usual(Now) >= this->Opts.FetchFirstFrom;
 }
 
@@ -251,7 +255,16 @@
     return this->refuse(Id, One, Room.Why, Now);
   }
   if (Room.What == Admission::Verdict::Run)
-    this->start(Id, One, Now);
+    this->takeSlot(Id, One, Now);
+}
+
+void Gate::takeSlot(const CallId &Id, Call &One, TimePoint Now) {
+  if (!this->isHoldable(One) || One.Request.ended())
+    return this->start(Id, One, Now);
+  One.Now = State::Admitted;
+  One.BodyHeld = false;
+  if (this->Transfers.ask(Id, Now))
+    this->askForBody(Id, One);
 }
 
 bool Gate::judgeKey(const CallId &Id, Call &One, TimePoint Now) {
@@ -320,7 +333,7 @@
 void Gate::grantTransfers(TimePoint Now) {
   for (const CallId &Id : this->Transfers.next(Now))
     if (Call *One = this->find(Id);
-        One && (One->Now == State::Running || One->Fetching))
+        One && (One->Now == State::Running || One->isUnseen()))
       this->askForBody(Id, *One);
 }
 
@@ -338,7 +351,7 @@
   Credit.consumed = One.Request.received();
   this->Hook.Send(One.Link, callFrame(Credit));
   if (Whole)
-    this->admit(Id, One, Now);
+    One.Fetching ? this->admit(Id, One, Now) : this->start(Id, One, Now);
 }
 
 void Gate::onData(LinkId Link, const wire::DataT &Data, TimePoint Now) {
@@ -351,17 +364,19 @@
   std::optional<std::string_view> New =
       One->Request.accept(Data.offset, Bytes, Data.end);
   if (!New) {
+    Refusal Gap = makeRefusal(Outcome::NotRun, "body-gap", StepAdmission,
+                              this->Opts.Self);
+    if (One->isUnseen())
+      return this->refuse(Id, *One, std::move(Gap), Now);
+    Gap.What = Outcome::Unknown;
     if (One->Now == State::Running)
-      this->breakOff(Id, *One,
-                     makeRefusal(Outcome::Unknown, "body-gap", StepAdmission,
-                                 this->Opts.Self),
-                     Now);
+      this->breakOff(Id, *One, Gap, Now);
     return;
   }
   bool Whole = One->Request.ended();
-  if (One->Now == State::Waiting)
+  if (One->isUnseen())
     One->EarlyBody.append(*New);
-  if (One->Fetching)
+  if (One->Fetching || One->Now == State::Admitted)
     this->bodyArrived(Id, *One, Whole, Now);
   else if (One->Now == State::Running)
     this->forwardBody(Id, *One, *New);
@@ -392,7 +407,7 @@
   // Nobody takes the rest of its answer, and a stop need not wait for that.
   if (One->Now == State::Finished)
     One->Linked = false;
-  if (One->Now == State::Waiting)
+  if (One->isUnseen())
     this->refuse(Id, *One,
                  makeRefusal(Outcome::NotRun, "cancelled", StepAdmission,
                              this->Opts.Self),
@@ -489,7 +504,7 @@
 }
 
 void Gate::refuse(const CallId &Id, Call &One, Refusal Why, TimePoint Now) {
-  if (One.Now == State::Waiting || One.Now == State::Running)
+  if (One.isUnseen() || One.Now == State::Running)
     this->Slots.finished(Id, /*Answered=*/false, Now);
   this->Transfers.forget(Id);
   ++this->Counts.RefusedBy[Why.Reason];
@@ -525,10 +540,19 @@
   }
   for (const CallId &Id : Turn.Run)
     if (Call *One = this->find(Id))
-      this->start(Id, *One, Now);
+      this->takeSlot(Id, *One, Now);
   this->grantTransfers(Now);
 }
 
+void Gate::refuseUnseen(const std::string &Reason, TimePoint Now) {
+  for (auto &[Id, One] : this->Calls)
+    if (One.isUnseen())
+      this->refuse(
+          Id, One,
+          makeRefusal(Outcome::NotRun, Reason, StepAdmission, this->Opts.Self),
+          Now);
+}
+
 void Gate::drain(const std::string &By, TimePoint Now) {
   if (this->draining() || !this->Opts.Guards.DrainClosesGate)
     return;
@@ -538,10 +562,26 @@
     Said.by = By;
     this->Hook.Send(Link, callFrame(std::move(Said)));
   }
+  this->refuseUnseen("draining", Now);
   this->pump(Now);
 }
 
-void Gate::reopen() { this->Slots.reopen(); }
+// Entries leave a gate aside that has said that it closes, send nothing there
+// any more, and so would not find out: with one upstream, its callers would be
+// refused for as long as the link lives.
+void Gate::reopen(TimePoint Now) {
+  this->Slots.reopen();
+  for (const auto &[Link, State] : this->Links)
+    this->sendPong(Link, /*Nonce=*/0, Now);
+}
+
+void Gate::sendPong(LinkId Link, uint64_t Nonce, TimePoint Now) {
+  wire::PongT Pong;
+  Pong.nonce = Nonce;
+  Pong.load = std::make_unique<wire::Load>(this->load(Now));
+  Pong.draining = this->draining();
+  this->Hook.Send(Link, callFrame(std::move(Pong)));
+}
 
 bool Gate::idle() const {
   return std::all_of(
@@ -549,18 +589,16 @@
         const Call &Of = One.second;
         bool Told =
             !Of.Linked || Of.Now == State::Refused || Of.Response.done();
-        return Of.Now != State::Running && Of.Now != State::Waiting && Told;
+        return Of.Now != State::Running && !Of.isUnseen() && Told;
       });
 }
 
 Gate::Held Gate::held() const {
   Held Out;
   for (const auto &[Id, One] : this->Calls) {
-    bool Whole = One.Head.Length == 0 || One.Request.ended();
     Out.Waiting += One.Now == State::Waiting;
-    Out.WaitingForBody += One.Now == State::Waiting && One.Fetching;
+    Out.Admitted += One.Now == State::Admitted;
     Out.Running += One.Now == State::Running;
-    Out.RunningWithoutBody += One.Now == State::Running && !Whole;
   }
   return Out;
 }
@@ -611,7 +649,7 @@
   Call *One = this->find(Id);
   if (!One)
     return;
-  if (One->Fetching)
+  if (One->Fetching || One->Now == State::Admitted)
     this->refuse(Id, *One,
                  makeRefusal(Outcome::NotRun, "deadline", StepAdmission,
                              this->Opts.Self),
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -119,10 +119,11 @@
   /// The upstream's side has written this much of the request's body.
   void upstreamConsumed(const CallId &Id, uint64_t Total, TimePoint Now);
 
-  /// Closes the gate to new work. Calls that wait are refused; those that run
-  /// go on.
+  /// Closes the gate to new work. Calls of which the upstream has seen nothing
+  /// are refused; those that run go on.
   void drain(const std::string &By, TimePoint Now);
-  void reopen();
+  /// Takes work again, and tells the entries so.
+  void reopen(TimePoint Now);
   bool draining() const { return this->Slots.draining(); }
   const std::string &drainedBy() const { return this->Slots.drainedBy(); }
   /// Whether nothing runs, waits, or still has to be told to an entry.
@@ -130,11 +131,9 @@
   /// How far the calls are that are not over yet.
   struct Held {
     size_t Waiting = 0;
-    /// Of those, how many wait for their bodies.
-    size_t WaitingForBody = 0;
+    /// Have a slot, and wait for their bodies.
+    size_t Admitted = 0;
     size_t Running = 0;
-    /// Of those, how many have not come here whole.
-    size_t RunningWithoutBody = 0;
   };
   Held held() const;
 
@@ -147,7 +146,15 @@
   size_t remembered() const { return this->Calls.size(); }
 
 private:
-  enum class State { Waiting, Running, Finished, Refused };
+  enum class State {
+    /// For a slot, or for its body before it asks for one.
+    Waiting,
+    /// Has a slot and waits for its body; the upstream has seen nothing of it.
+    Admitted,
+    Running,
+    Finished,
+    Refused,
+  };
 
   struct Call {
     State Now = State::Waiting;
@@ -180,6 +187,11 @@
     bool Recordable = true;
 
     explicit Call(uint64_t Window) : Response(Window) {}
+
+    /// Whether the upstream has not seen, and so not run, anything of it yet.
+    bool isUnseen() const {
+      return this->Now == State::Waiting || this->Now == State::Admitted;
+    }
   };
 
   struct LinkState {
@@ -194,8 +206,10 @@
   bool judgeKey(const CallId &Id, Call &One, TimePoint Now);
   void replay(const CallId &Id, Call &One, KeyJudge::Answer Known,
               TimePoint Now);
+  void takeSlot(const CallId &Id, Call &One, TimePoint Now);
   void start(const CallId &Id, Call &One, TimePoint Now);
   void onData(LinkId Link, const wire::DataT &Data, TimePoint Now);
+  bool isHoldable(const Call &One) const;
   bool fetchesFirst(const Call &One, TimePoint Now) const;
   void fetch(const CallId &Id, Call &One, TimePoint Now);
   void admit(const CallId &Id, Call &One, TimePoint Now);
@@ -206,6 +220,7 @@
   void onCredit(LinkId Link, const wire::CreditT &Credit, TimePoint Now);
   void onCancel(LinkId Link, const wire::CancelT &Cancel, TimePoint Now);
   void refuse(const CallId &Id, Call &One, Refusal Why, TimePoint Now);
+  void refuseUnseen(const std::string &Reason, TimePoint Now);
   void breakOff(const CallId &Id, Call &One, const Refusal &Why, TimePoint Now);
   Call &enter(const CallId &Id, Millis Budget, LinkId Link, TimePoint Now);
   void pump(TimePoint Now);
@@ -215,6 +230,7 @@
   void sendHead(const CallId &Id, const Call &One, TimePoint Now);
   void sendAnswer(const CallId &Id, Call &One);
   void sendFailed(const CallId &Id, const Call &One, TimePoint Now);
+  void sendPong(LinkId Link, uint64_t Nonce, TimePoint Now);
   void endOrphans(TimePoint Now);
   void onDue(const CallId &Id, TimePoint Now);
   Call *find(const CallId &Id);
--- a/src/calls/GateCallsTest.cpp
+++ b/src/calls/GateCallsTest.cpp
@@ -367,6 +367,23 @@
     {"comes before it takes a slot", Takes::BodyFirst, 10000},
 };
 
+enum class Ends { Close, LinkLost, CallerGone, Deadline };
+
+struct EndRow {
+  Ends How;
+  const char *Reason;
+};
+std::ostream &operator<<(std::ostream &To, const EndRow &Of) {
+  return To << Of.Reason;
+}
+
+const EndRow EndRows[] = {
+    {Ends::Close, "draining"},
+    {Ends::LinkLost, ""},
+    {Ends::CallerGone, "cancelled"},
+    {Ends::Deadline, "deadline"},
+};
+
 } // namespace
 
 BOOST_DATA_TEST_CASE(WhatTheUpstreamHasNotSeenIsRefusedAtOnce,
@@ -392,6 +409,43 @@
   BOOST_TEST(Of.Cancelled.empty());
 }
 
+// An upload has its slot and half of its body. Whatever ends it then, its slot
+// is free for others, nothing of it ran, and the rest of the body, which was on
+// its way, does not start it.
+BOOST_DATA_TEST_CASE(AnUploadThatEndsBeforeItsBodyIsThereNeverRuns,
+                     data::make(EndRows), Row) {
+  Fixture Of;
+  Of.listSlots(1);
+  Of.openUpload(1);
+  Of.body(1, 0, 10000, /*End=*/false);
+  BOOST_TEST(Of.At->load(Of.Now).in_flight() == 1u);
+  wire::CancelT Gone;
+  Gone.seq = 1;
+  switch (Row.How) {
+  case Ends::Close:
+    Of.At->drain("list", Of.Now);
+    break;
+  case Ends::LinkLost:
+    Of.At->linkDown(Link, Of.Now);
+    break;
+  case Ends::CallerGone:
+    Of.At->frame(Link, callFrame(std::move(Gone)), Of.Now);
+    break;
+  case Ends::Deadline:
+    Of.Now += Millis(2001);
+    Of.At->tick(Of.Now);
+    break;
+  }
+  // Over a lost link nobody can be told.
+  BOOST_TEST((Of.failed() ? Of.failed()->reason : "") == Row.Reason);
+  if (Of.failed())
+    BOOST_TEST((Of.failed()->outcome == wire::Outcome::NotRun));
+  BOOST_TEST(Of.At->load(Of.Now).in_flight() == 0u);
+  Of.body(1, 10000, 10000, /*End=*/true);
+  BOOST_TEST(Of.Started.empty());
+  BOOST_TEST(Of.At->idle());
+}
+
 // The other side of it: a run that has begun is not broken off.
 BOOST_FIXTURE_TEST_CASE(WhatRunsGoesOn, Fixture) {
   this->open(this->openOf(1));
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -14,6 +14,7 @@
 // The link to this node's own gate; a transport's numbers start at one.
 constexpr LinkId LocalLink = 0;
 const char HealthDraining[] = "draining";
+const char ByList[] = "list";
 constexpr size_t MaxHealthText = 64;
 
 std::vector<std::string> ownFirst(const std::string &Own,
@@ -232,15 +233,23 @@
   this->From->gateDown(Name, Now);
 }
 
+// An upstream that leaves is marked so in the list, or only taken off it.
+// Either way it serves for its drain time and may end then; a gate that stayed
+// open would hand it calls that have waited for their bodies for seconds, and
+// their callers would lose what was running at its end. An entry that was never
+// there closes nothing: an upstream that starts is listed a moment after its
+// node. One that lapsed because nobody could renew it comes back, and the gate
+// reopens.
 void NodeCore::membersChanged(TimePoint Now) {
   const Membership &Fleet = this->Control->members();
   this->From->membersChanged(Now);
   this->At->members(Fleet.upstreams(this->Opts.CallGate.Service), Now);
   const Instance *Own = Fleet.find(this->Opts.CallGate.Self);
+  bool WasListed = this->SeenAs != OwnEntry::Missing;
   this->noteOwnEntry(Own, Now);
-  if (Own && Own->Leaving)
-    this->drainGate("list", Now);
-  else if (Own && this->At->drainedBy() == "list")
+  if (Own ? Own->Leaving : WasListed)
+    this->drainGate(ByList, Now);
+  else if (Own && this->At->drainedBy() == ByList)
     this->reopenGate(Now);
 }
 
@@ -290,11 +299,9 @@
   if (this->At->draining())
     return;
   Gate::Held Left = this->At->held();
-  std::string Outcome =
-      "no new work; waiting=" + std::to_string(Left.Waiting) +
-      " of them for bodies=" + std::to_string(Left.WaitingForBody) +
-      ", running=" + std::to_string(Left.Running) +
-      " of them without bodies=" + std::to_string(Left.RunningWithoutBody);
+  std::string Outcome = "no new work; waiting=" + std::to_string(Left.Waiting) +
+                        " admitted=" + std::to_string(Left.Admitted) +
+                        " running=" + std::to_string(Left.Running);
   this->Control->audit().add(Now, "gate-draining", this->Opts.CallGate.Self, By,
                              Outcome);
   this->At->drain(By, Now);
@@ -305,7 +312,7 @@
     return;
   this->Control->audit().add(Now, "gate-open", this->Opts.CallGate.Self,
                              this->At->drainedBy(), "takes work again");
-  this->At->reopen();
+  this->At->reopen(Now);
 }
 
 void NodeCore::stop(const std::string &By, TimePoint Now) {
