A drain mark ends where the list takes back why the gate closed

A gate now closes also for an entry that lapsed, and reopens when it is back; who has no link to it then was never told. Three rows of Placing/ADrainMarkEndsWithItsReason failed before (false for true).

--- a/src/routing/Chooser.cpp
+++ b/src/routing/Chooser.cpp
@@ -372,13 +372,21 @@
     Fresh.Outstanding = Of.Outstanding;
     Of = Fresh;
   }
+  // The gate tells whoever has a link to it that it is open again. Others would
+  // leave it aside for good.
+  bool Back = !Of.Listed || (Of.Leaving && !One.Leaving);
+  Of.Draining &= !Back;
   Of.Start = Start;
+  Of.Listed = true;
+  Of.Leaving = One.Leaving;
 }
 
 void Chooser::keepOnly(const std::set<std::string> &Listed) {
   std::erase_if(this->Gates, [&](const auto &One) {
     return !Listed.count(One.first) && One.second.Outstanding == 0;
   });
+  for (auto &[Name, Of] : this->Gates)
+    Of.Listed = Listed.count(Name) != 0;
 }
 
 std::optional<Millis>
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -153,7 +153,9 @@
   void reachable(const std::string &Gate);
   /// What the list says of a gate. If another start of its upstream stands
   /// there now, what was learnt of the last one is forgotten: its pace, its
-  /// failures and its drain mark would keep callers from one that is well.
+  /// failures and its drain mark would keep callers from one that is well. A
+  /// drain mark ends also where the list takes back why the gate closed: the
+  /// gate is on it again, or is not leaving any more.
   void listed(const Instance &One);
   /// Forgets the gates that are on no list any more.
   void keepOnly(const std::set<std::string> &Listed);
@@ -192,6 +194,9 @@
     bool Draining = false;
     // Which start of which upstream all this was learnt of.
     std::optional<std::pair<std::string, uint64_t>> Start;
+    // What the list says of it.
+    bool Listed = false;
+    bool Leaving = false;
   };
 
   std::vector<const Instance *>
--- a/src/routing/ChooserTest.cpp
+++ b/src/routing/ChooserTest.cpp
@@ -291,6 +291,59 @@
     {"another upstream", "up-2", 5, true},
 };
 
+enum class Between { Nothing, OffWhileCalled, SaidWhenOff, Leaving };
+
+/// What happened to a gate that said it closes, before the list names it as
+/// live again, and whether callers then come to it.
+struct DrainEnd {
+  const char *What;
+  Between Happened;
+  bool Chosen;
+};
+std::ostream &operator<<(std::ostream &To, const DrainEnd &Of) {
+  return To << Of.What;
+}
+
+const DrainEnd DrainEnds[] = {
+    {"listed as before: it closed for a reason of its own", Between::Nothing,
+     false},
+    {"off the list while a call was there", Between::OffWhileCalled, true},
+    {"said so when it was off the list already", Between::SaidWhenOff, true},
+    {"marked as leaving, and the mark taken back", Between::Leaving, true},
+};
+
+// A machine cannot renew its entry for a while, and its gate closes. The link
+// to it is lost meanwhile, so nobody hears that it is open again: callers would
+// be refused for ever although the list names an upstream that serves.
+BOOST_DATA_TEST_CASE(ADrainMarkEndsWithItsReason, data::make(DrainEnds), Row) {
+  std::vector<Instance> One{nearAndFar().front()};
+  Chooser Choose(Chooser::Options(), "north", "me", 1);
+  Choose.listed(One[0]);
+  Instance Marked = One[0];
+  Marked.Leaving = true;
+  switch (Row.Happened) {
+  case Between::Nothing:
+    Choose.draining("near");
+    break;
+  case Between::OffWhileCalled:
+    Choose.started("near");
+    Choose.draining("near");
+    Choose.keepOnly({});
+    break;
+  case Between::SaidWhenOff:
+    Choose.keepOnly({});
+    Choose.draining("near");
+    break;
+  case Between::Leaving:
+    Choose.listed(Marked);
+    Choose.draining("near");
+    break;
+  }
+  Choose.listed(One[0]);
+  Choose.keepOnly({"near"});
+  BOOST_TEST((Choose.pick(pointers(One), {}, Start) != nullptr) == Row.Chosen);
+}
+
 // An upstream drains and fails, ends, and starts again under its old name.
 // Callers reach the new one at once: the old one's marks are not its own.
 BOOST_DATA_TEST_CASE(ANewStartHasAClearRecord, data::make(ListedAgains), Row) {
