Only a crossed close is repeated, and a repeat that fails is not called unsent

Two of three rows of HttpSockets/OnlyACrossedCloseIsRepeated failed before (no end; not sent for may have run).

--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -110,6 +110,8 @@
 /// A client of one upstream that the test plays, and what came of its calls.
 struct ClientFixture {
   int Listener = -1;
+  /// How far the client's clock is ahead of the real one.
+  Millis Ahead{0};
   std::unique_ptr<UpstreamClient> Http;
   std::map<CallId, ResponseHead> Heads;
   std::map<CallId, std::string> Bodies;
@@ -137,10 +139,15 @@
     };
     Hooks.Consumed = [](const CallId &, uint64_t, TimePoint) {};
     Hooks.Health = [](const Result<std::string> &, TimePoint) {};
-    this->Http = std::make_unique<UpstreamClient>(Opts, Hooks,
-                                                  [] { return Clock::now(); });
+    this->Http = std::make_unique<UpstreamClient>(
+        Opts, Hooks, [this] { return Clock::now() + this->Ahead; });
+  }
+  ~ClientFixture() { this->stopListening(); }
+
+  void stopListening() {
+    if (this->Listener >= 0)
+      ::close(std::exchange(this->Listener, -1));
   }
-  ~ClientFixture() { ::close(this->Listener); }
 
   static RequestHead head(const std::string &Id, const std::string &Method) {
     RequestHead Out;
@@ -342,6 +349,48 @@
   }
 }
 
+/// When a kept connection ends under a call that may repeat.
+struct LateClose {
+  const char *What;
+  Millis After;
+  bool ListensOn;
+  bool Repeated;
+};
+std::ostream &operator<<(std::ostream &To, const LateClose &Of) {
+  return To << Of.What;
+}
+
+const LateClose LateCloses[] = {
+    {"at once", Millis(0), true, true},
+    {"long after the request: it was read, and ran", Millis(600), true, false},
+    {"at once, and nobody listens any more", Millis(0), false, false},
+};
+
+// An upstream dies under a run of half a second. Sent again, the call would
+// reach a start that its caller's time no longer covers, or one that is
+// leaving; and where nobody listens any more, "not sent" would be said of a
+// call that ran. The caller's entry decides, which knows other upstreams.
+BOOST_DATA_TEST_CASE(OnlyACrossedCloseIsRepeated, data::make(LateCloses), Row) {
+  ClientFixture Of;
+  Of.start(1);
+  RawPeer Upstream = Of.accept();
+  BOOST_REQUIRE(Upstream.waitFor("\r\n\r\n"));
+  Upstream.send(answer("id-1", "", "Keep-Alive: timeout=10\r\n"));
+  BOOST_REQUIRE(Of.end(1) == "answered");
+  Of.start(2, /*MayRepeat=*/true);
+  BOOST_REQUIRE(Upstream.waitFor("/id-2"));
+  Of.Ahead = Row.After;
+  if (!Row.ListensOn)
+    Of.stopListening();
+  Upstream.close();
+  if (!Row.Repeated) {
+    BOOST_TEST(Of.end(2) == "may have run");
+    return;
+  }
+  RawPeer Next = Of.accept();
+  BOOST_TEST(Next.waitFor("/id-2"));
+}
+
 // The upstream answers a long upload early and reads on. The next request on
 // that connection would be taken for the rest of the body.
 BOOST_AUTO_TEST_CASE(EarlyAnswerEndsTheConnection) {
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -49,6 +49,8 @@
   uint64_t BodyBytes = 0;
   uint64_t BodyTold = 0;
   unsigned Tries = 0;
+  // Of the last try.
+  TimePoint WrittenAt;
   bool HeadPassed = false;
   std::string Held;
   ConnectionPtr On;
@@ -197,6 +199,7 @@
 void UpstreamClient::sendRequest(const ConnectionPtr &On) {
   Call &Of = *On->Current;
   std::string Out = this->requestHead(Of);
+  Of.WrittenAt = this->Now();
   On->Parser = std::make_unique<ResponseParser>(this->Opts.MaxHeaderBytes,
                                                 Of.Head.Method == "HEAD");
   if (!isChunked(Of.Head)) {
@@ -233,6 +236,7 @@
   if (!Of)
     return;
   Of->BodyBytes += Bytes.size();
+  Of->WrittenAt = this->Now();
   ConnectionPtr On = Of->On;
   bool Running = On && On->Made;
   if (!Running || Of->MayRepeat)
@@ -409,10 +413,14 @@
 void UpstreamClient::fail(const ConnectionPtr &On, const std::string &Detail,
                           TimePoint At) {
   CallPtr Of = On->Current;
-  bool Sent = On->Made;
-  // A kept connection that was closed as the request was on its way.
-  bool Crossed =
-      Sent && On->Answers > 0 && !(On->Parser && On->Parser->headDone());
+  // An earlier try may have run, whatever became of this one.
+  bool Sent = On->Made || Of->Tries > 1;
+  // A kept connection that was closed as the request was on its way. One that
+  // ends later does so under a run: sent again, the call would come to a start
+  // that its caller has no time for, or to an upstream that is leaving.
+  bool Crossed = On->Made && On->Answers > 0 &&
+                 At - Of->WrittenAt <= this->Opts.CrossedWithin &&
+                 !(On->Parser && On->Parser->headDone());
   On->Current.reset();
   this->discard(On);
   Of->On.reset();
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -37,6 +37,11 @@
     /// The same for calls that must not repeat, where a crossed close is an
     /// unknown outcome and not another try.
     Millis SafeCloseMargin{1500};
+    /// A kept connection that ends within this of the request's last byte was
+    /// closed before the upstream read it, and the request may go over another.
+    /// The way to an upstream on the same machine takes under a millisecond;
+    /// one that ends later ends a run.
+    Millis CrossedWithin{100};
     /// A connection that is not made by then counts as refused.
     Millis DialTimeout{1000};
     /// An answer up to this many bytes is handed on when it is whole, so that
@@ -68,8 +73,8 @@
   UpstreamClient(Options Opts, Hooks Hooks, std::function<TimePoint()> Clock);
   ~UpstreamClient();
 
-  /// MayRepeat: a kept connection that dies before the answer began may be
-  /// replaced and the call sent again.
+  /// MayRepeat: a kept connection that dies as the call is written to it may
+  /// be replaced and the call sent again.
   void start(const CallId &Id, const RequestHead &Head, bool MayRepeat);
   void body(const CallId &Id, std::string_view Bytes);
   void bodyEnd(const CallId &Id);
