--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -38,10 +38,11 @@
     /// unknown outcome and not another try.
     Millis SafeCloseMargin{1500};
     /// A kept connection that ends within this of the request's last byte was
-    /// closed before the upstream read it, and the request may go over another.
-    /// The way to an upstream on the same machine takes under a millisecond;
-    /// one that ends later ends a run.
-    Millis CrossedWithin{100};
+    /// closed before the upstream read it, and the request may go over another;
+    /// one that ends later ends a run. The way to an upstream on the same
+    /// machine takes under a millisecond, but a node that has used up its share
+    /// of the processor sees the close up to a tenth of a second later, or two.
+    Millis CrossedWithin{250};
     /// A connection that is not made by then counts as refused.
     Millis DialTimeout{1000};
     /// An answer up to this many bytes is handed on when it is whole, so that
