--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -18,20 +18,9 @@
 // Admitted and Refused. Start, the only step that cannot be taken back, is the
 // last thing start() does, after the deadline was checked against a fresh
 // clock.
-//
-// The upstream sees nothing of a call whose body can be held here before that
-// is whole. A body on a thin link may come seconds after its call: until then
-// the call can be refused truly, when its caller, its entry or the upstream
-// goes, and none reaches an upstream that has stopped taking calls meanwhile.
 
 namespace hickorylift {
 
-namespace {
-
-const char StepAdmission[] = "admission";
-
-} // namespace
-
 Gate::Gate(Options GivenOpts, Hooks Hooks)
     : Opts(std::move(GivenOpts)), Hook(std::move(Hooks)),
       Slots(this->Opts.Slots, this->Opts.Seed),
@@ -207,44 +196,6 @@
                                : this->admit(Id, One, Now);
 }
 
-// A body that is held here until it is whole costs memory, up to the window.
-bool Gate::isHoldable(const Call &One) const {
-  return One.BodyHeld && One.Head.Length > 0 &&
-         static_cast<uint64_t>(One.Head.Length) <= this->Opts.Window;
-}
-
-bool Gate::fetchesFirst(const Call &One, TimePoint Now) const {
-  return this->isHoldable(One) &&
-         this->Transfers.usual(Now) >= this->Opts.FetchFirstFrom;
-}
-
-// A slot that waits for a body is missing to others: on a link of 7 Mbit/s a
-// body of 60 KB takes 70 ms and more, and calls that had half of that to run
-// held their slots for half a second. So the body comes first, if there would
-// be a slot now, and the slot is asked for when it is whole.
-//
-// Bodies that cannot be whole in time are refused before they fill the link:
-// where more come than it carries, all would be late else.
-void Gate::fetch(const CallId &Id, Call &One, TimePoint Now) {
-  std::optional<Admission::Answer> No =
-      this->Slots.wouldRefuse(One.Wanted, Now);
-  Clock::duration Whole = this->Transfers.expected(Now);
-  if (!No && !this->Slots.onTarget(One.Wanted, Whole, Now)) {
-    No.emplace();
-    No->Why =
-        makeRefusal(Outcome::NotRun, "overload", "transfer", this->Opts.Self);
-    No->Why.RetryAfter = toMillis(Whole);
-  }
-  if (No) {
-    No->Why.Peer = this->Opts.Self;
-    return this->refuse(Id, One, No->Why, Now);
-  }
-  One.Fetching = true;
-  One.BodyHeld = false;
-  if (this->Transfers.ask(Id, Now))
-    this->askForBody(Id, One);
-}
-
 void Gate::admit(const CallId &Id, Call &One, TimePoint Now) {
   One.Fetching = false;
   Admission::Ask Wanted = One.Wanted;
@@ -258,15 +209,6 @@
     this->takeSlot(Id, One, Now);
 }
 
-void Gate::takeSlot(const CallId &Id, Call &One, TimePoint Now) {
-  if (!this->isHoldable(One) || One.Request.ended())
-    return this->start(Id, One, Now);
-  One.Now = State::Admitted;
-  One.BodyHeld = false;
-  if (this->Transfers.ask(Id, Now))
-    this->askForBody(Id, One);
-}
-
 bool Gate::judgeKey(const CallId &Id, Call &One, TimePoint Now) {
   if (One.Key.empty() || One.Idempotent)
     return true;
@@ -321,71 +263,6 @@
   this->forwardBody(Id, One, Early);
 }
 
-void Gate::askForBody(const CallId &Id, const Call &One) {
-  if (!One.Linked)
-    return;
-  wire::AdmittedT Go;
-  Go.seq = Id.Seq;
-  Go.request_received = One.Request.received();
-  this->Hook.Send(One.Link, callFrame(Go));
-}
-
-void Gate::grantTransfers(TimePoint Now) {
-  for (const CallId &Id : this->Transfers.next(Now))
-    if (Call *One = this->find(Id);
-        One && (One->Now == State::Running || One->isUnseen()))
-      this->askForBody(Id, *One);
-}
-
-void Gate::forwardBody(const CallId &Id, Call &One, std::string_view Bytes) {
-  if (!Bytes.empty())
-    this->Hook.Body(Id, Bytes);
-  if (One.Request.ended())
-    this->Hook.BodyEnd(Id);
-}
-
-// Credits for a body that no upstream has taken yet: what is here is here.
-void Gate::bodyArrived(const CallId &Id, Call &One, bool Whole, TimePoint Now) {
-  wire::CreditT Credit;
-  Credit.seq = Id.Seq;
-  Credit.consumed = One.Request.received();
-  this->Hook.Send(One.Link, callFrame(Credit));
-  if (Whole)
-    One.Fetching ? this->admit(Id, One, Now) : this->start(Id, One, Now);
-}
-
-void Gate::onData(LinkId Link, const wire::DataT &Data, TimePoint Now) {
-  CallId Id = this->idOn(Link, Data.seq);
-  Call *One = this->find(Id);
-  if (!One || One->Link != Link || One->Request.ended())
-    return;
-  std::string_view Bytes(reinterpret_cast<const char *>(Data.bytes.data()),
-                         Data.bytes.size());
-  std::optional<std::string_view> New =
-      One->Request.accept(Data.offset, Bytes, Data.end);
-  if (!New) {
-    Refusal Gap = makeRefusal(Outcome::NotRun, "body-gap", StepAdmission,
-                              this->Opts.Self);
-    if (One->isUnseen())
-      return this->refuse(Id, *One, std::move(Gap), Now);
-    Gap.What = Outcome::Unknown;
-    if (One->Now == State::Running)
-      this->breakOff(Id, *One, Gap, Now);
-    return;
-  }
-  bool Whole = One->Request.ended();
-  if (One->isUnseen())
-    One->EarlyBody.append(*New);
-  if (One->Fetching || One->Now == State::Admitted)
-    this->bodyArrived(Id, *One, Whole, Now);
-  else if (One->Now == State::Running)
-    this->forwardBody(Id, *One, *New);
-  if (!Whole)
-    return;
-  this->Transfers.ended(Id, Now);
-  this->grantTransfers(Now);
-}
-
 void Gate::onCredit(LinkId Link, const wire::CreditT &Credit, TimePoint) {
   CallId Id = this->idOn(Link, Credit.seq);
   Call *One = this->find(Id);
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -237,6 +237,7 @@
   CallId idOn(LinkId Link, uint64_t Seq) const;
   const Limit *limitNamed(const std::string &Name) const;
 
+  static constexpr char StepAdmission[] = "admission";
   static constexpr char StepUpstream[] = "upstream";
 
   Options Opts;
