Whatever body fits is whole before the upstream sees its call, asked for or not

An upload of a slow caller at the leaving upstream's own node, or a short body behind its call, was passed on as it came: the upstream had its head at once and the rest when it came, which no close of the gate takes back. One rule now. The new row of WhatTheUpstreamHasNotSeenIsRefusedAtOnce failed before.

--- a/src/calls/GateBodies.cpp
+++ b/src/calls/GateBodies.cpp
@@ -14,12 +14,12 @@
 
 // A body that is held here until it is whole costs memory, up to the window.
 bool Gate::isHoldable(const Call &One) const {
-  return One.BodyHeld && One.Head.Length > 0 &&
+  return One.Head.Length > 0 &&
          static_cast<uint64_t>(One.Head.Length) <= this->Opts.Window;
 }
 
 bool Gate::fetchesFirst(const Call &One, TimePoint Now) const {
-  return this->isHoldable(One) &&
+  return One.BodyHeld && this->isHoldable(One) &&
          this->Transfers.usual(Now) >= this->Opts.FetchFirstFrom;
 }
 
@@ -54,8 +54,7 @@
   if (!this->isHoldable(One) || One.Request.ended())
     return this->start(Id, One, Now);
   One.Now = State::Admitted;
-  One.BodyHeld = false;
-  if (this->Transfers.ask(Id, Now))
+  if (std::exchange(One.BodyHeld, false) && this->Transfers.ask(Id, Now))
     this->askForBody(Id, One);
 }
 
--- a/src/calls/GateCallsTest.cpp
+++ b/src/calls/GateCallsTest.cpp
@@ -28,8 +28,9 @@
   std::vector<CallId> Cancelled;
   TimePoint Now = Start;
 
-  /// A call with a long body that its entry sends once it is asked to.
-  void openUpload(uint64_t Seq) {
+  /// A call with a long body that its entry sends once it is asked to, or as
+  /// it comes.
+  void openUpload(uint64_t Seq, bool Held = true) {
     wire::OpenT Open;
     Open.seq = Seq;
     Open.entry = 7;
@@ -39,7 +40,7 @@
     Open.budget_ms = 2000;
     Open.target_ms = 500;
     Open.length = 20000;
-    Open.holds_body = true;
+    Open.holds_body = Held;
     this->At->frame(Link, callFrame(std::move(Open)), this->Now);
   }
   void body(uint64_t Seq, uint64_t Offset, size_t Size, bool End) {
@@ -347,7 +348,7 @@
 
 namespace {
 
-enum class Takes { Slot, Queue, BodyFirst };
+enum class Takes { Slot, SlotUnasked, Queue, BodyFirst };
 
 struct HeldRow {
   const char *Name;
@@ -362,6 +363,7 @@
 const HeldRow HeldRows[] = {
     {"has a slot and waits for its body", Takes::Slot, 0},
     {"has a slot and a part of its body", Takes::Slot, 10000},
+    {"has a slot, and its caller sends slowly", Takes::SlotUnasked, 10000},
     {"waits for a slot", Takes::Queue, 0},
     {"is to come before it takes a slot", Takes::BodyFirst, 0},
     {"comes before it takes a slot", Takes::BodyFirst, 10000},
@@ -394,7 +396,7 @@
     Of.slowLink();
   if (Row.How == Takes::Queue)
     Of.open(Of.openOf(1));
-  Of.openUpload(2);
+  Of.openUpload(2, /*Held=*/Row.How != Takes::SlotUnasked);
   if (Row.Came)
     Of.body(2, 0, Row.Came, /*End=*/false);
   Of.Started.clear();
