--- a/harness/Fleet.cpp
+++ b/harness/Fleet.cpp
@@ -236,7 +236,7 @@
   for (const std::string &Place : this->DataCentres) {
     Json::Value List(Json::arrayValue);
     for (const auto &[Name, Of] : this->Nodes) {
-      if (Of.DataCentre != Place)
+      if (Of.DataCentre != Place || Of.As == ListedAs::Removed)
         continue;
       Json::Value One(Json::objectValue);
       One["name"] = Name;
@@ -244,7 +244,7 @@
       One["service"] = Of.Service;
       One["node"] = Of.WireAt.empty() ? Of.Peers : Of.WireAt;
       One["operator"] = Of.Operator;
-      One["state"] = "live";
+      One["state"] = Of.As == ListedAs::Leaving ? "leaving" : "live";
       List.append(One);
     }
     Json::Value Out(Json::objectValue);
@@ -253,6 +253,11 @@
   }
 }
 
+void Fleet::list(const std::string &Name, ListedAs As) {
+  this->Nodes.at(Name).As = As;
+  this->publishLists();
+}
+
 bool Fleet::publish(uint64_t Version, const std::string &Records) {
   FaultList Faults;
   std::optional<EntryMap> Read = readRecordFile(Records, "records", Faults);
--- a/harness/Fleet.h
+++ b/harness/Fleet.h
@@ -45,6 +45,9 @@
     std::string LogLevel = "warn";
   };
 
+  /// What the list says of an instance.
+  enum class ListedAs { Live, Leaving, Removed };
+
   struct Node {
     std::string Name;
     std::string DataCentre;
@@ -55,6 +58,7 @@
     std::string Upstream;
     std::string WireAt;
     std::string WireAdmin;
+    ListedAs As = ListedAs::Live;
     GSubprocess *Process = nullptr;
   };
 
@@ -71,6 +75,8 @@
   bool startPlatform();
   void startNode(const std::string &Name);
   void publishLists();
+  /// Writes the lists with the instance as this.
+  void list(const std::string &Name, ListedAs As);
   bool publish(uint64_t Version, const std::string &Records);
   void signal(const std::string &Name, int Signal);
   /// The exit status once the process has ended; nullopt while it runs.
--- a/scenario/Soak.cpp
+++ b/scenario/Soak.cpp
@@ -6,6 +6,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/strings/str_cat.h>
+#include <gio/gunixinputstream.h>
 #include <libsoup/soup.h>
 
 #include <csignal>
@@ -14,6 +15,9 @@
 #include <set>
 #include <sstream>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 // A randomized soak. Real nodes, upstreams and a platform run as processes on
 // loopback; faults come from outside, by signals and by the wires between
 // nodes, in series and overlapping; callers keep their connections open and go
@@ -24,6 +28,7 @@
 //   an answer is whole and the caller's own;
 //   no process goes back to an older version while it lives;
 //   a planned stop ends in order and in time;
+//   an upstream that leaves the list gets no call after its drain time;
 //   once the faults are over, every node has the newest version.
 //
 //   soak --seed=7 --seeds=50 --seconds=10
@@ -51,6 +56,10 @@
 constexpr Millis Settle{12000};
 // A planned stop ends within this: stop.within_ms below, and time to start.
 constexpr Millis StopLimit{9000};
+// An upstream that has left takes calls for so long yet.
+constexpr Millis DrainTime{2500};
+// A node hears in time of a leave if nothing has disturbed it for so long.
+constexpr Millis QuietFor{3000};
 constexpr int MaxConnections = 200;
 
 const char Settings[] =
@@ -67,6 +76,10 @@
                     R"(/"},"service":")", Name, R"(","idempotent":)",
                     *Name == 'a' ? "true" : "false",
                     R"(,"attempts":2,"timeout_ms":)", 1500 + Version, "}");
+  // Uploads of slow callers, which are under way for longer than a drain.
+  absl::StrAppend(&Out, R"(,{"kind":"route","name":"slow","schema":3,)",
+                  R"("match":{"prefix":"/slow/"},"service":"b",)",
+                  R"("idempotent":false,"timeout_ms":)", 8000 + Version, "}");
   return Out + "]";
 }
 
@@ -176,7 +189,7 @@
   void fault(TimePoint End) {
     ++this->Faults;
     std::string Name = this->anyNode();
-    uint64_t Kind = this->draw(0, 6);
+    uint64_t Kind = this->draw(0, 7);
     bool Signals = Kind <= 2;
     // A stop needs its time, and one node is not signalled twice at once.
     if (Signals && (this->Busy.count(Name) || this->Busy.size() >= 3))
@@ -194,6 +207,8 @@
       return this->wire(Name, "cut");
     case 5:
       return this->outage();
+    case 6:
+      return this->leave(Name);
     default:
       if (!this->publishNext())
         --this->Version;
@@ -205,7 +220,7 @@
     this->All.signal(Name, SIGSTOP);
     this->later(Millis(this->draw(50, 1500)), [this, Name] {
       this->All.signal(Name, SIGCONT);
-      this->Busy.erase(Name);
+      this->rest(Name);
     });
   }
   void kill(const std::string &Name) {
@@ -213,9 +228,13 @@
     this->All.signal(Name, SIGKILL);
     this->later(Millis(this->draw(100, 1000)), [this, Name] {
       this->restart(Name);
-      this->Busy.erase(Name);
+      this->rest(Name);
     });
   }
+  void rest(const std::string &Name) {
+    this->Busy.erase(Name);
+    this->QuietSince[Name] = Clock::now();
+  }
   void restart(const std::string &Name) {
     this->checkOrder(Name);
     // The next process writes from the start of the same file.
@@ -253,33 +272,67 @@
     if (!Status || *Status != 0)
       this->Broken.push_back(Name + ": its planned stop did not end in order");
     this->restart(Name);
-    this->Busy.erase(Name);
+    this->rest(Name);
   }
   void wire(const std::string &Name, const std::string &How) {
     this->post(this->All.node(Name).WireAdmin, "/" + How);
   }
   void outage() {
+    if (Clock::now() < this->NoOutageUntil)
+      return;
+    Millis Length(this->draw(300, 2500));
+    this->PlatformQuietSince =
+        std::max(this->PlatformQuietSince, Clock::now() + Length);
     this->post(this->All.platformAddress(), "/admin/outage?on=1");
-    this->later(Millis(this->draw(300, 2500)), [this] {
+    this->later(Length, [this] {
       this->post(this->All.platformAddress(), "/admin/outage?on=0");
     });
   }
 
+  // Its entry is marked, or only taken away. Whoever could not hear of it in
+  // time is not judged: so its node and the platform are left alone meanwhile.
+  void leave(const std::string &Name) {
+    TimePoint Now = Clock::now();
+    bool Quiet = Now - this->QuietSince[Name] > QuietFor &&
+                 Now - this->PlatformQuietSince > QuietFor;
+    if (!Quiet || this->Busy.count(Name))
+      return;
+    this->Busy.insert(Name);
+    this->NoOutageUntil = Now + DrainTime;
+    using ListedAs = harness::Fleet::ListedAs;
+    this->All.list(Name,
+                   this->draw(0, 1) ? ListedAs::Leaving : ListedAs::Removed);
+    const std::string &Upstream = this->All.node(Name).Upstream;
+    this->post(Upstream,
+               absl::StrCat("/admin/leave?within=", DrainTime.count()));
+    this->later(Millis(this->draw(2600, 4000)), [this, Name, Upstream] {
+      this->post(Upstream, "/admin/stay");
+      this->All.list(Name, ListedAs::Live);
+      this->rest(Name);
+    });
+  }
+
   void call() {
     bool Repeats = this->draw(0, 1) == 0;
+    bool Slow = !Repeats && this->draw(0, 7) == 0;
     std::string Label = "c" + std::to_string(++this->LastCall);
     SoakCall &New = this->Calls[Label];
     New.Label = Label;
     New.Repeats = Repeats;
-    std::string Url =
-        absl::StrCat("http://", this->All.node(this->anyNode()).Callers,
-                     Repeats ? "/a/" : "/b/", Label, "?ms=", this->draw(1, 120),
-                     "&size=", this->draw(1, 20000));
+    std::string Url = absl::StrCat(
+        "http://", this->All.node(this->anyNode()).Callers,
+        Repeats ? "/a/"
+        : Slow  ? "/slow/"
+                : "/b/",
+        Label, "?ms=", this->draw(1, 120), "&size=", this->draw(1, 20000));
     New.Message = soup_message_new(Repeats ? "GET" : "POST", Url.c_str());
     soup_message_headers_append(soup_message_get_request_headers(New.Message),
                                 "X-Call-Id", Label.c_str());
-    if (!Repeats) {
+    if (!Repeats)
       New.Sent.assign(this->draw(1, 60000), static_cast<char>('a' + Label[1]));
+    if (Slow) {
+      this->sendSlowly(New);
+    } else if (!Repeats) {
       GBytes *Body = g_bytes_new_static(New.Sent.data(), New.Sent.size());
       soup_message_set_request_body_from_bytes(New.Message, "text/plain", Body);
       g_bytes_unref(Body);
@@ -289,6 +342,29 @@
                                      &New);
   }
 
+  // The second half of its body comes seconds later.
+  void sendSlowly(SoakCall &Of) {
+    int Ends[2] = {-1, -1};
+    if (pipe2(Ends, O_CLOEXEC) != 0)
+      std::abort();
+    GInputStream *From = g_unix_input_stream_new(Ends[0], TRUE);
+    soup_message_set_request_body(Of.Message, "text/plain", From,
+                                  static_cast<gssize>(Of.Sent.size()));
+    g_object_unref(From);
+    size_t Half = Of.Sent.size() / 2;
+    // A pipe takes as much as any of these bodies without a reader.
+    auto Write = [To = Ends[1], Body = Of.Sent](size_t At, size_t Size) {
+      return write(To, Body.data() + At, Size) == static_cast<ssize_t>(Size);
+    };
+    Write(0, Half);
+    this->later(Millis(this->draw(500, 5000)),
+                [Write, Half, To = Ends[1], Rest = Of.Sent.size() - Half] {
+                  // Nobody may read any more: the call was refused.
+                  Write(Half, Rest);
+                  ::close(To);
+                });
+  }
+
   static void onAnswer(GObject *Source, GAsyncResult *Got, gpointer Data) {
     auto *Of = static_cast<SoakCall *>(Data);
     GBytes *Body =
@@ -340,7 +416,11 @@
       this->checkOrder(Name);
     std::map<std::string, uint64_t> Runs;
     for (const std::string &Name : this->Names) {
-      Json::Value Ran = this->All.upstreamCounters(Name)["executions"];
+      Json::Value Counters = this->All.upstreamCounters(Name);
+      if (uint64_t Late = Counters["late"].asUInt64())
+        this->Broken.push_back(absl::StrCat(
+            Name, ": ", Late, " calls reached its upstream after its drain"));
+      const Json::Value &Ran = Counters["executions"];
       for (const std::string &Label : Ran.getMemberNames())
         Runs[Label] += Ran[Label].asUInt64();
     }
@@ -371,6 +451,9 @@
   std::multimap<TimePoint, std::function<void()>> Due;
   // Nodes under a signal.
   std::set<std::string> Busy;
+  std::map<std::string, TimePoint> QuietSince;
+  TimePoint PlatformQuietSince;
+  TimePoint NoOutageUntil;
   std::vector<std::string> Broken;
   uint64_t Version = 0;
   uint64_t LastCall = 0;
@@ -394,6 +477,8 @@
 int main(int Argc, char **Argv) {
   using namespace hickorylift;
   absl::ParseCommandLine(Argc, Argv);
+  // A slow caller's body that nobody reads any more ends in an error.
+  std::signal(SIGPIPE, SIG_IGN);
   Millis Length(1000 * absl::GetFlag(FLAGS_seconds));
   std::vector<uint64_t> Seeds;
   if (absl::GetFlag(FLAGS_regressions))
--- a/standin/Upstream.cpp
+++ b/standin/Upstream.cpp
@@ -12,6 +12,7 @@
 
 #include <iostream>
 #include <map>
+#include <optional>
 
 #include <sys/socket.h>
 
@@ -80,6 +81,8 @@
     ++Self->Total;
     if (Self->Draining)
       ++Self->AfterDrain;
+    if (Self->TakesUntil && Clock::now() > *Self->TakesUntil)
+      ++Self->Late;
     GBytes *Body = soup_message_body_flatten(
         soup_server_message_get_request_body(Message));
     gsize Size = 0;
@@ -211,11 +214,17 @@
       Self->Draining = number(Query, "on", 1) != 0;
       g_timeout_add(absl::GetFlag(FLAGS_lag_ms), onLagged, Self);
     }
+    // It leaves without a word, and takes calls for so long yet.
+    if (std::string(Path) == "/admin/leave")
+      Self->TakesUntil = Clock::now() + Millis(number(Query, "within", 0));
+    if (std::string(Path) == "/admin/stay")
+      Self->TakesUntil.reset();
     Json::Value Out(Json::objectValue);
     Out["total"] = Json::UInt64(Self->Total);
     Out["shed"] = Json::UInt64(Self->Shed);
     Out["cancelled"] = Json::UInt64(Self->Cancelled);
     Out["after_drain"] = Json::UInt64(Self->AfterDrain);
+    Out["late"] = Json::UInt64(Self->Late);
     Out["running"] = Json::UInt64(Self->Running);
     Out["executions"] = Json::Value(Json::objectValue);
     for (const auto &[Id, Count] : Self->Executions)
@@ -230,6 +239,8 @@
   uint64_t Shed = 0;
   uint64_t Cancelled = 0;
   uint64_t AfterDrain = 0;
+  uint64_t Late = 0;
+  std::optional<TimePoint> TakesUntil;
   uint64_t Running = 0;
   bool Draining = false;
   bool SaysDraining = false;
