--- a/harness/Fleet.cpp
+++ b/harness/Fleet.cpp
@@ -152,6 +152,18 @@
   return Path;
 }
 
+void Fleet::keepLogs(const std::string &To) const {
+  std::error_code Why;
+  std::filesystem::create_directories(To, Why);
+  for (const auto &One : std::filesystem::directory_iterator(this->Folder, Why))
+    if (One.path().extension() == ".log")
+      std::filesystem::copy_file(
+          One.path(), std::filesystem::path(To) / One.path().filename(),
+          std::filesystem::copy_options::overwrite_existing, Why);
+  if (Why)
+    std::cerr << To << ": " << Why.message() << "\n";
+}
+
 bool Fleet::listening(const std::string &Address) {
   std::optional<NetAddress> To = parseAddress(Address);
   GSocketAddress *At =
--- a/harness/Fleet.h
+++ b/harness/Fleet.h
@@ -117,6 +117,8 @@
   }
   std::string readFile(const std::string &Name) const;
   std::string writeFile(const std::string &Name, const std::string &Text);
+  /// Copies what all processes wrote to a folder that stays.
+  void keepLogs(const std::string &To) const;
 
 private:
   std::string freeAddress();
--- a/scenario/Soak.cpp
+++ b/scenario/Soak.cpp
@@ -39,6 +39,8 @@
 ABSL_FLAG(uint64_t, seed, 1, "seed of the first run");
 ABSL_FLAG(uint64_t, seeds, 1, "how many seeds to run, counting up");
 ABSL_FLAG(uint64_t, seconds, 10, "length of the faults in each run");
+ABSL_FLAG(std::string, logs, "",
+          "folder for the logs of seeds that break something");
 ABSL_FLAG(bool, regressions, true, "run the seeds that failed once as well");
 
 namespace hickorylift {
@@ -99,7 +101,7 @@
 class SoakRun {
 public:
   explicit SoakRun(uint64_t Seed)
-      : All(options()), Random(Seed),
+      : All(options()), Seed(Seed), Random(Seed),
         Session(SOUP_SESSION(g_object_new(SOUP_TYPE_SESSION, "max-conns",
                                           MaxConnections, "max-conns-per-host",
                                           MaxConnections, "proxy-resolver",
@@ -131,6 +133,9 @@
     }
     this->settle();
     this->judge();
+    std::string Logs = absl::GetFlag(FLAGS_logs);
+    if (!this->Broken.empty() && !Logs.empty())
+      this->All.keepLogs(absl::StrCat(Logs, "/seed-", this->Seed));
     return this->Broken;
   }
 
@@ -180,6 +185,14 @@
     return true;
   }
 
+  // The version that each node has; 0 for one that does not answer.
+  std::string held() {
+    std::string Out;
+    for (const std::string &Name : this->Names)
+      absl::StrAppend(&Out, " ", Name, "=", this->All.version(Name));
+    return Out;
+  }
+
   void post(const std::string &Address, const std::string &Path) {
     SoupMessage *Message =
         soup_message_new("POST", ("http://" + Address + Path).c_str());
@@ -405,7 +418,8 @@
         [&] { return this->converged() || Clock::now() > GiveUp; });
     if (!Same || !this->converged())
       this->Broken.push_back(absl::StrCat("not every node has version ",
-                                          this->Version, " after the faults"));
+                                          this->Version,
+                                          " after the faults:", this->held()));
     this->All.waitFor([this] {
       for (const auto &[Label, One] : this->Calls)
         if (One.Message)
@@ -447,6 +461,7 @@
   }
 
   harness::Fleet All;
+  uint64_t Seed;
   std::mt19937_64 Random;
   SoupSession *Session;
   std::vector<std::string> Names;
