--- a/src/calls/GateBodies.cpp
+++ b/src/calls/GateBodies.cpp
@@ -50,6 +50,7 @@
     this->askForBody(Id, One);
 }
 
+// The call has its slot. It starts once its body is here.
 void Gate::takeSlot(const CallId &Id, Call &One, TimePoint Now) {
   if (!this->isHoldable(One) || One.Request.ended())
     return this->start(Id, One, Now);
--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -107,6 +107,12 @@
   return Out;
 }
 
+std::string answer(const std::string &Id, const std::string &Body,
+                   const std::string &More = "") {
+  return "HTTP/1.1 200 OK\r\nProof: p\r\nRequest-Id: " + Id + "\r\n" + More +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
 /// A client of one upstream that the test plays, and what came of its calls.
 struct ClientFixture {
   int Listener = -1;
@@ -171,6 +177,15 @@
     BOOST_REQUIRE(Fd >= 0);
     return RawPeer(Fd);
   }
+  /// A connection that has carried call 1 and that both sides keep.
+  RawPeer keptConnection() {
+    this->start(1);
+    RawPeer Upstream = this->accept();
+    BOOST_REQUIRE(Upstream.waitFor("\r\n\r\n"));
+    Upstream.send(answer("id-1", "", "Keep-Alive: timeout=10\r\n"));
+    BOOST_REQUIRE(this->end(1) == "answered");
+    return Upstream;
+  }
   std::string end(uint64_t Seq) {
     turnUntil([&] { return this->Ends.count({1, Seq}) != 0; });
     return this->Ends[{1, Seq}];
@@ -183,12 +198,6 @@
   }
 };
 
-std::string answer(const std::string &Id, const std::string &Body,
-                   const std::string &More = "") {
-  return "HTTP/1.1 200 OK\r\nProof: p\r\nRequest-Id: " + Id + "\r\n" + More +
-         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
-}
-
 enum class AfterAnswer { Nothing, Close, Reset };
 
 struct AnswerRow {
@@ -330,11 +339,7 @@
 BOOST_AUTO_TEST_CASE(CrossedCloseRepeatsOnlyWhatMayRepeat) {
   for (bool MayRepeat : {true, false}) {
     ClientFixture Of;
-    Of.start(1);
-    RawPeer Upstream = Of.accept();
-    BOOST_REQUIRE(Upstream.waitFor("\r\n\r\n"));
-    Upstream.send(answer("id-1", "", "Keep-Alive: timeout=10\r\n"));
-    BOOST_REQUIRE(Of.end(1) == "answered");
+    RawPeer Upstream = Of.keptConnection();
     Of.start(2, MayRepeat);
     BOOST_REQUIRE(Upstream.waitFor("/id-2"));
     Upstream.close();
@@ -372,11 +377,7 @@
 // call that ran. The caller's entry decides, which knows other upstreams.
 BOOST_DATA_TEST_CASE(OnlyACrossedCloseIsRepeated, data::make(LateCloses), Row) {
   ClientFixture Of;
-  Of.start(1);
-  RawPeer Upstream = Of.accept();
-  BOOST_REQUIRE(Upstream.waitFor("\r\n\r\n"));
-  Upstream.send(answer("id-1", "", "Keep-Alive: timeout=10\r\n"));
-  BOOST_REQUIRE(Of.end(1) == "answered");
+  RawPeer Upstream = Of.keptConnection();
   Of.start(2, /*MayRepeat=*/true);
   BOOST_REQUIRE(Upstream.waitFor("/id-2"));
   Of.Ahead = Row.After;
--- a/standin/Upstream.cpp
+++ b/standin/Upstream.cpp
@@ -20,7 +20,9 @@
 // how large its answer is; cut=1, break the answer off in the middle; drop=1,
 // close the connection without an answer. It counts
 // executions by the header X-Call-Id, so that a test can hold "not run" against
-// what really ran, and tells the hash of the body that it got.
+// what really ran, and tells the hash of the body that it got. /admin/leave
+// says how long it still takes calls, and what comes later is counted;
+// /admin/stay takes that back.
 
 namespace hickorylift::standin {
 
