--- a/harness/Fleet.cpp
+++ b/harness/Fleet.cpp
@@ -23,6 +23,9 @@
 namespace {
 
 constexpr unsigned FetchSeconds = 5;
+// Below the usual range of outgoing connections, which begins at 32768.
+constexpr unsigned FirstPort = 12000;
+constexpr unsigned PortCount = 20000;
 
 std::string ownFolder() {
   return std::filesystem::read_symlink("/proc/self/exe").parent_path();
@@ -64,19 +67,31 @@
   std::filesystem::remove_all(this->Folder, Ignored);
 }
 
-// Asks the system for a free port. The socket is kept until the fleet is
-// complete, so that no port is given out twice.
+// Finds a free port. The socket is kept until the fleet is complete, so that no
+// port is given out twice.
+//
+// A port must still be free when its node starts again. The system draws the
+// ports of outgoing connections from a range of its own, and there one of them
+// takes the port of a node that is down: the node then ends at its start, and
+// a run says that it never came back. So ours lie below that range.
 std::string Fleet::freeAddress() {
-  GSocket *Socket = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                                 G_SOCKET_PROTOCOL_TCP, nullptr);
-  GSocketAddress *Any = g_inet_socket_address_new_from_string("127.0.0.1", 0);
-  g_socket_bind(Socket, Any, TRUE, nullptr);
-  GSocketAddress *Given = g_socket_get_local_address(Socket, nullptr);
-  guint16 Port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(Given));
-  g_object_unref(Given);
-  g_object_unref(Any);
-  this->Reserved.push_back(Socket);
-  return "127.0.0.1:" + std::to_string(Port);
+  static unsigned Next = static_cast<unsigned>(getpid());
+  for (unsigned Tries = 0; Tries < PortCount; ++Tries) {
+    auto Port = static_cast<guint16>(FirstPort + Next++ % PortCount);
+    GSocket *Socket = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                   G_SOCKET_PROTOCOL_TCP, nullptr);
+    GSocketAddress *At =
+        g_inet_socket_address_new_from_string("127.0.0.1", Port);
+    bool Free = g_socket_bind(Socket, At, FALSE, nullptr);
+    g_object_unref(At);
+    if (Free) {
+      this->Reserved.push_back(Socket);
+      return "127.0.0.1:" + std::to_string(Port);
+    }
+    g_object_unref(Socket);
+  }
+  std::cerr << "no free port from " << FirstPort << " on\n";
+  std::exit(2);
 }
 
 void Fleet::addNode(const std::string &Name, const std::string &DataCentre,
