A safe call's first run is joined again when its gate can be reached

Cause: a link that fell silent under a safe call sent it to another gate, and the next link, 0.2 s later, told the first gate that nobody waits, while the call was still on offer elsewhere. Where that offer failed there was nothing to return to: the caller had 504 of a run that we had ended. Now the gate is asked about the run; if it goes on, the call is there again, and whatever it was offered since is told so.

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -274,18 +274,24 @@
     this->connect(Gate.Name, On, Now);
 }
 
-void Entry::open(CallerId, Call &One, bool Resume, TimePoint Now) {
+wire::OpenT Entry::openFrame(const Call &One, const CallId &Id,
+                             const std::string &Gate, TimePoint Now) const {
   wire::OpenT Open;
-  Open.seq = One.Id.Seq;
-  Open.entry = One.Id.Entry;
-  Open.resume = Resume;
+  Open.seq = Id.Seq;
+  Open.entry = Id.Entry;
   Open.answer_received = One.Response.received();
   Open.have_head = One.HaveHead;
   Open.service = One.Target->Name;
-  if (const Instance *To = this->Fleet.find(One.Gate))
+  if (const Instance *To = this->Fleet.find(Gate))
     Open.upstream = To->Upstream;
   Open.budget_ms = static_cast<uint32_t>(
       std::max<int64_t>(0, toMillis(One.Deadline - Now).count()));
+  return Open;
+}
+
+void Entry::open(CallerId, Call &One, bool Resume, TimePoint Now) {
+  wire::OpenT Open = this->openFrame(One, One.Id, One.Gate, Now);
+  Open.resume = Resume;
   if (!Resume) {
     Open.route = One.Taken->Name;
     Open.target_ms = static_cast<uint32_t>(
@@ -369,12 +375,8 @@
   auto Found = this->Calls.find(Caller);
   if (Found == this->Calls.end())
     return;
-  if (Found->second.Now == State::Sent) {
-    wire::CancelT Cancel;
-    Cancel.seq = Found->second.Id.Seq;
-    Cancel.reason = "caller-gone";
-    this->Hook.Send(Found->second.Gate, callFrame(std::move(Cancel)));
-  }
+  if (Found->second.Now == State::Sent)
+    this->cancel(Found->second.Gate, Found->second.Id.Seq, "caller-gone");
   ++this->Counts.Aborted;
   Refusal Why;
   Why.Reason = "caller-gone";
@@ -398,8 +400,16 @@
   One.Gate.clear();
 }
 
+void Entry::cancel(const std::string &Gate, uint64_t Seq, const char *Reason) {
+  wire::CancelT Cancel;
+  Cancel.seq = Seq;
+  Cancel.reason = Reason;
+  this->Hook.Send(Gate, callFrame(std::move(Cancel)));
+}
+
 void Entry::finish(CallerId Caller, TimePoint Now) {
   auto Found = this->Calls.find(Caller);
+  this->dropLeft(Found->second);
   this->leaveGate(Caller, Found->second, /*Answered=*/true, Now);
   this->Calls.erase(Found);
 }
@@ -427,6 +437,7 @@
                                                       : "call-refused";
   this->note(What, One, Final, Now);
   this->Hook.Took(Now - One.CameAt, /*Answered=*/false);
+  this->dropLeft(One);
   this->leaveGate(Caller, One, !blamesGate(Why), Now);
   this->Calls.erase(Caller);
   if (HaveHead) {
@@ -503,12 +514,8 @@
 void Entry::giveUpInTime(CallerId Caller, const char *Reason, TimePoint Now) {
   Call &One = this->Calls.at(Caller);
   bool MayHaveRun = One.Now != State::Connecting;
-  if (One.Now == State::Sent) {
-    wire::CancelT Cancel;
-    Cancel.seq = One.Id.Seq;
-    Cancel.reason = Reason;
-    this->Hook.Send(One.Gate, callFrame(std::move(Cancel)));
-  }
+  if (One.Now == State::Sent)
+    this->cancel(One.Gate, One.Id.Seq, Reason);
   this->giveUp(Caller,
                this->refusal(MayHaveRun ? Outcome::Unknown : Outcome::NotRun,
                              Reason, StepEntry, One.Gate),
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -230,6 +230,8 @@
     std::string Gate;
     uint64_t Incarnation = 0;
     CallId Id;
+    // Its gate was asked about it over the next link, and keeps it going.
+    bool Asked = false;
   };
 
   struct Call {
@@ -301,6 +303,8 @@
   const Route *findRoute(const RequestHead &Head) const;
   const Instance *chooseGate(const Call &One, TimePoint Now);
   void assign(CallerId Caller, Call &One, const Instance &Gate, TimePoint Now);
+  wire::OpenT openFrame(const Call &One, const CallId &Id,
+                        const std::string &Gate, TimePoint Now) const;
   void open(CallerId Caller, Call &One, bool Resume, TimePoint Now);
   void sendBody(Call &One);
   void leaveGate(CallerId Caller, Call &One, bool Answered, TimePoint Now);
@@ -333,7 +337,13 @@
   void driveLink(const std::string &Gate, Link &On, TimePoint Now);
   void redial(const std::string &Gate, Link &On, TimePoint Now);
   void moveWaiting(const std::string &Gate, Link &On, TimePoint Now);
+  void settleOrphans(const std::string &Gate, Link &On, TimePoint Now);
+  Call *leftBy(const std::string &Gate, uint64_t Seq);
+  void loseAsked(const std::string &Gate, Link &On);
   bool returnToLeft(CallerId Caller, Call &One, TimePoint Now);
+  void rejoin(CallerId Caller, Call &One, TimePoint Now);
+  void dropLeft(Call &One);
+  void cancel(const std::string &Gate, uint64_t Seq, const char *Reason);
   void giveUpSearch(const std::string &Gate, Link &On, TimePoint Now);
   std::optional<CallerId> callOn(const std::string &Gate, uint64_t Seq) const;
 
@@ -348,6 +358,8 @@
   // When each call is to be given up; one that is over is passed over.
   std::multimap<TimePoint, CallerId> Due;
   std::map<uint64_t, CallerId> BySeq;
+  // The same of runs that calls have left and may return to.
+  std::map<uint64_t, CallerId> LeftBySeq;
   std::map<std::string, Link> Links;
   std::map<std::string, RetryBudget> Budgets;
   SplitTurns Turns;
--- a/src/calls/EntryAnswers.cpp
+++ b/src/calls/EntryAnswers.cpp
@@ -86,6 +86,7 @@
   if (One.HaveHead)
     return;
   One.HaveHead = true;
+  this->dropLeft(One);
   bool Failure = Head.status >= FirstServerError;
   this->Choose.judged(Gate, Failure, Now);
   // A failure says nothing about how long an answer takes.
@@ -149,6 +150,12 @@
     this->Choose.unreachable(Gate, Now);
   if (Why.Reason == "overload")
     this->Choose.refused(Gate, Now);
+  // A run that was left is over; the call goes on where it is.
+  if (Call *Of = this->leftBy(Gate, Failed.seq)) {
+    this->LeftBySeq.erase(Failed.seq);
+    Of->Left.reset();
+    return;
+  }
   std::optional<CallerId> Caller = this->callOn(Gate, Failed.seq);
   if (!Caller)
     return;
@@ -160,6 +167,8 @@
 
 void Entry::onAdmitted(const std::string &Gate, const wire::AdmittedT &Joined,
                        TimePoint Now) {
+  if (Call *Of = this->leftBy(Gate, Joined.seq))
+    this->rejoin(this->LeftBySeq.at(Joined.seq), *Of, Now);
   std::optional<CallerId> Caller = this->callOn(Gate, Joined.seq);
   if (!Caller)
     return;
--- a/src/calls/EntryLinks.cpp
+++ b/src/calls/EntryLinks.cpp
@@ -51,12 +51,7 @@
   On.NextPing = Now + this->Opts.PingInterval;
   this->Choose.ready(Gate);
   this->Choose.reachable(Gate);
-  for (uint64_t Seq : std::exchange(On.Orphans, {})) {
-    wire::CancelT Cancel;
-    Cancel.seq = Seq;
-    Cancel.reason = "caller-gone";
-    this->Hook.Send(Gate, callFrame(std::move(Cancel)));
-  }
+  this->settleOrphans(Gate, On, Now);
   for (CallerId Caller : std::set<CallerId>(On.Calls)) {
     Call *Found = this->find(Caller);
     if (!Found)
@@ -78,6 +73,75 @@
   }
 }
 
+// Runs that nobody waits for any more are ended. One that a call has left is
+// asked about: ended now, while the call is on offer elsewhere, it would be
+// missing if that offer fails, and the caller would be told that the outcome is
+// unknown although its answer was nearly there.
+void Entry::settleOrphans(const std::string &Gate, Link &On, TimePoint Now) {
+  for (uint64_t Seq : std::exchange(On.Orphans, {})) {
+    Call *Of = this->leftBy(Gate, Seq);
+    bool Lives =
+        Of && Of->Left->Incarnation == On.Incarnation && Of->Head.Length == 0;
+    if (!Lives) {
+      this->cancel(Gate, Seq, "caller-gone");
+      continue;
+    }
+    Of->Left->Asked = true;
+    wire::OpenT Open = this->openFrame(*Of, Of->Left->Id, Gate, Now);
+    Open.resume = true;
+    this->Hook.Send(Gate, callFrame(std::move(Open)));
+  }
+}
+
+// The call that has left this run and may return to it.
+Entry::Call *Entry::leftBy(const std::string &Gate, uint64_t Seq) {
+  auto Found = this->LeftBySeq.find(Seq);
+  Call *Of =
+      Found == this->LeftBySeq.end() ? nullptr : this->find(Found->second);
+  return Of && Of->Left && Of->Left->Gate == Gate ? Of : nullptr;
+}
+
+// The link over which runs were asked about is lost too: ask over the next.
+void Entry::loseAsked(const std::string &Gate, Link &On) {
+  for (const auto &[Seq, Caller] : this->LeftBySeq) {
+    Call *Of = this->leftBy(Gate, Seq);
+    if (!Of || !std::exchange(Of->Left->Asked, false))
+      continue;
+    if (On.Orphans.size() < this->Opts.MaxOrphans)
+      On.Orphans.push_back(Seq);
+  }
+}
+
+// The run has an answer elsewhere, or nobody waits for any.
+void Entry::dropLeft(Call &One) {
+  if (!One.Left)
+    return;
+  LeftRun Was = *std::exchange(One.Left, std::nullopt);
+  this->LeftBySeq.erase(Was.Id.Seq);
+  if (Was.Asked)
+    this->cancel(Was.Gate, Was.Id.Seq, "caller-gone");
+}
+
+// The gate has said that the run goes on. It began before whatever the call has
+// been offered since.
+void Entry::rejoin(CallerId Caller, Call &One, TimePoint Now) {
+  LeftRun To = *std::exchange(One.Left, std::nullopt);
+  this->LeftBySeq.erase(To.Id.Seq);
+  if (One.Now == State::Sent && !One.Gate.empty())
+    this->cancel(One.Gate, One.Id.Seq, "caller-gone");
+  this->leaveGate(Caller, One, /*Answered=*/true, Now);
+  One.Now = State::Sent;
+  One.Gate = To.Gate;
+  One.GateIncarnation = To.Incarnation;
+  One.Id = To.Id;
+  One.StartedAt = One.SentAt = Now;
+  this->BySeq[One.Id.Seq] = Caller;
+  this->Choose.started(To.Gate);
+  this->Links[To.Gate].Calls.insert(Caller);
+  ++this->Counts.Resumed;
+  this->note("call-resumed", One, Refusal(), Now);
+}
+
 void Entry::gateDown(const std::string &Gate, TimePoint Now) {
   Link &On = this->Links[Gate];
   if (On.ConnectingSince)
@@ -93,6 +157,7 @@
   On.PingAt.reset();
   if (!On.LostAt)
     On.LostAt = Now;
+  this->loseAsked(Gate, On);
   for (CallerId Caller : std::set<CallerId>(On.Calls)) {
     Call *Found = this->find(Caller);
     if (!Found)
@@ -108,8 +173,12 @@
       // It may run twice, so there is nothing to find out first.
       Refusal Lost =
           this->refusal(Outcome::Unknown, "link-lost", StepLink, Gate);
+      if (One.Left && One.Left->Asked && this->returnToLeft(Caller, One, Now))
+        continue;
       if (One.Idempotent && this->mayTryAnother(One, Lost, Now)) {
-        One.Left = LeftRun{Gate, One.GateIncarnation, One.Id};
+        this->dropLeft(One);
+        One.Left = LeftRun{Gate, One.GateIncarnation, One.Id, /*Asked=*/false};
+        this->LeftBySeq[One.Id.Seq] = Caller;
         this->moveOn(Caller, Lost, Now);
         continue;
       }
@@ -123,12 +192,19 @@
 // A safe call whose link was lost is offered to other gates, and these have no
 // room. Its first run may be nearly over: given up now, its caller would get a
 // failure and the upstream would have worked for nothing. So it is asked about
-// over the next link, as a call that must not repeat is. Once that link has
-// told the gate that nobody waits, there is nothing to return to.
+// over the next link, as a call that must not repeat is; if it has been
+// already, the gate's word is awaited.
 bool Entry::returnToLeft(CallerId Caller, Call &One, TimePoint Now) {
   if (!One.Left || One.HaveHead || One.Head.Length != 0 || Now >= One.Deadline)
     return false;
+  if (One.Left->Asked) {
+    // Its gate has refused the offer, or is out of reach.
+    this->leaveGate(Caller, One, /*Answered=*/true, Now);
+    this->rejoin(Caller, One, Now);
+    return true;
+  }
   LeftRun To = *std::exchange(One.Left, std::nullopt);
+  this->LeftBySeq.erase(To.Id.Seq);
   Link &On = this->Links[To.Gate];
   auto Orphan = std::find(On.Orphans.begin(), On.Orphans.end(), To.Id.Seq);
   if (Orphan == On.Orphans.end())
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -2,12 +2,16 @@
 
 #include "config/RecordFile.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace hickorylift {
 
 namespace {
 
+namespace data = boost::unit_test::data;
+
 const TimePoint Start = TimePoint(std::chrono::hours(1));
 
 const std::string Records = R"([
@@ -157,6 +161,33 @@
   }
 };
 
+enum class FirstSays { Joined, Ended, NothingYet };
+enum class OtherSays { Nothing, NoRoom, Answer };
+
+/// What the gate that a call has left says when asked about its run, what the
+/// other gate says of the call meanwhile, and who is told that it is over.
+struct RejoinRow {
+  const char *What;
+  FirstSays First;
+  OtherSays Other;
+  size_t CancelsFirst;
+  size_t CancelsOther;
+  // Whose answer the caller gets.
+  bool OfFirst;
+};
+std::ostream &operator<<(std::ostream &To, const RejoinRow &Of) {
+  return To << Of.What;
+}
+
+const RejoinRow Rejoins[] = {
+    {"it goes on", FirstSays::Joined, OtherSays::Nothing, 0, 1, true},
+    {"it goes on, and nobody else has room", FirstSays::Joined,
+     OtherSays::NoRoom, 0, 0, true},
+    {"it has ended", FirstSays::Ended, OtherSays::Answer, 0, 0, false},
+    {"another answers first", FirstSays::NothingYet, OtherSays::Answer, 1, 0,
+     false},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(EntryDecisions)
@@ -337,7 +368,75 @@
   BOOST_TEST(this->Answered.count(1) == 1u);
 }
 
-// The same, but the gate's process has ended, and its run with it.
+// The link to a gate falls silent under a safe call, which goes to another
+// gate. The next link comes up before that has answered. Were the first run
+// ended then, and the other gate had no room or was stopping, the caller would
+// be told that the outcome is unknown although its run was nearly over. So the
+// gate is asked about the run, and whoever runs it is left only for an answer
+// or for a run that began earlier.
+BOOST_DATA_TEST_CASE(ARunThatGoesOnIsJoinedAgain, data::make(Rejoins), Row) {
+  Fixture Of;
+  Of.list({"g-1", "g-2"});
+  Of.request(1, "/read/1");
+  std::string First = Of.Dialled.back();
+  Of.hello(First);
+  uint64_t Seq = Of.opens().back().second->seq;
+  Of.From->gateDown(First, Of.Now);
+  std::string Other = Of.Dialled.back();
+  Of.hello(Other);
+  uint64_t OtherSeq = Of.opens().back().second->seq;
+  BOOST_REQUIRE(Other != First);
+  Of.pass(Millis(40));
+  Of.hello(First);
+  BOOST_REQUIRE(Of.opens().back().first == First);
+  BOOST_TEST(Of.opens().back().second->resume);
+  BOOST_TEST(Of.opens().back().second->seq == Seq);
+  BOOST_TEST(Of.cancels(First) == 0u);
+  if (Row.Other == OtherSays::NoRoom)
+    Of.fail(Other, OtherSeq, wire::Outcome::NotRun, "overload");
+  wire::AdmittedT Joined;
+  Joined.seq = Seq;
+  if (Row.First == FirstSays::Joined)
+    Of.From->frame(First, callFrame(Joined), Of.Now);
+  if (Row.First == FirstSays::Ended)
+    Of.fail(First, Seq, wire::Outcome::Unknown, "entry-lost");
+  BOOST_TEST(Of.Refused.empty());
+  wire::HeadT Head;
+  Head.seq = Row.OfFirst ? Seq : OtherSeq;
+  Head.status = 200;
+  Of.From->frame(Row.OfFirst ? First : Other, callFrame(std::move(Head)),
+                 Of.Now);
+  BOOST_TEST(Of.Answered.count(1) == 1u);
+  BOOST_TEST(Of.cancels(First) == Row.CancelsFirst);
+  BOOST_TEST(Of.cancels(Other) == Row.CancelsOther);
+}
+
+// The link over which the gate was asked is lost as well, before it has said
+// anything: it is asked again over the next.
+BOOST_FIXTURE_TEST_CASE(ARunIsAskedAboutOverEachNewLink, Fixture) {
+  this->list({"g-1", "g-2"});
+  this->request(1, "/read/1");
+  std::string First = this->Dialled.back();
+  this->hello(First);
+  uint64_t Seq = this->opens().back().second->seq;
+  this->From->gateDown(First, this->Now);
+  this->hello(this->Dialled.back());
+  for (int I = 0; I < 2; ++I) {
+    this->pass(Millis(40));
+    BOOST_REQUIRE(this->Dialled.back() == First);
+    this->hello(First);
+    BOOST_TEST(this->opens().back().second->resume);
+    BOOST_TEST(this->opens().back().second->seq == Seq);
+    this->From->gateDown(First, this->Now);
+  }
+  this->From->callerGone(1, this->Now);
+  this->pass(Millis(40));
+  this->hello(First);
+  BOOST_TEST(this->cancels(First) == 1u);
+  BOOST_TEST(this->From->idle());
+}
+
+// The link falls silent, but the gate's process has ended, and its run with it.
 BOOST_FIXTURE_TEST_CASE(RunsOfAnEndedGateAreNotWaitedFor, Fixture) {
   this->list({"g-1", "g-2"});
   this->request(1, "/read/1");
