--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -215,6 +215,7 @@
   void admit(const CallId &Id, Call &One, TimePoint Now);
   void askForBody(const CallId &Id, const Call &One);
   void grantTransfers(TimePoint Now);
+  void creditBody(const CallId &Id, const Call &One);
   void bodyArrived(const CallId &Id, Call &One, bool Whole, TimePoint Now);
   void forwardBody(const CallId &Id, Call &One, std::string_view Bytes);
   void onCredit(LinkId Link, const wire::CreditT &Credit, TimePoint Now);
--- a/src/calls/GateBodies.cpp
+++ b/src/calls/GateBodies.cpp
@@ -55,7 +55,10 @@
   if (!this->isHoldable(One) || One.Request.ended())
     return this->start(Id, One, Now);
   One.Now = State::Admitted;
-  if (std::exchange(One.BodyHeld, false) && this->Transfers.ask(Id, Now))
+  if (!std::exchange(One.BodyHeld, false))
+    // What came while it waited had no credit, and the rest waits for that.
+    this->creditBody(Id, One);
+  else if (this->Transfers.ask(Id, Now))
     this->askForBody(Id, One);
 }
 
@@ -83,13 +86,17 @@
 }
 
 // Credits for a body that no upstream has taken yet: what is here is here.
-void Gate::bodyArrived(const CallId &Id, Call &One, bool Whole, TimePoint Now) {
+void Gate::creditBody(const CallId &Id, const Call &One) {
   wire::CreditT Credit;
   Credit.seq = Id.Seq;
   Credit.consumed = One.Request.received();
   this->Hook.Send(One.Link, callFrame(Credit));
-  if (Whole)
-    One.Fetching ? this->admit(Id, One, Now) : this->start(Id, One, Now);
+}
+
+void Gate::bodyArrived(const CallId &Id, Call &One, bool Whole, TimePoint Now) {
+  if (!Whole)
+    return this->creditBody(Id, One);
+  One.Fetching ? this->admit(Id, One, Now) : this->start(Id, One, Now);
 }
 
 void Gate::onData(LinkId Link, const wire::DataT &Data, TimePoint Now) {
--- a/src/calls/GateCallsTest.cpp
+++ b/src/calls/GateCallsTest.cpp
@@ -448,6 +448,29 @@
   BOOST_TEST(Of.At->idle());
 }
 
+// An upload of this node's own callers waits for a slot, and as much of its
+// body has come as may without a word from here. With its slot the rest is
+// asked for: else it would hold the slot, doing nothing, until its time is
+// over.
+BOOST_FIXTURE_TEST_CASE(ASlotLetsTheRestOfABodyCome, Fixture) {
+  this->listSlots(1);
+  this->open(this->openOf(1));
+  this->openUpload(2, /*Held=*/false);
+  this->body(2, 0, 16000, /*End=*/false);
+  this->Sent.clear();
+  ResponseHead Head;
+  Head.Status = 200;
+  Head.Length = 0;
+  this->At->upstreamHead({7, 1}, Head, this->Now);
+  uint64_t Credited = 0;
+  for (const wire::CallFrameT &Frame : this->Sent)
+    if (const auto *Credit = Frame.payload.AsCredit())
+      Credited = Credit->seq == 2 ? Credit->consumed : Credited;
+  BOOST_TEST(Credited == 16000u);
+  this->body(2, 16000, 4000, /*End=*/true);
+  BOOST_TEST(this->Started.size() == 2u);
+}
+
 // The other side of it: a run that has begun is not broken off.
 BOOST_FIXTURE_TEST_CASE(WhatRunsGoesOn, Fixture) {
   this->open(this->openOf(1));
