--- a/scenario/World.cpp
+++ b/scenario/World.cpp
@@ -18,16 +18,6 @@
 constexpr Millis ControlTick{100};
 constexpr Millis HealthInterval{1000};
 constexpr Millis DialTimeout{2000};
-constexpr Micros UpstreamDelay{200};
-const char LabelHeader[] = "X-Call-Id";
-const char KeyHeader[] = "Idempotency-Key";
-// No new work may start later than this after an upstream began to leave.
-constexpr Millis LastWorkAfterDrain{2000};
-
-std::string answerFor(const std::string &Label, const std::string &Body) {
-  return "answer to " + Label + " " + hexHash(contentHash(Body));
-}
-
 // The fake platform, as one node sees it.
 class NodePlatform final : public Platform {
 public:
@@ -114,6 +104,10 @@
 
 } // namespace
 
+std::string answerFor(const std::string &Label, const std::string &Body) {
+  return "answer to " + Label + " " + hexHash(contentHash(Body));
+}
+
 const char *endName(CallState::End Of) {
   switch (Of) {
   case CallState::End::Pending:
@@ -685,106 +679,6 @@
   }
 }
 
-Gate::Hooks World::upstreamHooks(const std::string &Name) {
-  Gate::Hooks Out;
-  Out.Start = [this, Name](const CallId &Id, const RequestHead &Head, bool) {
-    this->upstreamStart(Name, Id, Head);
-  };
-  Out.Body = [this, Name](const CallId &Id, std::string_view Bytes) {
-    auto &Jobs = this->Jobs[Name];
-    auto Found = Jobs.find(Id);
-    if (Found == Jobs.end())
-      return;
-    Found->second.Body.append(Bytes);
-    uint64_t Total = Found->second.Body.size();
-    this->at(Name, UpstreamDelay, [this, Id, Total](NodeState &Of) {
-      Of.Core->gate().upstreamConsumed(Id, Total, this->Now);
-    });
-  };
-  Out.BodyEnd = [this, Name](const CallId &Id) {
-    this->later(this->node(Name).Upstream.RunTime,
-                [this, Name, Id] { this->upstreamFinish(Name, Id); });
-  };
-  Out.Cancel = [this, Name](const CallId &Id) {
-    if (this->Jobs[Name].erase(Id))
-      --this->node(Name).Upstream.Running;
-  };
-  Out.PauseAnswer = [](const CallId &, bool) {};
-  return Out;
-}
-
-void World::upstreamStart(const std::string &Name, const CallId &Id,
-                          const RequestHead &Head) {
-  NodeState &Of = this->node(Name);
-  UpstreamState &Up = Of.Upstream;
-  if (!Up.Alive)
-    return this->at(Name, UpstreamDelay, [this, Id, Name](NodeState &There) {
-      There.Core->gate().upstreamFailed(
-          Id, /*Sent=*/false,
-          Error{Errc::Unreachable, "upstream-call", Name, "refused"},
-          this->Now);
-    });
-  bool Shed = Up.Running >= Up.Sheds;
-  Up.Shed += Shed;
-  std::string Label = findHeader(Head.Headers, LabelHeader);
-  std::string Key = findHeader(Head.Headers, KeyHeader);
-  bool Repeatable = this->Calls[Label].Repeatable;
-  this->Jobs[Name][Id] = {Label, "", Key, Shed};
-  ++Up.Running;
-  Up.LastStart = this->Now;
-  if (Of.DrainedAt && this->Now - *Of.DrainedAt > LastWorkAfterDrain)
-    this->note("new work at " + Name + " after it began to leave");
-  if (!Shed) {
-    ++Up.RunsByLabel[Label];
-    if (this->runsOf(Label) > 1 && !Repeatable)
-      this->note("ran twice: " + Label);
-    if (!Key.empty() && !Repeatable)
-      this->checkKey(Up, Key);
-    if (this->Calls[Label].Now == CallState::End::NotRun)
-      this->note("false refusal: " + Label + " ran after it was told not-run");
-  }
-  if (Up.DiesOnRequest)
-    this->at(Name, UpstreamDelay, [this, Id, Name](NodeState &There) {
-      this->Jobs[Name].erase(Id);
-      --There.Upstream.Running;
-      There.Core->gate().upstreamFailed(
-          Id, /*Sent=*/true,
-          Error{Errc::Closed, "upstream-call", Name, "closed"}, this->Now);
-    });
-  else if (Head.Length == 0)
-    this->later(Up.RunTime,
-                [this, Name, Id] { this->upstreamFinish(Name, Id); });
-}
-
-void World::checkKey(UpstreamState &At, const std::string &Key) {
-  for (const auto &[Name, Of] : this->Nodes) {
-    auto Last = Of.Upstream.LastRunByKey.find(Key);
-    if (Last != Of.Upstream.LastRunByKey.end() &&
-        this->Now - Last->second < this->KeyWindow)
-      this->note("key ran twice: " + Key);
-  }
-  At.LastRunByKey[Key] = this->Now;
-}
-
-void World::upstreamFinish(const std::string &Name, const CallId &Id) {
-  auto Found = this->Jobs[Name].find(Id);
-  if (Found == this->Jobs[Name].end())
-    return;
-  Job Done = std::move(Found->second);
-  this->Jobs[Name].erase(Found);
-  --this->node(Name).Upstream.Running;
-  ++this->node(Name).Upstream.Answered;
-  this->at(Name, UpstreamDelay, [this, Id, Done](NodeState &There) {
-    ResponseHead Head;
-    Head.Status = Done.Shed ? 503 : 200;
-    std::string Body = Done.Shed ? "" : answerFor(Done.Label, Done.Body);
-    Head.Length = static_cast<int64_t>(Body.size());
-    There.Core->gate().upstreamHead(Id, Head, this->Now);
-    There.Core->gate().upstreamData(Id, Body, this->Now);
-    There.Core->gate().upstreamEnd(Id, this->Now);
-  });
-}
-
 void World::step() {
   auto First = this->Events.begin();
   this->Now = std::max(this->Now, First->first);
--- a/scenario/World.h
+++ b/scenario/World.h
@@ -26,6 +26,13 @@
 
 namespace hickorylift::scenario {
 
+/// Header fields of a call: how the script names it, and its key.
+inline constexpr char LabelHeader[] = "X-Call-Id";
+inline constexpr char KeyHeader[] = "Idempotency-Key";
+
+/// The body with which an upstream answers a call.
+std::string answerFor(const std::string &Label, const std::string &Body);
+
 /// What a caller asks, and what came of it.
 struct CallState {
   enum class End { Pending, Answered, NotRun, Unknown, Broken };
