--- a/scenario/Script.cpp
+++ b/scenario/Script.cpp
@@ -7,6 +7,11 @@
 
 namespace {
 
+// A request that has crashed this many upstreams is known to whoever is in
+// touch after this long.
+constexpr size_t CountedCrashes = 3;
+constexpr Millis KnownWithin{3000};
+
 std::optional<Millis> readLength(const std::string &Text) {
   int64_t Count = 0;
   const char *End = Text.data() + Text.size();
@@ -273,6 +278,8 @@
       if (std::optional<Millis> Length = W.length("run"))
         Up.RunTime = *Length;
       Up.Sheds = static_cast<uint32_t>(W.number("sheds", Up.Sheds));
+      Up.CrashesOn = W.named("crashes-on", Up.CrashesOn);
+      Up.BackAfter = W.length("back").value_or(Up.BackAfter);
     }
   }
 
@@ -398,8 +405,10 @@
                    std::to_string(this->All.platform().Reads));
     } else if (What == "fleet") {
       this->expectFleet(W);
+    } else if (What == "crashes") {
+      this->expectCrashes(W);
     } else {
-      this->fail("expect version|call|runs|refused|share|reads|fleet");
+      this->fail("expect version|call|runs|refused|share|reads|fleet|crashes");
     }
   }
 
@@ -445,6 +454,17 @@
                  std::to_string(All));
   }
 
+  // expect crashes at-least=N late-runs=M: so many crashes, and no more runs of
+  // the request that brings them than M later than 3 s after the third.
+  void expectCrashes(const Words &W) {
+    uint64_t Late = this->All.lateCrashRuns(CountedCrashes, KnownWithin);
+    if (this->All.crashes() < W.number("at-least", 0) ||
+        this->All.crashes() > W.number("at-most", UINT64_MAX) ||
+        Late > W.number("late-runs", 0))
+      this->fail("crashes: " + std::to_string(this->All.crashes()) +
+                 ", late runs: " + std::to_string(Late));
+  }
+
   // expect fleet NAME VERSION holding=N: what the node knows of all.
   void expectFleet(const Words &W) {
     uint64_t Version = std::strtoull(W.at(2).c_str(), nullptr, 10);
--- a/scenario/World.h
+++ b/scenario/World.h
@@ -61,6 +61,11 @@
   uint32_t Sheds = 1000000;
   /// Closes the connection after the request has arrived.
   bool DiesOnRequest = false;
+  /// A request for this path ends the process, and all that it runs, within
+  /// CrashAfter; it is back BackAfter later. Empty for none.
+  std::string CrashesOn;
+  Millis CrashAfter{30};
+  Millis BackAfter{2000};
   std::map<std::string, unsigned> RunsByLabel;
   std::map<std::string, TimePoint> LastRunByKey;
   uint64_t Running = 0;
@@ -192,6 +197,10 @@
   void later(Clock::duration Delay, std::function<void()> Work);
   Clock::duration delay();
   unsigned runsOf(const std::string &Label) const;
+  /// Runs of the request that crashes its upstreams which began more than
+  /// Within after its crash of number After.
+  uint64_t lateCrashRuns(size_t After, Millis Within) const;
+  size_t crashes() const { return this->Crashes.size(); }
 
 private:
   struct Link {
@@ -222,6 +231,7 @@
   void upstreamStart(const std::string &Name, const CallId &Id,
                      const RequestHead &Head);
   void upstreamFinish(const std::string &Name, const CallId &Id);
+  void crash(const std::string &Name, const CallId &By);
   void endCall(uint64_t Caller, CallState::End How);
   bool isCut(const std::string &A, const std::string &B) const;
   void step();
@@ -251,8 +261,12 @@
     std::string Body;
     std::string Key;
     bool Shed = false;
+    // It will never be answered.
+    bool Crashes = false;
   };
   std::map<std::string, std::map<CallId, Job>> Jobs;
+  std::vector<TimePoint> Crashes;
+  std::vector<TimePoint> CrashRuns;
   std::vector<std::string> Broken;
   uint64_t LastIncarnation = 0;
 };
--- a/scenario/WorldUpstreams.cpp
+++ b/scenario/WorldUpstreams.cpp
@@ -1,5 +1,7 @@
 #include "scenario/World.h"
 
+#include <algorithm>
+
 // The upstreams of a World: what they do with the calls that their gates start,
 // and what is checked there.
 
@@ -57,7 +59,8 @@
   std::string Label = findHeader(Head.Headers, LabelHeader);
   std::string Key = findHeader(Head.Headers, KeyHeader);
   bool Repeatable = this->Calls[Label].Repeatable;
-  this->Jobs[Name][Id] = {Label, "", Key, Shed};
+  bool Crashes = !Up.CrashesOn.empty() && Head.Path == Up.CrashesOn && !Shed;
+  this->Jobs[Name][Id] = {Label, "", Key, Shed, Crashes};
   ++Up.Running;
   Up.LastStart = this->Now;
   if (Of.DrainedAt && this->Now - *Of.DrainedAt > LastWorkAfterDrain)
@@ -71,7 +74,10 @@
     if (this->Calls[Label].Now == CallState::End::NotRun)
       this->note("false refusal: " + Label + " ran after it was told not-run");
   }
-  if (Up.DiesOnRequest)
+  if (Crashes) {
+    this->CrashRuns.push_back(this->Now);
+    this->later(Up.CrashAfter, [this, Name, Id] { this->crash(Name, Id); });
+  } else if (Up.DiesOnRequest)
     this->at(Name, UpstreamDelay, [this, Id, Name](NodeState &There) {
       this->Jobs[Name].erase(Id);
       --There.Upstream.Running;
@@ -84,6 +90,37 @@
                 [this, Name, Id] { this->upstreamFinish(Name, Id); });
 }
 
+// The process goes, with its connections and its port, and comes back later. A
+// run that was broken off before ends nothing.
+void World::crash(const std::string &Name, const CallId &By) {
+  UpstreamState &Up = this->node(Name).Upstream;
+  std::map<CallId, Job> Ran = std::exchange(this->Jobs[Name], {});
+  if (!Ran.count(By)) {
+    this->Jobs[Name] = std::move(Ran);
+    return;
+  }
+  this->Crashes.push_back(this->Now);
+  Up.Alive = false;
+  Up.Running = 0;
+  for (const auto &One : Ran)
+    this->at(Name, UpstreamDelay, [this, Id = One.first, Name](NodeState &Of) {
+      Of.Core->gate().upstreamFailed(
+          Id, /*Sent=*/true,
+          Error{Errc::Closed, "upstream-call", Name, "closed"}, this->Now);
+    });
+  this->later(Up.BackAfter,
+              [this, Name] { this->node(Name).Upstream.Alive = true; });
+}
+
+uint64_t World::lateCrashRuns(size_t After, Millis Within) const {
+  if (this->Crashes.size() < After)
+    return 0;
+  TimePoint Bound = this->Crashes[After - 1] + Within;
+  return static_cast<uint64_t>(
+      std::count_if(this->CrashRuns.begin(), this->CrashRuns.end(),
+                    [Bound](TimePoint At) { return At > Bound; }));
+}
+
 void World::checkKey(UpstreamState &At, const std::string &Key) {
   for (const auto &[Name, Of] : this->Nodes) {
     auto Last = Of.Upstream.LastRunByKey.find(Key);
@@ -96,7 +133,7 @@
 
 void World::upstreamFinish(const std::string &Name, const CallId &Id) {
   auto Found = this->Jobs[Name].find(Id);
-  if (Found == this->Jobs[Name].end())
+  if (Found == this->Jobs[Name].end() || Found->second.Crashes)
     return;
   Job Done = std::move(Found->second);
   this->Jobs[Name].erase(Found);
