--- a/scenario/Script.cpp
+++ b/scenario/Script.cpp
@@ -275,6 +275,8 @@
         this->All.node(Name).DrainedAt = this->All.now();
       } else if (What == "dies-on-request")
         Up.DiesOnRequest = true;
+      else if (What == "crashes" && Up.Alive)
+        this->All.crash(Name);
       if (std::optional<Millis> Length = W.length("run"))
         Up.RunTime = *Length;
       Up.Sheds = static_cast<uint32_t>(W.number("sheds", Up.Sheds));
--- a/scenario/World.h
+++ b/scenario/World.h
@@ -172,6 +172,8 @@
             const std::string &Key, size_t BodyBytes,
             std::optional<Millis> Budget);
   void hangUp(const std::string &Label);
+  /// The upstream beside a node crashes.
+  void crash(const std::string &Name);
 
   void run(Millis Length);
   /// Runs until the condition holds. False if the time is over first.
@@ -231,7 +233,6 @@
   void upstreamStart(const std::string &Name, const CallId &Id,
                      const RequestHead &Head);
   void upstreamFinish(const std::string &Name, const CallId &Id);
-  void crash(const std::string &Name, const CallId &By);
   void endCall(uint64_t Caller, CallState::End How);
   bool isCut(const std::string &A, const std::string &B) const;
   void step();
--- a/scenario/WorldUpstreams.cpp
+++ b/scenario/WorldUpstreams.cpp
@@ -40,6 +40,11 @@
       --this->node(Name).Upstream.Running;
   };
   Out.PauseAnswer = [](const CallId &, bool) {};
+  Out.Probe = [this, Name] {
+    this->at(Name, UpstreamDelay, [this](NodeState &Of) {
+      Of.Core->gate().upstreamProbed(Of.Upstream.Alive, this->Now);
+    });
+  };
   return Out;
 }
 
@@ -76,7 +81,11 @@
   }
   if (Crashes) {
     this->CrashRuns.push_back(this->Now);
-    this->later(Up.CrashAfter, [this, Name, Id] { this->crash(Name, Id); });
+    // A run that is broken off before ends nothing.
+    this->later(Up.CrashAfter, [this, Name, Id] {
+      if (this->Jobs[Name].count(Id))
+        this->crash(Name);
+    });
   } else if (Up.DiesOnRequest)
     this->at(Name, UpstreamDelay, [this, Id, Name](NodeState &There) {
       this->Jobs[Name].erase(Id);
@@ -90,15 +99,10 @@
                 [this, Name, Id] { this->upstreamFinish(Name, Id); });
 }
 
-// The process goes, with its connections and its port, and comes back later. A
-// run that was broken off before ends nothing.
-void World::crash(const std::string &Name, const CallId &By) {
+// The process goes, with its connections and its port, and comes back later.
+void World::crash(const std::string &Name) {
   UpstreamState &Up = this->node(Name).Upstream;
   std::map<CallId, Job> Ran = std::exchange(this->Jobs[Name], {});
-  if (!Ran.count(By)) {
-    this->Jobs[Name] = std::move(Ran);
-    return;
-  }
   this->Crashes.push_back(this->Now);
   Up.Alive = false;
   Up.Running = 0;
--- a/src/base/Safeguards.cpp
+++ b/src/base/Safeguards.cpp
@@ -25,6 +25,7 @@
       {"retry-only-harmless", &this->RetryOnlyHarmless},
       {"stop-waits", &this->StopWaits},
       {"drop-late", &this->DropLate},
+      {"hold-crashers", &this->HoldCrashers},
   };
   for (const auto &One : All) {
     if (One.Name != Name)
--- a/src/base/Safeguards.h
+++ b/src/base/Safeguards.h
@@ -45,6 +45,8 @@
   bool StopWaits = true;
   /// A gate drops calls that can no longer be answered in time.
   bool DropLate = true;
+  /// A request that crashes upstreams is kept from them.
+  bool HoldCrashers = true;
 
   /// Turns the named one off. False if there is none of that name.
   bool turnOff(std::string_view Name);
--- a/src/calls/Body.h
+++ b/src/calls/Body.h
@@ -77,6 +77,8 @@
     return true;
   }
 
+  /// The body so far, while it is held from its first byte on.
+  std::string_view held() const { return this->Kept; }
   /// Whether the body can still be sent from its first byte, to another gate.
   bool replayable() const { return this->Base == 0; }
   /// Bytes in memory; the source should pause when this passes the window.
--- a/src/calls/Calls_generated.h
+++ b/src/calls/Calls_generated.h
@@ -619,6 +619,7 @@
   std::string route{};
   bool holds_body = false;
   uint8_t rank = 0;
+  uint8_t crashes = 0;
   OpenT() = default;
   OpenT(const OpenT &o);
   OpenT(OpenT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -650,7 +651,8 @@
     VT_TARGET_MS = 38,
     VT_ROUTE = 40,
     VT_HOLDS_BODY = 42,
-    VT_RANK = 44
+    VT_RANK = 44,
+    VT_CRASHES = 46
   };
   uint64_t seq() const {
     return GetField<uint64_t>(VT_SEQ, 0);
@@ -715,6 +717,9 @@
   uint8_t rank() const {
     return GetField<uint8_t>(VT_RANK, 0);
   }
+  uint8_t crashes() const {
+    return GetField<uint8_t>(VT_CRASHES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQ, 8) &&
@@ -748,6 +753,7 @@
            verifier.VerifyString(route()) &&
            VerifyField<uint8_t>(verifier, VT_HOLDS_BODY, 1) &&
            VerifyField<uint8_t>(verifier, VT_RANK, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CRASHES, 1) &&
            verifier.EndTable();
   }
   OpenT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -822,6 +828,9 @@
   void add_rank(uint8_t rank) {
     fbb_.AddElement<uint8_t>(Open::VT_RANK, rank, 0);
   }
+  void add_crashes(uint8_t crashes) {
+    fbb_.AddElement<uint8_t>(Open::VT_CRASHES, crashes, 0);
+  }
   explicit OpenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -855,7 +864,8 @@
     uint32_t target_ms = 0,
     flatbuffers::Offset<flatbuffers::String> route = 0,
     bool holds_body = false,
-    uint8_t rank = 0) {
+    uint8_t rank = 0,
+    uint8_t crashes = 0) {
   OpenBuilder builder_(_fbb);
   builder_.add_length(length);
   builder_.add_answer_received(answer_received);
@@ -873,6 +883,7 @@
   builder_.add_path(path);
   builder_.add_method(method);
   builder_.add_service(service);
+  builder_.add_crashes(crashes);
   builder_.add_rank(rank);
   builder_.add_holds_body(holds_body);
   builder_.add_idempotent(idempotent);
@@ -908,7 +919,8 @@
     uint32_t target_ms = 0,
     const char *route = nullptr,
     bool holds_body = false,
-    uint8_t rank = 0) {
+    uint8_t rank = 0,
+    uint8_t crashes = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
   auto path__ = path ? _fbb.CreateString(path) : 0;
@@ -940,7 +952,8 @@
       target_ms,
       route__,
       holds_body,
-      rank);
+      rank,
+      crashes);
 }
 
 flatbuffers::Offset<Open> CreateOpen(flatbuffers::FlatBufferBuilder &_fbb, const OpenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2042,7 +2055,8 @@
         target_ms(o.target_ms),
         route(o.route),
         holds_body(o.holds_body),
-        rank(o.rank) {
+        rank(o.rank),
+        crashes(o.crashes) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new hickorylift::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -2069,6 +2083,7 @@
   std::swap(route, o.route);
   std::swap(holds_body, o.holds_body);
   std::swap(rank, o.rank);
+  std::swap(crashes, o.crashes);
   return *this;
 }
 
@@ -2102,6 +2117,7 @@
   { auto _e = route(); if (_e) _o->route = _e->str(); }
   { auto _e = holds_body(); _o->holds_body = _e; }
   { auto _e = rank(); _o->rank = _e; }
+  { auto _e = crashes(); _o->crashes = _e; }
 }
 
 inline flatbuffers::Offset<Open> Open::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OpenT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2133,6 +2149,7 @@
   auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
   auto _holds_body = _o->holds_body;
   auto _rank = _o->rank;
+  auto _crashes = _o->crashes;
   return hickorylift::wire::CreateOpen(
       _fbb,
       _seq,
@@ -2155,7 +2172,8 @@
       _target_ms,
       _route,
       _holds_body,
-      _rank);
+      _rank,
+      _crashes);
 }
 
 inline AdmittedT *Admitted::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/calls/Dialect.h
+++ b/src/calls/Dialect.h
@@ -19,6 +19,9 @@
   /// The service of the instance at which a request entered the mesh. Set by
   /// the entry, whatever the caller wrote.
   std::string Origin;
+  /// Who asks, where callers say so: requests of different customers are not
+  /// the same one.
+  std::string Customer;
   /// The upstream that a request is meant for; any other refuses it with 421.
   std::string Expect;
   /// On an answer: the upstream did not run the request.
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -24,6 +24,8 @@
 
 const char StepEntry[] = "entry";
 const char UpstreamReason[] = "upstream-";
+const char UpstreamCrashed[] = "upstream-crashed";
+const char Quarantined[] = "quarantined";
 const char KeyHeader[] = "Idempotency-Key";
 const char ClassHeader[] = "Hickorylift-Caller-Class";
 constexpr size_t MaxKeyLength = 256;
@@ -225,6 +227,8 @@
 // A keyed call has one place to go: the gate that remembers the key.
 const Instance *Entry::chooseGate(const Call &One, TimePoint Now) {
   const auto &Upstreams = this->Fleet.upstreams(One.Target->Name);
+  if (One.OnTrial)
+    return this->trialGate(One, Now);
   if (One.Key.empty() || One.Idempotent)
     return this->Choose.pick(Upstreams, One.Tried, Now,
                              wantOf(One.Head, *One.Taken));
@@ -232,8 +236,39 @@
   return Home && One.Tried.count(Home->Name) ? nullptr : Home;
 }
 
+// A request that has one crash left, or has been held for its term, is tried at
+// one place. All nodes choose the same one, so that many who send it at once
+// cannot crash an upstream each.
+const Instance *Entry::trialGate(const Call &One, TimePoint Now) const {
+  std::vector<const Instance *> Open;
+  for (const Instance *Up : this->Fleet.upstreams(One.Target->Name))
+    if (this->Choose.isOpen(*Up, Now))
+      Open.push_back(Up);
+  const Instance *Home = keyHome(One.Print.text(), Open);
+  return Home && One.Tried.count(Home->Name) ? nullptr : Home;
+}
+
+// A body that is read ahead is whole here; of a longer one the gate judges.
+Quarantine::Verdict Entry::judge(Call &One, TimePoint Now) const {
+  bool Streamed = One.Head.Length != 0 && !One.Request.finished();
+  if (Streamed)
+    return {};
+  One.Print =
+      fingerprintOf(One.Target->Name, One.Head,
+                    findHeader(One.Head.Headers, this->Opts.Names.Customer),
+                    One.Request.held());
+  return this->Hook.Judge(One.Print, Now);
+}
+
 void Entry::route(CallerId Caller, TimePoint Now) {
   Call &One = this->Calls.at(Caller);
+  Quarantine::Verdict Known = this->judge(One, Now);
+  if (Known.What == Quarantine::Standing::Held) {
+    Refusal Why = this->refusal(Outcome::NotRun, Quarantined, StepEntry, "");
+    Why.RetryAfter = Known.ComeBack;
+    return this->giveUp(Caller, Why, Now);
+  }
+  One.OnTrial = Known.What == Quarantine::Standing::Trial;
   const Instance *Gate = this->chooseGate(One, Now);
   if (Gate)
     return this->assign(Caller, One, *Gate, Now);
@@ -306,6 +341,7 @@
         One.Gate != this->Opts.Self && One.Head.Length > this->Opts.EagerBytes;
     Open.holds_body = One.HoldsBody;
     Open.rank = this->Rank.at(Now);
+    Open.crashes = static_cast<uint8_t>(One.Crashes);
     Open.caller_class = One.Class;
     Open.limit = One.Taken->Bound ? One.Taken->Bound->Name : "";
     auto Class = One.Taken->ClassPriority.find(One.Class);
@@ -452,9 +488,11 @@
                   !this->Opts.Guards.RetryOnlyHarmless;
   bool Reached = reachedUpstream(Why);
   One.Attempts += Reached ? 1 : 0;
+  One.Crashes += Why.Reason == UpstreamCrashed ? 1 : 0;
   if (!Harmless || One.HaveHead || !One.Request.replayable() ||
       Now >= One.Deadline || One.Attempts >= One.Taken->attempts() ||
-      One.Offers >= this->Opts.MaxOffers)
+      One.Offers >= this->Opts.MaxOffers ||
+      One.Crashes >= this->Opts.MaxCrashes || Why.Reason == Quarantined)
     return false;
   // Another would refuse it too: these concern the call and not the gate.
   if (Why.Status != 0)
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -6,6 +6,7 @@
 #include "calls/Message.h"
 #include "config/Config.h"
 #include "membership/Membership.h"
+#include "quarantine/Quarantine.h"
 #include "routing/AgeEstimate.h"
 #include "routing/Chooser.h"
 #include "routing/SplitTurns.h"
@@ -98,6 +99,9 @@
     /// before it reaches an upstream count here, and not as tries of the
     /// route's own number.
     uint32_t MaxOffers = 4;
+    /// Upstreams that may crash under one attempt. One is a misfortune that the
+    /// next upstream makes good; who goes on after two spreads whatever it is.
+    uint32_t MaxCrashes = 2;
     /// Advice to callers that are refused before a gate is chosen.
     Millis ComeBack{1000};
     /// When callers of a node that holds no version yet should come back, and
@@ -161,6 +165,9 @@
     std::function<void(CallerId, const Refusal &)> Refuse;
     /// Stops or resumes reading the request's body from the caller.
     std::function<void(CallerId, bool Paused)> PauseRequest;
+    /// What is known against a request.
+    std::function<Quarantine::Verdict(const Fingerprint &, TimePoint)> Judge =
+        [](const Fingerprint &, TimePoint) { return Quarantine::Verdict(); };
   };
 
   struct Counters {
@@ -253,6 +260,11 @@
     // upstream.
     uint32_t Offers = 0;
     uint32_t Attempts = 0;
+    // Upstreams that crashed under it.
+    uint32_t Crashes = 0;
+    // Names its request, and that goes to the one gate that tries it.
+    Fingerprint Print;
+    bool OnTrial = false;
     std::string Gate;
     uint64_t GateIncarnation = 0;
     TimePoint StartedAt;
@@ -302,6 +314,8 @@
   void route(CallerId Caller, TimePoint Now);
   const Route *findRoute(const RequestHead &Head) const;
   const Instance *chooseGate(const Call &One, TimePoint Now);
+  const Instance *trialGate(const Call &One, TimePoint Now) const;
+  Quarantine::Verdict judge(Call &One, TimePoint Now) const;
   void assign(CallerId Caller, Call &One, const Instance &Gate, TimePoint Now);
   wire::OpenT openFrame(const Call &One, const CallId &Id,
                         const std::string &Gate, TimePoint Now) const;
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -19,6 +19,8 @@
   {"kind":"route","name":"read","schema":3,"match":{"prefix":"/read/"},
    "service":"a","idempotent":true,"attempts":2,"timeout_ms":1000,
    "target_ms":300},
+  {"kind":"route","name":"often","schema":3,"match":{"prefix":"/often/"},
+   "service":"a","idempotent":true,"attempts":5,"timeout_ms":1000},
   {"kind":"route","name":"write","schema":3,"match":{"prefix":"/write/"},
    "service":"a","idempotent":false,"attempts":2,"timeout_ms":1000}])";
 
@@ -33,6 +35,9 @@
   std::map<Entry::CallerId, ResponseHead> Answered;
   // Run as a caller is refused.
   std::function<void(Entry::CallerId)> OnRefuse = [](Entry::CallerId) {};
+  // What stands against every request, and which were asked about.
+  Quarantine::Verdict Known;
+  std::vector<Fingerprint> Judged;
   TimePoint Now = Start;
 
   Fixture() {
@@ -79,6 +84,10 @@
       this->OnRefuse(Id);
     };
     Out.PauseRequest = [](Entry::CallerId, bool) {};
+    Out.Judge = [this](const Fingerprint &Of, TimePoint) {
+      this->Judged.push_back(Of);
+      return this->Known;
+    };
     return Out;
   }
 
@@ -255,6 +264,70 @@
   BOOST_TEST(Retries <= 2u + 200 / 20);
 }
 
+// A request that has crashed three upstreams comes again. It is refused before
+// any gate hears of it, truly as not run, until its term is over.
+BOOST_FIXTURE_TEST_CASE(WhatIsHeldIsRefusedAtOnce, Fixture) {
+  this->Known = {Quarantine::Standing::Held, Millis(60000)};
+  this->request(1, "/read/1");
+  BOOST_TEST(this->Refused[1] == "not-run quarantined");
+  BOOST_TEST((this->ComeBack[1] == Millis(60000)));
+  BOOST_TEST(this->Dialled.empty());
+}
+
+// A gate knows more than this node does yet. Its word holds for all gates.
+BOOST_FIXTURE_TEST_CASE(AGateThatHoldsItIsBelieved, Fixture) {
+  this->request(1, "/read/1");
+  this->hello(this->Dialled.back());
+  auto [Gate, Open] = this->opens().back();
+  this->fail(Gate, Open->seq, wire::Outcome::NotRun, "quarantined");
+  BOOST_TEST(this->Refused[1] == "not-run quarantined");
+  BOOST_TEST(this->opens().size() == 1u);
+}
+
+// A safe call may have five tries. After two upstreams have crashed under it,
+// the third would be next; whoever ran beside one crash by chance has an answer
+// by then.
+BOOST_FIXTURE_TEST_CASE(TwoCrashesEndAnAttempt, Fixture) {
+  this->request(1, "/often/1");
+  for (size_t Try = 1; Try <= 2; ++Try) {
+    this->hello(this->Dialled.back());
+    BOOST_REQUIRE(this->opens().size() == Try);
+    auto [Gate, Open] = this->opens().back();
+    BOOST_TEST(Open->crashes == Try - 1);
+    this->fail(Gate, Open->seq, wire::Outcome::Unknown, "upstream-crashed");
+  }
+  BOOST_TEST(this->opens().size() == 2u);
+  BOOST_TEST(this->Refused[1] == "unknown upstream-crashed");
+}
+
+// Many callers send a request whose term is over. All nodes send it to the same
+// gate, or each of them would crash an upstream with its trial; and who finds
+// no room there is not sent to another.
+BOOST_FIXTURE_TEST_CASE(ATrialHasOnePlace, Fixture) {
+  this->Known = {Quarantine::Standing::Trial, Millis(0)};
+  for (Entry::CallerId Id = 1; Id <= 20; ++Id)
+    this->request(Id, "/read/1");
+  BOOST_REQUIRE(this->Dialled.size() == 1u);
+  this->hello(this->Dialled.back());
+  BOOST_TEST(this->opens().size() == 20u);
+  auto [Gate, Open] = this->opens().back();
+  this->fail(Gate, Open->seq, wire::Outcome::NotRun, "beside-suspect");
+  BOOST_TEST(this->opens().size() == 20u);
+  BOOST_TEST(this->Refused.size() == 1u);
+}
+
+// The gate names a request by its body as well; so must the entry.
+BOOST_FIXTURE_TEST_CASE(ABodyThatIsReadAheadIsPartOfTheName, Fixture) {
+  this->upload(1);
+  RequestHead Head;
+  Head.Method = "POST";
+  Head.Path = "/write/1";
+  Head.Length = 20000;
+  BOOST_REQUIRE(this->Judged.size() == 1u);
+  BOOST_TEST((this->Judged[0] ==
+              fingerprintOf("a", Head, "", std::string(20000, 'x'))));
+}
+
 BOOST_FIXTURE_TEST_CASE(UnknownOutcomeOfUnsafeCallIsNotRepeated, Fixture) {
   this->request(1, "/write/1");
   this->hello(this->Dialled.back());
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -24,8 +24,8 @@
 Gate::Gate(Options GivenOpts, Hooks Hooks)
     : Opts(std::move(GivenOpts)), Hook(std::move(Hooks)),
       Slots(this->Opts.Slots, this->Opts.Seed),
-      Judge(this->Opts.Keys, this->Opts.Self), Transfers(this->Opts.Transfers) {
-}
+      Judge(this->Opts.Keys, this->Opts.Self), Transfers(this->Opts.Transfers),
+      Watch(this->Opts.Runs) {}
 
 void Gate::configure(const ConfigPtr &New, TimePoint Now) {
   const Service *Named = New->findService(this->Opts.Service);
@@ -163,6 +163,7 @@
   One.BodyHeld = Open.holds_body;
   One.Key = Open.idempotency_key;
   One.Idempotent = Open.idempotent;
+  One.Crashes = Open.crashes;
   this->judge(Id, One, Open, Now);
 }
 
@@ -246,10 +247,11 @@
                         makeRefusal(Outcome::NotRun, "deadline", StepAdmission,
                                     this->Opts.Self),
                         Now);
-  if (!this->judgeKey(Id, One, Now))
+  if (!this->mayRun(Id, One, Now) || !this->judgeKey(Id, One, Now))
     return;
   One.Now = State::Running;
   One.StartedAt = Now;
+  this->Watch.started(Id, One.Print, One.Suspected);
   ++this->Counts.Started;
   // What the upstream calls in turn has this much left.
   setHeader(One.Head.Headers, this->Opts.Names.Budget,
@@ -384,6 +386,7 @@
   if (One.isUnseen() || One.Now == State::Running)
     this->Slots.finished(Id, /*Answered=*/false, Now);
   this->Transfers.forget(Id);
+  this->Watch.forget(Id);
   ++this->Counts.RefusedBy[Why.Reason];
   One.Now = State::Refused;
   One.Fetching = false;
@@ -397,6 +400,7 @@
                     TimePoint Now) {
   if (One.Now == State::Running) {
     this->Hook.Cancel(Id);
+    this->Watch.cancelled(Id, Now);
     this->Slots.finished(Id, /*Answered=*/false, Now);
   }
   this->Transfers.forget(Id);
@@ -513,6 +517,8 @@
 
 void Gate::tick(TimePoint Now) {
   this->endOrphans(Now);
+  if (this->Watch.isProbeLate(Now))
+    this->upstreamProbed(/*Listening=*/true, Now);
   while (!this->Due.empty() && this->Due.begin()->first <= Now) {
     CallId Id = this->Due.begin()->second;
     this->Due.erase(this->Due.begin());
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -7,6 +7,7 @@
 #include "config/Config.h"
 #include "gate/Admission.h"
 #include "gate/KeyJudge.h"
+#include "gate/RunWatch.h"
 #include "gate/TransferTurns.h"
 
 #include <functional>
@@ -71,6 +72,11 @@
     Millis FetchFirstFrom{25};
     /// Of the idempotency keys.
     KeyJudge::Options Keys;
+    /// Of what runs at the upstream when it crashes.
+    RunWatch::Options Runs;
+    /// Advice to the caller of a suspect that found another one running here,
+    /// and no other gate: about a run.
+    Millis SuspectComeBack{100};
   };
 
   /// What the upstream's side is to do.
@@ -92,6 +98,18 @@
     std::function<std::optional<Millis>(TimePoint)> ListAge = [](TimePoint) {
       return Millis(0);
     };
+    /// What is known against a request.
+    std::function<Quarantine::Verdict(const Fingerprint &, TimePoint)> Judge =
+        [](const Fingerprint &, TimePoint) { return Quarantine::Verdict(); };
+    /// A request ran to an answer.
+    std::function<void(const Fingerprint &, TimePoint)> RanWell =
+        [](const Fingerprint &, TimePoint) {};
+    /// The upstream crashed under these.
+    std::function<void(const std::vector<Quarantine::Ran> &, TimePoint)>
+        Crashed = [](const std::vector<Quarantine::Ran> &, TimePoint) {};
+    /// Finds out whether the upstream takes connections; upstreamProbed
+    /// follows. Where there is none, no crash is told from a lost answer.
+    std::function<void()> Probe;
   };
 
   struct Counters {
@@ -116,6 +134,8 @@
   /// reached the upstream.
   void upstreamFailed(const CallId &Id, bool Sent, const Error &Why,
                       TimePoint Now);
+  /// Whether anybody takes connections at the upstream's address.
+  void upstreamProbed(bool Listening, TimePoint Now);
   /// The upstream's side has written this much of the request's body.
   void upstreamConsumed(const CallId &Id, uint64_t Total, TimePoint Now);
 
@@ -183,6 +203,14 @@
     bool AnswerPaused = false;
     uint64_t AnswerBytes = 0;
     Refusal Why;
+    // Names it while it runs.
+    Fingerprint Print;
+    // Upstreams that crashed under it elsewhere.
+    unsigned Crashes = 0;
+    // May run beside no other suspect.
+    bool Suspected = false;
+    // Why its connection ended, while it is open whether that was a crash.
+    std::optional<Error> Broken;
     std::string Recorded;
     bool Recordable = true;
 
@@ -208,6 +236,10 @@
               TimePoint Now);
   void takeSlot(const CallId &Id, Call &One, TimePoint Now);
   void start(const CallId &Id, Call &One, TimePoint Now);
+  bool mayRun(const CallId &Id, Call &One, TimePoint Now);
+  void connectionEnded(const CallId &Id, Call &One, const Error &Why,
+                       TimePoint Now);
+  void failBroken(const CallId &Id, const char *Reason, TimePoint Now);
   void onData(LinkId Link, const wire::DataT &Data, TimePoint Now);
   bool isHoldable(const Call &One) const;
   bool fetchesFirst(const Call &One, TimePoint Now) const;
@@ -246,6 +278,7 @@
   Admission Slots;
   KeyJudge Judge;
   TransferTurns Transfers;
+  RunWatch Watch;
   ConfigPtr InForce;
   const Service *Of = nullptr;
   // Of this upstream, by the list; 0 where it does not say.
--- /dev/null
+++ b/src/calls/GateCrashesTest.cpp
@@ -0,0 +1,158 @@
+#include "calls/GateFixture.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
+namespace hickorylift {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+using Standing = Quarantine::Standing;
+
+/// A gate with calls under way whose connections can end.
+struct Fixture : GateFixture {
+  void openPath(uint64_t Seq, const std::string &Path, uint8_t Crashes = 0) {
+    wire::OpenT Open = this->openOf(Seq);
+    Open.path = Path;
+    Open.crashes = Crashes;
+    this->open(std::move(Open));
+  }
+  void connectionEnds(uint64_t Seq, Errc Code = Errc::Closed) {
+    this->At->upstreamFailed({7, Seq}, /*Sent=*/true,
+                             Error{Code, "upstream-call", "up-1", "ended"},
+                             this->Now);
+  }
+  void answer(uint64_t Seq) {
+    ResponseHead Head;
+    Head.Status = 200;
+    Head.Length = 0;
+    this->At->upstreamHead({7, Seq}, Head, this->Now);
+  }
+  std::string reason() const {
+    return this->failed() ? this->failed()->reason : "";
+  }
+};
+
+/// What happens at the upstream, and what the entry and the fleet are told.
+struct EndRow {
+  const char *What;
+  Errc Code;
+  // What the probe finds; nothing where it finds nothing in time.
+  std::optional<bool> Listening;
+  bool Draining;
+  const char *Reason;
+  size_t Crashes;
+};
+std::ostream &operator<<(std::ostream &To, const EndRow &Of) {
+  return To << Of.What;
+}
+
+const EndRow Ends[] = {
+    {"it is gone", Errc::Closed, false, false, "upstream-crashed", 1},
+    {"it takes connections", Errc::Closed, true, false, "upstream-closed", 0},
+    {"nobody says so", Errc::Closed, std::nullopt, false, "upstream-closed", 0},
+    {"it was leaving", Errc::Closed, false, true, "upstream-crashed", 0},
+    {"it sent rubbish", Errc::BadMessage, false, false, "upstream-bad-message",
+     0},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GateCrashes)
+
+// A connection ends under a run. The caller is told that the outcome is
+// unknown in any case; the request is suspected only if its upstream is gone,
+// without having said that it leaves.
+BOOST_DATA_TEST_CASE(ACrashIsToldFromALostAnswer, data::make(Ends), Row) {
+  Fixture Of;
+  Of.openPath(1, "/x");
+  if (Row.Draining)
+    Of.At->drain("list", Of.Now);
+  Of.connectionEnds(1, Row.Code);
+  BOOST_TEST(Of.Probes == (Row.Code == Errc::Closed ? 1u : 0u));
+  if (Row.Listening && Of.Probes)
+    Of.At->upstreamProbed(*Row.Listening, Of.Now);
+  Of.Now += Millis(150);
+  Of.At->tick(Of.Now);
+  BOOST_TEST(Of.reason() == Row.Reason);
+  BOOST_TEST((Of.failed()->outcome == wire::Outcome::Unknown));
+  BOOST_TEST(Of.Crashes.size() == Row.Crashes);
+  BOOST_TEST(Of.At->idle());
+}
+
+// Three requests run when the upstream crashes; the first connection to end
+// tells of it. All three are named, once, and all three callers are told.
+BOOST_FIXTURE_TEST_CASE(AllThatRanIsNamedOnce, Fixture) {
+  for (uint64_t Seq = 1; Seq <= 3; ++Seq)
+    this->openPath(Seq, "/" + std::to_string(Seq));
+  this->connectionEnds(2);
+  this->At->upstreamProbed(/*Listening=*/false, this->Now);
+  BOOST_REQUIRE(this->Crashes.size() == 1u);
+  BOOST_TEST(this->Crashes[0].size() == 3u);
+  BOOST_TEST(this->Crashes[0][1].Request == "GET /2");
+  this->connectionEnds(1);
+  this->connectionEnds(3);
+  BOOST_TEST(this->Probes == 1u);
+  BOOST_TEST(this->Crashes.size() == 1u);
+  BOOST_TEST(this->At->counters().Unknown == 3u);
+  BOOST_TEST(this->reason() == "upstream-crashed");
+}
+
+// A caller sends a request that is held. It must not reach the upstream, and
+// its caller is told truly that it has not run, and when to come back.
+BOOST_FIXTURE_TEST_CASE(WhatIsHeldIsRefused, Fixture) {
+  this->Known = {Standing::Held, Millis(5000)};
+  this->openPath(1, "/x");
+  BOOST_TEST(this->Started.empty());
+  BOOST_REQUIRE(this->failed());
+  BOOST_TEST(this->reason() == "quarantined");
+  BOOST_TEST((this->failed()->outcome == wire::Outcome::NotRun));
+  BOOST_TEST(this->failed()->retry_after_ms == 5000u);
+}
+
+// Of two suspects at one upstream a crash would not show which is to blame, and
+// the innocent would be held with the other. The second is sent elsewhere.
+BOOST_FIXTURE_TEST_CASE(SuspectsRunOneAtATime, Fixture) {
+  this->openPath(1, "/free");
+  this->Known = {Standing::Suspect, Millis(0)};
+  this->openPath(2, "/one");
+  this->openPath(3, "/two");
+  BOOST_TEST(this->Started.size() == 2u);
+  BOOST_TEST(this->reason() == "beside-suspect");
+  BOOST_TEST((this->failed()->outcome == wire::Outcome::NotRun));
+  this->answer(2);
+  this->openPath(4, "/two");
+  BOOST_TEST(this->Started.size() == 3u);
+}
+
+// The entry has seen an upstream crash under the call a moment ago. The news
+// may not have come here yet, but the call brings it along.
+BOOST_FIXTURE_TEST_CASE(ACallThatComesFromACrashIsASuspect, Fixture) {
+  this->openPath(1, "/one", /*Crashes=*/1);
+  this->openPath(2, "/two", /*Crashes=*/1);
+  BOOST_TEST(this->Started.size() == 1u);
+  BOOST_TEST(this->reason() == "beside-suspect");
+}
+
+// A long body comes in pieces. The request has the same name as at an entry
+// that has read it whole, or it would be held at one of the two only.
+BOOST_FIXTURE_TEST_CASE(ABodyIsPartOfTheName, Fixture) {
+  this->openUpload(1, /*Held=*/false);
+  this->body(1, 0, 12000, /*End=*/false);
+  this->body(1, 12000, 8000, /*End=*/true);
+  BOOST_REQUIRE(this->Started.size() == 1u);
+  this->answer(1);
+  RequestHead Head;
+  Head.Method = "POST";
+  Head.Path = "/x";
+  Head.Length = 20000;
+  BOOST_REQUIRE(this->RanWell.size() == 1u);
+  BOOST_TEST((this->RanWell[0] ==
+              fingerprintOf("a", Head, "", std::string(20000, 'x'))));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/calls/GateFixture.h
@@ -0,0 +1,171 @@
+#ifndef HICKORYLIFT_CALLS_GATEFIXTURE_H
+#define HICKORYLIFT_CALLS_GATEFIXTURE_H
+
+#include "calls/Gate.h"
+
+#include "config/RecordFile.h"
+
+#include <boost/test/unit_test.hpp>
+
+// For tests only: a gate of which the test plays the upstream and one entry.
+//
+//   BOOST_FIXTURE_TEST_CASE(OneCall, GateFixture) {
+//     this->open(this->openOf(1));
+//     BOOST_TEST(this->Started.size() == 1u);
+//   }
+
+namespace hickorylift {
+
+/// Of one upstream with ten slots.
+inline const std::string GateRecords = R"([
+  {"kind":"service","name":"a","schema":1,"slots":10},
+  {"kind":"route","name":"r","schema":3,"match":{"prefix":"/"},
+   "service":"a","idempotent":false}])";
+
+/// A gate whose upstream and one entry the test plays.
+struct GateFixture {
+  static constexpr Gate::LinkId Link = 1;
+
+  std::unique_ptr<Gate> At;
+  std::vector<wire::CallFrameT> Sent;
+  std::vector<std::pair<CallId, RequestHead>> Started;
+  std::vector<CallId> Cancelled;
+  /// What stands against every request.
+  Quarantine::Verdict Known;
+  /// The requests of each crash that the gate told of.
+  std::vector<std::vector<Quarantine::Ran>> Crashes;
+  std::vector<Fingerprint> RanWell;
+  size_t Probes = 0;
+  TimePoint Now = TimePoint(std::chrono::hours(1));
+
+  /// A call with a long body that its entry sends once it is asked to, or as
+  /// it comes.
+  void openUpload(uint64_t Seq, bool Held = true) {
+    wire::OpenT Open;
+    Open.seq = Seq;
+    Open.entry = 7;
+    Open.service = "a";
+    Open.method = "POST";
+    Open.path = "/x";
+    Open.budget_ms = 2000;
+    Open.target_ms = 500;
+    Open.length = 20000;
+    Open.holds_body = Held;
+    this->At->frame(Link, callFrame(std::move(Open)), this->Now);
+  }
+  void body(uint64_t Seq, uint64_t Offset, size_t Size, bool End) {
+    wire::DataT Data;
+    Data.seq = Seq;
+    Data.offset = Offset;
+    Data.bytes.assign(Size, 'x');
+    Data.end = End;
+    this->At->frame(Link, callFrame(std::move(Data)), this->Now);
+  }
+  /// Bodies have taken 100 ms each.
+  void slowLink() {
+    for (uint64_t Seq = 90; Seq < 95; ++Seq) {
+      this->openUpload(Seq);
+      this->Now += Millis(100);
+      this->body(Seq, 0, 20000, /*End=*/true);
+      ResponseHead Head;
+      Head.Status = 200;
+      Head.Length = 0;
+      this->At->upstreamHead({7, Seq}, Head, this->Now);
+    }
+    this->Started.clear();
+    this->Sent.clear();
+  }
+  /// The calls whose bodies were asked for, in that order.
+  std::vector<uint64_t> asked() const {
+    std::vector<uint64_t> Out;
+    for (const wire::CallFrameT &Frame : this->Sent)
+      if (const auto *Go = Frame.payload.AsAdmitted())
+        Out.push_back(Go->seq);
+    return Out;
+  }
+
+  GateFixture() {
+    Gate::Options Opts;
+    Opts.Self = "me";
+    Opts.Service = "a";
+    Opts.Names.NotRun = "Not-Run";
+    Opts.Names.Expect = "Expect-Upstream";
+    Opts.Names.Budget = "Budget";
+    Gate::Hooks Hooks;
+    Hooks.Send = [this](Gate::LinkId, wire::CallFrameT Frame) {
+      this->Sent.push_back(std::move(Frame));
+    };
+    Hooks.Start = [this](const CallId &Id, const RequestHead &Head, bool) {
+      this->Started.emplace_back(Id, Head);
+    };
+    Hooks.Body = [](const CallId &, std::string_view) {};
+    Hooks.BodyEnd = [](const CallId &) {};
+    Hooks.Cancel = [this](const CallId &Id) { this->Cancelled.push_back(Id); };
+    Hooks.PauseAnswer = [](const CallId &, bool) {};
+    Hooks.Judge = [this](const Fingerprint &, TimePoint) {
+      return this->Known;
+    };
+    Hooks.RanWell = [this](const Fingerprint &Of, TimePoint) {
+      this->RanWell.push_back(Of);
+    };
+    Hooks.Crashed = [this](const std::vector<Quarantine::Ran> &Running,
+                           TimePoint) { this->Crashes.push_back(Running); };
+    Hooks.Probe = [this] { ++this->Probes; };
+    this->At = std::make_unique<Gate>(Opts, Hooks);
+    FaultList Faults;
+    this->At->configure(
+        compileConfig(
+            *Document::make(1, 1, *readRecordFile(GateRecords, "f", Faults)),
+            CompileOptions())
+            .Compiled,
+        this->Now);
+    this->At->linkUp(Link, this->Now);
+    wire::CallHelloT Hello;
+    Hello.incarnation = 7;
+    this->At->frame(Link, callFrame(std::move(Hello)), this->Now);
+  }
+
+  void listSlots(uint32_t Slots) {
+    Instance Own;
+    Own.Name = "me";
+    Own.Service = "a";
+    Own.Slots = Slots;
+    this->At->members({&Own}, this->Now);
+  }
+
+  wire::OpenT openOf(uint64_t Seq) const {
+    wire::OpenT Open;
+    Open.seq = Seq;
+    Open.entry = 7;
+    Open.service = "a";
+    Open.method = "GET";
+    Open.path = "/x";
+    Open.budget_ms = 1000;
+    Open.target_ms = 300;
+    Open.route = "r";
+    Open.upstream = "up-1";
+    return Open;
+  }
+  void open(wire::OpenT Open) {
+    this->At->frame(Link, callFrame(std::move(Open)), this->Now);
+  }
+
+  /// The last frame about a call that failed; null if there is none.
+  const wire::FailedT *failed() const {
+    const wire::FailedT *Last = nullptr;
+    for (const wire::CallFrameT &One : this->Sent)
+      if (const auto *Failed = One.payload.AsFailed())
+        Last = Failed;
+    return Last;
+  }
+  size_t admitted() const {
+    size_t Count = 0;
+    for (const wire::CallFrameT &One : this->Sent)
+      Count += One.payload.AsAdmitted() != nullptr;
+    return Count;
+  }
+};
+
+} // namespace hickorylift
+
+#endif
--- a/src/calls/GateUpstream.cpp
+++ b/src/calls/GateUpstream.cpp
@@ -73,6 +73,7 @@
     return true;
   }
   this->Slots.finished(Id, /*Answered=*/false, Now);
+  this->Watch.forget(Id);
   One.Now = State::Finished;
   this->breakOff(Id, One,
                  makeRefusal(Outcome::Unknown, "upstream-unmarked-refusal",
@@ -112,6 +113,8 @@
     return;
   One->Now = State::Finished;
   this->Transfers.forget(Id);
+  this->Watch.answered(Id, Now);
+  this->Hook.RanWell(One->Print, Now);
   ++this->Counts.Answered;
   this->Hook.Took(One->StartedAt - One->CameAt, Now - One->StartedAt);
   One->Response.finish();
@@ -136,7 +139,10 @@
       this->Judge.notRun(One->Key);
     this->refuse(Id, *One,
                  makeRefusal(Outcome::NotRun, Reason, Why.Step, Why.Peer), Now);
+  } else if (Why.Code == Errc::Closed && this->Hook.Probe) {
+    return this->connectionEnded(Id, *One, Why, Now);
   } else {
+    this->Watch.forget(Id);
     this->Slots.finished(Id, /*Answered=*/false, Now);
     One->Now = State::Finished;
     this->breakOff(Id, *One,
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -10,6 +10,8 @@
 
 constexpr Millis ExchangeInterval{2000};
 constexpr unsigned MaxBackoffShift = 10;
+// Requests that one line about a crash names.
+constexpr size_t MaxNamed = 16;
 
 /// The kind of a link as the other end names it. What a later build may add is
 /// a link that announces.
@@ -40,6 +42,7 @@
       View(this->Opts.DataCentre, this->Opts.Self, this->Opts.Build,
            this->Opts.ReportFreshness),
       Spread(this->Opts.Spread, this->spreadHooks(), this->Opts.Seed),
+      Hold(this->Opts.Hold, this->quarantineHooks()),
       Read(MakeRead(this->readHooks())), Compile(this->Opts.Compile),
       Random(this->Opts.Seed + 2) {}
 
@@ -106,6 +109,37 @@
   return Out;
 }
 
+// What is known of requests that crash upstreams goes at once along every link,
+// trees and ring alike: the next attempt may come in anywhere.
+Quarantine::Hooks ControlPlane::quarantineHooks() {
+  Quarantine::Hooks Out;
+  Out.Tell = [this](const wire::SpreadFrameT &Frame,
+                    std::optional<LinkId> ButLink) {
+    std::string Bytes = encodeFrame(Frame);
+    for (const auto &[Link, To] : this->Peers)
+      if (To.Greeted && Link != ButLink)
+        this->Hook.Send(Link, Bytes);
+  };
+  Out.Changed = [this](const Quarantine::Event &Of, TimePoint Now) {
+    std::string Outcome = Of.Of->Request;
+    if (Of.For.count() > 0)
+      Outcome += " crashes=" + std::to_string(Of.Of->Crashes.size()) +
+                 " for_ms=" + std::to_string(Of.For.count());
+    this->Trail.add(Now, Of.What, Of.Of->Of.text(), Of.Source, Outcome);
+  };
+  return Out;
+}
+
+void ControlPlane::upstreamCrashed(const std::vector<Quarantine::Ran> &Running,
+                                   TimePoint Now) {
+  std::string Prints;
+  for (size_t I = 0; I < std::min(Running.size(), MaxNamed); ++I)
+    Prints += " " + Running[I].Of.text();
+  this->Trail.add(Now, "upstream-crashed", this->Opts.Self, "gate",
+                  "suspects=" + std::to_string(Running.size()) + Prints);
+  this->Hold.upstreamCrashed(Running, Now);
+}
+
 void ControlPlane::tick(TimePoint Now) {
   this->NowForHooks = Now;
   if (!this->StartedAt)
@@ -126,6 +160,7 @@
   this->LastTick = Now;
   this->read(Now);
   this->Spread.tick(Now);
+  this->Hold.tick(Now);
   this->dialTargets(Now);
   if (Now >= this->NextExchange) {
     this->NextExchange = Now + ExchangeInterval;
@@ -348,6 +383,8 @@
     this->NeedRetarget |= this->Avoid.erase(From.Target) != 0;
   }
   this->Spread.linkUp(Link, From.Name, From.Kind == Tie::Tree, Now);
+  if (std::optional<wire::SpreadFrameT> Known = this->Hold.all(Now))
+    this->Hook.Send(Link, encodeFrame(*Known));
 }
 
 // Whoever turned to this node for a list waits for it.
@@ -377,6 +414,8 @@
     return this->drop(Link, Now);
   if (const auto *Said = Frame->payload.AsFleetExchange())
     return this->View.exchange(*Said, Now);
+  if (const auto *Said = Frame->payload.AsQuarantine())
+    return this->Hold.receive(Link, *Said, Now);
   if (const auto *Beat = Frame->payload.AsHeartbeat(); Beat && Beat->report)
     this->onReport(Link, *Beat->report, Now);
   this->Spread.receive(Link, *Frame, Now);
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -5,6 +5,7 @@
 #include "config/Config.h"
 #include "control/ReadPlan.h"
 #include "membership/Membership.h"
+#include "quarantine/Quarantine.h"
 #include "reading/Reader.h"
 #include "spread/FleetView.h"
 #include "spread/Spreader.h"
@@ -92,6 +93,9 @@
     /// Of the reader, and how long one watch may wait, whatever reads.
     Reader::Options Read;
     CompileOptions Compile;
+    /// Of the requests that crash upstreams; Self and Incarnation are filled
+    /// in.
+    Quarantine::Options Hold;
     /// Events kept in the audit trail.
     size_t AuditCapacity = 1000;
   };
@@ -132,6 +136,11 @@
   }
   const AuditTrail &audit() const { return this->Trail; }
   AuditTrail &audit() { return this->Trail; }
+  /// This node's own upstream crashed while these requests ran.
+  void upstreamCrashed(const std::vector<Quarantine::Ran> &Running,
+                       TimePoint Now);
+  /// Requests that crash upstreams, as all nodes know them.
+  Quarantine &quarantine() { return this->Hold; }
   /// Items of the platform that could not be used, so far.
   uint64_t unreadableItems() const { return this->UnreadableItems; }
   const Spreader &spreader() const { return this->Spread; }
@@ -190,6 +199,7 @@
   std::optional<LinkId> parentLink() const;
   Spreader::Hooks spreadHooks();
   SourceHooks readHooks();
+  Quarantine::Hooks quarantineHooks();
 
   Options Opts;
   Hooks Hook;
@@ -200,6 +210,7 @@
   Membership Fleet;
   FleetView View;
   Spreader Spread;
+  Quarantine Hold;
   std::unique_ptr<DocumentSource> Read;
   Compiler Compile;
   std::mt19937_64 Random;
--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -122,6 +122,7 @@
   std::map<CallId, ResponseHead> Heads;
   std::map<CallId, std::string> Bodies;
   std::map<CallId, std::string> Ends;
+  std::optional<bool> Listening;
 
   ClientFixture() {
     uint16_t Port = 0;
@@ -145,6 +146,7 @@
     };
     Hooks.Consumed = [](const CallId &, uint64_t, TimePoint) {};
     Hooks.Health = [](const Result<std::string> &, TimePoint) {};
+    Hooks.Probed = [this](bool Is, TimePoint) { this->Listening = Is; };
     this->Http = std::make_unique<UpstreamClient>(
         Opts, Hooks, [this] { return Clock::now() + this->Ahead; });
   }
@@ -311,6 +313,26 @@
 
 BOOST_AUTO_TEST_SUITE(HttpSockets)
 
+// A call's connection ended, and whether its upstream is still there decides
+// what its request is taken for. The connection that was made to find out is
+// not wasted.
+BOOST_FIXTURE_TEST_CASE(AProbeServesTheNextCall, ClientFixture) {
+  this->Http->probe();
+  BOOST_TEST(turnUntil([&] { return this->Listening.has_value(); }));
+  BOOST_TEST(*this->Listening);
+  RawPeer Upstream = this->accept();
+  this->start(1);
+  BOOST_TEST(Upstream.waitFor("\r\n\r\n"));
+  BOOST_TEST(this->Http->dials() == 1u);
+}
+
+BOOST_FIXTURE_TEST_CASE(AProbeIsRefusedWhereNobodyListens, ClientFixture) {
+  this->stopListening();
+  this->Http->probe();
+  BOOST_TEST(turnUntil([&] { return this->Listening.has_value(); }));
+  BOOST_TEST(!*this->Listening);
+}
+
 // What an upstream sends is the call's answer only if it is whole, and its own;
 // and only then may the next call use the connection.
 BOOST_DATA_TEST_CASE(AnswersAreJudged, data::make(Answers), Row) {
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -65,6 +65,8 @@
   unsigned Answers = 0;
   unsigned Strays = 0;
   bool Stray = false;
+  // Made to see whether it can be.
+  bool Probe = false;
   TimePoint DialledAt;
   TimePoint KeepUntil;
   std::unique_ptr<ResponseParser> Parser;
@@ -156,6 +158,8 @@
     On->Made = true;
     if (On->Current)
       this->sendRequest(On);
+    else if (On->Probe)
+      this->probed(On, /*Listening=*/true, this->Now());
   };
   Hooks.Data = [this, Weak](std::string_view Bytes, TimePoint At) {
     if (ConnectionPtr On = Weak.lock())
@@ -175,6 +179,20 @@
   return New;
 }
 
+void UpstreamClient::probe() { this->dial()->Probe = true; }
+
+void UpstreamClient::probed(const ConnectionPtr &On, bool Listening,
+                            TimePoint At) {
+  On->Probe = false;
+  if (On->Made) {
+    On->KeepUntil = At + this->Opts.KeepIdle;
+    this->Idle.push_back(On);
+  } else {
+    this->discard(On);
+  }
+  this->Hook.Probed(Listening, At);
+}
+
 void UpstreamClient::bodyWritten(Call &Of, TimePoint At) {
   if (Of.BodyBytes < Of.BodyTold + this->Opts.TellEvery)
     return;
@@ -279,7 +297,7 @@
   });
   On->Unparsed.erase(0, Used);
   if (On->Parser->failed()) {
-    this->fail(On, "not an answer", At);
+    this->fail(On, Errc::BadMessage, "not an answer", At);
     return false;
   }
   if (!HadHead && On->Parser->headDone() && !this->headArrived(On, At))
@@ -309,7 +327,7 @@
     bool Unnamed = Echo.empty() && On->Answers == 0;
     On->Stray = Echo != Wanted && !Unnamed;
     if (On->Stray && ++On->Strays > this->Opts.MaxStrayAnswers) {
-      this->fail(On, "answers of other requests", At);
+      this->fail(On, Errc::BadMessage, "answers of other requests", At);
       return false;
     }
     if (On->Stray)
@@ -321,7 +339,7 @@
   // Nobody asked for a coding, so such a body is not the upstream's.
   bool Coded = !findHeader(Head.Headers, "Content-Encoding").empty();
   if (!Names.Proof.empty() && (Unproved || Coded)) {
-    this->fail(On,
+    this->fail(On, Errc::BadMessage,
                Coded ? "body in a coding nobody asked for"
                      : "success without the upstream's mark",
                At);
@@ -356,7 +374,8 @@
     On->Parser = std::make_unique<ResponseParser>(this->Opts.MaxHeaderBytes,
                                                   Of->Head.Method == "HEAD");
     if (Ends)
-      this->fail(On, "closed after the answer of another request", At);
+      this->fail(On, Errc::BadMessage,
+                 "closed after the answer of another request", At);
     return;
   }
   this->forget(Of);
@@ -404,14 +423,17 @@
     On->Unparsed.clear();
     return this->finishAnswer(On, At);
   }
+  if (On->Probe)
+    return this->probed(On, Why != std::errc::connection_refused, At);
   if (!On->Current)
     return this->discard(On);
-  this->fail(On, Orderly ? "closed before the answer was whole" : Why.message(),
+  this->fail(On, Errc::Closed,
+             Orderly ? "closed before the answer was whole" : Why.message(),
              At);
 }
 
-void UpstreamClient::fail(const ConnectionPtr &On, const std::string &Detail,
-                          TimePoint At) {
+void UpstreamClient::fail(const ConnectionPtr &On, Errc Code,
+                          const std::string &Detail, TimePoint At) {
   CallPtr Of = On->Current;
   // An earlier try may have run, whatever became of this one.
   bool Sent = On->Made || Of->Tries > 1;
@@ -429,8 +451,8 @@
     return this->startCall(Of);
   }
   this->forget(Of);
-  Error Why{Sent ? Errc::Closed : Errc::Unreachable, Step,
-            this->Opts.Address.text(), Detail};
+  Error Why{Sent ? Code : Errc::Unreachable, Step, this->Opts.Address.text(),
+            Detail};
   if (Of->IsHealth)
     return this->Hook.Health(Why, At);
   this->Hook.Failed(Of->Id, Sent, Why, At);
@@ -470,11 +492,15 @@
   std::vector<ConnectionPtr> Late;
   for (const auto &[Id, On] : this->Open) {
     bool NotMade = !On->Made && At - On->DialledAt > this->Opts.DialTimeout;
-    if (On->Current && (NotMade || At > On->Current->GiveUpAt))
+    bool Overdue = On->Current && At > On->Current->GiveUpAt;
+    if (((On->Current || On->Probe) && NotMade) || Overdue)
       Late.push_back(On);
   }
   for (const ConnectionPtr &On : Late)
-    this->fail(On, "no answer in time", At);
+    if (On->Probe)
+      this->probed(On, /*Listening=*/true, At);
+    else
+      this->fail(On, Errc::Timeout, "no answer in time", At);
   // The first has been idle for the longest.
   while (!this->Idle.empty() && At >= this->Idle.front()->KeepUntil)
     this->discard(this->Idle.front());
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -69,6 +69,9 @@
     std::function<void(const CallId &, uint64_t, TimePoint)> Consumed;
     /// What the upstream's own health endpoint says, as it says it.
     std::function<void(Result<std::string>, TimePoint)> Health;
+    /// After probe(): false only if the connection was refused.
+    std::function<void(bool Listening, TimePoint)> Probed = [](bool,
+                                                               TimePoint) {};
   };
 
   UpstreamClient(Options Opts, Hooks Hooks, std::function<TimePoint()> Clock);
@@ -83,6 +86,9 @@
   void pauseAnswer(const CallId &Id, bool Paused);
   /// Asks the health endpoint once; Hooks.Health follows.
   void askHealth(const std::string &Path, Millis Limit);
+  /// Finds out whether anybody takes connections at the upstream's address;
+  /// Hooks.Probed follows. A connection that is made serves the next call.
+  void probe();
   void tick(TimePoint Now);
   /// Connections made so far.
   uint64_t dials() const { return this->Dials; }
@@ -106,7 +112,9 @@
   void bodyWritten(Call &Of, TimePoint At);
   void finishAnswer(const ConnectionPtr &On, TimePoint At);
   void onEnded(const ConnectionPtr &On, std::error_code Why, TimePoint At);
-  void fail(const ConnectionPtr &On, const std::string &Detail, TimePoint At);
+  void probed(const ConnectionPtr &On, bool Listening, TimePoint At);
+  void fail(const ConnectionPtr &On, Errc Code, const std::string &Detail,
+            TimePoint At);
   void keep(const ConnectionPtr &On, const ResponseParser &Last, TimePoint At);
   void discard(const ConnectionPtr &On);
   void forget(const CallPtr &Of);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -256,6 +256,7 @@
   Hooks.PauseAnswer = [this](const CallId &Id, bool Paused) {
     this->Upstream->pauseAnswer(Id, Paused);
   };
+  Hooks.Probe = [this] { this->Upstream->probe(); };
   Hooks.Took = [this](Clock::duration Waited, Clock::duration Ran) {
     this->Operators->metrics().gateTook(Waited, Ran);
   };
@@ -289,6 +290,9 @@
   Hooks.Health = [this](const Result<std::string> &Said, TimePoint Now) {
     this->Core->health(Said, Now);
   };
+  Hooks.Probed = [&At](bool Listening, TimePoint Now) {
+    At.upstreamProbed(Listening, Now);
+  };
   UpstreamClient::Options Opts = this->Set.Upstream;
   Opts.Names = this->Names;
   this->Upstream = std::make_unique<UpstreamClient>(
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -42,6 +42,9 @@
   this->Control.Members.DataCentre = DataCentre;
   this->Control.Spread.Guards = this->Guards;
   this->Control.Compile.Guards = this->Guards;
+  this->Control.Hold.Self = Name;
+  this->Control.Hold.Incarnation = Incarnation;
+  this->Control.Hold.Guards = this->Guards;
   this->CallEntry.Self = Name;
   this->CallEntry.DataCentre = DataCentre;
   this->CallEntry.Service = Service;
@@ -109,6 +112,9 @@
   Out.Send = [this](const std::string &Gate, wire::CallFrameT Frame) {
     this->sendToGate(Gate, std::move(Frame));
   };
+  Out.Judge = [this](const Fingerprint &Of, TimePoint Now) {
+    return this->Control->quarantine().judge(Of, Now);
+  };
   Out.Close = [this](const std::string &Gate) {
     auto Link = this->GateLinks.find(Gate);
     if (Link == this->GateLinks.end())
@@ -128,6 +134,16 @@
   Out.ListAge = [this](TimePoint Now) {
     return this->Control->oldestListAge(Now);
   };
+  Out.Judge = [this](const Fingerprint &Of, TimePoint Now) {
+    return this->Control->quarantine().judge(Of, Now);
+  };
+  Out.RanWell = [this](const Fingerprint &Of, TimePoint Now) {
+    this->Control->quarantine().answered(Of, Now);
+  };
+  Out.Crashed = [this](const std::vector<Quarantine::Ran> &Running,
+                       TimePoint Now) {
+    this->Control->upstreamCrashed(Running, Now);
+  };
   return Out;
 }
 
--- /dev/null
+++ b/src/quarantine/Quarantine.cpp
@@ -0,0 +1,278 @@
+#include "quarantine/Quarantine.h"
+
+#include "base/Hash.h"
+
+#include <algorithm>
+
+// A caller's request that crashes each upstream which runs it comes again under
+// another id, at another node, and what is forgotten with the attempt is done
+// again: a third of everybody's calls fail for as long as it comes.
+//
+// Several requests run at an upstream that crashes, and one of them, or none,
+// is to blame. So all of them become suspects, and from then on no two suspects
+// run at one upstream at the same time. Two things tell them apart:
+//
+//   a run that ends with an answer clears its request, everywhere;
+//   a crash under which only one suspect ran is that one's (Alone).
+//
+// A request is held once it ran under Crashes crashes with no answer between
+// them, one of them alone. Whoever is innocent is answered by the next upstream
+// and is a suspect for as long as that takes; to be held it would have to be
+// there at three crashes in a row. A request that many send is answered
+// somewhere all the time.
+//
+// What is known is a set of crashes for each request, and when it was cleared.
+// Sets are joined in any order and with any repeats to the same result, so that
+// records can be passed on along every link, and a neighbour that is new or was
+// cut off is told all of them. What stands against a request follows from its
+// record alone: every node that has the same records judges alike.
+
+namespace hickorylift {
+
+namespace {
+
+constexpr size_t MaxCrashes = 16;
+
+} // namespace
+
+const char *standingName(Quarantine::Standing Of) {
+  switch (Of) {
+  case Quarantine::Standing::Free:
+    return "free";
+  case Quarantine::Standing::Suspect:
+    return "suspect";
+  case Quarantine::Standing::Trial:
+    return "trial";
+  case Quarantine::Standing::Held:
+    return "held";
+  }
+  return "";
+}
+
+Quarantine::Quarantine(Options GivenOpts, Hooks Hooks)
+    : Opts(std::move(GivenOpts)), Hook(std::move(Hooks)) {}
+
+bool Quarantine::isConvicted(const Record &Of) const {
+  return Of.Crashes.size() >= this->Opts.Crashes &&
+         std::any_of(Of.Crashes.begin(), Of.Crashes.end(),
+                     [](const Crash &One) { return One.Alone; });
+}
+
+// The term doubles with each crash of a trial.
+Millis Quarantine::termOf(const Record &Of) const {
+  Millis Term = this->Opts.Term;
+  for (size_t I = this->Opts.Crashes;
+       I < Of.Crashes.size() && Term < this->Opts.LongestTerm; ++I)
+    Term *= 2;
+  return std::min(Term, this->Opts.LongestTerm);
+}
+
+Quarantine::Verdict Quarantine::standing(const Record &Of,
+                                         TimePoint Now) const {
+  if (Of.Crashes.empty())
+    return {};
+  Millis Since = toMillis(Now - Of.Crashes.back().At);
+  if (this->isConvicted(Of)) {
+    Millis Term = this->termOf(Of);
+    if (Since < Term)
+      return {Standing::Held, Term - Since};
+    return {Since < 2 * Term ? Standing::Trial : Standing::Free, Millis(0)};
+  }
+  if (Since >= this->Opts.SuspectFor)
+    return {};
+  bool Last = Of.Crashes.size() + 1 >= this->Opts.Crashes;
+  return {Last ? Standing::Trial : Standing::Suspect, Millis(0)};
+}
+
+Quarantine::Verdict Quarantine::judge(const Fingerprint &Of,
+                                      TimePoint Now) const {
+  auto Found = this->Known.find(Of);
+  if (Found == this->Known.end() || !this->Opts.Guards.HoldCrashers)
+    return {};
+  return this->standing(Found->second, Now);
+}
+
+// Crashes are kept in the order of their time; the oldest go where there are
+// too many, for they say nothing more.
+bool Quarantine::addCrash(Record &To, const Crash &One) {
+  bool Known = std::any_of(To.Crashes.begin(), To.Crashes.end(),
+                           [&](const Crash &Old) { return Old.Id == One.Id; });
+  bool Cleared = To.ClearedAt && One.At <= *To.ClearedAt;
+  if (Known || Cleared)
+    return false;
+  auto Later = std::upper_bound(
+      To.Crashes.begin(), To.Crashes.end(), One,
+      [](const Crash &A, const Crash &B) { return A.At < B.At; });
+  bool Oldest = Later == To.Crashes.begin();
+  if (To.Crashes.size() >= MaxCrashes && Oldest)
+    return false;
+  To.Crashes.insert(Later, One);
+  if (To.Crashes.size() > MaxCrashes)
+    To.Crashes.erase(To.Crashes.begin());
+  return true;
+}
+
+void Quarantine::upstreamCrashed(const std::vector<Ran> &Running,
+                                 TimePoint Now) {
+  ++this->Counts.Crashes;
+  std::map<Fingerprint, std::string> Unique;
+  for (const Ran &One : Running)
+    Unique.emplace(One.Of, One.Request);
+  std::vector<Fingerprint> Suspects;
+  for (const auto &[Of, Request] : Unique)
+    if (this->judge(Of, Now).What != Standing::Free)
+      Suspects.push_back(Of);
+  if (Suspects.empty() && Unique.size() == 1)
+    Suspects.push_back(Unique.begin()->first);
+  Crash New;
+  New.Id = combineHash(
+      combineHash(contentHash(this->Opts.Self), this->Opts.Incarnation),
+      ++this->LastCrash);
+  New.At = Now;
+  std::vector<Fingerprint> Changed;
+  for (const auto &[Of, Request] : Unique) {
+    Record Said;
+    Said.Of = Of;
+    Said.Request = Request;
+    New.Alone = Suspects.size() == 1 && Suspects.front() == Of;
+    Said.Crashes.push_back(New);
+    if (this->merge(Said, Now, this->Opts.Self))
+      Changed.push_back(Of);
+  }
+  this->bound();
+  this->tellOf(Changed, std::nullopt, Now);
+}
+
+// Joins what is said of a request to what is known. Whether that is news.
+bool Quarantine::merge(const Record &Said, TimePoint Now,
+                       const std::string &Source) {
+  auto [At, New] = this->Known.try_emplace(Said.Of);
+  Record &Of = At->second;
+  bool WasHeld = !New && this->standing(Of, Now).What == Standing::Held;
+  if (New) {
+    Of.Of = Said.Of;
+    Of.Request = Said.Request;
+  }
+  bool News = false;
+  bool Clears =
+      Said.ClearedAt && (!Of.ClearedAt || *Said.ClearedAt > *Of.ClearedAt);
+  // The same moment, told over several ways, is no news.
+  bool Matters = Clears && (New || !Of.ClearedAt ||
+                            std::any_of(Of.Crashes.begin(), Of.Crashes.end(),
+                                        [&](const Crash &One) {
+                                          return One.At <= *Said.ClearedAt;
+                                        }));
+  if (Matters) {
+    Of.WasHeld |= Said.WasHeld;
+    this->drop(Of, *Said.ClearedAt);
+    News = true;
+  }
+  for (const Crash &One : Said.Crashes)
+    News |= this->addCrash(Of, One);
+  if (New && (!News || this->isOver(Of, Now))) {
+    this->Known.erase(At);
+    return false;
+  }
+  bool IsHeld = this->standing(Of, Now).What == Standing::Held;
+  if (IsHeld && !WasHeld) {
+    ++this->Counts.Held;
+    this->Hook.Changed({"request-held", &Of, Source, this->termOf(Of)}, Now);
+  } else if (WasHeld && !IsHeld) {
+    ++this->Counts.Released;
+    this->Hook.Changed({"request-cleared", &Of, Source, Millis(0)}, Now);
+  }
+  return News;
+}
+
+void Quarantine::drop(Record &Of, TimePoint At) {
+  Of.WasHeld |= this->isConvicted(Of);
+  Of.ClearedAt = At;
+  std::erase_if(Of.Crashes, [At](const Crash &One) { return One.At <= At; });
+}
+
+bool Quarantine::clear(const Fingerprint &Of, const std::string &Source,
+                       TimePoint Now) {
+  auto Found = this->Known.find(Of);
+  if (Found == this->Known.end() || Found->second.Crashes.empty())
+    return false;
+  Record Said;
+  Said.Of = Of;
+  Said.ClearedAt = Now;
+  this->merge(Said, Now, Source);
+  this->tellOf({Of}, std::nullopt, Now);
+  return true;
+}
+
+void Quarantine::answered(const Fingerprint &Of, TimePoint Now) {
+  this->clear(Of, this->Opts.Self, Now);
+}
+
+bool Quarantine::release(const Fingerprint &Of, TimePoint Now) {
+  return this->clear(Of, "operator", Now);
+}
+
+void Quarantine::tellOf(const std::vector<Fingerprint> &Which,
+                        std::optional<uint64_t> ButLink, TimePoint Now) {
+  std::vector<const Record *> Out;
+  for (const Fingerprint &Of : Which)
+    if (auto Found = this->Known.find(Of); Found != this->Known.end())
+      Out.push_back(&Found->second);
+  if (!Out.empty())
+    this->Hook.Tell(toFrame(Out, Now), ButLink);
+}
+
+std::optional<wire::SpreadFrameT> Quarantine::all(TimePoint Now) const {
+  std::vector<const Record *> Out;
+  for (const auto &[Of, One] : this->Known)
+    Out.push_back(&One);
+  if (Out.empty())
+    return std::nullopt;
+  return toFrame(Out, Now);
+}
+
+void Quarantine::receive(uint64_t Link, const wire::QuarantineT &Said,
+                         TimePoint Now) {
+  std::vector<Fingerprint> Changed;
+  for (const Record &One : fromFrame(Said, Now))
+    if (this->merge(One, Now, "peer"))
+      Changed.push_back(One.Of);
+  this->bound();
+  this->tellOf(Changed, Link, Now);
+}
+
+// Whether nothing depends on the record any more.
+bool Quarantine::isOver(const Record &Of, TimePoint Now) const {
+  if (!Of.Crashes.empty()) {
+    Millis Kept =
+        this->isConvicted(Of) ? 2 * this->termOf(Of) : this->Opts.SuspectFor;
+    return Now - Of.Crashes.back().At >= Kept;
+  }
+  // Somebody who was cut off may still hold what was released, for its term.
+  Millis Kept = Of.WasHeld ? this->Opts.LongestTerm : this->Opts.ClearedFor;
+  return !Of.ClearedAt || Now - *Of.ClearedAt >= Kept;
+}
+
+void Quarantine::tick(TimePoint Now) {
+  std::erase_if(this->Known,
+                [&](const auto &One) { return this->isOver(One.second, Now); });
+}
+
+// A caller may invent requests that crash upstreams without end; what is
+// remembered of them is bounded, and what matters least goes first.
+void Quarantine::bound() {
+  while (this->Known.size() > this->Opts.MaxRequests) {
+    auto Rank = [&](const Record &Of) {
+      TimePoint Last = Of.Crashes.empty() ? Of.ClearedAt.value_or(TimePoint())
+                                          : Of.Crashes.back().At;
+      int Weight = this->isConvicted(Of) ? 3 : Of.WasHeld ? 2 : 1;
+      return std::pair(Of.Crashes.empty() && !Of.WasHeld ? 0 : Weight, Last);
+    };
+    auto Least = std::min_element(this->Known.begin(), this->Known.end(),
+                                  [&](const auto &A, const auto &B) {
+                                    return Rank(A.second) < Rank(B.second);
+                                  });
+    this->Known.erase(Least);
+  }
+}
+
+} // namespace hickorylift
--- /dev/null
+++ b/src/quarantine/QuarantineTest.cpp
@@ -0,0 +1,376 @@
+#include "quarantine/Quarantine.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <random>
+#include <sstream>
+
+namespace hickorylift {
+
+namespace {
+
+namespace data = boost::unit_test::data;
+
+using Standing = Quarantine::Standing;
+
+const TimePoint Start = TimePoint(std::chrono::hours(100));
+
+RequestHead headOf() {
+  RequestHead Out;
+  Out.Method = "POST";
+  Out.Path = "/status/17?page=2";
+  Out.Length = 4;
+  Out.Headers = {
+      {"Host", "portal.example"}, {"Request-Id", "1"}, {"Customer", "north"}};
+  return Out;
+}
+
+Fingerprint printOf(const RequestHead &Head, const std::string &Body = "body",
+                    const std::string &Service = "portal") {
+  return fingerprintOf(Service, Head, findHeader(Head.Headers, "Customer"),
+                       Body);
+}
+
+struct PrintRow {
+  const char *What;
+  std::function<Fingerprint()> Other;
+  bool Same;
+};
+
+std::ostream &operator<<(std::ostream &Out, const PrintRow &Row) {
+  return Out << Row.What;
+}
+
+Fingerprint with(const std::function<void(RequestHead &)> &Change) {
+  RequestHead Head = headOf();
+  Change(Head);
+  return printOf(Head);
+}
+
+const std::vector<PrintRow> PrintRows = {
+    {"again", [] { return printOf(headOf()); }, true},
+    {"another attempt",
+     [] {
+       return with(
+           [](RequestHead &Of) { setHeader(Of.Headers, "Request-Id", "2"); });
+     },
+     true},
+    {"a header of the caller's own",
+     [] {
+       return with([](RequestHead &Of) {
+         Of.Headers.push_back({"Trace", "x"});
+       });
+     },
+     true},
+    {"the host in capitals",
+     [] {
+       return with([](RequestHead &Of) {
+         setHeader(Of.Headers, "Host", "PORTAL.example");
+       });
+     },
+     true},
+    {"another method",
+     [] { return with([](RequestHead &Of) { Of.Method = "PUT"; }); }, false},
+    {"another path",
+     [] {
+       return with([](RequestHead &Of) { Of.Path = "/status/18?page=2"; });
+     },
+     false},
+    {"another query",
+     [] {
+       return with([](RequestHead &Of) { Of.Path = "/status/17?page=3"; });
+     },
+     false},
+    {"another host",
+     [] {
+       return with([](RequestHead &Of) {
+         setHeader(Of.Headers, "Host", "other.example");
+       });
+     },
+     false},
+    {"another customer",
+     [] {
+       return with(
+           [](RequestHead &Of) { setHeader(Of.Headers, "Customer", "south"); });
+     },
+     false},
+    {"another body", [] { return printOf(headOf(), "gone"); }, false},
+    {"another length",
+     [] { return with([](RequestHead &Of) { Of.Length = 5; }); }, false},
+    {"another service", [] { return printOf(headOf(), "body", "desk"); },
+     false},
+};
+
+/// One node's quarantine, with requests that have names of one letter.
+struct Node {
+  std::vector<wire::SpreadFrameT> Sent;
+  std::vector<std::string> Events;
+  std::unique_ptr<Quarantine> Of;
+
+  explicit Node(const std::string &Name,
+                Quarantine::Options Opts = Quarantine::Options()) {
+    Opts.Self = Name;
+    Quarantine::Hooks Hooks;
+    Hooks.Tell = [this](const wire::SpreadFrameT &Frame,
+                        std::optional<uint64_t>) {
+      this->Sent.push_back(Frame);
+    };
+    Hooks.Changed = [this](const Quarantine::Event &One, TimePoint) {
+      this->Events.push_back(One.What);
+    };
+    this->Of = std::make_unique<Quarantine>(Opts, Hooks);
+  }
+
+  static Fingerprint print(char Name) { return {static_cast<uint64_t>(Name)}; }
+
+  void crash(const std::string &Names, TimePoint Now) {
+    std::vector<Quarantine::Ran> Running;
+    for (char Name : Names)
+      Running.push_back({print(Name), std::string("GET /") + Name});
+    this->Of->upstreamCrashed(Running, Now);
+  }
+  Standing standing(char Name, TimePoint Now) const {
+    return this->Of->judge(print(Name), Now).What;
+  }
+  void hear(const wire::SpreadFrameT &Frame, TimePoint Now) {
+    this->Of->receive(1, *Frame.payload.AsQuarantine(), Now);
+  }
+};
+
+struct StandingRow {
+  const char *What;
+  // "crash:pq", "answer:p", "release:p" and "wait:SECONDS".
+  const char *Steps;
+  Standing OfP;
+  Standing OfQ;
+};
+
+std::ostream &operator<<(std::ostream &Out, const StandingRow &Row) {
+  return Out << Row.What;
+}
+
+const std::vector<StandingRow> StandingRows = {
+    {"nothing has happened", "", Standing::Free, Standing::Free},
+    {"all that ran are suspects", "crash:pq", Standing::Suspect,
+     Standing::Suspect},
+    {"an answer clears", "crash:pq answer:q", Standing::Suspect,
+     Standing::Free},
+    {"two crashes leave one try", "crash:pq answer:q crash:p", Standing::Trial,
+     Standing::Free},
+    {"three hold it", "crash:pq answer:q crash:p crash:p", Standing::Held,
+     Standing::Free},
+    {"the only suspect among others is to blame",
+     "crash:pq answer:q crash:pq crash:p", Standing::Held, Standing::Suspect},
+    {"two that always ran together are both tried and not held",
+     "crash:pq crash:pq crash:pq", Standing::Trial, Standing::Trial},
+    {"until one of them runs alone", "crash:pq crash:pq crash:pq crash:p",
+     Standing::Held, Standing::Trial},
+    {"an answer between crashes starts anew",
+     "crash:p crash:p answer:p crash:p", Standing::Suspect, Standing::Free},
+    {"a suspicion ends", "crash:pq wait:601", Standing::Free, Standing::Free},
+    {"a second crash keeps it", "crash:p wait:500 crash:p wait:500",
+     Standing::Trial, Standing::Free},
+    {"it is held for its term", "crash:p crash:p crash:p wait:599",
+     Standing::Held, Standing::Free},
+    {"and then tried", "crash:p crash:p crash:p wait:601", Standing::Trial,
+     Standing::Free},
+    {"a trial that crashes holds it for twice as long",
+     "crash:p crash:p crash:p wait:601 crash:p wait:1199", Standing::Held,
+     Standing::Free},
+    {"and then it is tried again",
+     "crash:p crash:p crash:p wait:601 crash:p wait:1201", Standing::Trial,
+     Standing::Free},
+    {"a trial that ends well releases it",
+     "crash:p crash:p crash:p wait:601 answer:p", Standing::Free,
+     Standing::Free},
+    {"an operator releases it", "crash:p crash:p crash:p release:p",
+     Standing::Free, Standing::Free},
+    {"who was released is held for new crashes only",
+     "crash:p crash:p crash:p release:p crash:p crash:p", Standing::Trial,
+     Standing::Free},
+    {"nobody has sent it for long", "crash:p crash:p crash:p wait:1201",
+     Standing::Free, Standing::Free},
+};
+
+void play(Node &At, const std::string &Steps, TimePoint &Now) {
+  std::istringstream In(Steps);
+  for (std::string Step; In >> Step;) {
+    std::string What = Step.substr(0, Step.find(':'));
+    std::string Of = Step.substr(Step.find(':') + 1);
+    Now += Millis(1);
+    if (What == "crash")
+      At.crash(Of, Now);
+    else if (What == "answer")
+      At.Of->answered(Node::print(Of[0]), Now);
+    else if (What == "release")
+      BOOST_TEST(At.Of->release(Node::print(Of[0]), Now));
+    else
+      Now += std::chrono::seconds(std::stoi(Of));
+    At.Of->tick(Now);
+  }
+}
+
+} // namespace
+
+// So that a failed check names what it found.
+std::ostream &operator<<(std::ostream &Out, Quarantine::Standing Of) {
+  return Out << standingName(Of);
+}
+
+BOOST_AUTO_TEST_SUITE(QuarantineDecisions)
+
+// A caller sends the same request again and again, each time under another id
+// and at another node. If that made it another request, nobody would know that
+// it had crashed three upstreams; if too little did, others would be refused
+// for it.
+BOOST_DATA_TEST_CASE(WhatMakesTheSameRequest, data::make(PrintRows), Row) {
+  BOOST_TEST((Row.Other() == printOf(headOf())) == Row.Same);
+}
+
+// One request crashes what runs it, others run beside it. Callers of the others
+// must go on being served, and that one must not come to a fourth upstream: who
+// is answered is cleared, who was alone is to blame.
+BOOST_DATA_TEST_CASE(WhatStandsAgainstARequest, data::make(StandingRows), Row) {
+  Node At("a");
+  TimePoint Now = Start;
+  play(At, Row.Steps, Now);
+  BOOST_TEST(At.standing('p', Now) == Row.OfP);
+  BOOST_TEST(At.standing('q', Now) == Row.OfQ);
+}
+
+// Who is held is told when to come back: when its term is over.
+BOOST_AUTO_TEST_CASE(ComeBackIsTheEndOfTheTerm) {
+  Node At("a");
+  for (int I = 0; I < 3; ++I)
+    At.crash("p", Start);
+  Quarantine::Verdict Said =
+      At.Of->judge(Node::print('p'), Start + std::chrono::seconds(60));
+  BOOST_TEST(Said.ComeBack.count() == 540000);
+  BOOST_TEST(At.Events.size() == 1u);
+  BOOST_TEST(At.Events.front() == "request-held");
+}
+
+// Three nodes see a crash each, in the same moment, and tell of it along links
+// that deliver in any order and more than once. Each must come to hold the
+// request, or it would go on at the nodes that do not.
+BOOST_DATA_TEST_CASE(TellingInAnyOrderEndsAlike, data::xrange(50), Seed) {
+  std::mt19937_64 Random(static_cast<uint64_t>(Seed));
+  std::vector<std::unique_ptr<Node>> All;
+  for (const char *Name : {"a", "b", "c", "d", "e"})
+    All.push_back(std::make_unique<Node>(Name));
+  TimePoint Now = Start;
+  All[0]->crash("pq", Now);
+  All[1]->crash("pr", Now);
+  All[2]->crash("p", Now);
+  All[3]->Of->answered(Node::print('q'), Now);
+  std::vector<wire::SpreadFrameT> Under;
+  for (auto &One : All)
+    for (wire::SpreadFrameT &Frame : std::exchange(One->Sent, {}))
+      Under.push_back(std::move(Frame));
+  for (int Round = 0; Round < 3; ++Round)
+    for (auto &One : All) {
+      std::shuffle(Under.begin(), Under.end(), Random);
+      for (const wire::SpreadFrameT &Frame : Under)
+        One->hear(Frame, Now);
+    }
+  for (auto &One : All)
+    BOOST_TEST(One->standing('p', Now) == Standing::Held);
+}
+
+// What is news is passed on, and nothing else: records go along every link of a
+// ring, and must not go round for ever.
+BOOST_AUTO_TEST_CASE(NewsIsPassedOnOnce) {
+  Node A("a"), B("b");
+  A.crash("pq", Start);
+  BOOST_REQUIRE(A.Sent.size() == 1u);
+  B.hear(A.Sent[0], Start + Millis(2));
+  BOOST_TEST(B.Sent.size() == 1u);
+  B.hear(A.Sent[0], Start + Millis(9));
+  A.hear(B.Sent[0], Start + Millis(4));
+  BOOST_TEST(B.Sent.size() == 1u);
+  BOOST_TEST(A.Sent.size() == 1u);
+}
+
+// A node was cut off, or has just started, while a request came to be held. Its
+// first neighbour tells it, or its callers would crash three more.
+BOOST_AUTO_TEST_CASE(ANewNeighbourIsToldAll) {
+  Node A("a"), B("b");
+  BOOST_TEST(!A.Of->all(Start));
+  for (int I = 0; I < 3; ++I)
+    A.crash("p", Start);
+  TimePoint Later = Start + std::chrono::seconds(100);
+  std::optional<wire::SpreadFrameT> All = A.Of->all(Later);
+  BOOST_REQUIRE(All);
+  B.hear(*All, Later);
+  BOOST_TEST(B.Of->judge(Node::print('p'), Later).ComeBack.count() == 500000);
+}
+
+// An operator has released a request while a node was cut off. When that one
+// comes back it still holds it, and tells so: nobody may take it back from
+// there.
+BOOST_AUTO_TEST_CASE(WhatWasReleasedStaysReleased) {
+  Node A("a"), B("b");
+  for (int I = 0; I < 3; ++I)
+    A.crash("p", Start);
+  B.hear(*A.Of->all(Start), Start);
+  TimePoint Now = Start + std::chrono::seconds(10);
+  BOOST_TEST(A.Of->release(Node::print('p'), Now));
+  Now += std::chrono::seconds(300);
+  A.Of->tick(Now);
+  A.hear(*B.Of->all(Now), Now);
+  BOOST_TEST(A.standing('p', Now) == Standing::Free);
+  B.hear(*A.Of->all(Now), Now);
+  BOOST_TEST(B.standing('p', Now) == Standing::Free);
+  BOOST_TEST(!A.Of->release(Node::print('x'), Now));
+}
+
+// A caller invents requests that crash upstreams without end. Memory stays
+// bounded, and what is held is kept in preference to what merely ran beside.
+BOOST_AUTO_TEST_CASE(InventedRequestsAreBounded) {
+  Quarantine::Options Opts;
+  Opts.MaxRequests = 100;
+  Node At("a", Opts);
+  for (int I = 0; I < 3; ++I)
+    At.crash("p", Start);
+  for (uint64_t I = 1000; I < 6000; ++I)
+    At.Of->upstreamCrashed({{{I}, "GET /x"}}, Start + Millis(I));
+  BOOST_TEST(At.Of->records().size() == 100u);
+  BOOST_TEST(At.standing('p', Start + Millis(6000)) == Standing::Held);
+}
+
+// A peer sends rubbish: a text without end, crashes without end, an age beyond
+// any.
+BOOST_AUTO_TEST_CASE(WhatAPeerSaysIsBounded) {
+  wire::QuarantineT Said;
+  auto One = std::make_unique<wire::QuarantineRecordT>();
+  One->fingerprint = 7;
+  One->request.assign(100000, 'x');
+  for (uint64_t I = 0; I < 5000; ++I)
+    One->crashes.emplace_back(I, UINT32_MAX, true);
+  Said.records.push_back(std::move(One));
+  Said.records.push_back(nullptr);
+  std::vector<Quarantine::Record> Read = fromFrame(Said, Start);
+  BOOST_REQUIRE(Read.size() == 1u);
+  BOOST_TEST(Read[0].Request.size() < 1000u);
+  BOOST_TEST(Read[0].Crashes.size() < 100u);
+  Node At("a");
+  At.Of->receive(1, Said, Start);
+  BOOST_TEST(At.Of->records().empty());
+}
+
+// With its safeguard off nothing is refused, though all is known.
+BOOST_AUTO_TEST_CASE(OffItRefusesNothing) {
+  Quarantine::Options Opts;
+  Opts.Guards.HoldCrashers = false;
+  Node At("a", Opts);
+  for (int I = 0; I < 3; ++I)
+    At.crash("p", Start);
+  BOOST_TEST(At.standing('p', Start) == Standing::Free);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace hickorylift
--- a/src/routing/Chooser.cpp
+++ b/src/routing/Chooser.cpp
@@ -52,6 +52,14 @@
   return Found != this->Gates.end() && Now < Found->second.EjectedUntil;
 }
 
+bool Chooser::isOpen(const Instance &Gate, TimePoint Now) const {
+  auto Found = this->Gates.find(Gate.Name);
+  if (Gate.Leaving || Found == this->Gates.end())
+    return !Gate.Leaving;
+  const State &Of = Found->second;
+  return !Of.Draining && Now >= Of.UnreachableUntil && Now >= Of.EjectedUntil;
+}
+
 std::vector<const Instance *>
 Chooser::usable(const std::vector<const Instance *> &Upstreams,
                 const std::set<std::string> &Tried, TimePoint Now) {
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -161,6 +161,8 @@
   void keepOnly(const std::set<std::string> &Listed);
 
   bool isEjected(const std::string &Gate, TimePoint Now) const;
+  /// Whether it may be sent anything, for all that is known.
+  bool isOpen(const Instance &Gate, TimePoint Now) const;
   /// In what time the first of the gates that refused for want of room may be
   /// asked again; nothing where none of them did so lately.
   std::optional<Millis> soonest(const std::vector<const Instance *> &Upstreams,
--- a/src/spread/Spread_generated.h
+++ b/src/spread/Spread_generated.h
@@ -70,6 +70,16 @@
 struct FleetExchangeBuilder;
 struct FleetExchangeT;
 
+struct QuarantineCrash;
+
+struct QuarantineRecord;
+struct QuarantineRecordBuilder;
+struct QuarantineRecordT;
+
+struct Quarantine;
+struct QuarantineBuilder;
+struct QuarantineT;
+
 struct SpreadFrame;
 struct SpreadFrameBuilder;
 struct SpreadFrameT;
@@ -93,11 +103,12 @@
   Busy = 7,
   Goodbye = 8,
   FleetExchange = 9,
+  Quarantine = 10,
   MIN = NONE,
-  MAX = FleetExchange
+  MAX = Quarantine
 };
 
-inline const SpreadPayload (&EnumValuesSpreadPayload())[10] {
+inline const SpreadPayload (&EnumValuesSpreadPayload())[11] {
   static const SpreadPayload values[] = {
     SpreadPayload::NONE,
     SpreadPayload::Hello,
@@ -108,13 +119,14 @@
     SpreadPayload::Prune,
     SpreadPayload::Busy,
     SpreadPayload::Goodbye,
-    SpreadPayload::FleetExchange
+    SpreadPayload::FleetExchange,
+    SpreadPayload::Quarantine
   };
   return values;
 }
 
 inline const char * const *EnumNamesSpreadPayload() {
-  static const char * const names[11] = {
+  static const char * const names[12] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -125,13 +137,14 @@
     "Busy",
     "Goodbye",
     "FleetExchange",
+    "Quarantine",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameSpreadPayload(SpreadPayload e) {
-  if (flatbuffers::IsOutRange(e, SpreadPayload::NONE, SpreadPayload::FleetExchange)) return "";
+  if (flatbuffers::IsOutRange(e, SpreadPayload::NONE, SpreadPayload::Quarantine)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesSpreadPayload()[index];
 }
@@ -176,6 +189,10 @@
   static const SpreadPayload enum_value = SpreadPayload::FleetExchange;
 };
 
+template<> struct SpreadPayloadTraits<hickorylift::wire::Quarantine> {
+  static const SpreadPayload enum_value = SpreadPayload::Quarantine;
+};
+
 template<typename T> struct SpreadPayloadUnionTraits {
   static const SpreadPayload enum_value = SpreadPayload::NONE;
 };
@@ -216,6 +233,10 @@
   static const SpreadPayload enum_value = SpreadPayload::FleetExchange;
 };
 
+template<> struct SpreadPayloadUnionTraits<hickorylift::wire::QuarantineT> {
+  static const SpreadPayload enum_value = SpreadPayload::Quarantine;
+};
+
 struct SpreadPayloadUnion {
   SpreadPayload type;
   void *value;
@@ -318,6 +339,14 @@
     return type == SpreadPayload::FleetExchange ?
       reinterpret_cast<const hickorylift::wire::FleetExchangeT *>(value) : nullptr;
   }
+  hickorylift::wire::QuarantineT *AsQuarantine() {
+    return type == SpreadPayload::Quarantine ?
+      reinterpret_cast<hickorylift::wire::QuarantineT *>(value) : nullptr;
+  }
+  const hickorylift::wire::QuarantineT *AsQuarantine() const {
+    return type == SpreadPayload::Quarantine ?
+      reinterpret_cast<const hickorylift::wire::QuarantineT *>(value) : nullptr;
+  }
 };
 
 bool VerifySpreadPayload(flatbuffers::Verifier &verifier, const void *obj, SpreadPayload type);
@@ -357,6 +386,49 @@
   using type = Stamp;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) QuarantineCrash FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t id_;
+  uint32_t age_ms_;
+  uint8_t alone_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  struct Traits;
+  QuarantineCrash()
+      : id_(0),
+        age_ms_(0),
+        alone_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  QuarantineCrash(uint64_t _id, uint32_t _age_ms, bool _alone)
+      : id_(flatbuffers::EndianScalar(_id)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)),
+        alone_(flatbuffers::EndianScalar(static_cast<uint8_t>(_alone))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint64_t id() const {
+    return flatbuffers::EndianScalar(id_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+  bool alone() const {
+    return flatbuffers::EndianScalar(alone_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(QuarantineCrash, 16);
+
+struct QuarantineCrash::Traits {
+  using type = QuarantineCrash;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   std::string node{};
@@ -1634,6 +1706,214 @@
 
 flatbuffers::Offset<FleetExchange> CreateFleetExchange(flatbuffers::FlatBufferBuilder &_fbb, const FleetExchangeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct QuarantineRecordT : public flatbuffers::NativeTable {
+  typedef QuarantineRecord TableType;
+  uint64_t fingerprint = 0;
+  std::string request{};
+  std::vector<hickorylift::wire::QuarantineCrash> crashes{};
+  bool cleared = false;
+  uint32_t cleared_age_ms = 0;
+  bool was_held = false;
+};
+
+struct QuarantineRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantineRecordT NativeTableType;
+  typedef QuarantineRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FINGERPRINT = 4,
+    VT_REQUEST = 6,
+    VT_CRASHES = 8,
+    VT_CLEARED = 10,
+    VT_CLEARED_AGE_MS = 12,
+    VT_WAS_HELD = 14
+  };
+  uint64_t fingerprint() const {
+    return GetField<uint64_t>(VT_FINGERPRINT, 0);
+  }
+  const flatbuffers::String *request() const {
+    return GetPointer<const flatbuffers::String *>(VT_REQUEST);
+  }
+  const flatbuffers::Vector<const hickorylift::wire::QuarantineCrash *> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<const hickorylift::wire::QuarantineCrash *> *>(VT_CRASHES);
+  }
+  bool cleared() const {
+    return GetField<uint8_t>(VT_CLEARED, 0) != 0;
+  }
+  uint32_t cleared_age_ms() const {
+    return GetField<uint32_t>(VT_CLEARED_AGE_MS, 0);
+  }
+  bool was_held() const {
+    return GetField<uint8_t>(VT_WAS_HELD, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
+           VerifyOffset(verifier, VT_REQUEST) &&
+           verifier.VerifyString(request()) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           VerifyField<uint8_t>(verifier, VT_CLEARED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_CLEARED_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_WAS_HELD, 1) &&
+           verifier.EndTable();
+  }
+  QuarantineRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuarantineRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuarantineRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuarantineRecordBuilder {
+  typedef QuarantineRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_fingerprint(uint64_t fingerprint) {
+    fbb_.AddElement<uint64_t>(QuarantineRecord::VT_FINGERPRINT, fingerprint, 0);
+  }
+  void add_request(flatbuffers::Offset<flatbuffers::String> request) {
+    fbb_.AddOffset(QuarantineRecord::VT_REQUEST, request);
+  }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const hickorylift::wire::QuarantineCrash *>> crashes) {
+    fbb_.AddOffset(QuarantineRecord::VT_CRASHES, crashes);
+  }
+  void add_cleared(bool cleared) {
+    fbb_.AddElement<uint8_t>(QuarantineRecord::VT_CLEARED, static_cast<uint8_t>(cleared), 0);
+  }
+  void add_cleared_age_ms(uint32_t cleared_age_ms) {
+    fbb_.AddElement<uint32_t>(QuarantineRecord::VT_CLEARED_AGE_MS, cleared_age_ms, 0);
+  }
+  void add_was_held(bool was_held) {
+    fbb_.AddElement<uint8_t>(QuarantineRecord::VT_WAS_HELD, static_cast<uint8_t>(was_held), 0);
+  }
+  explicit QuarantineRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuarantineRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuarantineRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuarantineRecord> CreateQuarantineRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t fingerprint = 0,
+    flatbuffers::Offset<flatbuffers::String> request = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const hickorylift::wire::QuarantineCrash *>> crashes = 0,
+    bool cleared = false,
+    uint32_t cleared_age_ms = 0,
+    bool was_held = false) {
+  QuarantineRecordBuilder builder_(_fbb);
+  builder_.add_fingerprint(fingerprint);
+  builder_.add_cleared_age_ms(cleared_age_ms);
+  builder_.add_crashes(crashes);
+  builder_.add_request(request);
+  builder_.add_was_held(was_held);
+  builder_.add_cleared(cleared);
+  return builder_.Finish();
+}
+
+struct QuarantineRecord::Traits {
+  using type = QuarantineRecord;
+  static auto constexpr Create = CreateQuarantineRecord;
+};
+
+inline flatbuffers::Offset<QuarantineRecord> CreateQuarantineRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t fingerprint = 0,
+    const char *request = nullptr,
+    const std::vector<hickorylift::wire::QuarantineCrash> *crashes = nullptr,
+    bool cleared = false,
+    uint32_t cleared_age_ms = 0,
+    bool was_held = false) {
+  auto request__ = request ? _fbb.CreateString(request) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<hickorylift::wire::QuarantineCrash>(*crashes) : 0;
+  return hickorylift::wire::CreateQuarantineRecord(
+      _fbb,
+      fingerprint,
+      request__,
+      crashes__,
+      cleared,
+      cleared_age_ms,
+      was_held);
+}
+
+flatbuffers::Offset<QuarantineRecord> CreateQuarantineRecord(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuarantineT : public flatbuffers::NativeTable {
+  typedef Quarantine TableType;
+  std::vector<std::unique_ptr<hickorylift::wire::QuarantineRecordT>> records{};
+  QuarantineT() = default;
+  QuarantineT(const QuarantineT &o);
+  QuarantineT(QuarantineT&&) FLATBUFFERS_NOEXCEPT = default;
+  QuarantineT &operator=(QuarantineT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct Quarantine FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantineT NativeTableType;
+  typedef QuarantineBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_RECORDS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::QuarantineRecord>> *records() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::QuarantineRecord>> *>(VT_RECORDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_RECORDS) &&
+           verifier.VerifyVector(records()) &&
+           verifier.VerifyVectorOfTables(records()) &&
+           verifier.EndTable();
+  }
+  QuarantineT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuarantineT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Quarantine> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuarantineBuilder {
+  typedef Quarantine Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::QuarantineRecord>>> records) {
+    fbb_.AddOffset(Quarantine::VT_RECORDS, records);
+  }
+  explicit QuarantineBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Quarantine> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Quarantine>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Quarantine> CreateQuarantine(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::QuarantineRecord>>> records = 0) {
+  QuarantineBuilder builder_(_fbb);
+  builder_.add_records(records);
+  return builder_.Finish();
+}
+
+struct Quarantine::Traits {
+  using type = Quarantine;
+  static auto constexpr Create = CreateQuarantine;
+};
+
+inline flatbuffers::Offset<Quarantine> CreateQuarantineDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<hickorylift::wire::QuarantineRecord>> *records = nullptr) {
+  auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<hickorylift::wire::QuarantineRecord>>(*records) : 0;
+  return hickorylift::wire::CreateQuarantine(
+      _fbb,
+      records__);
+}
+
+flatbuffers::Offset<Quarantine> CreateQuarantine(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct SpreadFrameT : public flatbuffers::NativeTable {
   typedef SpreadFrame TableType;
   hickorylift::wire::SpreadPayloadUnion payload{};
@@ -1681,6 +1961,9 @@
   const hickorylift::wire::FleetExchange *payload_as_FleetExchange() const {
     return payload_type() == hickorylift::wire::SpreadPayload::FleetExchange ? static_cast<const hickorylift::wire::FleetExchange *>(payload()) : nullptr;
   }
+  const hickorylift::wire::Quarantine *payload_as_Quarantine() const {
+    return payload_type() == hickorylift::wire::SpreadPayload::Quarantine ? static_cast<const hickorylift::wire::Quarantine *>(payload()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PAYLOAD_TYPE, 1) &&
@@ -1729,6 +2012,10 @@
   return payload_as_FleetExchange();
 }
 
+template<> inline const hickorylift::wire::Quarantine *SpreadFrame::payload_as<hickorylift::wire::Quarantine>() const {
+  return payload_as_Quarantine();
+}
+
 struct SpreadFrameBuilder {
   typedef SpreadFrame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2491,6 +2778,83 @@
       _reports);
 }
 
+inline QuarantineRecordT *QuarantineRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuarantineRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuarantineRecord::UnPackTo(QuarantineRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = fingerprint(); _o->fingerprint = _e; }
+  { auto _e = request(); if (_e) _o->request = _e->str(); }
+  { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = *_e->Get(_i); } } }
+  { auto _e = cleared(); _o->cleared = _e; }
+  { auto _e = cleared_age_ms(); _o->cleared_age_ms = _e; }
+  { auto _e = was_held(); _o->was_held = _e; }
+}
+
+inline flatbuffers::Offset<QuarantineRecord> QuarantineRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuarantineRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuarantineRecord> CreateQuarantineRecord(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuarantineRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _fingerprint = _o->fingerprint;
+  auto _request = _o->request.empty() ? 0 : _fbb.CreateString(_o->request);
+  auto _crashes = _o->crashes.size() ? _fbb.CreateVectorOfStructs(_o->crashes) : 0;
+  auto _cleared = _o->cleared;
+  auto _cleared_age_ms = _o->cleared_age_ms;
+  auto _was_held = _o->was_held;
+  return hickorylift::wire::CreateQuarantineRecord(
+      _fbb,
+      _fingerprint,
+      _request,
+      _crashes,
+      _cleared,
+      _cleared_age_ms,
+      _was_held);
+}
+
+inline QuarantineT::QuarantineT(const QuarantineT &o) {
+  records.reserve(o.records.size());
+  for (const auto &records_ : o.records) { records.emplace_back((records_) ? new hickorylift::wire::QuarantineRecordT(*records_) : nullptr); }
+}
+
+inline QuarantineT &QuarantineT::operator=(QuarantineT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(records, o.records);
+  return *this;
+}
+
+inline QuarantineT *Quarantine::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuarantineT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Quarantine::UnPackTo(QuarantineT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<hickorylift::wire::QuarantineRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<Quarantine> Quarantine::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuarantine(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Quarantine> CreateQuarantine(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuarantineT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<hickorylift::wire::QuarantineRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantineRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return hickorylift::wire::CreateQuarantine(
+      _fbb,
+      _records);
+}
+
 inline SpreadFrameT *SpreadFrame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<SpreadFrameT>();
   UnPackTo(_o.get(), _resolver);
@@ -2629,6 +2993,10 @@
       auto ptr = reinterpret_cast<const hickorylift::wire::FleetExchange *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case SpreadPayload::Quarantine: {
+      auto ptr = reinterpret_cast<const hickorylift::wire::Quarantine *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2684,6 +3052,10 @@
       auto ptr = reinterpret_cast<const hickorylift::wire::FleetExchange *>(obj);
       return ptr->UnPack(resolver);
     }
+    case SpreadPayload::Quarantine: {
+      auto ptr = reinterpret_cast<const hickorylift::wire::Quarantine *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2727,6 +3099,10 @@
       auto ptr = reinterpret_cast<const hickorylift::wire::FleetExchangeT *>(value);
       return CreateFleetExchange(_fbb, ptr, _rehasher).Union();
     }
+    case SpreadPayload::Quarantine: {
+      auto ptr = reinterpret_cast<const hickorylift::wire::QuarantineT *>(value);
+      return CreateQuarantine(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2769,6 +3145,10 @@
       value = new hickorylift::wire::FleetExchangeT(*reinterpret_cast<hickorylift::wire::FleetExchangeT *>(u.value));
       break;
     }
+    case SpreadPayload::Quarantine: {
+      value = new hickorylift::wire::QuarantineT(*reinterpret_cast<hickorylift::wire::QuarantineT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2821,6 +3201,11 @@
       delete ptr;
       break;
     }
+    case SpreadPayload::Quarantine: {
+      auto ptr = reinterpret_cast<hickorylift::wire::QuarantineT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
