A gate whose upstream is gone says so, and counts as no try

The gate now tells whoever has a link to it, refuses at once meanwhile, and looks for its upstream's port every 100 ms. It holds because nothing is guessed: a refused connection with none standing is a process that is gone, and a port that is open again is one that is there.

--- a/scenario/WorldUpstreams.cpp
+++ b/scenario/WorldUpstreams.cpp
@@ -42,7 +42,9 @@
   Out.PauseAnswer = [](const CallId &, bool) {};
   Out.Probe = [this, Name] {
     this->at(Name, UpstreamDelay, [this](NodeState &Of) {
-      Of.Core->gate().upstreamProbed(Of.Upstream.Alive, this->Now);
+      Of.Core->gate().upstreamProbed(Of.Upstream.Alive ? UpstreamPort::Open
+                                                       : UpstreamPort::Closed,
+                                     this->Now);
     });
   };
   return Out;
--- a/src/calls/Calls_generated.h
+++ b/src/calls/Calls_generated.h
@@ -1680,6 +1680,7 @@
   uint64_t nonce = 0;
   std::unique_ptr<hickorylift::wire::Load> load{};
   bool draining = false;
+  bool gone = false;
   PongT() = default;
   PongT(const PongT &o);
   PongT(PongT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1693,7 +1694,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NONCE = 4,
     VT_LOAD = 6,
-    VT_DRAINING = 8
+    VT_DRAINING = 8,
+    VT_GONE = 10
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -1704,11 +1706,15 @@
   bool draining() const {
     return GetField<uint8_t>(VT_DRAINING, 0) != 0;
   }
+  bool gone() const {
+    return GetField<uint8_t>(VT_GONE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
            VerifyField<hickorylift::wire::Load>(verifier, VT_LOAD, 4) &&
            VerifyField<uint8_t>(verifier, VT_DRAINING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_GONE, 1) &&
            verifier.EndTable();
   }
   PongT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1729,6 +1735,9 @@
   void add_draining(bool draining) {
     fbb_.AddElement<uint8_t>(Pong::VT_DRAINING, static_cast<uint8_t>(draining), 0);
   }
+  void add_gone(bool gone) {
+    fbb_.AddElement<uint8_t>(Pong::VT_GONE, static_cast<uint8_t>(gone), 0);
+  }
   explicit PongBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1744,10 +1753,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t nonce = 0,
     const hickorylift::wire::Load *load = nullptr,
-    bool draining = false) {
+    bool draining = false,
+    bool gone = false) {
   PongBuilder builder_(_fbb);
   builder_.add_nonce(nonce);
   builder_.add_load(load);
+  builder_.add_gone(gone);
   builder_.add_draining(draining);
   return builder_.Finish();
 }
@@ -2468,13 +2479,15 @@
 inline PongT::PongT(const PongT &o)
       : nonce(o.nonce),
         load((o.load) ? new hickorylift::wire::Load(*o.load) : nullptr),
-        draining(o.draining) {
+        draining(o.draining),
+        gone(o.gone) {
 }
 
 inline PongT &PongT::operator=(PongT o) FLATBUFFERS_NOEXCEPT {
   std::swap(nonce, o.nonce);
   std::swap(load, o.load);
   std::swap(draining, o.draining);
+  std::swap(gone, o.gone);
   return *this;
 }
 
@@ -2490,6 +2503,7 @@
   { auto _e = nonce(); _o->nonce = _e; }
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<hickorylift::wire::Load>(new hickorylift::wire::Load(*_e)); }
   { auto _e = draining(); _o->draining = _e; }
+  { auto _e = gone(); _o->gone = _e; }
 }
 
 inline flatbuffers::Offset<Pong> Pong::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PongT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2503,11 +2517,13 @@
   auto _nonce = _o->nonce;
   auto _load = _o->load ? _o->load.get() : nullptr;
   auto _draining = _o->draining;
+  auto _gone = _o->gone;
   return hickorylift::wire::CreatePong(
       _fbb,
       _nonce,
       _load,
-      _draining);
+      _draining,
+      _gone);
 }
 
 inline DrainingT *Draining::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -26,6 +26,7 @@
 const char UpstreamReason[] = "upstream-";
 const char UpstreamCrashed[] = "upstream-crashed";
 const char Quarantined[] = "quarantined";
+const char BesideSuspect[] = "beside-suspect";
 const char KeyHeader[] = "Idempotency-Key";
 const char ClassHeader[] = "Hickorylift-Caller-Class";
 constexpr size_t MaxKeyLength = 256;
@@ -49,10 +50,13 @@
 }
 
 // Whether the call may have come to an upstream before it was refused. One that
-// a gate or a link turned away cost no upstream anything.
+// a gate or a link turned away cost no upstream anything, and neither did one
+// to which no connection could be made.
 bool reachedUpstream(const Refusal &Why) {
+  bool NotMade =
+      Why.Reason == "upstream-unreachable" || Why.Reason == "upstream-timeout";
   return Why.What == Outcome::Unknown ||
-         Why.Reason.rfind(UpstreamReason, 0) == 0;
+         (Why.Reason.rfind(UpstreamReason, 0) == 0 && !NotMade);
 }
 
 // Whether a refusal shows the gate, its link or its upstream to be out of
@@ -489,6 +493,10 @@
   bool Reached = reachedUpstream(Why);
   One.Attempts += Reached ? 1 : 0;
   One.Crashes += Why.Reason == UpstreamCrashed ? 1 : 0;
+  // After a crash several suspects look for a gate at once, and nobody refused
+  // this one for want of room. As many more as a call may have.
+  if (Why.Reason == BesideSuspect && One.Besides++ < this->Opts.MaxOffers)
+    --One.Offers;
   if (!Harmless || One.HaveHead || !One.Request.replayable() ||
       Now >= One.Deadline || One.Attempts >= One.Taken->attempts() ||
       One.Offers >= this->Opts.MaxOffers ||
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -99,9 +99,9 @@
     /// before it reaches an upstream count here, and not as tries of the
     /// route's own number.
     uint32_t MaxOffers = 4;
-    /// Upstreams that may crash under one attempt. One is a misfortune that the
-    /// next upstream makes good; who goes on after two spreads whatever it is.
-    uint32_t MaxCrashes = 2;
+    /// Upstreams that may crash under one attempt, whatever its route allows:
+    /// as many as it takes to hold its request. The last of them is its trial.
+    uint32_t MaxCrashes = 3;
     /// Advice to callers that are refused before a gate is chosen.
     Millis ComeBack{1000};
     /// When callers of a node that holds no version yet should come back, and
@@ -260,8 +260,9 @@
     // upstream.
     uint32_t Offers = 0;
     uint32_t Attempts = 0;
-    // Upstreams that crashed under it.
+    // Upstreams that crashed under it, and gates at which a suspect ran.
     uint32_t Crashes = 0;
+    uint32_t Besides = 0;
     // Names its request, and that goes to the one gate that tries it.
     Fingerprint Print;
     bool OnTrial = false;
@@ -294,6 +295,8 @@
     std::optional<TimePoint> PingAt;
     TimePoint NextPing;
     std::optional<TimePoint> LostAt;
+    // The gate has said that its upstream is gone.
+    bool Gone = false;
     // Links in a row that were condemned for silence, and the last of them.
     unsigned Silences = 0;
     std::optional<TimePoint> SilentAt;
@@ -339,6 +342,8 @@
   void onData(const std::string &Gate, const wire::DataT &Data, TimePoint Now);
   void onFailed(const std::string &Gate, const wire::FailedT &Failed,
                 TimePoint Now);
+  void onPong(const std::string &Gate, Link &On, const wire::PongT &Pong,
+              TimePoint Now);
   void onAdmitted(const std::string &Gate, const wire::AdmittedT &Joined,
                   TimePoint Now);
   void onCredit(const std::string &Gate, const wire::CreditT &Credit,
--- a/src/calls/EntryAnswers.cpp
+++ b/src/calls/EntryAnswers.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr unsigned FirstServerError = 500;
+// The gate's upstream is not there any more.
+const char UpstreamUnreachable[] = "upstream-unreachable";
+const char UpstreamCrashed[] = "upstream-crashed";
 
 } // namespace
 
@@ -46,12 +49,8 @@
     return this->onCredit(Gate, *Credit, Now);
   if (Frame.payload.AsDraining())
     return this->Choose.draining(Gate);
-  if (const auto *Pong = Frame.payload.AsPong()) {
-    if (Pong->load)
-      this->Choose.learn(Gate, *Pong->load, Now);
-    Pong->draining ? this->Choose.draining(Gate) : this->Choose.ready(Gate);
-    return;
-  }
+  if (const auto *Pong = Frame.payload.AsPong())
+    return this->onPong(Gate, On, *Pong, Now);
   if (const auto *Ping = Frame.payload.AsPing()) {
     wire::PongT Pong;
     Pong.nonce = Ping->nonce;
@@ -59,6 +58,18 @@
   }
 }
 
+void Entry::onPong(const std::string &Gate, Link &On, const wire::PongT &Pong,
+                   TimePoint Now) {
+  if (Pong.load)
+    this->Choose.learn(Gate, *Pong.load, Now);
+  Pong.draining ? this->Choose.draining(Gate) : this->Choose.ready(Gate);
+  if (Pong.gone)
+    this->Choose.unreachable(Gate, Now);
+  else if (On.Gone)
+    this->Choose.reachable(Gate);
+  On.Gone = Pong.gone;
+}
+
 // What is left of the time until the head, without the gate's own, went by on
 // the way. A long body takes its time on it, which says nothing of the way.
 void Entry::learnWay(const std::string &Gate, const Call &One,
@@ -150,6 +161,10 @@
     this->Choose.unreachable(Gate, Now);
   if (Why.Reason == "overload")
     this->Choose.refused(Gate, Now);
+  if (Why.Reason == UpstreamUnreachable || Why.Reason == UpstreamCrashed) {
+    this->Links[Gate].Gone = true;
+    this->Choose.unreachable(Gate, Now);
+  }
   // A run that was left is over; the call goes on where it is.
   if (Call *Of = this->leftBy(Gate, Failed.seq)) {
     this->LeftBySeq.erase(Failed.seq);
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -62,12 +62,14 @@
   }
 }
 
-void Gate::linkUp(LinkId Link, TimePoint) {
+void Gate::linkUp(LinkId Link, TimePoint Now) {
   this->Links[Link];
   wire::CallHelloT Hello;
   Hello.node = this->Opts.Self;
   Hello.incarnation = this->Opts.Incarnation;
   this->Hook.Send(Link, callFrame(std::move(Hello)));
+  if (this->Gone)
+    this->sendPong(Link, /*Nonce=*/0, Now);
   if (!this->draining())
     return;
   wire::DrainingT Said;
@@ -182,6 +184,8 @@
     return NotRun("paused");
   if (Open.service != this->Opts.Service || !this->Of)
     return NotRun("not-my-service");
+  if (this->Gone)
+    return NotRun(UpstreamUnreachable);
   if (this->Calls.size() > this->Opts.MaxRemembered)
     return NotRun("memory-full");
   Admission::Ask &Wanted = One.Wanted;
@@ -452,6 +456,10 @@
 // refused for as long as the link lives.
 void Gate::reopen(TimePoint Now) {
   this->Slots.reopen();
+  this->tellLinks(Now);
+}
+
+void Gate::tellLinks(TimePoint Now) {
   for (const auto &[Link, State] : this->Links)
     this->sendPong(Link, /*Nonce=*/0, Now);
 }
@@ -461,6 +469,7 @@
   Pong.nonce = Nonce;
   Pong.load = std::make_unique<wire::Load>(this->load(Now));
   Pong.draining = this->draining();
+  Pong.gone = this->Gone;
   this->Hook.Send(Link, callFrame(std::move(Pong)));
 }
 
@@ -517,8 +526,7 @@
 
 void Gate::tick(TimePoint Now) {
   this->endOrphans(Now);
-  if (this->Watch.isProbeLate(Now))
-    this->upstreamProbed(/*Listening=*/true, Now);
+  this->lookForUpstream(Now);
   while (!this->Due.empty() && this->Due.begin()->first <= Now) {
     CallId Id = this->Due.begin()->second;
     this->Due.erase(this->Due.begin());
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -77,6 +77,8 @@
     /// Advice to the caller of a suspect that found another one running here,
     /// and no other gate: about a run.
     Millis SuspectComeBack{100};
+    /// Between two looks at an upstream that is gone.
+    Millis LookAgain{100};
   };
 
   /// What the upstream's side is to do.
@@ -134,8 +136,7 @@
   /// reached the upstream.
   void upstreamFailed(const CallId &Id, bool Sent, const Error &Why,
                       TimePoint Now);
-  /// Whether anybody takes connections at the upstream's address.
-  void upstreamProbed(bool Listening, TimePoint Now);
+  void upstreamProbed(UpstreamPort Found, TimePoint Now);
   /// The upstream's side has written this much of the request's body.
   void upstreamConsumed(const CallId &Id, uint64_t Total, TimePoint Now);
 
@@ -240,6 +241,10 @@
   void connectionEnded(const CallId &Id, Call &One, const Error &Why,
                        TimePoint Now);
   void failBroken(const CallId &Id, const char *Reason, TimePoint Now);
+  void upstreamGone(TimePoint Now);
+  void upstreamBack(TimePoint Now);
+  void lookForUpstream(TimePoint Now);
+  void tellLinks(TimePoint Now);
   void onData(LinkId Link, const wire::DataT &Data, TimePoint Now);
   bool isHoldable(const Call &One) const;
   bool fetchesFirst(const Call &One, TimePoint Now) const;
@@ -272,6 +277,7 @@
 
   static constexpr char StepAdmission[] = "admission";
   static constexpr char StepUpstream[] = "upstream";
+  static constexpr char UpstreamUnreachable[] = "upstream-unreachable";
 
   Options Opts;
   Hooks Hook;
@@ -279,6 +285,9 @@
   KeyJudge Judge;
   TransferTurns Transfers;
   RunWatch Watch;
+  // Nobody takes connections at the upstream's address.
+  bool Gone = false;
+  TimePoint NextLook;
   ConfigPtr InForce;
   const Service *Of = nullptr;
   // Of this upstream, by the list; 0 where it does not say.
--- a/src/calls/GateCrashes.cpp
+++ b/src/calls/GateCrashes.cpp
@@ -25,7 +25,7 @@
   Quarantine::Verdict Known = this->Hook.Judge(One.Print, Now);
   One.Suspected = Known.What != Quarantine::Standing::Free || One.Crashes != 0;
   bool Held = Known.What == Quarantine::Standing::Held;
-  bool Beside = One.Suspected && this->Watch.hasSuspect();
+  bool Beside = One.Suspected && this->Watch.hasOtherSuspect(One.Print);
   if (!Held && !Beside)
     return true;
   Refusal Why =
@@ -51,10 +51,14 @@
   }
 }
 
-void Gate::upstreamProbed(bool Listening, TimePoint Now) {
-  if (Listening) {
+void Gate::upstreamProbed(UpstreamPort Found, TimePoint Now) {
+  // It is asked again at the next tick.
+  if (Found == UpstreamPort::Unclear)
+    return;
+  if (Found == UpstreamPort::Open) {
     for (const CallId &Id : this->Watch.settle())
       this->failBroken(Id, UpstreamClosed, Now);
+    this->upstreamBack(Now);
     return this->pump(Now);
   }
   RunWatch::Crash Of = this->Watch.crashed(Now);
@@ -66,9 +70,38 @@
     this->Hook.Crashed(Ran, Now);
   for (const CallId &Id : Of.Broken)
     this->failBroken(Id, UpstreamCrashed, Now);
+  this->upstreamGone(Now);
   this->pump(Now);
 }
 
+// The list names an upstream for seconds after it is gone. Whoever is sent here
+// meanwhile finds nothing, and so does everybody who has not been here yet:
+// calls used up their offers at gates like this one, and were refused while
+// others had room. So every entry with a link is told at once, and again when
+// the port is open.
+void Gate::upstreamGone(TimePoint Now) {
+  if (std::exchange(this->Gone, true))
+    return;
+  this->NextLook = Now + this->Opts.LookAgain;
+  this->refuseUnseen(UpstreamUnreachable, Now);
+  this->tellLinks(Now);
+}
+
+void Gate::upstreamBack(TimePoint Now) {
+  if (std::exchange(this->Gone, false))
+    this->tellLinks(Now);
+}
+
+void Gate::lookForUpstream(TimePoint Now) {
+  if (this->Watch.isProbeLate(Now))
+    return this->upstreamProbed(UpstreamPort::Open, Now);
+  bool Due = this->Gone && Now >= this->NextLook;
+  if (!Due && !this->Watch.isWaiting())
+    return;
+  this->NextLook = Now + this->Opts.LookAgain;
+  this->Hook.Probe();
+}
+
 void Gate::failBroken(const CallId &Id, const char *Reason, TimePoint Now) {
   Call *One = this->find(Id);
   if (!One || One->Now != State::Running)
--- a/src/calls/GateCrashesTest.cpp
+++ b/src/calls/GateCrashesTest.cpp
@@ -30,6 +30,14 @@
     Head.Length = 0;
     this->At->upstreamHead({7, Seq}, Head, this->Now);
   }
+  /// What the entry was told of the upstream: whether it is gone.
+  std::vector<bool> toldGone() const {
+    std::vector<bool> Out;
+    for (const wire::CallFrameT &One : this->Sent)
+      if (const auto *Pong = One.payload.AsPong())
+        Out.push_back(Pong->gone);
+    return Out;
+  }
   std::string reason() const {
     return this->failed() ? this->failed()->reason : "";
   }
@@ -40,7 +48,7 @@
   const char *What;
   Errc Code;
   // What the probe finds; nothing where it finds nothing in time.
-  std::optional<bool> Listening;
+  std::optional<UpstreamPort> Found;
   bool Draining;
   const char *Reason;
   size_t Crashes;
@@ -50,12 +58,17 @@
 }
 
 const EndRow Ends[] = {
-    {"it is gone", Errc::Closed, false, false, "upstream-crashed", 1},
-    {"it takes connections", Errc::Closed, true, false, "upstream-closed", 0},
+    {"it is gone", Errc::Closed, UpstreamPort::Closed, false,
+     "upstream-crashed", 1},
+    {"it takes connections", Errc::Closed, UpstreamPort::Open, false,
+     "upstream-closed", 0},
     {"nobody says so", Errc::Closed, std::nullopt, false, "upstream-closed", 0},
-    {"it was leaving", Errc::Closed, false, true, "upstream-crashed", 0},
-    {"it sent rubbish", Errc::BadMessage, false, false, "upstream-bad-message",
-     0},
+    {"it was leaving", Errc::Closed, UpstreamPort::Closed, true,
+     "upstream-crashed", 0},
+    {"it is full, or ending", Errc::Closed, UpstreamPort::Unclear, false,
+     "upstream-closed", 0},
+    {"it sent rubbish", Errc::BadMessage, UpstreamPort::Closed, false,
+     "upstream-bad-message", 0},
 };
 
 } // namespace
@@ -72,8 +85,8 @@
     Of.At->drain("list", Of.Now);
   Of.connectionEnds(1, Row.Code);
   BOOST_TEST(Of.Probes == (Row.Code == Errc::Closed ? 1u : 0u));
-  if (Row.Listening && Of.Probes)
-    Of.At->upstreamProbed(*Row.Listening, Of.Now);
+  if (Row.Found && Of.Probes)
+    Of.At->upstreamProbed(*Row.Found, Of.Now);
   Of.Now += Millis(150);
   Of.At->tick(Of.Now);
   BOOST_TEST(Of.reason() == Row.Reason);
@@ -88,7 +101,7 @@
   for (uint64_t Seq = 1; Seq <= 3; ++Seq)
     this->openPath(Seq, "/" + std::to_string(Seq));
   this->connectionEnds(2);
-  this->At->upstreamProbed(/*Listening=*/false, this->Now);
+  this->At->upstreamProbed(UpstreamPort::Closed, this->Now);
   BOOST_REQUIRE(this->Crashes.size() == 1u);
   BOOST_TEST(this->Crashes[0].size() == 3u);
   BOOST_TEST(this->Crashes[0][1].Request == "GET /2");
@@ -100,6 +113,47 @@
   BOOST_TEST(this->reason() == "upstream-crashed");
 }
 
+// A process crashes, and its port closes a moment after its first connection.
+// The gate asks again, and finds it gone.
+BOOST_FIXTURE_TEST_CASE(APortThatClosesLateIsAskedAgain, Fixture) {
+  this->openPath(1, "/x");
+  this->connectionEnds(1);
+  this->At->upstreamProbed(UpstreamPort::Unclear, this->Now);
+  BOOST_TEST(this->reason() == "");
+  this->Now += Millis(20);
+  this->At->tick(this->Now);
+  BOOST_TEST(this->Probes == 2u);
+  this->At->upstreamProbed(UpstreamPort::Closed, this->Now);
+  BOOST_TEST(this->reason() == "upstream-crashed");
+  BOOST_TEST(this->Crashes.size() == 1u);
+}
+
+// The list names an upstream for seconds after its crash. Callers who are sent
+// there find nothing, and are refused in the end although others have room:
+// what a call may be offered is used up. Whoever has a link is told at once,
+// nothing is started meanwhile, and all are told when the port is open again.
+BOOST_FIXTURE_TEST_CASE(AnUpstreamThatIsGoneIsToldOf, Fixture) {
+  this->openPath(1, "/x");
+  this->connectionEnds(1);
+  this->At->upstreamProbed(UpstreamPort::Closed, this->Now);
+  BOOST_TEST(this->toldGone() == std::vector<bool>{true});
+  this->openPath(2, "/y");
+  BOOST_TEST(this->Started.size() == 1u);
+  BOOST_TEST(this->reason() == "upstream-unreachable");
+  BOOST_TEST((this->failed()->outcome == wire::Outcome::NotRun));
+  size_t Before = this->Probes;
+  for (int I = 0; I < 10; ++I) {
+    this->Now += Millis(100);
+    this->At->tick(this->Now);
+    this->At->upstreamProbed(UpstreamPort::Closed, this->Now);
+  }
+  BOOST_TEST(this->Probes == Before + 10);
+  this->At->upstreamProbed(UpstreamPort::Open, this->Now);
+  BOOST_TEST(this->toldGone() == (std::vector<bool>{true, false}));
+  this->openPath(3, "/z");
+  BOOST_TEST(this->Started.size() == 2u);
+}
+
 // A caller sends a request that is held. It must not reach the upstream, and
 // its caller is told truly that it has not run, and when to come back.
 BOOST_FIXTURE_TEST_CASE(WhatIsHeldIsRefused, Fixture) {
@@ -113,7 +167,8 @@
 }
 
 // Of two suspects at one upstream a crash would not show which is to blame, and
-// the innocent would be held with the other. The second is sent elsewhere.
+// the innocent would be held with the other. The second is sent elsewhere; two
+// runs of the same request may stand side by side.
 BOOST_FIXTURE_TEST_CASE(SuspectsRunOneAtATime, Fixture) {
   this->openPath(1, "/free");
   this->Known = {Standing::Suspect, Millis(0)};
@@ -122,9 +177,14 @@
   BOOST_TEST(this->Started.size() == 2u);
   BOOST_TEST(this->reason() == "beside-suspect");
   BOOST_TEST((this->failed()->outcome == wire::Outcome::NotRun));
+  this->openPath(4, "/one");
+  BOOST_TEST(this->Started.size() == 3u);
   this->answer(2);
-  this->openPath(4, "/two");
+  this->openPath(5, "/two");
   BOOST_TEST(this->Started.size() == 3u);
+  this->answer(4);
+  this->openPath(6, "/two");
+  BOOST_TEST(this->Started.size() == 4u);
 }
 
 // The entry has seen an upstream crash under the call a moment ago. The news
--- a/src/calls/Message.h
+++ b/src/calls/Message.h
@@ -83,6 +83,16 @@
   unsigned Status = 0;
 };
 
+/// What a probe finds at the address of an upstream.
+enum class UpstreamPort {
+  Open,
+  /// Connections are refused, and all that there were have ended.
+  Closed,
+  /// A connection is refused while another one stands: the upstream is full, or
+  /// is ending just now.
+  Unclear,
+};
+
 Refusal makeRefusal(Outcome What, const std::string &Reason,
                     const std::string &Step, const std::string &Peer);
 
--- a/src/gate/RunWatch.cpp
+++ b/src/gate/RunWatch.cpp
@@ -14,7 +14,8 @@
   if (Found == this->Runs.end())
     return std::nullopt;
   Run Out = Found->second;
-  this->Suspects -= Out.Suspected ? 1 : 0;
+  if (Out.Suspected && --this->Suspects[Out.Of] == 0)
+    this->Suspects.erase(Out.Of);
   this->Runs.erase(Found);
   return Out;
 }
@@ -23,7 +24,13 @@
                        bool Suspected) {
   this->take(Id);
   this->Runs[Id] = {Of, Suspected};
-  this->Suspects += Suspected ? 1 : 0;
+  if (Suspected)
+    ++this->Suspects[Of];
+}
+
+// Two runs of one request point at the same one.
+bool RunWatch::hasOtherSuspect(const Fingerprint &Than) const {
+  return this->Suspects.size() > this->Suspects.count(Than);
 }
 
 void RunWatch::answered(const CallId &Id, TimePoint Now) {
--- a/src/gate/RunWatch.h
+++ b/src/gate/RunWatch.h
@@ -49,7 +49,7 @@
 
   explicit RunWatch(Options Opts) : Opts(Opts) {}
 
-  /// Suspected: no other suspect may run beside it.
+  /// Suspected: no suspect of another name may run beside it.
   void started(const CallId &Id, const Fingerprint &Of, bool Suspected);
   void answered(const CallId &Id, TimePoint Now);
   /// It is over and shows nothing: it did not run, or its answer was spoilt.
@@ -58,8 +58,10 @@
   void cancelled(const CallId &Id, TimePoint Now);
   Next broke(const CallId &Id, TimePoint Now);
 
-  /// Whether a suspect runs.
-  bool hasSuspect() const { return this->Suspects != 0; }
+  /// Whether a suspect runs that is another request than this.
+  bool hasOtherSuspect(const Fingerprint &Than) const;
+  /// Whether anything waits for what a probe finds.
+  bool isWaiting() const { return this->ProbedAt.has_value(); }
   /// Whether the answer about the upstream has been missing for too long.
   bool isProbeLate(TimePoint Now) const;
   /// The upstream takes connections, or nobody knows: what waited for that has
@@ -94,7 +96,8 @@
 
   Options Opts;
   std::map<CallId, Run> Runs;
-  size_t Suspects = 0;
+  // How many runs there are of each suspect.
+  std::map<Fingerprint, size_t> Suspects;
   std::deque<Cancelled> BrokenOff;
   std::optional<TimePoint> ProbedAt;
   // When a request was answered last, and all answers in their order.
--- a/src/gate/RunWatchTest.cpp
+++ b/src/gate/RunWatchTest.cpp
@@ -133,7 +133,7 @@
   Watch.broke({1, 2}, Start);
   Watch.crashed(Start);
   BOOST_TEST((Watch.broke({1, 1}, Start) == RunWatch::Next::Crashed));
-  BOOST_TEST(!Watch.hasSuspect());
+  BOOST_TEST(!Watch.hasOtherSuspect({9}));
 }
 
 // Answers remembered are bounded, however many there are.
--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -122,7 +122,7 @@
   std::map<CallId, ResponseHead> Heads;
   std::map<CallId, std::string> Bodies;
   std::map<CallId, std::string> Ends;
-  std::optional<bool> Listening;
+  std::optional<UpstreamPort> Found;
 
   ClientFixture() {
     uint16_t Port = 0;
@@ -146,7 +146,7 @@
     };
     Hooks.Consumed = [](const CallId &, uint64_t, TimePoint) {};
     Hooks.Health = [](const Result<std::string> &, TimePoint) {};
-    Hooks.Probed = [this](bool Is, TimePoint) { this->Listening = Is; };
+    Hooks.Probed = [this](UpstreamPort Is, TimePoint) { this->Found = Is; };
     this->Http = std::make_unique<UpstreamClient>(
         Opts, Hooks, [this] { return Clock::now() + this->Ahead; });
   }
@@ -188,6 +188,11 @@
     BOOST_REQUIRE(this->end(1) == "answered");
     return Upstream;
   }
+  std::optional<UpstreamPort> probe() {
+    this->Http->probe();
+    turnUntil([&] { return this->Found.has_value(); });
+    return this->Found;
+  }
   std::string end(uint64_t Seq) {
     turnUntil([&] { return this->Ends.count({1, Seq}) != 0; });
     return this->Ends[{1, Seq}];
@@ -317,20 +322,24 @@
 // what its request is taken for. The connection that was made to find out is
 // not wasted.
 BOOST_FIXTURE_TEST_CASE(AProbeServesTheNextCall, ClientFixture) {
-  this->Http->probe();
-  BOOST_TEST(turnUntil([&] { return this->Listening.has_value(); }));
-  BOOST_TEST(*this->Listening);
+  BOOST_TEST((this->probe() == UpstreamPort::Open));
   RawPeer Upstream = this->accept();
   this->start(1);
   BOOST_TEST(Upstream.waitFor("\r\n\r\n"));
   BOOST_TEST(this->Http->dials() == 1u);
 }
 
-BOOST_FIXTURE_TEST_CASE(AProbeIsRefusedWhereNobodyListens, ClientFixture) {
-  this->stopListening();
-  this->Http->probe();
-  BOOST_TEST(turnUntil([&] { return this->Listening.has_value(); }));
-  BOOST_TEST(!*this->Listening);
+// A process that is gone refuses connections and has ended all that it had. One
+// that refuses while a connection stands is full, or has not ended yet.
+BOOST_DATA_TEST_CASE(WhatARefusedProbeShows, data::make({false, true}),
+                     Stands) {
+  ClientFixture Of;
+  RawPeer Upstream = Of.keptConnection();
+  if (!Stands)
+    Upstream.close();
+  Of.stopListening();
+  BOOST_TEST(
+      (Of.probe() == (Stands ? UpstreamPort::Unclear : UpstreamPort::Closed)));
 }
 
 // What an upstream sends is the call's answer only if it is whole, and its own;
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -159,7 +159,7 @@
     if (On->Current)
       this->sendRequest(On);
     else if (On->Probe)
-      this->probed(On, /*Listening=*/true, this->Now());
+      this->probed(On, /*Refused=*/false, this->Now());
   };
   Hooks.Data = [this, Weak](std::string_view Bytes, TimePoint At) {
     if (ConnectionPtr On = Weak.lock())
@@ -181,7 +181,16 @@
 
 void UpstreamClient::probe() { this->dial()->Probe = true; }
 
-void UpstreamClient::probed(const ConnectionPtr &On, bool Listening,
+// One that the other end has neither ended nor reset, whatever this process has
+// been told of so far.
+bool UpstreamClient::hasLiveConnection() const {
+  return std::any_of(this->Open.begin(), this->Open.end(), [](const auto &One) {
+    const Connection &On = *One.second;
+    return On.Made && !On.Stream->hasUnread();
+  });
+}
+
+void UpstreamClient::probed(const ConnectionPtr &On, bool Refused,
                             TimePoint At) {
   On->Probe = false;
   if (On->Made) {
@@ -190,7 +199,10 @@
   } else {
     this->discard(On);
   }
-  this->Hook.Probed(Listening, At);
+  UpstreamPort Found = !Refused                    ? UpstreamPort::Open
+                       : this->hasLiveConnection() ? UpstreamPort::Unclear
+                                                   : UpstreamPort::Closed;
+  this->Hook.Probed(Found, At);
 }
 
 void UpstreamClient::bodyWritten(Call &Of, TimePoint At) {
@@ -424,7 +436,7 @@
     return this->finishAnswer(On, At);
   }
   if (On->Probe)
-    return this->probed(On, Why != std::errc::connection_refused, At);
+    return this->probed(On, Why == std::errc::connection_refused, At);
   if (!On->Current)
     return this->discard(On);
   this->fail(On, Errc::Closed,
@@ -451,7 +463,10 @@
     return this->startCall(Of);
   }
   this->forget(Of);
-  Error Why{Sent ? Code : Errc::Unreachable, Step, this->Opts.Address.text(),
+  // A connection that nobody refuses and nobody makes shows no more than that
+  // the upstream is busy.
+  bool Refused = !Sent && Code != Errc::Timeout;
+  Error Why{Refused ? Errc::Unreachable : Code, Step, this->Opts.Address.text(),
             Detail};
   if (Of->IsHealth)
     return this->Hook.Health(Why, At);
@@ -498,7 +513,7 @@
   }
   for (const ConnectionPtr &On : Late)
     if (On->Probe)
-      this->probed(On, /*Listening=*/true, At);
+      this->probed(On, /*Refused=*/false, At);
     else
       this->fail(On, Errc::Timeout, "no answer in time", At);
   // The first has been idle for the longest.
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -69,9 +69,9 @@
     std::function<void(const CallId &, uint64_t, TimePoint)> Consumed;
     /// What the upstream's own health endpoint says, as it says it.
     std::function<void(Result<std::string>, TimePoint)> Health;
-    /// After probe(): false only if the connection was refused.
-    std::function<void(bool Listening, TimePoint)> Probed = [](bool,
-                                                               TimePoint) {};
+    /// After probe().
+    std::function<void(UpstreamPort, TimePoint)> Probed = [](UpstreamPort,
+                                                             TimePoint) {};
   };
 
   UpstreamClient(Options Opts, Hooks Hooks, std::function<TimePoint()> Clock);
@@ -112,7 +112,8 @@
   void bodyWritten(Call &Of, TimePoint At);
   void finishAnswer(const ConnectionPtr &On, TimePoint At);
   void onEnded(const ConnectionPtr &On, std::error_code Why, TimePoint At);
-  void probed(const ConnectionPtr &On, bool Listening, TimePoint At);
+  void probed(const ConnectionPtr &On, bool Refused, TimePoint At);
+  bool hasLiveConnection() const;
   void fail(const ConnectionPtr &On, Errc Code, const std::string &Detail,
             TimePoint At);
   void keep(const ConnectionPtr &On, const ResponseParser &Last, TimePoint At);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -290,8 +290,8 @@
   Hooks.Health = [this](const Result<std::string> &Said, TimePoint Now) {
     this->Core->health(Said, Now);
   };
-  Hooks.Probed = [&At](bool Listening, TimePoint Now) {
-    At.upstreamProbed(Listening, Now);
+  Hooks.Probed = [&At](UpstreamPort Found, TimePoint Now) {
+    At.upstreamProbed(Found, Now);
   };
   UpstreamClient::Options Opts = this->Set.Upstream;
   Opts.Names = this->Names;
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -79,7 +79,7 @@
     /// Nothing is known against it.
     Free,
     /// Ran at an upstream that crashed. It may run at any gate, beside no other
-    /// suspect.
+    /// suspect than itself.
     Suspect,
     /// One crash short of being held, or held for its term: it runs at one
     /// gate, which all nodes choose alike, and beside no other suspect.
