--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -28,7 +28,7 @@
 ABSL_FLAG(std::string, records, "", "file of configuration records (check)");
 ABSL_FLAG(std::string, node, "127.0.0.1:9001",
           "operator address \"ip:port\" of a node (status, watch, explain, "
-          "audit, drain)");
+          "audit, drain, quarantine, release)");
 ABSL_FLAG(bool, json, false, "print JSON for scripts");
 ABSL_FLAG(uint64_t, version, 0,
           "version to wait for; 0 for the newest known (watch)");
@@ -41,6 +41,8 @@
           "files with nodes' logs, separated by commas; standard input where "
           "none is named (trace)");
 ABSL_FLAG(std::string, key, "", "idempotency key of the request (explain)");
+ABSL_FLAG(std::string, fingerprint, "",
+          "name of the request, as quarantine prints it (release)");
 
 namespace hickorylift {
 
@@ -239,15 +241,33 @@
   return Of.found() ? Done : AnswerIsNo;
 }
 
-int drainNode() {
-  Result<std::string> Said = fetch("POST", absl::GetFlag(FLAGS_node), "/drain",
+// Has the node do something, and prints what it says.
+int post(const std::string &Path) {
+  Result<std::string> Said = fetch("POST", absl::GetFlag(FLAGS_node), Path,
                                    absl::GetFlag(FLAGS_timeout_s));
+  if (!Said && Said.error().Code == Errc::NotFound) {
+    std::cerr << Said.error().Detail;
+    return AnswerIsNo;
+  }
   if (!Said)
     return unreached(Said.error());
   std::cout << *Said;
   return Done;
 }
 
+int drainNode() { return post("/drain"); }
+
+int showQuarantine() { return show("/quarantine", printQuarantine); }
+
+int releaseRequest() {
+  std::string Text = absl::GetFlag(FLAGS_fingerprint);
+  if (!Fingerprint::parse(Text)) {
+    std::cerr << "release needs --fingerprint, sixteen hex digits\n";
+    return WrongUse;
+  }
+  return post("/release?fingerprint=" + Text);
+}
+
 int watchFleet() {
   WatchOptions Options;
   Options.Node = absl::GetFlag(FLAGS_node);
@@ -297,6 +317,15 @@
      "The changes that one node remembers, oldest first.", showAudit},
     {"drain", "hickorylift drain [--node=IP:PORT]",
      "Closes the gate before this node's upstream to new work.", drainNode},
+    {"quarantine", "hickorylift quarantine [--node=IP:PORT] [--json]",
+     "Requests that crashed upstreams: held ones first, with when each is "
+     "tried "
+     "again, then those of which one more crash holds them, then suspects.",
+     showQuarantine},
+    {"release", "hickorylift release --fingerprint=HEX [--node=IP:PORT]",
+     "Takes a request out of quarantine, on all nodes. Exit 0 then, 1 if "
+     "nothing is known against it, 3 if the node does not answer.",
+     releaseRequest},
 };
 
 void printUse(std::ostream &To) {
--- a/src/cli/Http.cpp
+++ b/src/cli/Http.cpp
@@ -31,9 +31,10 @@
   const char *At = static_cast<const char *>(g_bytes_get_data(Body, &Size));
   std::string Text(At ? At : "", Size);
   g_bytes_unref(Body);
-  if (Status != 200)
-    return Error{Errc::Refused, "operator", Address,
-                 "status " + std::to_string(Status) + ": " + Text};
+  if (Status != SOUP_STATUS_OK)
+    return Error{
+        Status == SOUP_STATUS_NOT_FOUND ? Errc::NotFound : Errc::Refused,
+        "operator", Address, "status " + std::to_string(Status) + ": " + Text};
   return Text;
 }
 
--- a/src/cli/Views.cpp
+++ b/src/cli/Views.cpp
@@ -112,6 +112,19 @@
               << "\n";
 }
 
+void printQuarantine(const Json::Value &Requests) {
+  for (const Json::Value &One : Requests)
+    std::cout << LogLine(One["standing"].asString())
+                     .add("fingerprint", One["fingerprint"].asString())
+                     .add("crashes", One["crashes"].asUInt64())
+                     .add("last_crash_ago_ms",
+                          One["last_crash_ago_ms"].asUInt64())
+                     .add("come_back_ms", One["come_back_ms"].asUInt64())
+                     .add("request", One["request"].asString())
+                     .text()
+              << "\n";
+}
+
 void printExplain(const Json::Value &Found) {
   std::cout << Found["method"].asString() << " " << Found["path"].asString()
             << "\n";
--- a/src/cli/Views.h
+++ b/src/cli/Views.h
@@ -14,6 +14,7 @@
 void printStatus(const Json::Value &Status);
 void printAudit(const Json::Value &Events);
 void printExplain(const Json::Value &Found);
+void printQuarantine(const Json::Value &Requests);
 
 struct WatchOptions {
   std::string Node;
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -117,6 +117,23 @@
   for (const auto &[Reason, Count] : Gated.RefusedBy)
     this->set("hickorylift_gate_refused", "Calls refused, by cause",
               static_cast<double>(Count), {{"reason", Reason}});
+  const Quarantine &Hold = Of.core().control().quarantine();
+  Set("hickorylift_upstream_crashes", "Crashes of this node's upstream",
+      Hold.counters().Crashes);
+  Set("hickorylift_quarantine_held", "Requests that came to be held",
+      Hold.counters().Held);
+  Set("hickorylift_quarantine_released",
+      "Requests that were held and are not any more", Hold.counters().Released);
+  using Standing = Quarantine::Standing;
+  std::map<Standing, unsigned> ByStanding = {
+      {Standing::Suspect, 0}, {Standing::Trial, 0}, {Standing::Held, 0}};
+  for (const auto &[Print, One] : Hold.records())
+    ++ByStanding[Hold.standing(One, Now).What];
+  ByStanding.erase(Standing::Free);
+  for (const auto &[What, Count] : ByStanding)
+    this->set("hickorylift_quarantine_requests",
+              "Requests that may crash upstreams, by what stands against them",
+              Count, {{"standing", standingName(What)}});
   wire::Load Load = Of.core().gate().load(Now);
   Set("hickorylift_gate_running", "Calls at the upstream", Load.in_flight());
   Set("hickorylift_gate_waiting", "Calls that wait", Load.queued());
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr unsigned Ok = 200;
+constexpr unsigned BadRequest = 400;
 constexpr unsigned NotFound = 404;
 constexpr unsigned NotAllowed = 405;
 constexpr unsigned Unavailable = 503;
@@ -70,7 +71,7 @@
   NodeCore &Core = Self->Of.core();
   std::string Path = PathText;
   std::string Method = soup_server_message_get_method(Message);
-  bool Changes = Path == "/drain" || Path == "/undrain";
+  bool Changes = Path == "/drain" || Path == "/undrain" || Path == "/release";
   if (Method != (Changes ? "POST" : "GET"))
     return answer(Message, NotAllowed, "text/plain",
                   Changes ? "use POST\n" : "use GET\n");
@@ -82,6 +83,10 @@
     return answerJson(Message, Self->audit());
   if (Path == "/explain")
     return answerJson(Message, Self->explain(Query));
+  if (Path == "/quarantine")
+    return answerJson(Message, Self->quarantine());
+  if (Path == "/release")
+    return Self->release(Message, Query);
   if (Path == "/metrics")
     return answer(Message, Ok, "text/plain; version=0.0.4",
                   Self->Measured.text(Self->Of));
@@ -99,7 +104,8 @@
                   Core.gate().draining() ? "draining\n" : "open\n");
   }
   answer(Message, NotFound, "text/plain",
-         "try /status /fleet /audit /explain /metrics /ready /drain\n");
+         "try /status /fleet /audit /explain /quarantine /metrics /ready "
+         "/drain\n");
 }
 
 Json::Value OperatorServer::status() {
@@ -233,4 +239,40 @@
   return Out;
 }
 
+// What is held first, then trials and suspects.
+Json::Value OperatorServer::quarantine() {
+  TimePoint Now = this->Of.now();
+  const Quarantine &All = this->Of.core().control().quarantine();
+  Json::Value Out(Json::arrayValue);
+  using Standing = Quarantine::Standing;
+  for (Standing Wanted : {Standing::Held, Standing::Trial, Standing::Suspect})
+    for (const auto &[Print, One] : All.records()) {
+      Quarantine::Verdict Known = All.standing(One, Now);
+      if (Known.What != Wanted)
+        continue;
+      Json::Value Row(Json::objectValue);
+      Row["fingerprint"] = Print.text();
+      Row["request"] = One.Request;
+      Row["standing"] = standingName(Known.What);
+      Row["crashes"] = Json::UInt64(One.Crashes.size());
+      Row["last_crash_ago_ms"] =
+          Json::Int64(toMillis(Now - One.Crashes.back().At).count());
+      Row["come_back_ms"] = Json::Int64(Known.ComeBack.count());
+      Out.append(Row);
+    }
+  return Out;
+}
+
+void OperatorServer::release(SoupServerMessage *Message, GHashTable *Query) {
+  std::optional<Fingerprint> Print =
+      Fingerprint::parse(queryValue(Query, "fingerprint", ""));
+  if (!Print)
+    return answer(Message, BadRequest, "text/plain",
+                  "fingerprint: expected sixteen hex digits\n");
+  bool Known =
+      this->Of.core().control().quarantine().release(*Print, this->Of.now());
+  answer(Message, Known ? Ok : NotFound, "text/plain",
+         Known ? "released\n" : "nothing is known against it here\n");
+}
+
 } // namespace hickorylift
--- a/src/operator/OperatorServer.h
+++ b/src/operator/OperatorServer.h
@@ -9,7 +9,8 @@
 #include <libsoup/soup.h>
 
 // The OperatorServer answers operators over HTTP: /status, /fleet, /audit,
-// /explain, /metrics, /ready, and by POST /drain and /undrain. The bodies are
+// /explain, /quarantine, /metrics, /ready, and by POST /drain, /undrain and
+// /release. The bodies are
 // JSON but for /metrics; docs/OPERATIONS.md describes them.
 
 namespace hickorylift {
@@ -32,6 +33,8 @@
   Json::Value fleet();
   Json::Value audit();
   Json::Value explain(GHashTable *Query);
+  Json::Value quarantine();
+  void release(SoupServerMessage *Message, GHashTable *Query);
 
   Node &Of;
   Metrics Measured;
--- a/src/quarantine/Fingerprint.cpp
+++ b/src/quarantine/Fingerprint.cpp
@@ -19,6 +19,11 @@
 
 std::string Fingerprint::text() const { return hexHash(this->Hash); }
 
+std::optional<Fingerprint> Fingerprint::parse(std::string_view Text) {
+  std::optional<uint64_t> Hash = parseHexHash(Text);
+  return Hash ? std::optional(Fingerprint{*Hash}) : std::nullopt;
+}
+
 Fingerprint fingerprintOf(const std::string &Service, const RequestHead &Head,
                           const std::string &Customer, std::string_view Body) {
   uint64_t Sum = contentHash(Service);
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -87,7 +87,8 @@
 Quarantine::Verdict Quarantine::judge(const Fingerprint &Of,
                                       TimePoint Now) const {
   auto Found = this->Known.find(Of);
-  if (Found == this->Known.end() || !this->Opts.Guards.HoldCrashers)
+  bool Holds = this->Opts.Enabled && this->Opts.Guards.HoldCrashers;
+  if (Found == this->Known.end() || !Holds)
     return {};
   return this->standing(Found->second, Now);
 }
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -35,6 +35,8 @@
   auto operator<=>(const Fingerprint &) const = default;
   /// Sixteen lower-case hexadecimal digits.
   std::string text() const;
+  /// The inverse of text().
+  static std::optional<Fingerprint> parse(std::string_view Text);
 };
 
 /// Of method, host, path with query, customer and body, for one service. The
@@ -53,6 +55,8 @@
     /// This instance's name and start: no two crashes have the same id.
     std::string Self;
     uint64_t Incarnation = 1;
+    /// Off, nothing is refused; what is known is still kept and passed on.
+    bool Enabled = true;
     /// Crashes under which a request must have run before it is held. One or
     /// two befall any request that runs beside another that crashes, and is
     /// sent on to the next upstream.
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -14,6 +14,9 @@
 // More often, and asking would be a load of its own.
 constexpr Millis ShortestHealthInterval{50};
 constexpr int64_t LongestHealthMs = 60000;
+// A week: whoever is held for longer is better taken off by its route.
+constexpr int64_t LongestQuarantineS = 7 * 24 * 3600;
+constexpr int64_t MostCrashes = 10;
 
 class SettingsReader {
 public:
@@ -31,6 +34,7 @@
     this->readSpread(Top);
     this->readCalls(Top);
     this->readKeys(Top);
+    this->readQuarantine(Top);
     this->readRest(Top);
     Top.finish();
     return std::move(this->Out);
@@ -250,6 +254,27 @@
     Keys.finish();
   }
 
+  void readQuarantine(JsonObject &Top) {
+    JsonObject Section = this->section(Top, "quarantine");
+    Quarantine::Options &To = this->Out.Core.Control.Hold;
+    auto Length = [&](const char *Key, Millis Default) {
+      int64_t Seconds = Default.count() / 1000;
+      return Millis(1000 *
+                    Section.integer(Key, Seconds, 1, LongestQuarantineS));
+    };
+    To.Enabled = Section.boolean("enabled", To.Enabled);
+    To.Crashes = static_cast<uint32_t>(
+        Section.integer("crashes", To.Crashes, 1, MostCrashes));
+    To.Term = Length("term_s", To.Term);
+    To.LongestTerm = Length("longest_term_s", To.LongestTerm);
+    To.SuspectFor = Length("suspect_for_s", To.SuspectFor);
+    To.MaxRequests = static_cast<size_t>(Section.integer(
+        "max_requests", static_cast<int64_t>(To.MaxRequests), 1, 100000));
+    if (To.LongestTerm < To.Term)
+      Section.fault("longest_term_s", "expected at least term_s");
+    Section.finish();
+  }
+
   void readRest(JsonObject &Top) {
     JsonObject Log = this->section(Top, "log");
     this->Out.LogLevel =
--- a/src/settings/SettingsTest.cpp
+++ b/src/settings/SettingsTest.cpp
@@ -107,6 +107,17 @@
      "expected at least platform.watch_wait_ms"},
     {"\"spread\": {", "\"keys\": {\"max_keys\": 0}, \"spread\": {",
      "from 1 to"},
+    {"\"spread\": {", "\"quarantine\": {\"crashes\": 0}, \"spread\": {",
+     "from 1 to"},
+    {"\"spread\": {", "\"quarantine\": {\"enabled\": 1}, \"spread\": {",
+     "/quarantine/enabled"},
+    {"\"spread\": {", "\"quarantine\": {\"term_s\": 0}, \"spread\": {",
+     "from 1 to"},
+    {"\"spread\": {",
+     "\"quarantine\": {\"term_s\": 60, \"longest_term_s\": 59}, \"spread\": {",
+     "expected at least term_s"},
+    {"\"spread\": {", "\"quarantine\": {\"max_request\": 5}, \"spread\": {",
+     "unknown key"},
     {"\"spread\": {", "\"sprea\": {}, \"spread\": {", "/sprea: unknown key"},
 };
 
