--- a/scenario/Live.cpp
+++ b/scenario/Live.cpp
@@ -246,8 +246,18 @@
     g_cancellable_cancel(this->Calls[W.Words.at(0)].Stop);
   }
 
+  // The first request that a node has in quarantine.
+  std::string quarantined(const std::string &Name) {
+    std::string Text = this->fleet().capture(
+        "hickorylift", {"quarantine", "--json",
+                        "--node=" + this->fleet().node(Name).Operator});
+    Json::Value Read = harness::parseOrNull(Text);
+    return Read.isArray() && !Read.empty() ? Read[0]["fingerprint"].asString()
+                                           : "none";
+  }
+
   // cli EXIT COMMAND FLAG...: runs the program; @NAME stands for a node's
-  // operator address.
+  // operator address, %NAME for the first request in quarantine there.
   void cli(const LiveLine &W) {
     std::vector<std::string> Flags;
     for (size_t I = 1; I < W.Words.size(); ++I) {
@@ -256,6 +266,9 @@
       if (At != std::string::npos)
         Flag = Flag.substr(0, At) +
                this->fleet().node(Flag.substr(At + 1)).Operator;
+      size_t Held = Flag.find('%');
+      if (Held != std::string::npos)
+        Flag = Flag.substr(0, Held) + this->quarantined(Flag.substr(Held + 1));
       Flags.push_back(Flag);
     }
     int Exit = this->fleet().exitOf("hickorylift", Flags);
@@ -290,6 +303,12 @@
     if (What == "cancelled")
       return All.upstreamCounters(Who)["cancelled"].asUInt64() >=
              std::stoull(W.Words.at(2));
+    if (What == "metric") {
+      for (const std::string &Name : this->names(Who))
+        if (All.metric(Name, W.Words.at(2)) != std::stod(W.Words.at(3)))
+          return false;
+      return true;
+    }
     if (What == "drained")
       return !All.status(Who)["upstream"]["drained_by"].asString().empty();
     for (const std::string &Name : this->names(Who)) {
@@ -318,10 +337,23 @@
     return Sum;
   }
 
+  size_t crashes() {
+    size_t Sum = 0;
+    for (const auto &[Name, Of] : this->fleet().nodes())
+      Sum += this->fleet().upstreamCounters(Name)["crashes"].size();
+    return Sum;
+  }
+
   void expect(const LiveLine &W) {
     const std::string &What = W.Words.at(0);
     const std::string &Who = W.Words.at(1);
-    if (What == "runs") {
+    if (What == "crashes") {
+      if (size_t Count = this->crashes(); Count != std::stoull(Who))
+        this->Failure = std::to_string(Count) + " crashes";
+    } else if (What == "reason") {
+      if (this->Calls[Who].Reason != W.Words.at(2))
+        this->Failure = Who + " ended for " + this->Calls[Who].Reason;
+    } else if (What == "runs") {
       uint64_t Runs = this->runsOf(Who);
       if (Runs != std::stoull(W.Words.at(2)))
         this->Failure = Who + " ran " + std::to_string(Runs) + " times";
--- a/scenario/Soak.cpp
+++ b/scenario/Soak.cpp
@@ -9,6 +9,7 @@
 #include <gio/gunixinputstream.h>
 #include <libsoup/soup.h>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -29,6 +30,8 @@
 //   no process goes back to an older version while it lives;
 //   a planned stop ends in order and in time;
 //   an upstream that leaves the list gets no call after its drain time;
+//   a request that crashes its upstreams comes to no more, by nodes that
+//     nothing disturbs, soon after the third;
 //   once the faults are over, every node has the newest version.
 //
 //   soak --seed=7 --seeds=50 --seconds=10
@@ -66,6 +69,15 @@
 // A node hears in time of a leave if nothing has disturbed it for so long.
 constexpr Millis QuietFor{3000};
 constexpr int MaxConnections = 200;
+// One request crashes its upstreams, and its caller insists. Whatever comes to
+// an upstream this long after the third crash counts, and a few are allowed.
+constexpr Millis MarkedEvery{200};
+// A silent link is replaced after silence_ms below; whoever was disturbed knows
+// again after that and a heartbeat.
+constexpr Millis ToldWithin{1600};
+constexpr size_t CountedCrashes = 3;
+constexpr size_t LateAllowed = 3;
+const char Marked[] = "/a/marked?crash=2000";
 
 const char Settings[] =
     R"("spread": {"heartbeat_ms": 400, "silence_ms": 1200},)"
@@ -124,6 +136,7 @@
     TimePoint NextFault = Clock::now();
     while (Clock::now() < End) {
       this->call();
+      this->callMarked();
       if (Clock::now() >= NextFault) {
         this->fault(End);
         NextFault = Clock::now() + Millis(this->draw(100, 700));
@@ -146,7 +159,9 @@
     std::string Out;
     for (const auto &[Outcome, Count] : ByOutcome)
       absl::StrAppend(&Out, " ", Outcome, "=", Count);
-    return absl::StrCat(Out, " faults=", this->Faults);
+    return absl::StrCat(Out, " faults=", this->Faults,
+                        " crashes=", this->Crashes,
+                        " late=", this->LateCrashes);
   }
 
 private:
@@ -232,7 +247,7 @@
   }
 
   void freeze(const std::string &Name) {
-    this->Busy.insert(Name);
+    this->disturb(Name);
     this->All.signal(Name, SIGSTOP);
     this->later(Millis(this->draw(50, 1500)), [this, Name] {
       this->All.signal(Name, SIGCONT);
@@ -240,16 +255,33 @@
     });
   }
   void kill(const std::string &Name) {
-    this->Busy.insert(Name);
+    this->disturb(Name);
     this->All.signal(Name, SIGKILL);
     this->later(Millis(this->draw(100, 1000)), [this, Name] {
       this->restart(Name);
       this->rest(Name);
     });
   }
+  void disturb(const std::string &Name) {
+    this->Busy.insert(Name);
+    this->Disturbed[Name].push_back({Clock::now(), std::nullopt});
+  }
   void rest(const std::string &Name) {
     this->Busy.erase(Name);
     this->QuietSince[Name] = Clock::now();
+    if (!this->Disturbed[Name].empty())
+      this->Disturbed[Name].back().End = Clock::now();
+  }
+  // Whether nothing disturbed the node at that time, and for long before.
+  bool wasQuiet(const std::string &Name, TimePoint At) const {
+    auto Found = this->Disturbed.find(Name);
+    if (Found == this->Disturbed.end())
+      return true;
+    return std::none_of(Found->second.begin(), Found->second.end(),
+                        [At](const Disturbance &One) {
+                          TimePoint End = One.End.value_or(TimePoint::max());
+                          return One.Start <= At && End > At - ToldWithin;
+                        });
   }
   void restart(const std::string &Name) {
     this->checkOrder(Name);
@@ -275,7 +307,7 @@
     }
   }
   void stop(const std::string &Name) {
-    this->Busy.insert(Name);
+    this->disturb(Name);
     this->All.signal(Name, SIGTERM);
     this->awaitStop(Name, Clock::now());
   }
@@ -290,7 +322,10 @@
     this->restart(Name);
     this->rest(Name);
   }
+  // Its links, and the news on them, go by the wire.
   void wire(const std::string &Name, const std::string &How) {
+    TimePoint Now = Clock::now();
+    this->Disturbed[Name].push_back({Now, Now});
     this->post(this->All.node(Name).WireAdmin, "/" + How);
   }
   void outage() {
@@ -328,27 +363,50 @@
     });
   }
 
-  void call() {
-    bool Repeats = this->draw(0, 1) == 0;
-    bool Slow = !Repeats && this->draw(0, 7) == 0;
+  // The same request each time, at any node.
+  void callMarked() {
+    if (Clock::now() < this->NextMarked)
+      return;
+    this->NextMarked = Clock::now() + MarkedEvery;
+    std::string Node = this->anyNode();
+    SoakCall &New = this->newCall();
+    New.Repeats = true;
+    this->MarkedAt[New.Label] = Node;
+    this->send(New, "GET", this->All.node(Node).Callers + Marked);
+  }
+
+  SoakCall &newCall() {
     std::string Label = "c" + std::to_string(++this->LastCall);
     SoakCall &New = this->Calls[Label];
     New.Label = Label;
+    return New;
+  }
+
+  void call() {
+    bool Repeats = this->draw(0, 1) == 0;
+    bool Slow = !Repeats && this->draw(0, 7) == 0;
+    SoakCall &New = this->newCall();
     New.Repeats = Repeats;
-    std::string Url = absl::StrCat(
-        "http://", this->All.node(this->anyNode()).Callers,
-        Repeats ? "/a/"
-        : Slow  ? "/slow/"
-                : "/b/",
-        Label, "?ms=", this->draw(1, 120), "&size=", this->draw(1, 20000));
-    New.Message = soup_message_new(Repeats ? "GET" : "POST", Url.c_str());
-    soup_message_headers_append(soup_message_get_request_headers(New.Message),
-                                "X-Call-Id", Label.c_str());
+    std::string To = absl::StrCat(this->All.node(this->anyNode()).Callers,
+                                  Repeats ? "/a/"
+                                  : Slow  ? "/slow/"
+                                          : "/b/",
+                                  New.Label, "?ms=", this->draw(1, 120),
+                                  "&size=", this->draw(1, 20000));
     if (!Repeats)
-      New.Sent.assign(this->draw(1, 60000), static_cast<char>('a' + Label[1]));
+      New.Sent.assign(this->draw(1, 60000),
+                      static_cast<char>('a' + New.Label[1]));
+    this->send(New, Repeats ? "GET" : "POST", To, Slow);
+  }
+
+  void send(SoakCall &New, const char *Method, const std::string &To,
+            bool Slow = false) {
+    New.Message = soup_message_new(Method, ("http://" + To).c_str());
+    soup_message_headers_append(soup_message_get_request_headers(New.Message),
+                                "X-Call-Id", New.Label.c_str());
     if (Slow) {
       this->sendSlowly(New);
-    } else if (!Repeats) {
+    } else if (!New.Sent.empty()) {
       GBytes *Body = g_bytes_new_static(New.Sent.data(), New.Sent.size());
       soup_message_set_request_body_from_bytes(New.Message, "text/plain", Body);
       g_bytes_unref(Body);
@@ -428,7 +486,43 @@
     });
   }
 
+  // A node that was disturbed may not know yet, neither as the one that took
+  // the request nor as the one that handed it on.
+  void judgeMarked() {
+    struct Ran {
+      TimePoint At;
+      std::string Gate;
+      std::string Label;
+    };
+    std::vector<Ran> All;
+    for (const std::string &Name : this->Names) {
+      Json::Value Counters = this->All.upstreamCounters(Name);
+      for (const Json::Value &One : Counters["crashes"])
+        All.push_back({TimePoint(Millis(One["at_ms"].asInt64())), Name,
+                       One["call"].asString()});
+    }
+    std::sort(All.begin(), All.end(),
+              [](const Ran &A, const Ran &B) { return A.At < B.At; });
+    this->Crashes = All.size();
+    if (All.size() < CountedCrashes)
+      return;
+    TimePoint Known = All[CountedCrashes - 1].At + ToldWithin;
+    std::string Late;
+    for (const Ran &One : All) {
+      const std::string &Entry = this->MarkedAt[One.Label];
+      if (One.At <= Known || !this->wasQuiet(Entry, One.At) ||
+          !this->wasQuiet(One.Gate, One.At))
+        continue;
+      ++this->LateCrashes;
+      absl::StrAppend(&Late, " ", One.Label, " from ", Entry, " at ", One.Gate);
+    }
+    if (this->LateCrashes > LateAllowed)
+      this->Broken.push_back(absl::StrCat(
+          "a request that had crashed three upstreams went on:", Late));
+  }
+
   void judge() {
+    this->judgeMarked();
     for (const std::string &Name : this->Names)
       this->checkOrder(Name);
     std::map<std::string, uint64_t> Runs;
@@ -470,6 +564,18 @@
   // Nodes under a signal.
   std::set<std::string> Busy;
   std::map<std::string, TimePoint> QuietSince;
+  struct Disturbance {
+    TimePoint Start;
+    // Not yet, where nothing stands here.
+    std::optional<TimePoint> End;
+  };
+  std::map<std::string, std::vector<Disturbance>> Disturbed;
+  // Of the request that crashes its upstreams: the nodes that its attempts came
+  // in at.
+  std::map<std::string, std::string> MarkedAt;
+  TimePoint NextMarked;
+  size_t Crashes = 0;
+  size_t LateCrashes = 0;
   TimePoint PlatformQuietSince;
   TimePoint NoOutageUntil;
   std::vector<std::string> Broken;
--- a/standin/Upstream.cpp
+++ b/standin/Upstream.cpp
@@ -13,12 +13,16 @@
 #include <iostream>
 #include <map>
 #include <optional>
+#include <set>
+#include <vector>
 
 #include <sys/socket.h>
 
 // An upstream. The query says what a call does: ms, how long it takes; size,
 // how large its answer is; cut=1, break the answer off in the middle; drop=1,
-// close the connection without an answer. It counts
+// close the connection without an answer; crash=MS, end all connections and
+// close the port for so long, as a process does that crashes and is started
+// again. It counts
 // executions by the header X-Call-Id, so that a test can hold "not run" against
 // what really ran, and tells the hash of the body that it got. /admin/leave
 // says how long it still takes calls, and what comes later is counted;
@@ -49,11 +53,13 @@
     soup_server_add_handler(this->Server, nullptr, onWork, this, nullptr);
     soup_server_add_handler(this->Server, "/health", onHealth, this, nullptr);
     soup_server_add_handler(this->Server, "/admin", onAdmin, this, nullptr);
+    g_signal_connect(this->Server, "request-started",
+                     G_CALLBACK(onRequestStarted), this);
   }
 
   bool listen(const std::string &At) {
-    return static_cast<bool>(
-        listenHttp(this->Server, *parseAddress(At), "listen"));
+    this->Address = *parseAddress(At);
+    return static_cast<bool>(listenHttp(this->Server, this->Address, "listen"));
   }
 
 private:
@@ -81,6 +87,10 @@
     if (Id)
       ++Self->Executions[Id];
     ++Self->Total;
+    if (uint64_t Back = number(Query, "crash", 0)) {
+      Self->crash(Back, Id ? Id : "");
+      return;
+    }
     if (Self->Draining)
       ++Self->AfterDrain;
     if (Self->TakesUntil && Clock::now() > *Self->TakesUntil)
@@ -121,6 +131,33 @@
     g_source_attach(Of->Watch, nullptr);
   }
 
+  // All connections that there are, also those that nobody uses just now.
+  static void onRequestStarted(SoupServer *, SoupServerMessage *Message,
+                               gpointer Data) {
+    auto *Self = static_cast<UpstreamServer *>(Data);
+    GSocket *Socket = soup_server_message_get_socket(Message);
+    if (Socket && Self->Connections.insert(Socket).second)
+      g_object_weak_ref(G_OBJECT(Socket), onSocketGone, Self);
+  }
+  static void onSocketGone(gpointer Data, GObject *Socket) {
+    static_cast<UpstreamServer *>(Data)->Connections.erase(
+        reinterpret_cast<GSocket *>(Socket));
+  }
+
+  void crash(uint64_t BackAfterMs, const std::string &By) {
+    this->Crashes.emplace_back(toMillis(Clock::now().time_since_epoch()), By);
+    for (GSocket *One : this->Connections)
+      g_socket_shutdown(One, TRUE, TRUE, nullptr);
+    soup_server_disconnect(this->Server);
+    g_timeout_add(static_cast<guint>(BackAfterMs), onBack, this);
+  }
+  static gboolean onBack(gpointer Data) {
+    auto *Self = static_cast<UpstreamServer *>(Data);
+    bool Open =
+        static_cast<bool>(listenHttp(Self->Server, Self->Address, "listen"));
+    return Open ? G_SOURCE_REMOVE : G_SOURCE_CONTINUE;
+  }
+
   static gboolean onReadable(GSocket *Socket, GIOCondition, gpointer Data) {
     char Byte = 0;
     if (recv(g_socket_get_fd(Socket), &Byte, 1, MSG_PEEK | MSG_DONTWAIT) != 0)
@@ -228,6 +265,13 @@
     Out["after_drain"] = Json::UInt64(Self->AfterDrain);
     Out["late"] = Json::UInt64(Self->Late);
     Out["running"] = Json::UInt64(Self->Running);
+    Out["crashes"] = Json::Value(Json::arrayValue);
+    for (const auto &[At, By] : Self->Crashes) {
+      Json::Value One(Json::objectValue);
+      One["at_ms"] = Json::Int64(At.count());
+      One["call"] = By;
+      Out["crashes"].append(One);
+    }
     Out["executions"] = Json::Value(Json::objectValue);
     for (const auto &[Id, Count] : Self->Executions)
       Out["executions"][Id] = Json::UInt64(Count);
@@ -235,6 +279,10 @@
   }
 
   SoupServer *Server;
+  NetAddress Address;
+  std::set<GSocket *> Connections;
+  // When, and under which call.
+  std::vector<std::pair<Millis, std::string>> Crashes;
   TimePoint Start;
   std::map<std::string, uint64_t> Executions;
   uint64_t Total = 0;
