One look at an upstream's port at a time; a gate that is gone is told from one that refuses a connection

A connection that is refused once may be an upstream that is full: only the gate's own word that its upstream is gone leaves it aside. explain names a request that is held.

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -53,8 +53,9 @@
 // a gate or a link turned away cost no upstream anything, and neither did one
 // to which no connection could be made.
 bool reachedUpstream(const Refusal &Why) {
-  bool NotMade =
-      Why.Reason == "upstream-unreachable" || Why.Reason == "upstream-timeout";
+  bool NotMade = Why.Reason == "upstream-unreachable" ||
+                 Why.Reason == "upstream-timeout" ||
+                 Why.Reason == "upstream-gone";
   return Why.What == Outcome::Unknown ||
          (Why.Reason.rfind(UpstreamReason, 0) == 0 && !NotMade);
 }
@@ -595,6 +596,11 @@
   }
   Out.Taken = this->findRoute(Head);
   Call One = this->makeCall(Head, *Out.Taken, Now);
+  if (Head.Length == 0 &&
+      this->judge(One, Now).What == Quarantine::Standing::Held) {
+    Out.Note = "refused here: quarantined";
+    return Out;
+  }
   Out.Candidates = this->Fleet.upstreams(One.Target->Name);
   Out.Chosen = this->chooseGate(One, Now);
   if (!Out.Chosen)
--- a/src/calls/EntryAnswers.cpp
+++ b/src/calls/EntryAnswers.cpp
@@ -12,7 +12,7 @@
 
 constexpr unsigned FirstServerError = 500;
 // The gate's upstream is not there any more.
-const char UpstreamUnreachable[] = "upstream-unreachable";
+const char UpstreamIsGone[] = "upstream-gone";
 const char UpstreamCrashed[] = "upstream-crashed";
 
 } // namespace
@@ -161,7 +161,7 @@
     this->Choose.unreachable(Gate, Now);
   if (Why.Reason == "overload")
     this->Choose.refused(Gate, Now);
-  if (Why.Reason == UpstreamUnreachable || Why.Reason == UpstreamCrashed) {
+  if (Why.Reason == UpstreamIsGone || Why.Reason == UpstreamCrashed) {
     this->Links[Gate].Gone = true;
     this->Choose.unreachable(Gate, Now);
   }
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -251,15 +251,19 @@
 // Upstreams have crashed and are still on the list. Each call finds two or
 // three of them before one that lives; that must not use up the tries of its
 // route, which are for upstreams that may have run it.
-BOOST_FIXTURE_TEST_CASE(UpstreamsThatAreGoneAreNoTries, Fixture) {
-  this->request(1, "/write/1");
+BOOST_DATA_TEST_CASE(UpstreamsThatAreGoneAreNoTries,
+                     data::make({"upstream-unreachable", "upstream-gone",
+                                 "upstream-timeout"}),
+                     Reason) {
+  Fixture Of;
+  Of.request(1, "/write/1");
   for (int I = 0; I < 3; ++I) {
-    this->hello(this->Dialled.back());
-    BOOST_REQUIRE(this->opens().size() == static_cast<size_t>(I + 1));
-    auto [Gate, Open] = this->opens().back();
-    this->fail(Gate, Open->seq, wire::Outcome::NotRun, "upstream-unreachable");
+    Of.hello(Of.Dialled.back());
+    BOOST_REQUIRE(Of.opens().size() == static_cast<size_t>(I + 1));
+    auto [Gate, Open] = Of.opens().back();
+    Of.fail(Gate, Open->seq, wire::Outcome::NotRun, Reason);
   }
-  BOOST_TEST(this->Refused[1] == "not-run upstream-unreachable");
+  BOOST_TEST(Of.Refused[1] == std::string("not-run ") + Reason);
 }
 
 // A gate says that its upstream is gone. No caller is sent there until it says
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -185,7 +185,7 @@
   if (Open.service != this->Opts.Service || !this->Of)
     return NotRun("not-my-service");
   if (this->Gone)
-    return NotRun(UpstreamUnreachable);
+    return NotRun(UpstreamIsGone);
   if (this->Calls.size() > this->Opts.MaxRemembered)
     return NotRun("memory-full");
   Admission::Ask &Wanted = One.Wanted;
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -244,6 +244,7 @@
   void upstreamGone(TimePoint Now);
   void upstreamBack(TimePoint Now);
   void lookForUpstream(TimePoint Now);
+  void probe();
   void tellLinks(TimePoint Now);
   void onData(LinkId Link, const wire::DataT &Data, TimePoint Now);
   bool isHoldable(const Call &One) const;
@@ -277,7 +278,7 @@
 
   static constexpr char StepAdmission[] = "admission";
   static constexpr char StepUpstream[] = "upstream";
-  static constexpr char UpstreamUnreachable[] = "upstream-unreachable";
+  static constexpr char UpstreamIsGone[] = "upstream-gone";
 
   Options Opts;
   Hooks Hook;
@@ -287,6 +288,9 @@
   RunWatch Watch;
   // Nobody takes connections at the upstream's address.
   bool Gone = false;
+  // A probe is under way, or found nothing clear and is to be repeated.
+  bool Probing = false;
+  bool ProbeAgain = false;
   TimePoint NextLook;
   ConfigPtr InForce;
   const Service *Of = nullptr;
--- a/src/calls/GateCrashes.cpp
+++ b/src/calls/GateCrashes.cpp
@@ -42,7 +42,7 @@
   One.Broken = Why;
   switch (this->Watch.broke(Id, Now)) {
   case RunWatch::Next::Probe:
-    return this->Hook.Probe();
+    return this->probe();
   case RunWatch::Next::Wait:
     return;
   case RunWatch::Next::Crashed:
@@ -52,8 +52,9 @@
 }
 
 void Gate::upstreamProbed(UpstreamPort Found, TimePoint Now) {
-  // It is asked again at the next tick.
-  if (Found == UpstreamPort::Unclear)
+  this->Probing = false;
+  this->ProbeAgain = Found == UpstreamPort::Unclear;
+  if (this->ProbeAgain)
     return;
   if (Found == UpstreamPort::Open) {
     for (const CallId &Id : this->Watch.settle())
@@ -83,7 +84,7 @@
   if (std::exchange(this->Gone, true))
     return;
   this->NextLook = Now + this->Opts.LookAgain;
-  this->refuseUnseen(UpstreamUnreachable, Now);
+  this->refuseUnseen(UpstreamIsGone, Now);
   this->tellLinks(Now);
 }
 
@@ -96,10 +97,16 @@
   if (this->Watch.isProbeLate(Now))
     return this->upstreamProbed(UpstreamPort::Open, Now);
   bool Due = this->Gone && Now >= this->NextLook;
-  if (!Due && !this->Watch.isWaiting())
+  if (!Due && !this->ProbeAgain)
     return;
   this->NextLook = Now + this->Opts.LookAgain;
-  this->Hook.Probe();
+  this->ProbeAgain = false;
+  this->probe();
+}
+
+void Gate::probe() {
+  if (this->Hook.Probe && !std::exchange(this->Probing, true))
+    this->Hook.Probe();
 }
 
 void Gate::failBroken(const CallId &Id, const char *Reason, TimePoint Now) {
--- a/src/calls/GateCrashesTest.cpp
+++ b/src/calls/GateCrashesTest.cpp
@@ -113,6 +113,24 @@
   BOOST_TEST(this->reason() == "upstream-crashed");
 }
 
+// Many calls find the port closed at once. One look is enough, and the next
+// comes when the first is over.
+BOOST_FIXTURE_TEST_CASE(OneLookAtATime, Fixture) {
+  for (uint64_t Seq = 1; Seq <= 5; ++Seq)
+    this->openPath(Seq, "/x");
+  for (uint64_t Seq = 1; Seq <= 5; ++Seq)
+    this->At->upstreamFailed(
+        {7, Seq}, /*Sent=*/false,
+        Error{Errc::Unreachable, "upstream-call", "up-1", "refused"},
+        this->Now);
+  BOOST_TEST(this->Probes == 1u);
+  BOOST_TEST(this->reason() == "upstream-unreachable");
+  this->At->upstreamProbed(UpstreamPort::Closed, this->Now);
+  // Nothing ran there, so nothing is suspected.
+  BOOST_TEST(this->Crashes.empty());
+  BOOST_TEST(this->toldGone() == std::vector<bool>{true});
+}
+
 // A process crashes, and its port closes a moment after its first connection.
 // The gate asks again, and finds it gone.
 BOOST_FIXTURE_TEST_CASE(APortThatClosesLateIsAskedAgain, Fixture) {
@@ -139,7 +157,7 @@
   BOOST_TEST(this->toldGone() == std::vector<bool>{true});
   this->openPath(2, "/y");
   BOOST_TEST(this->Started.size() == 1u);
-  BOOST_TEST(this->reason() == "upstream-unreachable");
+  BOOST_TEST(this->reason() == "upstream-gone");
   BOOST_TEST((this->failed()->outcome == wire::Outcome::NotRun));
   size_t Before = this->Probes;
   for (int I = 0; I < 10; ++I) {
--- a/src/calls/GateUpstream.cpp
+++ b/src/calls/GateUpstream.cpp
@@ -140,9 +140,8 @@
     this->refuse(Id, *One,
                  makeRefusal(Outcome::NotRun, Reason, Why.Step, Why.Peer), Now);
     // Its end may have been seen by nobody: nothing ran there.
-    if (Why.Code == Errc::Unreachable && this->Hook.Probe &&
-        !this->Watch.isWaiting())
-      this->Hook.Probe();
+    if (Why.Code == Errc::Unreachable)
+      this->probe();
   } else if (Why.Code == Errc::Closed && this->Hook.Probe) {
     return this->connectionEnded(Id, *One, Why, Now);
   } else {
