--- a/scenario/Live.cpp
+++ b/scenario/Live.cpp
@@ -78,6 +78,8 @@
         {"platform", &LiveRun::platform},
         {"drain-upstream", &LiveRun::drainUpstream},
         {"call", &LiveRun::call},
+        {"load", &LiveRun::load},
+        {"crash-upstream", &LiveRun::crashUpstream},
         {"hang-up", &LiveRun::hangUp},
         {"cli", &LiveRun::cli},
         {"await", &LiveRun::await},
@@ -217,11 +219,57 @@
     g_clear_object(&Of->Message);
   }
 
+  // crash-upstream NAME MS: its process ends and is back after so long.
+  void crashUpstream(const LiveLine &W) {
+    this->post(this->fleet().node(W.Words.at(0)).Upstream,
+               "/admin/crash?ms=" + W.Words.at(1));
+  }
+
   void call(const LiveLine &W) {
-    LiveCall &New = this->Calls[W.Words.at(0)];
-    New.Label = W.Words.at(0);
-    std::string Url = "http://" + this->fleet().node(W.Named.at("at")).Callers +
-                      W.Words.at(2);
+    this->callAt(W, W.Words.at(0), W.Named.at("at"));
+  }
+
+  // load NAME METHOD PATH at=WHO rate=R for=MS: sends at a steady rate, at each
+  // node in turn, while later commands run.
+  void load(const LiveLine &W) {
+    std::vector<std::string> At = this->names(W.Named.at("at"));
+    uint64_t Rate = std::stoull(W.Named.at("rate"));
+    uint64_t Count = Rate * std::stoull(W.Named.at("for")) / 1000;
+    for (uint64_t I = 0; I < Count; ++I) {
+      auto *Due = new std::function<void()>([this, W, I, At] {
+        this->callAt(W, W.Words.at(0) + "-" + std::to_string(I),
+                     At[I % At.size()]);
+      });
+      g_timeout_add(static_cast<guint>(I * 1000 / Rate), onDue, Due);
+    }
+  }
+  static gboolean onDue(gpointer Data) {
+    std::unique_ptr<std::function<void()>> What(
+        static_cast<std::function<void()> *>(Data));
+    (*What)();
+    return G_SOURCE_REMOVE;
+  }
+
+  // expect share NAME END at-least=PERCENT
+  void expectShare(const LiveLine &W) {
+    size_t All = 0, Fit = 0;
+    for (const auto &[Label, Of] : this->Calls) {
+      if (Label.rfind(W.Words.at(1) + "-", 0) != 0)
+        continue;
+      ++All;
+      Fit += Of.End == W.Words.at(2);
+    }
+    if (All == 0 || 100 * Fit < All * std::stoull(W.Named.at("at-least")))
+      this->Failure = W.Words.at(1) + " " + W.Words.at(2) + ": " +
+                      std::to_string(Fit) + " of " + std::to_string(All);
+  }
+
+  void callAt(const LiveLine &W, const std::string &Label,
+              const std::string &Node) {
+    LiveCall &New = this->Calls[Label];
+    New.Label = Label;
+    std::string Url =
+        "http://" + this->fleet().node(Node).Callers + W.Words.at(2);
     New.Message = soup_message_new(W.Words.at(1).c_str(), Url.c_str());
     SoupMessageHeaders *Headers = soup_message_get_request_headers(New.Message);
     soup_message_headers_append(Headers, "X-Call-Id", New.Label.c_str());
@@ -347,7 +395,9 @@
   void expect(const LiveLine &W) {
     const std::string &What = W.Words.at(0);
     const std::string &Who = W.Words.at(1);
-    if (What == "crashes") {
+    if (What == "share") {
+      this->expectShare(W);
+    } else if (What == "crashes") {
       if (size_t Count = this->crashes(); Count != std::stoull(Who))
         this->Failure = std::to_string(Count) + " crashes";
     } else if (What == "reason") {
--- a/standin/Upstream.cpp
+++ b/standin/Upstream.cpp
@@ -12,6 +12,7 @@
 
 #include <iostream>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -26,13 +27,14 @@
 // executions by the header X-Call-Id, so that a test can hold "not run" against
 // what really ran, and tells the hash of the body that it got. /admin/leave
 // says how long it still takes calls, and what comes later is counted;
-// /admin/stay takes that back.
+// /admin/stay takes that back; /admin/crash?ms= crashes it by itself.
 
 namespace hickorylift::standin {
 
 namespace {
 
 constexpr unsigned ColdFactor = 3;
+constexpr guint CrashDelayMs = 5;
 
 class UpstreamServer;
 
@@ -144,6 +146,16 @@
         reinterpret_cast<GSocket *>(Socket));
   }
 
+  struct CrashDue {
+    UpstreamServer *Of;
+    uint64_t BackAfterMs;
+  };
+  static gboolean onCrashDue(gpointer Data) {
+    std::unique_ptr<CrashDue> Due(static_cast<CrashDue *>(Data));
+    Due->Of->crash(Due->BackAfterMs, "");
+    return G_SOURCE_REMOVE;
+  }
+
   void crash(uint64_t BackAfterMs, const std::string &By) {
     this->Crashes.emplace_back(toMillis(Clock::now().time_since_epoch()), By);
     for (GSocket *One : this->Connections)
@@ -256,6 +268,11 @@
     // It leaves without a word, and takes calls for so long yet.
     if (std::string(Path) == "/admin/leave")
       Self->TakesUntil = Clock::now() + Millis(number(Query, "within", 0));
+    if (std::string(Path) == "/admin/crash") {
+      // After this answer is written.
+      auto *Due = new CrashDue{Self, number(Query, "ms", 0)};
+      g_timeout_add(CrashDelayMs, onCrashDue, Due);
+    }
     if (std::string(Path) == "/admin/stay")
       Self->TakesUntil.reset();
     Json::Value Out(Json::objectValue);
