What is known of a request is a set that only grows

Nodes could tell each other the same for ever: a clearance was a time, the same moment looks later with each hop, so a crash that one node had cleared came back from the next and was cleared again there. It cost processor time and links, and a request could stay suspected at some nodes.

A crash now carries the mark that it does not count any more, and neither is taken back; no time is compared between nodes.

--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -254,9 +254,10 @@
       Row["fingerprint"] = Print.text();
       Row["request"] = One.Request;
       Row["standing"] = standingName(Known.What);
-      Row["crashes"] = Json::UInt64(One.Crashes.size());
+      std::vector<Quarantine::Crash> By = One.standing();
+      Row["crashes"] = Json::UInt64(By.size());
       Row["last_crash_ago_ms"] =
-          Json::Int64(toMillis(Now - One.Crashes.back().At).count());
+          Json::Int64(toMillis(Now - By.back().At).count());
       Row["come_back_ms"] = Json::Int64(Known.ComeBack.count());
       Out.append(Row);
     }
--- a/src/quarantine/Codec.cpp
+++ b/src/quarantine/Codec.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr size_t MaxText = 160;
-constexpr size_t MaxCrashes = 16;
 constexpr size_t MaxRecords = 100000;
 // An age beyond this is rubbish.
 constexpr Millis MaxAge{7 * 24 * 60 * 60 * 1000LL};
@@ -33,12 +32,9 @@
     auto One = std::make_unique<wire::QuarantineRecordT>();
     One->fingerprint = Of->Of.Hash;
     One->request = Of->Request;
-    One->was_held = Of->WasHeld;
-    One->cleared = Of->ClearedAt.has_value();
-    if (Of->ClearedAt)
-      One->cleared_age_ms = ageOf(*Of->ClearedAt, Now);
     for (const Quarantine::Crash &Crash : Of->Crashes)
-      One->crashes.emplace_back(Crash.Id, ageOf(Crash.At, Now), Crash.Alone);
+      One->crashes.emplace_back(Crash.Id, ageOf(Crash.At, Now), Crash.Alone,
+                                Crash.Cleared);
     Out.records.push_back(std::move(One));
   }
   wire::SpreadFrameT Frame;
@@ -55,13 +51,10 @@
     Quarantine::Record Of;
     Of.Of = {One->fingerprint};
     Of.Request = One->request.substr(0, MaxText);
-    Of.WasHeld = One->was_held;
-    if (One->cleared)
-      Of.ClearedAt = timeOf(One->cleared_age_ms, Now);
     for (const wire::QuarantineCrash &Crash : One->crashes)
-      if (Of.Crashes.size() < MaxCrashes)
-        Of.Crashes.push_back(
-            {Crash.id(), timeOf(Crash.age_ms(), Now), Crash.alone()});
+      if (Of.Crashes.size() < Quarantine::MaxCrashes)
+        Of.Crashes.push_back({Crash.id(), timeOf(Crash.age_ms(), Now),
+                              Crash.alone(), Crash.cleared()});
     Out.push_back(std::move(Of));
   }
   return Out;
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <utility>
 
 // A caller's request that crashes each upstream which runs it comes again under
 // another id, at another node, and what is forgotten with the attempt is done
@@ -21,20 +22,18 @@
 // there at three crashes in a row. A request that many send is answered
 // somewhere all the time.
 //
-// What is known is a set of crashes for each request, and when it was cleared.
-// Sets are joined in any order and with any repeats to the same result, so that
-// records can be passed on along every link, and a neighbour that is new or was
-// cut off is told all of them. What stands against a request follows from its
-// record alone: every node that has the same records judges alike.
+// What is known is a set of crashes for each request, and which of them do not
+// count any more. A crash is never taken out and a mark never taken back, so
+// sets are joined in any order and with any repeats to the same result: records
+// can be passed on along every link, each node passes on what is new to it
+// once, and a neighbour that is new or was cut off is told all of them. No time
+// is compared between nodes: the same moment looks later with each hop, and
+// what one node had cleared would come back from the next for ever. What stands
+// against a request follows from its record alone: every node that has the same
+// records judges alike.
 
 namespace hickorylift {
 
-namespace {
-
-constexpr size_t MaxCrashes = 16;
-
-} // namespace
-
 const char *standingName(Quarantine::Standing Of) {
   switch (Of) {
   case Quarantine::Standing::Free:
@@ -52,35 +51,44 @@
 Quarantine::Quarantine(Options GivenOpts, Hooks Hooks)
     : Opts(std::move(GivenOpts)), Hook(std::move(Hooks)) {}
 
-bool Quarantine::isConvicted(const Record &Of) const {
-  return Of.Crashes.size() >= this->Opts.Crashes &&
-         std::any_of(Of.Crashes.begin(), Of.Crashes.end(),
+std::vector<Quarantine::Crash> Quarantine::Record::standing() const {
+  std::vector<Crash> Out;
+  for (const Crash &One : this->Crashes)
+    if (!One.Cleared)
+      Out.push_back(One);
+  return Out;
+}
+
+bool Quarantine::isConvicted(const std::vector<Crash> &By) const {
+  return By.size() >= this->Opts.Crashes &&
+         std::any_of(By.begin(), By.end(),
                      [](const Crash &One) { return One.Alone; });
 }
 
 // The term doubles with each crash of a trial.
-Millis Quarantine::termOf(const Record &Of) const {
+Millis Quarantine::termOf(size_t Crashes) const {
   Millis Term = this->Opts.Term;
   for (size_t I = this->Opts.Crashes;
-       I < Of.Crashes.size() && Term < this->Opts.LongestTerm; ++I)
+       I < Crashes && Term < this->Opts.LongestTerm; ++I)
     Term *= 2;
   return std::min(Term, this->Opts.LongestTerm);
 }
 
 Quarantine::Verdict Quarantine::standing(const Record &Of,
                                          TimePoint Now) const {
-  if (Of.Crashes.empty())
+  std::vector<Crash> By = Of.standing();
+  if (By.empty())
     return {};
-  Millis Since = toMillis(Now - Of.Crashes.back().At);
-  if (this->isConvicted(Of)) {
-    Millis Term = this->termOf(Of);
+  Millis Since = toMillis(Now - By.back().At);
+  if (this->isConvicted(By)) {
+    Millis Term = this->termOf(By.size());
     if (Since < Term)
       return {Standing::Held, Term - Since};
     return {Since < 2 * Term ? Standing::Trial : Standing::Free, Millis(0)};
   }
   if (Since >= this->Opts.SuspectFor)
     return {};
-  bool Last = Of.Crashes.size() + 1 >= this->Opts.Crashes;
+  bool Last = By.size() + 1 >= this->Opts.Crashes;
   return {Last ? Standing::Trial : Standing::Suspect, Millis(0)};
 }
 
@@ -93,26 +101,6 @@
   return this->standing(Found->second, Now);
 }
 
-// Crashes are kept in the order of their time; the oldest go where there are
-// too many, for they say nothing more.
-bool Quarantine::addCrash(Record &To, const Crash &One) {
-  bool Known = std::any_of(To.Crashes.begin(), To.Crashes.end(),
-                           [&](const Crash &Old) { return Old.Id == One.Id; });
-  bool Cleared = To.ClearedAt && One.At <= *To.ClearedAt;
-  if (Known || Cleared)
-    return false;
-  auto Later = std::upper_bound(
-      To.Crashes.begin(), To.Crashes.end(), One,
-      [](const Crash &A, const Crash &B) { return A.At < B.At; });
-  bool Oldest = Later == To.Crashes.begin();
-  if (To.Crashes.size() >= MaxCrashes && Oldest)
-    return false;
-  To.Crashes.insert(Later, One);
-  if (To.Crashes.size() > MaxCrashes)
-    To.Crashes.erase(To.Crashes.begin());
-  return true;
-}
-
 void Quarantine::upstreamCrashed(const std::vector<Ran> &Running,
                                  TimePoint Now) {
   ++this->Counts.Crashes;
@@ -144,6 +132,28 @@
   this->tellOf(Changed, std::nullopt, Now);
 }
 
+namespace {
+
+// Joins one crash with those of a record. Whether it is news.
+bool join(std::vector<Quarantine::Crash> &To, const Quarantine::Crash &One) {
+  auto Same =
+      std::find_if(To.begin(), To.end(), [&](const Quarantine::Crash &Old) {
+        return Old.Id == One.Id;
+      });
+  if (Same != To.end())
+    return One.Cleared && !std::exchange(Same->Cleared, true);
+  if (To.size() >= Quarantine::MaxCrashes)
+    return false;
+  auto Later =
+      std::upper_bound(To.begin(), To.end(), One,
+                       [](const Quarantine::Crash &A,
+                          const Quarantine::Crash &B) { return A.At < B.At; });
+  To.insert(Later, One);
+  return true;
+}
+
+} // namespace
+
 // Joins what is said of a request to what is known. Whether that is news.
 bool Quarantine::merge(const Record &Said, TimePoint Now,
                        const std::string &Source) {
@@ -155,21 +165,8 @@
     Of.Request = Said.Request;
   }
   bool News = false;
-  bool Clears =
-      Said.ClearedAt && (!Of.ClearedAt || *Said.ClearedAt > *Of.ClearedAt);
-  // The same moment, told over several ways, is no news.
-  bool Matters = Clears && (New || !Of.ClearedAt ||
-                            std::any_of(Of.Crashes.begin(), Of.Crashes.end(),
-                                        [&](const Crash &One) {
-                                          return One.At <= *Said.ClearedAt;
-                                        }));
-  if (Matters) {
-    Of.WasHeld |= Said.WasHeld;
-    this->drop(Of, *Said.ClearedAt);
-    News = true;
-  }
   for (const Crash &One : Said.Crashes)
-    News |= this->addCrash(Of, One);
+    News |= join(Of.Crashes, One);
   if (New && (!News || this->isOver(Of, Now))) {
     this->Known.erase(At);
     return false;
@@ -177,7 +174,8 @@
   bool IsHeld = this->standing(Of, Now).What == Standing::Held;
   if (IsHeld && !WasHeld) {
     ++this->Counts.Held;
-    this->Hook.Changed({"request-held", &Of, Source, this->termOf(Of)}, Now);
+    Millis Term = this->termOf(Of.standing().size());
+    this->Hook.Changed({"request-held", &Of, Source, Term}, Now);
   } else if (WasHeld && !IsHeld) {
     ++this->Counts.Released;
     this->Hook.Changed({"request-cleared", &Of, Source, Millis(0)}, Now);
@@ -185,20 +183,14 @@
   return News;
 }
 
-void Quarantine::drop(Record &Of, TimePoint At) {
-  Of.WasHeld |= this->isConvicted(Of);
-  Of.ClearedAt = At;
-  std::erase_if(Of.Crashes, [At](const Crash &One) { return One.At <= At; });
-}
-
 bool Quarantine::clear(const Fingerprint &Of, const std::string &Source,
                        TimePoint Now) {
   auto Found = this->Known.find(Of);
-  if (Found == this->Known.end() || Found->second.Crashes.empty())
+  if (Found == this->Known.end() || Found->second.standing().empty())
     return false;
-  Record Said;
-  Said.Of = Of;
-  Said.ClearedAt = Now;
+  Record Said = Found->second;
+  for (Crash &One : Said.Crashes)
+    One.Cleared = true;
   this->merge(Said, Now, Source);
   this->tellOf({Of}, std::nullopt, Now);
   return true;
@@ -241,16 +233,15 @@
   this->tellOf(Changed, Link, Now);
 }
 
-// Whether nothing depends on the record any more.
+// Whether nothing depends on the record any more. What was cleared is kept as
+// long as a node that was cut off may go on without knowing so.
 bool Quarantine::isOver(const Record &Of, TimePoint Now) const {
-  if (!Of.Crashes.empty()) {
-    Millis Kept =
-        this->isConvicted(Of) ? 2 * this->termOf(Of) : this->Opts.SuspectFor;
-    return Now - Of.Crashes.back().At >= Kept;
-  }
-  // Somebody who was cut off may still hold what was released, for its term.
-  Millis Kept = Of.WasHeld ? this->Opts.LongestTerm : this->Opts.ClearedFor;
-  return !Of.ClearedAt || Now - *Of.ClearedAt >= Kept;
+  if (Of.Crashes.empty())
+    return true;
+  Millis Kept = this->isConvicted(Of.Crashes)
+                    ? 2 * this->termOf(Of.Crashes.size())
+                    : this->Opts.SuspectFor;
+  return Now - Of.Crashes.back().At >= Kept;
 }
 
 void Quarantine::tick(TimePoint Now) {
@@ -263,10 +254,9 @@
 void Quarantine::bound() {
   while (this->Known.size() > this->Opts.MaxRequests) {
     auto Rank = [&](const Record &Of) {
-      TimePoint Last = Of.Crashes.empty() ? Of.ClearedAt.value_or(TimePoint())
-                                          : Of.Crashes.back().At;
-      int Weight = this->isConvicted(Of) ? 3 : Of.WasHeld ? 2 : 1;
-      return std::pair(Of.Crashes.empty() && !Of.WasHeld ? 0 : Weight, Last);
+      std::vector<Crash> By = Of.standing();
+      int Weight = this->isConvicted(By) ? 2 : By.empty() ? 0 : 1;
+      return std::pair(Weight, Of.Crashes.back().At);
     };
     auto Least = std::min_element(this->Known.begin(), this->Known.end(),
                                   [&](const auto &A, const auto &B) {
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 // A Quarantine keeps requests that crash the upstreams which run them from
@@ -69,9 +70,6 @@
     /// one, must come again within this for the next crash to count with the
     /// last.
     Millis SuspectFor{10 * 60 * 1000};
-    /// How long it is remembered that a suspect was cleared: until every node
-    /// in touch has heard so, also one whose links were just made again.
-    Millis ClearedFor{60 * 1000};
     /// Requests remembered. Beyond this the one that matters least goes: those
     /// that were cleared, then suspects, then the longest held.
     size_t MaxRequests = 1000;
@@ -79,6 +77,9 @@
     Safeguards Guards;
   };
 
+  /// Crashes kept of one request. More say nothing new, and are left out.
+  static constexpr size_t MaxCrashes = 32;
+
   enum class Standing {
     /// Nothing is known against it.
     Free,
@@ -111,17 +112,18 @@
     TimePoint At;
     /// No other suspect ran there.
     bool Alone = false;
+    /// The request was answered since, or released: it does not count.
+    bool Cleared = false;
   };
 
   struct Record {
     Fingerprint Of;
     std::string Request;
-    /// Since it was last cleared, the oldest first.
+    /// The oldest first.
     std::vector<Crash> Crashes;
-    /// Crashes before this do not count any more.
-    std::optional<TimePoint> ClearedAt;
-    /// It was held when it was cleared.
-    bool WasHeld = false;
+
+    /// Those that count.
+    std::vector<Crash> standing() const;
   };
 
   /// A change of what is believed, for the audit trail.
@@ -172,13 +174,11 @@
   const Counters &counters() const { return this->Counts; }
 
 private:
-  bool isConvicted(const Record &Of) const;
-  Millis termOf(const Record &Of) const;
+  bool isConvicted(const std::vector<Crash> &By) const;
+  Millis termOf(size_t Crashes) const;
   bool isOver(const Record &Of, TimePoint Now) const;
-  bool addCrash(Record &To, const Crash &One);
   bool merge(const Record &Said, TimePoint Now, const std::string &Source);
   bool clear(const Fingerprint &Of, const std::string &Source, TimePoint Now);
-  void drop(Record &Of, TimePoint At);
   void tellOf(const std::vector<Fingerprint> &Which,
               std::optional<uint64_t> ButLink, TimePoint Now);
   void bound();
--- a/src/quarantine/QuarantineTest.cpp
+++ b/src/quarantine/QuarantineTest.cpp
@@ -280,6 +280,63 @@
     BOOST_TEST(One->standing('p', Now) == Standing::Held);
 }
 
+/// Five nodes, each linked to all others, with news that take their time.
+struct Mesh {
+  std::vector<std::unique_ptr<Node>> All;
+  std::multimap<TimePoint, std::pair<size_t, wire::SpreadFrameT>> Under;
+  std::mt19937_64 Random;
+  size_t Told = 0;
+
+  explicit Mesh(uint64_t Seed) : Random(Seed) {
+    for (const char *Name : {"a", "b", "c", "d", "e"})
+      this->All.push_back(std::make_unique<Node>(Name));
+  }
+  // What each node has to say goes to all others, each in its own time.
+  void collect(TimePoint Now) {
+    for (size_t From = 0; From < this->All.size(); ++From)
+      for (wire::SpreadFrameT &Frame : std::exchange(this->All[From]->Sent, {}))
+        for (size_t To = 0; To < this->All.size(); ++To)
+          if (To != From)
+            this->Under.emplace(Now + Millis(this->Random() % 20),
+                                std::pair(To, Frame));
+  }
+  void runTo(TimePoint End) {
+    while (!this->Under.empty() && this->Under.begin()->first <= End) {
+      auto [At, What] = *this->Under.begin();
+      this->Under.erase(this->Under.begin());
+      ++this->Told;
+      this->All[What.first]->hear(What.second, At);
+      this->collect(At);
+    }
+  }
+};
+
+// A request is suspected and cleared at several nodes within the time that news
+// take between them, as one that many callers send is at each crash. Told in
+// any order, that must come to rest, and all nodes must agree; else nodes tell
+// each other the same for ever and do nothing else.
+BOOST_DATA_TEST_CASE(TellingComesToRest, data::xrange(30), Seed) {
+  Mesh Of(static_cast<uint64_t>(Seed));
+  TimePoint Now = Start;
+  for (int I = 0; I < 40; ++I) {
+    Node &At = *Of.All[Of.Random() % Of.All.size()];
+    Of.Random() % 2 ? At.crash("pq", Now)
+                    : At.Of->answered(Node::print('p'), Now);
+    Of.collect(Now);
+    Now += Millis(Of.Random() % 10);
+    Of.runTo(Now);
+  }
+  // Each of some 20 crashes and 20 answers is news once at each node, and told
+  // over four links.
+  constexpr size_t Enough = 2 * 40 * 5 * 4;
+  for (int I = 0; I < 100 && !Of.Under.empty() && Of.Told < 2 * Enough; ++I)
+    Of.runTo(Now += Millis(20));
+  BOOST_TEST(Of.Under.empty());
+  BOOST_TEST(Of.Told < Enough);
+  for (auto &One : Of.All)
+    BOOST_TEST(One->standing('p', Now) == Of.All[0]->standing('p', Now));
+}
+
 // What is news is passed on, and nothing else: records go along every link of a
 // ring, and must not go round for ever.
 BOOST_AUTO_TEST_CASE(NewsIsPassedOnOnce) {
@@ -349,7 +406,7 @@
   One->fingerprint = 7;
   One->request.assign(100000, 'x');
   for (uint64_t I = 0; I < 5000; ++I)
-    One->crashes.emplace_back(I, UINT32_MAX, true);
+    One->crashes.emplace_back(I, UINT32_MAX, true, false);
   Said.records.push_back(std::move(One));
   Said.records.push_back(nullptr);
   std::vector<Quarantine::Record> Read = fromFrame(Said, Start);
--- a/src/spread/Spread_generated.h
+++ b/src/spread/Spread_generated.h
@@ -391,7 +391,8 @@
   uint64_t id_;
   uint32_t age_ms_;
   uint8_t alone_;
-  int8_t padding0__;  int16_t padding1__;
+  uint8_t cleared_;
+  int16_t padding0__;
 
  public:
   struct Traits;
@@ -399,19 +400,17 @@
       : id_(0),
         age_ms_(0),
         alone_(0),
-        padding0__(0),
-        padding1__(0) {
+        cleared_(0),
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
   }
-  QuarantineCrash(uint64_t _id, uint32_t _age_ms, bool _alone)
+  QuarantineCrash(uint64_t _id, uint32_t _age_ms, bool _alone, bool _cleared)
       : id_(flatbuffers::EndianScalar(_id)),
         age_ms_(flatbuffers::EndianScalar(_age_ms)),
         alone_(flatbuffers::EndianScalar(static_cast<uint8_t>(_alone))),
-        padding0__(0),
-        padding1__(0) {
+        cleared_(flatbuffers::EndianScalar(static_cast<uint8_t>(_cleared))),
+        padding0__(0) {
     (void)padding0__;
-    (void)padding1__;
   }
   uint64_t id() const {
     return flatbuffers::EndianScalar(id_);
@@ -422,6 +421,9 @@
   bool alone() const {
     return flatbuffers::EndianScalar(alone_) != 0;
   }
+  bool cleared() const {
+    return flatbuffers::EndianScalar(cleared_) != 0;
+  }
 };
 FLATBUFFERS_STRUCT_END(QuarantineCrash, 16);
 
@@ -1711,9 +1713,6 @@
   uint64_t fingerprint = 0;
   std::string request{};
   std::vector<hickorylift::wire::QuarantineCrash> crashes{};
-  bool cleared = false;
-  uint32_t cleared_age_ms = 0;
-  bool was_held = false;
 };
 
 struct QuarantineRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1723,10 +1722,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FINGERPRINT = 4,
     VT_REQUEST = 6,
-    VT_CRASHES = 8,
-    VT_CLEARED = 10,
-    VT_CLEARED_AGE_MS = 12,
-    VT_WAS_HELD = 14
+    VT_CRASHES = 8
   };
   uint64_t fingerprint() const {
     return GetField<uint64_t>(VT_FINGERPRINT, 0);
@@ -1737,15 +1733,6 @@
   const flatbuffers::Vector<const hickorylift::wire::QuarantineCrash *> *crashes() const {
     return GetPointer<const flatbuffers::Vector<const hickorylift::wire::QuarantineCrash *> *>(VT_CRASHES);
   }
-  bool cleared() const {
-    return GetField<uint8_t>(VT_CLEARED, 0) != 0;
-  }
-  uint32_t cleared_age_ms() const {
-    return GetField<uint32_t>(VT_CLEARED_AGE_MS, 0);
-  }
-  bool was_held() const {
-    return GetField<uint8_t>(VT_WAS_HELD, 0) != 0;
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_FINGERPRINT, 8) &&
@@ -1753,9 +1740,6 @@
            verifier.VerifyString(request()) &&
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
-           VerifyField<uint8_t>(verifier, VT_CLEARED, 1) &&
-           VerifyField<uint32_t>(verifier, VT_CLEARED_AGE_MS, 4) &&
-           VerifyField<uint8_t>(verifier, VT_WAS_HELD, 1) &&
            verifier.EndTable();
   }
   QuarantineRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1776,15 +1760,6 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<const hickorylift::wire::QuarantineCrash *>> crashes) {
     fbb_.AddOffset(QuarantineRecord::VT_CRASHES, crashes);
   }
-  void add_cleared(bool cleared) {
-    fbb_.AddElement<uint8_t>(QuarantineRecord::VT_CLEARED, static_cast<uint8_t>(cleared), 0);
-  }
-  void add_cleared_age_ms(uint32_t cleared_age_ms) {
-    fbb_.AddElement<uint32_t>(QuarantineRecord::VT_CLEARED_AGE_MS, cleared_age_ms, 0);
-  }
-  void add_was_held(bool was_held) {
-    fbb_.AddElement<uint8_t>(QuarantineRecord::VT_WAS_HELD, static_cast<uint8_t>(was_held), 0);
-  }
   explicit QuarantineRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1800,17 +1775,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t fingerprint = 0,
     flatbuffers::Offset<flatbuffers::String> request = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const hickorylift::wire::QuarantineCrash *>> crashes = 0,
-    bool cleared = false,
-    uint32_t cleared_age_ms = 0,
-    bool was_held = false) {
+    flatbuffers::Offset<flatbuffers::Vector<const hickorylift::wire::QuarantineCrash *>> crashes = 0) {
   QuarantineRecordBuilder builder_(_fbb);
   builder_.add_fingerprint(fingerprint);
-  builder_.add_cleared_age_ms(cleared_age_ms);
   builder_.add_crashes(crashes);
   builder_.add_request(request);
-  builder_.add_was_held(was_held);
-  builder_.add_cleared(cleared);
   return builder_.Finish();
 }
 
@@ -1823,20 +1792,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t fingerprint = 0,
     const char *request = nullptr,
-    const std::vector<hickorylift::wire::QuarantineCrash> *crashes = nullptr,
-    bool cleared = false,
-    uint32_t cleared_age_ms = 0,
-    bool was_held = false) {
+    const std::vector<hickorylift::wire::QuarantineCrash> *crashes = nullptr) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto crashes__ = crashes ? _fbb.CreateVectorOfStructs<hickorylift::wire::QuarantineCrash>(*crashes) : 0;
   return hickorylift::wire::CreateQuarantineRecord(
       _fbb,
       fingerprint,
       request__,
-      crashes__,
-      cleared,
-      cleared_age_ms,
-      was_held);
+      crashes__);
 }
 
 flatbuffers::Offset<QuarantineRecord> CreateQuarantineRecord(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2790,9 +2753,6 @@
   { auto _e = fingerprint(); _o->fingerprint = _e; }
   { auto _e = request(); if (_e) _o->request = _e->str(); }
   { auto _e = crashes(); if (_e) { _o->crashes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->crashes[_i] = *_e->Get(_i); } } }
-  { auto _e = cleared(); _o->cleared = _e; }
-  { auto _e = cleared_age_ms(); _o->cleared_age_ms = _e; }
-  { auto _e = was_held(); _o->was_held = _e; }
 }
 
 inline flatbuffers::Offset<QuarantineRecord> QuarantineRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2806,17 +2766,11 @@
   auto _fingerprint = _o->fingerprint;
   auto _request = _o->request.empty() ? 0 : _fbb.CreateString(_o->request);
   auto _crashes = _o->crashes.size() ? _fbb.CreateVectorOfStructs(_o->crashes) : 0;
-  auto _cleared = _o->cleared;
-  auto _cleared_age_ms = _o->cleared_age_ms;
-  auto _was_held = _o->was_held;
   return hickorylift::wire::CreateQuarantineRecord(
       _fbb,
       _fingerprint,
       _request,
-      _crashes,
-      _cleared,
-      _cleared_age_ms,
-      _was_held);
+      _crashes);
 }
 
 inline QuarantineT::QuarantineT(const QuarantineT &o) {
