A request is the same one wherever its route goes

A route that is moved or split between two attempts made another request of it, and each service would lose three upstreams. The service is out of the name; an answer clears the crashes of its own service only, or the good half of a split would keep the bad half crashing.

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -258,10 +258,9 @@
   bool Streamed = One.Head.Length != 0 && !One.Request.finished();
   if (Streamed)
     return {};
-  One.Print =
-      fingerprintOf(One.Target->Name, One.Head,
-                    findHeader(One.Head.Headers, this->Opts.Names.Customer),
-                    One.Request.held());
+  One.Print = fingerprintOf(
+      One.Head, findHeader(One.Head.Headers, this->Opts.Names.Customer),
+      One.Request.held());
   return this->Hook.Judge(One.Print, Now);
 }
 
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -373,8 +373,8 @@
   Head.Path = "/write/1";
   Head.Length = 20000;
   BOOST_REQUIRE(this->Judged.size() == 1u);
-  BOOST_TEST((this->Judged[0] ==
-              fingerprintOf("a", Head, "", std::string(20000, 'x'))));
+  BOOST_TEST(
+      (this->Judged[0] == fingerprintOf(Head, "", std::string(20000, 'x'))));
 }
 
 BOOST_FIXTURE_TEST_CASE(UnknownOutcomeOfUnsafeCallIsNotRepeated, Fixture) {
--- a/src/calls/GateCrashes.cpp
+++ b/src/calls/GateCrashes.cpp
@@ -18,10 +18,9 @@
 // Whether the call may start now. If not, it is refused.
 bool Gate::mayRun(const CallId &Id, Call &One, TimePoint Now) {
   bool Whole = One.Head.Length <= 0 || One.Request.ended();
-  One.Print =
-      fingerprintOf(this->Opts.Service, One.Head,
-                    findHeader(One.Head.Headers, this->Opts.Names.Customer),
-                    Whole && One.Head.Length > 0 ? One.EarlyBody : "");
+  One.Print = fingerprintOf(
+      One.Head, findHeader(One.Head.Headers, this->Opts.Names.Customer),
+      Whole && One.Head.Length > 0 ? One.EarlyBody : "");
   Quarantine::Verdict Known = this->Hook.Judge(One.Print, Now);
   One.Suspected = Known.What != Quarantine::Standing::Free || One.Crashes != 0;
   bool Held = Known.What == Quarantine::Standing::Held;
@@ -36,7 +35,6 @@
   return false;
 }
 
-// A leaving upstream ends by itself, and its port with it; that is no crash.
 void Gate::connectionEnded(const CallId &Id, Call &One, const Error &Why,
                            TimePoint Now) {
   One.Broken = Why;
@@ -67,6 +65,7 @@
   for (const CallId &Id : Of.Suspects)
     if (const Call *One = this->find(Id))
       Ran.push_back({One->Print, describeRequest(One->Head)});
+  // A leaving upstream ends by itself, and its port with it.
   if (!this->draining() && !Ran.empty())
     this->Hook.Crashed(Ran, Now);
   for (const CallId &Id : Of.Broken)
--- a/src/calls/GateCrashesTest.cpp
+++ b/src/calls/GateCrashesTest.cpp
@@ -227,8 +227,8 @@
   Head.Path = "/x";
   Head.Length = 20000;
   BOOST_REQUIRE(this->RanWell.size() == 1u);
-  BOOST_TEST((this->RanWell[0] ==
-              fingerprintOf("a", Head, "", std::string(20000, 'x'))));
+  BOOST_TEST(
+      (this->RanWell[0] == fingerprintOf(Head, "", std::string(20000, 'x'))));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -123,7 +123,7 @@
   Out.Changed = [this](const Quarantine::Event &Of, TimePoint Now) {
     std::string Outcome = Of.Of->Request;
     if (Of.For.count() > 0)
-      Outcome += " crashes=" + std::to_string(Of.Of->standing().size()) +
+      Outcome += " crashes=" + std::to_string(Of.Of->counting().size()) +
                  " for_ms=" + std::to_string(Of.For.count());
     this->Trail.add(Now, Of.What, Of.Of->Of.text(), Of.Source, Outcome);
   };
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -43,6 +43,7 @@
   this->Control.Spread.Guards = this->Guards;
   this->Control.Compile.Guards = this->Guards;
   this->Control.Hold.Self = Name;
+  this->Control.Hold.Service = Service;
   this->Control.Hold.Incarnation = Incarnation;
   this->Control.Hold.Guards = this->Guards;
   this->CallEntry.Self = Name;
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -254,7 +254,7 @@
       Row["fingerprint"] = Print.text();
       Row["request"] = One.Request;
       Row["standing"] = standingName(Known.What);
-      std::vector<Quarantine::Crash> By = One.standing();
+      std::vector<Quarantine::Crash> By = One.counting();
       Row["crashes"] = Json::UInt64(By.size());
       Row["last_crash_ago_ms"] =
           Json::Int64(toMillis(Now - By.back().At).count());
--- a/src/quarantine/Codec.cpp
+++ b/src/quarantine/Codec.cpp
@@ -34,7 +34,7 @@
     One->request = Of->Request;
     for (const Quarantine::Crash &Crash : Of->Crashes)
       One->crashes.emplace_back(Crash.Id, ageOf(Crash.At, Now), Crash.Alone,
-                                Crash.Cleared);
+                                Crash.Cleared, Crash.Service);
     Out.records.push_back(std::move(One));
   }
   wire::SpreadFrameT Frame;
@@ -54,7 +54,7 @@
     for (const wire::QuarantineCrash &Crash : One->crashes)
       if (Of.Crashes.size() < Quarantine::MaxCrashes)
         Of.Crashes.push_back({Crash.id(), timeOf(Crash.age_ms(), Now),
-                              Crash.alone(), Crash.cleared()});
+                              Crash.alone(), Crash.cleared(), Crash.service()});
     Out.push_back(std::move(Of));
   }
   return Out;
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -51,7 +51,7 @@
 Quarantine::Quarantine(Options GivenOpts, Hooks Hooks)
     : Opts(std::move(GivenOpts)), Hook(std::move(Hooks)) {}
 
-std::vector<Quarantine::Crash> Quarantine::Record::standing() const {
+std::vector<Quarantine::Crash> Quarantine::Record::counting() const {
   std::vector<Crash> Out;
   for (const Crash &One : this->Crashes)
     if (!One.Cleared)
@@ -76,7 +76,7 @@
 
 Quarantine::Verdict Quarantine::standing(const Record &Of,
                                          TimePoint Now) const {
-  std::vector<Crash> By = Of.standing();
+  std::vector<Crash> By = Of.counting();
   if (By.empty())
     return {};
   Millis Since = toMillis(Now - By.back().At);
@@ -118,6 +118,7 @@
       combineHash(contentHash(this->Opts.Self), this->Opts.Incarnation),
       ++this->LastCrash);
   New.At = Now;
+  New.Service = contentHash(this->Opts.Service);
   std::vector<Fingerprint> Changed;
   for (const auto &[Of, Request] : Unique) {
     Record Said;
@@ -174,7 +175,7 @@
   bool IsHeld = this->standing(Of, Now).What == Standing::Held;
   if (IsHeld && !WasHeld) {
     ++this->Counts.Held;
-    Millis Term = this->termOf(Of.standing().size());
+    Millis Term = this->termOf(Of.counting().size());
     this->Hook.Changed({"request-held", &Of, Source, Term}, Now);
   } else if (WasHeld && !IsHeld) {
     ++this->Counts.Released;
@@ -183,25 +184,27 @@
   return News;
 }
 
-bool Quarantine::clear(const Fingerprint &Of, const std::string &Source,
-                       TimePoint Now) {
+// Clears the crashes of one service, or all.
+bool Quarantine::clear(const Fingerprint &Of, std::optional<uint64_t> OfService,
+                       const std::string &Source, TimePoint Now) {
   auto Found = this->Known.find(Of);
-  if (Found == this->Known.end() || Found->second.standing().empty())
+  if (Found == this->Known.end())
     return false;
   Record Said = Found->second;
   for (Crash &One : Said.Crashes)
-    One.Cleared = true;
-  this->merge(Said, Now, Source);
+    One.Cleared |= !OfService || One.Service == *OfService;
+  if (!this->merge(Said, Now, Source))
+    return false;
   this->tellOf({Of}, std::nullopt, Now);
   return true;
 }
 
 void Quarantine::answered(const Fingerprint &Of, TimePoint Now) {
-  this->clear(Of, this->Opts.Self, Now);
+  this->clear(Of, contentHash(this->Opts.Service), this->Opts.Self, Now);
 }
 
 bool Quarantine::release(const Fingerprint &Of, TimePoint Now) {
-  return this->clear(Of, "operator", Now);
+  return this->clear(Of, std::nullopt, "operator", Now);
 }
 
 void Quarantine::tellOf(const std::vector<Fingerprint> &Which,
@@ -254,7 +257,7 @@
 void Quarantine::bound() {
   while (this->Known.size() > this->Opts.MaxRequests) {
     auto Rank = [&](const Record &Of) {
-      std::vector<Crash> By = Of.standing();
+      std::vector<Crash> By = Of.counting();
       int Weight = this->isConvicted(By) ? 2 : By.empty() ? 0 : 1;
       return std::pair(Weight, Of.Crashes.back().At);
     };
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -40,12 +40,13 @@
   static std::optional<Fingerprint> parse(std::string_view Text);
 };
 
-/// Of method, host, path with query, customer and body, for one service. The
-/// other header fields differ from attempt to attempt. Body is all of it, or
-/// empty where it is not held whole: then its length alone counts, and such
-/// requests are told apart less well.
-Fingerprint fingerprintOf(const std::string &Service, const RequestHead &Head,
-                          const std::string &Customer, std::string_view Body);
+/// Of method, host, path with query, customer and body. The other header fields
+/// differ from attempt to attempt, and the service is where it goes and not
+/// what it asks: a route may be moved or split between attempts. Body is all of
+/// it, or empty where it is not held whole: then its length alone counts, and
+/// such requests are told apart less well.
+Fingerprint fingerprintOf(const RequestHead &Head, const std::string &Customer,
+                          std::string_view Body);
 
 /// What a request asks, for operators: "GET host/path", cut to a bound.
 std::string describeRequest(const RequestHead &Head);
@@ -55,6 +56,8 @@
   struct Options {
     /// This instance's name and start: no two crashes have the same id.
     std::string Self;
+    /// What its upstream serves.
+    std::string Service;
     uint64_t Incarnation = 1;
     /// Off, nothing is refused; what is known is still kept and passed on.
     bool Enabled = true;
@@ -114,6 +117,9 @@
     bool Alone = false;
     /// The request was answered since, or released: it does not count.
     bool Cleared = false;
+    /// Hash of the upstream's service. An answer of another service, on a split
+    /// route, says nothing about this crash.
+    uint64_t Service = 0;
   };
 
   struct Record {
@@ -123,7 +129,7 @@
     std::vector<Crash> Crashes;
 
     /// Those that count.
-    std::vector<Crash> standing() const;
+    std::vector<Crash> counting() const;
   };
 
   /// A change of what is believed, for the audit trail.
@@ -158,7 +164,7 @@
   /// This node's upstream crashed while these ran. All of them are suspects
   /// now; the only one that was before is to blame by itself.
   void upstreamCrashed(const std::vector<Ran> &Running, TimePoint Now);
-  /// A run of it ended with an answer, so it does not crash what runs it.
+  /// A run of it ended with an answer here, so it does not crash what runs it.
   void answered(const Fingerprint &Of, TimePoint Now);
   /// An operator takes it out. False if nothing is known of it.
   bool release(const Fingerprint &Of, TimePoint Now);
@@ -178,7 +184,8 @@
   Millis termOf(size_t Crashes) const;
   bool isOver(const Record &Of, TimePoint Now) const;
   bool merge(const Record &Said, TimePoint Now, const std::string &Source);
-  bool clear(const Fingerprint &Of, const std::string &Source, TimePoint Now);
+  bool clear(const Fingerprint &Of, std::optional<uint64_t> OfService,
+             const std::string &Source, TimePoint Now);
   void tellOf(const std::vector<Fingerprint> &Which,
               std::optional<uint64_t> ButLink, TimePoint Now);
   void bound();
--- a/src/quarantine/QuarantineTest.cpp
+++ b/src/quarantine/QuarantineTest.cpp
@@ -28,10 +28,8 @@
   return Out;
 }
 
-Fingerprint printOf(const RequestHead &Head, const std::string &Body = "body",
-                    const std::string &Service = "portal") {
-  return fingerprintOf(Service, Head, findHeader(Head.Headers, "Customer"),
-                       Body);
+Fingerprint printOf(const RequestHead &Head, const std::string &Body = "body") {
+  return fingerprintOf(Head, findHeader(Head.Headers, "Customer"), Body);
 }
 
 struct PrintRow {
@@ -100,8 +98,6 @@
     {"another body", [] { return printOf(headOf(), "gone"); }, false},
     {"another length",
      [] { return with([](RequestHead &Of) { Of.Length = 5; }); }, false},
-    {"another service", [] { return printOf(headOf(), "body", "desk"); },
-     false},
 };
 
 /// One node's quarantine, with requests that have names of one letter.
@@ -337,6 +333,27 @@
     BOOST_TEST(One->standing('p', Now) == Of.All[0]->standing('p', Now));
 }
 
+// A route is split between two services, of which one crashes under a request
+// and the other answers it. The answers must not clear it, or it would go on to
+// crash the first one's upstreams.
+BOOST_AUTO_TEST_CASE(AnAnswerClearsItsOwnServiceOnly) {
+  Quarantine::Options OfA, OfB;
+  OfA.Service = "a";
+  OfB.Service = "b";
+  Node A("n-1", OfA), B("n-2", OfB);
+  for (int I = 0; I < 3; ++I) {
+    A.crash("p", Start + Millis(10 * I));
+    for (wire::SpreadFrameT &Frame : std::exchange(A.Sent, {}))
+      B.hear(Frame, Start + Millis(10 * I + 1));
+    B.Of->answered(Node::print('p'), Start + Millis(10 * I + 2));
+  }
+  TimePoint Now = Start + Millis(50);
+  BOOST_TEST(A.standing('p', Now) == Standing::Held);
+  BOOST_TEST(B.standing('p', Now) == Standing::Held);
+  A.Of->answered(Node::print('p'), Now);
+  BOOST_TEST(A.standing('p', Now) == Standing::Free);
+}
+
 // What is news is passed on, and nothing else: records go along every link of a
 // ring, and must not go round for ever.
 BOOST_AUTO_TEST_CASE(NewsIsPassedOnOnce) {
@@ -406,7 +423,7 @@
   One->fingerprint = 7;
   One->request.assign(100000, 'x');
   for (uint64_t I = 0; I < 5000; ++I)
-    One->crashes.emplace_back(I, UINT32_MAX, true, false);
+    One->crashes.emplace_back(I, UINT32_MAX, true, false, 7);
   Said.records.push_back(std::move(One));
   Said.records.push_back(nullptr);
   std::vector<Quarantine::Record> Read = fromFrame(Said, Start);
--- a/src/spread/Spread_generated.h
+++ b/src/spread/Spread_generated.h
@@ -393,6 +393,7 @@
   uint8_t alone_;
   uint8_t cleared_;
   int16_t padding0__;
+  uint64_t service_;
 
  public:
   struct Traits;
@@ -401,15 +402,17 @@
         age_ms_(0),
         alone_(0),
         cleared_(0),
-        padding0__(0) {
+        padding0__(0),
+        service_(0) {
     (void)padding0__;
   }
-  QuarantineCrash(uint64_t _id, uint32_t _age_ms, bool _alone, bool _cleared)
+  QuarantineCrash(uint64_t _id, uint32_t _age_ms, bool _alone, bool _cleared, uint64_t _service)
       : id_(flatbuffers::EndianScalar(_id)),
         age_ms_(flatbuffers::EndianScalar(_age_ms)),
         alone_(flatbuffers::EndianScalar(static_cast<uint8_t>(_alone))),
         cleared_(flatbuffers::EndianScalar(static_cast<uint8_t>(_cleared))),
-        padding0__(0) {
+        padding0__(0),
+        service_(flatbuffers::EndianScalar(_service)) {
     (void)padding0__;
   }
   uint64_t id() const {
@@ -424,8 +427,11 @@
   bool cleared() const {
     return flatbuffers::EndianScalar(cleared_) != 0;
   }
+  uint64_t service() const {
+    return flatbuffers::EndianScalar(service_);
+  }
 };
-FLATBUFFERS_STRUCT_END(QuarantineCrash, 16);
+FLATBUFFERS_STRUCT_END(QuarantineCrash, 24);
 
 struct QuarantineCrash::Traits {
   using type = QuarantineCrash;
