A keyed call on trial stays at its key's home; chunked bodies are named alike at entry and gate

Sent to the gate of the trial, a call with an idempotency key would be judged by one that does not remember the key. And a chunked body that had come whole by the second try made another request of it at the entry than at the gate.

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -229,16 +229,18 @@
     this->route(Caller, Now);
 }
 
-// A keyed call has one place to go: the gate that remembers the key.
+// A keyed call has one place to go, on trial or not: the gate that remembers
+// the key.
 const Instance *Entry::chooseGate(const Call &One, TimePoint Now) {
   const auto &Upstreams = this->Fleet.upstreams(One.Target->Name);
+  if (!One.Key.empty() && !One.Idempotent) {
+    const Instance *Home = keyHome(One.Key, Upstreams);
+    return Home && One.Tried.count(Home->Name) ? nullptr : Home;
+  }
   if (One.OnTrial)
     return this->trialGate(One, Now);
-  if (One.Key.empty() || One.Idempotent)
-    return this->Choose.pick(Upstreams, One.Tried, Now,
-                             wantOf(One.Head, *One.Taken));
-  const Instance *Home = keyHome(One.Key, Upstreams);
-  return Home && One.Tried.count(Home->Name) ? nullptr : Home;
+  return this->Choose.pick(Upstreams, One.Tried, Now,
+                           wantOf(One.Head, *One.Taken));
 }
 
 // A request that has one crash left, or has been held for its term, is tried at
@@ -253,14 +255,15 @@
   return Home && One.Tried.count(Home->Name) ? nullptr : Home;
 }
 
-// A body that is read ahead is whole here; of a longer one the gate judges.
+// A body that is read ahead is whole here. Of a longer one the gate judges, and
+// of one whose length is not known the bytes do not count, here or there.
 Quarantine::Verdict Entry::judge(Call &One, TimePoint Now) const {
-  bool Streamed = One.Head.Length != 0 && !One.Request.finished();
-  if (Streamed)
+  bool HasBody = One.Head.Length > 0;
+  if (HasBody && !One.Request.finished())
     return {};
   One.Print = fingerprintOf(
       One.Head, findHeader(One.Head.Headers, this->Opts.Names.Customer),
-      One.Request.held());
+      HasBody ? One.Request.held() : std::string_view());
   return this->Hook.Judge(One.Print, Now);
 }
 
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -365,6 +365,53 @@
   BOOST_TEST(this->Refused.size() == 1u);
 }
 
+// A call with an idempotency key is judged by the one gate that remembers the
+// key. Sent to another for its trial, it could run twice.
+BOOST_FIXTURE_TEST_CASE(AKeyedCallOnTrialStaysAtItsHome, Fixture) {
+  auto HomeOf = [this](const std::string &Key) {
+    RequestHead Head;
+    Head.Method = "POST";
+    Head.Path = "/write/1";
+    Head.Headers = {{"Idempotency-Key", Key}};
+    return this->From->explain(Head, this->Now).Chosen->Name;
+  };
+  std::map<std::string, std::string> Homes;
+  for (const char *Key : {"k1", "k2", "k3", "k4", "k5", "k6"})
+    Homes[Key] = HomeOf(Key);
+  this->Known = {Quarantine::Standing::Trial, Millis(0)};
+  Entry::CallerId Id = 0;
+  for (const auto &[Key, Home] : Homes) {
+    RequestHead Head;
+    Head.Method = "POST";
+    Head.Path = "/write/1";
+    Head.Headers = {{"Idempotency-Key", Key}};
+    this->From->request(++Id, Head, this->Now);
+  }
+  for (const char *Gate : {"g-1", "g-2", "g-3"})
+    this->hello(Gate);
+  BOOST_REQUIRE(this->opens().size() == Homes.size());
+  for (const auto &[Gate, Open] : this->opens())
+    BOOST_TEST(Gate == Homes[Open->idempotency_key]);
+}
+
+// The bytes of a chunked body do not count at the gate, which sees them come;
+// so they must not here, where all may have come by the second try.
+BOOST_FIXTURE_TEST_CASE(AChunkedBodyIsNoPartOfTheName, Fixture) {
+  RequestHead Head;
+  Head.Method = "POST";
+  Head.Path = "/often/1";
+  Head.Length = UnknownLength;
+  this->From->request(1, Head, this->Now);
+  this->From->body(1, "bytes", this->Now);
+  this->From->bodyEnd(1, this->Now);
+  this->hello(this->Dialled.back());
+  auto [Gate, Open] = this->opens().back();
+  this->fail(Gate, Open->seq, wire::Outcome::Unknown, "upstream-crashed");
+  BOOST_REQUIRE(this->Judged.size() == 2u);
+  BOOST_TEST((this->Judged[0] == fingerprintOf(Head, "", "")));
+  BOOST_TEST((this->Judged[1] == this->Judged[0]));
+}
+
 // The gate names a request by its body as well; so must the entry.
 BOOST_FIXTURE_TEST_CASE(ABodyThatIsReadAheadIsPartOfTheName, Fixture) {
   this->upload(1);
