Harness programs keep to ports of their own; a stand-in's crash takes what it runs along

Each program now holds a block of ports; a crash ends its runs. Late calls of a leaving upstream are named with by how much.

--- a/harness/Fleet.cpp
+++ b/harness/Fleet.cpp
@@ -26,6 +26,8 @@
 // Below the usual range of outgoing connections, which begins at 32768.
 constexpr unsigned FirstPort = 12000;
 constexpr unsigned PortCount = 20000;
+// Room for the largest fleet that is measured, and for a few programs at once.
+constexpr unsigned BlockSize = 2000;
 
 std::string ownFolder() {
   return std::filesystem::read_symlink("/proc/self/exe").parent_path();
@@ -67,6 +69,40 @@
   std::filesystem::remove_all(this->Folder, Ignored);
 }
 
+namespace {
+
+GSocket *bindPort(guint16 Port) {
+  GSocket *Socket = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                 G_SOCKET_PROTOCOL_TCP, nullptr);
+  GSocketAddress *At = g_inet_socket_address_new_from_string("127.0.0.1", Port);
+  bool Free = g_socket_bind(Socket, At, FALSE, nullptr);
+  g_object_unref(At);
+  if (!Free)
+    g_clear_object(&Socket);
+  return Socket;
+}
+
+// The ports of this process: a block whose first one it keeps for as long as it
+// lives. Two programs that took theirs from one range would each give out what
+// the other's nodes leave free while they are down; calls of the one were then
+// answered by upstreams of the other.
+guint16 ownBlock() {
+  static const guint16 First = [] {
+    auto Start = static_cast<unsigned>(getpid());
+    for (unsigned I = 0; I < PortCount / BlockSize; ++I) {
+      auto At = static_cast<guint16>(
+          FirstPort + (Start + I) % (PortCount / BlockSize) * BlockSize);
+      if (bindPort(At))
+        return At;
+    }
+    std::cerr << "no free ports from " << FirstPort << " on\n";
+    std::exit(2);
+  }();
+  return First;
+}
+
+} // namespace
+
 // Finds a free port. The socket is kept until the fleet is complete, so that no
 // port is given out twice.
 //
@@ -75,22 +111,16 @@
 // takes the port of a node that is down: the node then ends at its start, and
 // a run says that it never came back. So ours lie below that range.
 std::string Fleet::freeAddress() {
-  static unsigned Next = static_cast<unsigned>(getpid());
-  for (unsigned Tries = 0; Tries < PortCount; ++Tries) {
-    auto Port = static_cast<guint16>(FirstPort + Next++ % PortCount);
-    GSocket *Socket = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                                   G_SOCKET_PROTOCOL_TCP, nullptr);
-    GSocketAddress *At =
-        g_inet_socket_address_new_from_string("127.0.0.1", Port);
-    bool Free = g_socket_bind(Socket, At, FALSE, nullptr);
-    g_object_unref(At);
-    if (Free) {
-      this->Reserved.push_back(Socket);
-      return "127.0.0.1:" + std::to_string(Port);
-    }
-    g_object_unref(Socket);
+  static unsigned Next = 0;
+  for (unsigned Tries = 0; Tries < BlockSize; ++Tries) {
+    auto Port = static_cast<guint16>(ownBlock() + 1 + Next++ % (BlockSize - 1));
+    GSocket *Socket = bindPort(Port);
+    if (!Socket)
+      continue;
+    this->Reserved.push_back(Socket);
+    return "127.0.0.1:" + std::to_string(Port);
   }
-  std::cerr << "no free port from " << FirstPort << " on\n";
+  std::cerr << "no free port in the block of " << ownBlock() << "\n";
   std::exit(2);
 }
 
--- a/scenario/Soak.cpp
+++ b/scenario/Soak.cpp
@@ -530,7 +530,8 @@
       Json::Value Counters = this->All.upstreamCounters(Name);
       if (uint64_t Late = Counters["late"].asUInt64())
         this->Broken.push_back(absl::StrCat(
-            Name, ": ", Late, " calls reached its upstream after its drain"));
+            Name, ": ", Late, " calls reached its upstream after its drain: ",
+            writeJson(Counters["late_calls"])));
       const Json::Value &Ran = Counters["executions"];
       for (const std::string &Label : Ran.getMemberNames())
         Runs[Label] += Ran[Label].asUInt64();
--- a/standin/Upstream.cpp
+++ b/standin/Upstream.cpp
@@ -96,7 +96,8 @@
     if (Self->Draining)
       ++Self->AfterDrain;
     if (Self->TakesUntil && Clock::now() > *Self->TakesUntil)
-      ++Self->Late;
+      Self->Late.emplace_back(toMillis(Clock::now() - *Self->TakesUntil),
+                              Id ? Id : "");
     GBytes *Body = soup_message_body_flatten(
         soup_server_message_get_request_body(Message));
     gsize Size = 0;
@@ -123,6 +124,7 @@
     if (Ms == 0)
       return finish(Of);
     g_object_ref(Message);
+    Self->Paused.insert(Of);
     soup_server_message_pause(Message);
     g_signal_connect(Message, "finished", G_CALLBACK(onGone), Of);
     Of->Timer = g_timeout_add(static_cast<guint>(Ms), onDone, Of);
@@ -158,6 +160,9 @@
 
   void crash(uint64_t BackAfterMs, const std::string &By) {
     this->Crashes.emplace_back(toMillis(Clock::now().time_since_epoch()), By);
+    // What runs ends with the process, and holds no slot of the next one.
+    for (Job *One : std::set<Job *>(this->Paused))
+      onGone(nullptr, One);
     for (GSocket *One : this->Connections)
       g_socket_shutdown(One, TRUE, TRUE, nullptr);
     soup_server_disconnect(this->Server);
@@ -179,6 +184,7 @@
   }
 
   static void stopWatch(Job *Of) {
+    Of->Owner->Paused.erase(Of);
     g_source_destroy(Of->Watch);
     g_source_unref(Of->Watch);
   }
@@ -280,7 +286,10 @@
     Out["shed"] = Json::UInt64(Self->Shed);
     Out["cancelled"] = Json::UInt64(Self->Cancelled);
     Out["after_drain"] = Json::UInt64(Self->AfterDrain);
-    Out["late"] = Json::UInt64(Self->Late);
+    Out["late"] = Json::UInt64(Self->Late.size());
+    for (const auto &[After, Call] : Self->Late)
+      Out["late_calls"].append(Call + " by " + std::to_string(After.count()) +
+                               " ms");
     Out["running"] = Json::UInt64(Self->Running);
     Out["crashes"] = Json::Value(Json::arrayValue);
     for (const auto &[At, By] : Self->Crashes) {
@@ -298,6 +307,8 @@
   SoupServer *Server;
   NetAddress Address;
   std::set<GSocket *> Connections;
+  // Calls that run.
+  std::set<Job *> Paused;
   // When, and under which call.
   std::vector<std::pair<Millis, std::string>> Crashes;
   TimePoint Start;
@@ -306,7 +317,8 @@
   uint64_t Shed = 0;
   uint64_t Cancelled = 0;
   uint64_t AfterDrain = 0;
-  uint64_t Late = 0;
+  // Calls that came too late, and by how much.
+  std::vector<std::pair<Millis, std::string>> Late;
   std::optional<TimePoint> TakesUntil;
   uint64_t Running = 0;
   bool Draining = false;
