--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -61,9 +61,48 @@
   Found->second->Add(Labels).Set(Value);
 }
 
+void Metrics::setSpread(const Spreader::Counters &Spread) {
+  auto Set = [&](const char *Name, const char *Help, uint64_t Value) {
+    this->set(Name, Help, static_cast<double>(Value));
+  };
+  Set("hickorylift_spread_parts_sent", "Pieces of documents sent",
+      Spread.PushedParts);
+  Set("hickorylift_spread_snapshots_sent", "Whole documents sent",
+      Spread.SnapshotParts);
+  Set("hickorylift_spread_announces_sent", "Announcements sent",
+      Spread.Announces);
+  Set("hickorylift_spread_heartbeats_sent", "Heartbeats sent",
+      Spread.Heartbeats);
+  Set("hickorylift_spread_pulls_sent", "Pulls sent", Spread.Pulls);
+  Set("hickorylift_spread_duplicates", "Documents that came twice",
+      Spread.Duplicates);
+  Set("hickorylift_spread_damaged", "Pieces thrown away", Spread.Damaged);
+}
+
+void Metrics::setQuarantine(const Quarantine &Hold, TimePoint Now) {
+  auto Set = [&](const char *Name, const char *Help, uint64_t Value) {
+    this->set(Name, Help, static_cast<double>(Value));
+  };
+  Set("hickorylift_upstream_crashes", "Crashes of this node's upstream",
+      Hold.counters().Crashes);
+  Set("hickorylift_quarantine_held", "Requests that came to be held",
+      Hold.counters().Held);
+  Set("hickorylift_quarantine_released",
+      "Requests that were held and are not any more", Hold.counters().Released);
+  using Standing = Quarantine::Standing;
+  std::map<Standing, unsigned> ByStanding = {
+      {Standing::Suspect, 0}, {Standing::Trial, 0}, {Standing::Held, 0}};
+  for (const auto &[Print, One] : Hold.records())
+    ++ByStanding[Hold.standing(One, Now).What];
+  ByStanding.erase(Standing::Free);
+  for (const auto &[What, Count] : ByStanding)
+    this->set("hickorylift_quarantine_requests",
+              "Requests that may crash upstreams, by what stands against them",
+              Count, {{"standing", standingName(What)}});
+}
+
 std::string Metrics::text(Node &Of) {
   TimePoint Now = Of.now();
-  const Spreader::Counters &Spread = Of.core().control().spreader().counters();
   auto Set = [&](const char *Name, const char *Help, uint64_t Value) {
     this->set(Name, Help, static_cast<double>(Value));
   };
@@ -81,18 +120,7 @@
   Set("hickorylift_platform_unreadable",
       "Items of the platform that could not be used",
       Of.core().control().unreadableItems());
-  Set("hickorylift_spread_parts_sent", "Pieces of documents sent",
-      Spread.PushedParts);
-  Set("hickorylift_spread_snapshots_sent", "Whole documents sent",
-      Spread.SnapshotParts);
-  Set("hickorylift_spread_announces_sent", "Announcements sent",
-      Spread.Announces);
-  Set("hickorylift_spread_heartbeats_sent", "Heartbeats sent",
-      Spread.Heartbeats);
-  Set("hickorylift_spread_pulls_sent", "Pulls sent", Spread.Pulls);
-  Set("hickorylift_spread_duplicates", "Documents that came twice",
-      Spread.Duplicates);
-  Set("hickorylift_spread_damaged", "Pieces thrown away", Spread.Damaged);
+  this->setSpread(Of.core().control().spreader().counters());
   Set("hickorylift_instances", "Instances on the lists",
       Of.core().control().members().size());
   const Entry::Counters &Entered = Of.core().entry().counters();
@@ -117,23 +145,7 @@
   for (const auto &[Reason, Count] : Gated.RefusedBy)
     this->set("hickorylift_gate_refused", "Calls refused, by cause",
               static_cast<double>(Count), {{"reason", Reason}});
-  const Quarantine &Hold = Of.core().control().quarantine();
-  Set("hickorylift_upstream_crashes", "Crashes of this node's upstream",
-      Hold.counters().Crashes);
-  Set("hickorylift_quarantine_held", "Requests that came to be held",
-      Hold.counters().Held);
-  Set("hickorylift_quarantine_released",
-      "Requests that were held and are not any more", Hold.counters().Released);
-  using Standing = Quarantine::Standing;
-  std::map<Standing, unsigned> ByStanding = {
-      {Standing::Suspect, 0}, {Standing::Trial, 0}, {Standing::Held, 0}};
-  for (const auto &[Print, One] : Hold.records())
-    ++ByStanding[Hold.standing(One, Now).What];
-  ByStanding.erase(Standing::Free);
-  for (const auto &[What, Count] : ByStanding)
-    this->set("hickorylift_quarantine_requests",
-              "Requests that may crash upstreams, by what stands against them",
-              Count, {{"standing", standingName(What)}});
+  this->setQuarantine(Of.core().control().quarantine(), Now);
   wire::Load Load = Of.core().gate().load(Now);
   Set("hickorylift_gate_running", "Calls at the upstream", Load.in_flight());
   Set("hickorylift_gate_waiting", "Calls that wait", Load.queued());
--- a/src/operator/Metrics.h
+++ b/src/operator/Metrics.h
@@ -2,6 +2,8 @@
 #define HICKORYLIFT_OPERATOR_METRICS_H
 
 #include "base/Time.h"
+#include "quarantine/Quarantine.h"
+#include "spread/Spreader.h"
 
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
@@ -28,6 +30,8 @@
   std::string text(Node &Of);
 
 private:
+  void setSpread(const Spreader::Counters &Spread);
+  void setQuarantine(const Quarantine &Hold, TimePoint Now);
   void set(const std::string &Name, const std::string &Help, double Value,
            const std::map<std::string, std::string> &Labels = {});
 
