A cold upstream is handed no more than it bears

Cause: the adapter dropped warmup, cold_per_s and cold_left, and the gate, the only way to its upstream, admitted by free slots alone.

Now ColdStart judges at the gate. It counts what is sent within a second, wherever that begins, with what waits for its connection; nothing starts that would be one too many. Each sign of a new start makes the upstream cold at once (first configuration, another start on the list, a call that names an upstream not met before, the port open again, 421), and only its own answer to a question asked after the last sign, or a whole warm-up, makes it warm. Entries are told the room as slots that the rate keeps busy. Crashes of a cold upstream that had more than its rate are held against no request. A gate is closed for each reason by itself: the end of one does not open it while another holds.

Why it holds: the gate beside an upstream is its only way in, and start() is the only door; what is not known to be warm is bounded.

--- a/scenario/Script.cpp
+++ b/scenario/Script.cpp
@@ -282,6 +282,8 @@
       Up.Sheds = static_cast<uint32_t>(W.number("sheds", Up.Sheds));
       Up.CrashesOn = W.named("crashes-on", Up.CrashesOn);
       Up.BackAfter = W.length("back").value_or(Up.BackAfter);
+      Up.Warmup = W.length("warmup").value_or(Up.Warmup);
+      Up.ColdMost = static_cast<uint32_t>(W.number("cold-most", Up.ColdMost));
     }
   }
 
--- a/scenario/World.cpp
+++ b/scenario/World.cpp
@@ -272,9 +272,7 @@
         There.Core->health(
             Error{Errc::Unreachable, "upstream-health", Name, ""}, this->Now);
       else
-        There.Core->health(
-            std::string(There.Upstream.Draining ? "draining" : "ok"),
-            this->Now);
+        There.Core->health(this->healthOf(There.Upstream), this->Now);
     }
     this->later(HealthInterval, *Health);
   };
--- a/scenario/World.h
+++ b/scenario/World.h
@@ -66,6 +66,12 @@
   std::string CrashesOn;
   Millis CrashAfter{30};
   Millis BackAfter{2000};
+  /// After its start it is cold for so long, and crashes where more than
+  /// ColdMost calls come within a second. Zero for never.
+  Millis Warmup{0};
+  uint32_t ColdMost = 0;
+  TimePoint ColdUntil;
+  std::deque<TimePoint> ColdStarts;
   std::map<std::string, unsigned> RunsByLabel;
   std::map<std::string, TimePoint> LastRunByKey;
   uint64_t Running = 0;
@@ -233,6 +239,8 @@
   void upstreamStart(const std::string &Name, const CallId &Id,
                      const RequestHead &Head);
   void upstreamFinish(const std::string &Name, const CallId &Id);
+  HealthAnswer healthOf(const UpstreamState &Of) const;
+  bool overruns(UpstreamState &Of) const;
   void endCall(uint64_t Caller, CallState::End How);
   bool isCut(const std::string &A, const std::string &B) const;
   void step();
--- a/scenario/WorldUpstreams.cpp
+++ b/scenario/WorldUpstreams.cpp
@@ -12,6 +12,7 @@
 constexpr Micros UpstreamDelay{200};
 // No new work may start later than this after an upstream began to leave.
 constexpr Millis LastWorkAfterDrain{2000};
+constexpr Millis ColdSpan{1000};
 
 } // namespace
 
@@ -47,9 +48,34 @@
                                      this->Now);
     });
   };
+  Out.AskHealth = [this, Name](const std::string &) {
+    this->at(Name, UpstreamDelay, [this](NodeState &Of) {
+      if (Of.Upstream.Alive)
+        Of.Core->health(this->healthOf(Of.Upstream), this->Now);
+    });
+  };
+  return Out;
+}
+
+HealthAnswer World::healthOf(const UpstreamState &Of) const {
+  HealthAnswer Out;
+  Out.Status = 200;
+  Out.Text = Of.Draining ? "draining" : "ok";
+  Out.ColdLeft =
+      toMillis(std::max(Clock::duration::zero(), Of.ColdUntil - this->Now));
   return Out;
 }
 
+// Counts a call, and tells whether it is one more than a cold upstream bears.
+bool World::overruns(UpstreamState &Of) const {
+  if (this->Now >= Of.ColdUntil)
+    return false;
+  Of.ColdStarts.push_back(this->Now);
+  while (this->Now - Of.ColdStarts.front() >= ColdSpan)
+    Of.ColdStarts.pop_front();
+  return Of.ColdStarts.size() > Of.ColdMost;
+}
+
 void World::upstreamStart(const std::string &Name, const CallId &Id,
                           const RequestHead &Head) {
   NodeState &Of = this->node(Name);
@@ -70,6 +96,11 @@
   this->Jobs[Name][Id] = {Label, "", Key, Shed, Crashes};
   ++Up.Running;
   Up.LastStart = this->Now;
+  Of.Core->gate().upstreamSent(Id, this->Now);
+  if (this->overruns(Up)) {
+    this->note("more calls came to " + Name + " than it bears while cold");
+    return this->crash(Name);
+  }
   if (Of.DrainedAt && this->Now - *Of.DrainedAt > LastWorkAfterDrain)
     this->note("new work at " + Name + " after it began to leave");
   if (!Shed) {
@@ -114,8 +145,11 @@
           Id, /*Sent=*/true,
           Error{Errc::Closed, "upstream-call", Name, "closed"}, this->Now);
     });
-  this->later(Up.BackAfter,
-              [this, Name] { this->node(Name).Upstream.Alive = true; });
+  this->later(Up.BackAfter, [this, Name] {
+    UpstreamState &Back = this->node(Name).Upstream;
+    Back.Alive = true;
+    Back.ColdUntil = this->Now + Back.Warmup;
+  });
 }
 
 uint64_t World::lateCrashRuns(size_t After, Millis Within) const {
--- a/src/base/Safeguards.cpp
+++ b/src/base/Safeguards.cpp
@@ -26,6 +26,7 @@
       {"stop-waits", &this->StopWaits},
       {"drop-late", &this->DropLate},
       {"hold-crashers", &this->HoldCrashers},
+      {"spare-cold", &this->SpareCold},
   };
   for (const auto &One : All) {
     if (One.Name != Name)
--- a/src/base/Safeguards.h
+++ b/src/base/Safeguards.h
@@ -47,6 +47,8 @@
   bool DropLate = true;
   /// A request that crashes upstreams is kept from them.
   bool HoldCrashers = true;
+  /// A cold upstream is handed no more calls than it bears.
+  bool SpareCold = true;
 
   /// Turns the named one off. False if there is none of that name.
   bool turnOff(std::string_view Name);
--- a/src/calls/Dialect.h
+++ b/src/calls/Dialect.h
@@ -29,6 +29,9 @@
   /// On every answer that the upstream itself produced. A success without it
   /// came from somewhere else.
   std::string Proof;
+  /// On an answer of the health endpoint: milliseconds that the upstream stays
+  /// cold.
+  std::string ColdLeft = "Hickorylift-Cold-Left-Ms";
   /// Whether Retry-After may have fractions. HTTP knows whole seconds only.
   bool FractionalRetryAfter = false;
   /// Path at which the platform asks whether callers may be sent here.
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -33,6 +33,7 @@
   ConfigPtr Old = std::exchange(this->InForce, New);
   this->Of = Named;
   this->configureSlots(Now);
+  this->askWhetherCold(Now);
   this->pump(Now);
 }
 
@@ -52,14 +53,19 @@
   for (const Instance *One : Upstreams) {
     if (One->Name != this->Opts.Self)
       continue;
-    if (this->ListedAs && !One->sameStart(*this->ListedAs))
+    if (this->ListedAs && !One->sameStart(*this->ListedAs)) {
       this->Slots.restarted(Now);
+      this->doubtWarm(Now);
+    }
     this->ListedAs = *One;
+    this->Slots.coldStart().named(One->Upstream, Now);
+    this->Slots.coldStart().listed(One->ColdLeft, Now);
     if (One->Slots == this->ListedSlots)
       continue;
     this->ListedSlots = One->Slots;
     this->configureSlots(Now);
   }
+  this->askWhetherCold(Now);
 }
 
 void Gate::linkUp(LinkId Link, TimePoint Now) {
@@ -186,6 +192,8 @@
     return NotRun("not-my-service");
   if (this->Gone)
     return NotRun(UpstreamIsGone);
+  this->Slots.coldStart().named(Open.upstream, Now);
+  this->askWhetherCold(Now);
   if (this->Calls.size() > this->Opts.MaxRemembered)
     return NotRun("memory-full");
   Admission::Ask &Wanted = One.Wanted;
@@ -253,7 +261,14 @@
                         Now);
   if (!this->mayRun(Id, One, Now) || !this->judgeKey(Id, One, Now))
     return;
+  if (std::optional<Admission::Answer> No = this->Slots.start(Now)) {
+    if (!One.Key.empty())
+      this->Judge.notRun(One.Key);
+    No->Why.Peer = this->Opts.Self;
+    return this->refuse(Id, One, std::move(No->Why), Now);
+  }
   One.Now = State::Running;
+  One.Unsent = true;
   One.StartedAt = Now;
   this->Watch.started(Id, One.Print, One.Suspected);
   ++this->Counts.Started;
@@ -389,6 +404,7 @@
 void Gate::refuse(const CallId &Id, Call &One, Refusal Why, TimePoint Now) {
   if (One.isUnseen() || One.Now == State::Running)
     this->Slots.finished(Id, /*Answered=*/false, Now);
+  this->settleSend(One);
   this->Transfers.forget(Id);
   this->Watch.forget(Id);
   ++this->Counts.RefusedBy[Why.Reason];
@@ -407,6 +423,7 @@
     this->Watch.cancelled(Id, Now);
     this->Slots.finished(Id, /*Answered=*/false, Now);
   }
+  this->settleSend(One);
   this->Transfers.forget(Id);
   if (!One.Key.empty())
     this->Judge.lost(One.Key, Now);
@@ -439,9 +456,12 @@
 }
 
 void Gate::drain(const std::string &By, TimePoint Now) {
-  if (this->draining() || !this->Opts.Guards.DrainClosesGate)
+  if (!this->Opts.Guards.DrainClosesGate)
     return;
+  bool Closed = this->draining();
   this->Slots.drain(By);
+  if (Closed)
+    return;
   for (const auto &[Link, State] : this->Links) {
     wire::DrainingT Said;
     Said.by = By;
@@ -454,9 +474,10 @@
 // Entries leave a gate aside that has said that it closes, send nothing there
 // any more, and so would not find out: with one upstream, its callers would be
 // refused for as long as the link lives.
-void Gate::reopen(TimePoint Now) {
-  this->Slots.reopen();
-  this->tellLinks(Now);
+void Gate::reopen(const std::string &By, TimePoint Now) {
+  this->Slots.reopen(By);
+  if (!this->draining())
+    this->tellLinks(Now);
 }
 
 void Gate::tellLinks(TimePoint Now) {
@@ -527,6 +548,7 @@
 void Gate::tick(TimePoint Now) {
   this->endOrphans(Now);
   this->lookForUpstream(Now);
+  this->askWhetherCold(Now);
   while (!this->Due.empty() && this->Due.begin()->first <= Now) {
     CallId Id = this->Due.begin()->second;
     this->Due.erase(this->Due.begin());
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -109,6 +109,10 @@
     /// The upstream crashed under these.
     std::function<void(const std::vector<Quarantine::Ran> &, TimePoint)>
         Crashed = [](const std::vector<Quarantine::Ran> &, TimePoint) {};
+    /// Asks the upstream how it is, at this path or, where it is empty, the
+    /// usual one; upstreamTold follows, within Slots.Cold.AskAgain or never.
+    std::function<void(const std::string &Path)> AskHealth =
+        [](const std::string &) {};
     /// Finds out whether the upstream takes connections; upstreamProbed
     /// follows. Where there is none, no crash is told from a lost answer.
     std::function<void()> Probe;
@@ -137,16 +141,27 @@
   void upstreamFailed(const CallId &Id, bool Sent, const Error &Why,
                       TimePoint Now);
   void upstreamProbed(UpstreamPort Found, TimePoint Now);
+  /// The upstream has said how long it stays cold.
+  void upstreamTold(std::optional<Millis> ColdLeft, TimePoint Now);
+  /// A request has gone out to the upstream: of this call, or nobody's, as a
+  /// question how the upstream is.
+  void upstreamSent(const CallId &Id, TimePoint Now);
   /// The upstream's side has written this much of the request's body.
   void upstreamConsumed(const CallId &Id, uint64_t Total, TimePoint Now);
 
-  /// Closes the gate to new work. Calls of which the upstream has seen nothing
-  /// are refused; those that run go on.
+  /// Closes the gate to new work, for one more reason. Calls of which the
+  /// upstream has seen nothing are refused; those that run go on.
   void drain(const std::string &By, TimePoint Now);
-  /// Takes work again, and tells the entries so.
-  void reopen(TimePoint Now);
+  /// A reason is gone. Without any, it takes work again and tells the entries.
+  void reopen(const std::string &By, TimePoint Now);
   bool draining() const { return this->Slots.draining(); }
-  const std::string &drainedBy() const { return this->Slots.drainedBy(); }
+  bool isDrainedBy(const std::string &By) const {
+    return this->Slots.isDrainedBy(By);
+  }
+  std::string drainedBy() const { return this->Slots.drainedBy(); }
+  /// The upstream may have become cold unseen.
+  void doubtWarm(TimePoint Now);
+  bool isCold(TimePoint Now) { return this->Slots.coldStart().isCold(Now); }
   /// Whether nothing runs, waits, or still has to be told to an entry.
   bool idle() const;
   /// How far the calls are that are not over yet.
@@ -162,7 +177,7 @@
   void paused(TimePoint Now);
   void tick(TimePoint Now);
 
-  wire::Load load(TimePoint Now) const { return this->Slots.load(Now); }
+  wire::Load load(TimePoint Now) { return this->Slots.load(Now); }
   const Counters &counters() const { return this->Counts; }
   size_t remembered() const { return this->Calls.size(); }
 
@@ -210,6 +225,8 @@
     unsigned Crashes = 0;
     // May run beside no other suspect.
     bool Suspected = false;
+    // Has started, and its request has not gone out yet.
+    bool Unsent = false;
     // Why its connection ended, while it is open whether that was a crash.
     std::optional<Error> Broken;
     std::string Recorded;
@@ -241,6 +258,8 @@
   void connectionEnded(const CallId &Id, Call &One, const Error &Why,
                        TimePoint Now);
   void failBroken(const CallId &Id, const char *Reason, TimePoint Now);
+  void askWhetherCold(TimePoint Now);
+  void settleSend(Call &One);
   void upstreamGone(TimePoint Now);
   void upstreamBack(TimePoint Now);
   void lookForUpstream(TimePoint Now);
--- a/src/calls/GateCrashes.cpp
+++ b/src/calls/GateCrashes.cpp
@@ -65,8 +65,10 @@
   for (const CallId &Id : Of.Suspects)
     if (const Call *One = this->find(Id))
       Ran.push_back({One->Print, describeRequest(One->Head)});
-  // A leaving upstream ends by itself, and its port with it.
-  if (!this->draining() && !Ran.empty())
+  // A leaving upstream ends by itself, and its port with it; a cold one under
+  // more calls than it bears, whatever they are.
+  bool Explained = this->draining() || this->Slots.coldStart().isOverrun(Now);
+  if (!Explained && !Ran.empty())
     this->Hook.Crashed(Ran, Now);
   for (const CallId &Id : Of.Broken)
     this->failBroken(Id, UpstreamCrashed, Now);
@@ -88,8 +90,10 @@
 }
 
 void Gate::upstreamBack(TimePoint Now) {
-  if (std::exchange(this->Gone, false))
-    this->tellLinks(Now);
+  if (!std::exchange(this->Gone, false))
+    return;
+  this->doubtWarm(Now);
+  this->tellLinks(Now);
 }
 
 void Gate::lookForUpstream(TimePoint Now) {
--- a/src/calls/GateFixture.h
+++ b/src/calls/GateFixture.h
@@ -36,6 +36,10 @@
   std::vector<std::vector<Quarantine::Ran>> Crashes;
   std::vector<Fingerprint> RanWell;
   size_t Probes = 0;
+  /// Paths at which the upstream was asked how it is.
+  std::vector<std::string> AskedHealth;
+  /// Whether there is a connection for each request at once.
+  bool Sends = true;
   TimePoint Now = TimePoint(std::chrono::hours(1));
 
   /// A call with a long body that its entry sends once it is asked to, or as
@@ -97,6 +101,8 @@
     };
     Hooks.Start = [this](const CallId &Id, const RequestHead &Head, bool) {
       this->Started.emplace_back(Id, Head);
+      if (this->Sends)
+        this->At->upstreamSent(Id, this->Now);
     };
     Hooks.Body = [](const CallId &, std::string_view) {};
     Hooks.BodyEnd = [](const CallId &) {};
@@ -111,6 +117,9 @@
     Hooks.Crashed = [this](const std::vector<Quarantine::Ran> &Running,
                            TimePoint) { this->Crashes.push_back(Running); };
     Hooks.Probe = [this] { ++this->Probes; };
+    Hooks.AskHealth = [this](const std::string &Path) {
+      this->AskedHealth.push_back(Path);
+    };
     this->At = std::make_unique<Gate>(Opts, Hooks);
     FaultList Faults;
     this->At->configure(
--- a/src/calls/GateUpstream.cpp
+++ b/src/calls/GateUpstream.cpp
@@ -18,6 +18,17 @@
 
 } // namespace
 
+void Gate::upstreamSent(const CallId &Id, TimePoint Now) {
+  this->Slots.coldStart().sent(Now);
+  if (Call *One = this->find(Id))
+    this->settleSend(*One);
+}
+
+void Gate::settleSend(Call &One) {
+  if (std::exchange(One.Unsent, false))
+    this->Slots.coldStart().settled();
+}
+
 void Gate::upstreamConsumed(const CallId &Id, uint64_t Total, TimePoint) {
   Call *One = this->find(Id);
   if (!One || !One->Linked)
@@ -64,6 +75,8 @@
   bool Marked = Head.Status == MisdirectedStatus ||
                 !findHeader(Head.Headers, Mark).empty();
   bool Misdirected = Head.Status == MisdirectedStatus;
+  if (Misdirected)
+    this->doubtWarm(Now);
   if (Marked) {
     Refusal Why = makeRefusal(
         Outcome::NotRun, Misdirected ? "upstream-replaced" : "upstream-shed",
@@ -128,6 +141,21 @@
   this->pump(Now);
 }
 
+void Gate::doubtWarm(TimePoint Now) {
+  this->Slots.coldStart().doubt(Now);
+  this->askWhetherCold(Now);
+}
+
+void Gate::askWhetherCold(TimePoint Now) {
+  if (this->Of && !this->Gone && this->Slots.coldStart().asksNow(Now))
+    this->Hook.AskHealth(this->Of->HealthPath);
+}
+
+void Gate::upstreamTold(std::optional<Millis> ColdLeft, TimePoint Now) {
+  this->Slots.coldStart().told(ColdLeft, Now);
+  this->pump(Now);
+}
+
 void Gate::upstreamFailed(const CallId &Id, bool Sent, const Error &Why,
                           TimePoint Now) {
   Call *One = this->find(Id);
--- a/src/calls/Message.h
+++ b/src/calls/Message.h
@@ -7,6 +7,7 @@
 #include "calls/Calls_generated.h"
 
 #include <compare>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -93,6 +94,20 @@
   Unclear,
 };
 
+/// What an upstream says of itself.
+struct HealthAnswer {
+  unsigned Status = 0;
+  std::string Text;
+  /// How much longer it stays cold, as a warm one need not say.
+  std::optional<Millis> ColdLeft;
+
+  bool isWell() const { return this->Status == 200; }
+  /// Nothing where it is not known.
+  std::optional<Millis> coldLeft() const {
+    return this->ColdLeft || !this->isWell() ? this->ColdLeft : Millis(0);
+  }
+};
+
 Refusal makeRefusal(Outcome What, const std::string &Reason,
                     const std::string &Step, const std::string &Peer);
 
--- a/src/cli/Views.cpp
+++ b/src/cli/Views.cpp
@@ -93,6 +93,8 @@
             << ", running " << Upstream["running"].asUInt() << " of "
             << Upstream["slots"].asUInt() << ", waiting "
             << Upstream["waiting"].asUInt();
+  if (Upstream["cold"].asBool())
+    std::cout << ", cold";
   if (!Upstream["drained_by"].asString().empty())
     std::cout << ", draining by " << Upstream["drained_by"].asString();
   std::cout << "\n";
--- a/src/config/Config.cpp
+++ b/src/config/Config.cpp
@@ -23,6 +23,7 @@
 constexpr int64_t MaxPriority = 9;
 constexpr int64_t MaxWeight = 1000000;
 constexpr int64_t MaxAttempts = 10;
+constexpr double MaxPerSecond = 1e7;
 const std::vector<std::string> KnownMethods = {
     "GET", "HEAD", "OPTIONS", "PUT", "POST", "PATCH", "DELETE"};
 
@@ -144,14 +145,15 @@
 
   CallerLimit readCallerLimit(JsonObject &From) {
     CallerLimit One;
-    One.RatePerSecond = From.number("rate_per_s", 0, 0, 1e7);
-    One.Burst = From.number("burst", std::max(1.0, One.RatePerSecond), 1, 1e7);
+    One.RatePerSecond = From.number("rate_per_s", 0, 0, MaxPerSecond);
+    One.Burst =
+        From.number("burst", std::max(1.0, One.RatePerSecond), 1, MaxPerSecond);
     One.Concurrency =
         static_cast<uint32_t>(From.integer("concurrency", 0, 0, 1000000));
     return One;
   }
 
-  Service readService(JsonObject &Top) {
+  Service readService(JsonObject &Top, int64_t Schema) {
     Service One;
     One.Slots =
         static_cast<uint32_t>(Top.integer("slots", One.Slots, 1, 100000));
@@ -165,6 +167,8 @@
     One.Drain = Top.millis("drain_ms", One.Drain.count(), 0, MaxDurationMs);
     One.KeyWindow =
         Top.millis("key_window_ms", One.KeyWindow.count(), 1000, MaxDurationMs);
+    if (Schema >= 2)
+      this->readServiceV2(Top, One);
     if (One.Connections < One.Slots)
       Top.fault("connections",
                 "fewer connections than slots; expected at least " +
@@ -272,6 +276,16 @@
     Match->finish();
   }
 
+  // Version 2 adds what a cold upstream bears, and where it says how it is.
+  void readServiceV2(JsonObject &Top, Service &One) {
+    One.ColdPerSecond = Top.number("cold_per_s", 0, 0, MaxPerSecond);
+    if (One.ColdPerSecond > 0 && One.Warmup.count() == 0)
+      Top.fault("cold_per_s", "stands without warmup_ms");
+    One.HealthPath = Top.string("health_path", "");
+    if (!One.HealthPath.empty() && One.HealthPath.front() != '/')
+      Top.fault("health_path", "expected a path that starts with '/'");
+  }
+
   // Version 2 adds the caller's class and the idempotency key.
   void readRouteV2(JsonObject &Top, Route &One) {
     if (std::optional<JsonObject> Classes = Top.object("class_priority", false))
@@ -410,7 +424,7 @@
   void readFields(const std::string &Text, JsonObject &Top, ReadRecord &Out) {
     RecordReader Fields(Out.EntryName, Text, Out.Faults);
     if (Out.Kind == "service")
-      Out.AsService = named(Fields.readService(Top), Out.Name);
+      Out.AsService = named(Fields.readService(Top, Out.Schema), Out.Name);
     else if (Out.Kind == "limit")
       Out.AsLimit = named(Fields.readLimit(Top), Out.Name);
     else if (Out.Kind == "retry")
--- a/src/config/Config.h
+++ b/src/config/Config.h
@@ -62,8 +62,12 @@
   /// Calls that may wait at one gate, and for how long.
   uint32_t QueueLimit = 20;
   Millis QueueWait{500};
-  /// How long a new upstream takes to reach all its slots.
+  /// How long a new upstream takes to reach all its slots, or stays cold.
   Millis Warmup{0};
+  /// Calls a second that a cold upstream bears; 0 where that is not limited.
+  double ColdPerSecond = 0;
+  /// Where an upstream says how it is; empty for what the node's settings say.
+  std::string HealthPath;
   /// How long a leaving upstream may finish what it runs.
   Millis Drain{30000};
   /// How long a caller may repeat a call with the same idempotency key.
@@ -175,7 +179,7 @@
   /// Newest schema version of each kind that this build understands. Lowered
   /// in tests to stand for an older build.
   std::map<std::string, int64_t> NewestSchema{
-      {"route", 3}, {"service", 1}, {"limit", 1}, {"retry", 1}, {"bounds", 1}};
+      {"route", 3}, {"service", 2}, {"limit", 1}, {"retry", 1}, {"bounds", 1}};
   /// Records in one version.
   size_t MaxRecords = 50000;
   /// Bytes of one record: what the platform holds in one value.
--- a/src/gate/Admission.cpp
+++ b/src/gate/Admission.cpp
@@ -45,12 +45,15 @@
   }
   this->Configured = true;
   this->Of = New;
+  bool Spares = this->Opts.Guards.SpareCold;
+  this->Cold.configure(Spares ? New.ColdPerSecond : 0, New.Warmup, Now);
 }
 
 size_t Admission::openSlots(TimePoint Now) const {
   double Open = std::min<double>(this->Window, this->Of.Slots);
   Clock::duration Warm = Now - this->ReadySince;
-  if (Warm < this->Of.Warmup)
+  // Where the service states what a cold upstream bears, that is the bound.
+  if (Warm < this->Of.Warmup && this->Of.ColdPerSecond == 0)
     Open = std::min(Open, this->Of.Slots * std::chrono::duration<double>(Warm) /
                               std::chrono::duration<double>(this->Of.Warmup));
   return std::max<size_t>(1, static_cast<size_t>(Open));
@@ -74,10 +77,17 @@
   return Base + Millis(this->Random() % (Base.count() + 1));
 }
 
-Clock::duration Admission::expectedWait(size_t Ahead, TimePoint Now) const {
+Clock::duration Admission::expectedWait(size_t Ahead, TimePoint Now) {
   Clock::duration Mean = this->MeanRun.value_or(this->Opts.FirstLatency);
-  return Mean * static_cast<int64_t>(Ahead + 1) /
-         static_cast<int64_t>(this->openSlots(Now));
+  Clock::duration ForSlot = Mean * static_cast<int64_t>(Ahead + 1) /
+                            static_cast<int64_t>(this->openSlots(Now));
+  if (!this->Cold.isCold(Now))
+    return ForSlot;
+  auto Between = std::chrono::duration_cast<Clock::duration>(
+      std::chrono::duration<double>(1 / this->Cold.rate()));
+  Clock::duration ForRoom =
+      this->Cold.wait(Now) + Between * static_cast<int64_t>(Ahead);
+  return std::max(ForSlot, ForRoom);
 }
 
 Clock::duration Admission::expectedRun(const std::string &Kind) const {
@@ -149,7 +159,7 @@
     --Found->second.Running;
 }
 
-bool Admission::hasPlace(const Ask &One, TimePoint Now) const {
+bool Admission::hasPlace(const Ask &One, TimePoint Now) {
   auto Ahead = static_cast<size_t>(std::distance(
       this->Queue.begin(), this->Queue.lower_bound(this->placeOf(One))));
   if (Ahead >= this->Of.QueueLimit)
@@ -167,8 +177,9 @@
   this->Places[One.Id] = Key;
 }
 
-bool Admission::isFree(TimePoint Now) const {
-  return this->Running.size() < this->openSlots(Now) && this->Queue.empty();
+bool Admission::isFree(TimePoint Now) {
+  return this->Running.size() < this->openSlots(Now) && this->Queue.empty() &&
+         this->Cold.room(Now) > 0;
 }
 
 std::optional<Admission::Answer> Admission::wouldRefuse(const Ask &One,
@@ -203,6 +214,15 @@
   return {Verdict::Wait, {}};
 }
 
+// A body may have come for long since its call had a slot, so room is looked
+// for once more.
+std::optional<Admission::Answer> Admission::start(TimePoint Now) {
+  if (this->Cold.room(Now) == 0)
+    return this->refuse("overload", this->comeBack(this->Cold.wait(Now)));
+  this->Cold.begun();
+  return std::nullopt;
+}
+
 void Admission::learnRun(const RunningCall &Of, TimePoint Now) {
   using Nanos = std::chrono::duration<double, std::nano>;
   Clock::duration Took = Now - Of.Since;
@@ -255,9 +275,11 @@
   this->RunByKind.clear();
 }
 
-void Admission::drain(const std::string &By) {
-  if (this->DrainedBy.empty())
-    this->DrainedBy = By;
+std::string Admission::drainedBy() const {
+  std::string Out;
+  for (const std::string &One : this->Closed)
+    Out += (Out.empty() ? "" : ",") + One;
+  return Out;
 }
 
 Admission::QueueMap::iterator Admission::drop(QueueMap::iterator At,
@@ -295,7 +317,10 @@
   Millis ComeBack = this->comeBack(this->expectedWait(this->Queue.size(), Now));
   while (this->Queue.size() > this->Of.QueueLimit)
     this->drop(std::prev(this->Queue.end()), "overload", ComeBack, Out);
-  while (!this->Queue.empty() && this->Running.size() < this->openSlots(Now)) {
+  // Those that are returned start after this, one by one.
+  size_t Room = this->Cold.room(Now);
+  while (!this->Queue.empty() && Room > Out.Run.size() &&
+         this->Running.size() < this->openSlots(Now)) {
     auto First = this->Queue.begin();
     this->Running[First->second.One.Id] = {Now, First->second.LimitKey,
                                            First->second.One.Kind};
@@ -306,12 +331,21 @@
   return Out;
 }
 
-wire::Load Admission::load(TimePoint Now) const {
+wire::Load Admission::load(TimePoint Now) {
   auto Mean = std::chrono::duration_cast<Micros>(
       this->MeanRun.value_or(Clock::duration::zero()));
+  double Slots = static_cast<double>(this->openSlots(Now));
+  double Waiting = static_cast<double>(this->waiting());
+  if (this->Cold.isCold(Now)) {
+    using Seconds = std::chrono::duration<double>;
+    Clock::duration Run = this->MeanRun.value_or(this->Opts.FirstLatency);
+    double Busy = std::ceil(this->Cold.rate() * Seconds(Run).count());
+    Slots = std::clamp(Busy, 1.0, Slots);
+    Waiting +=
+        std::ceil(this->Cold.rate() * Seconds(this->Cold.wait(Now)).count());
+  }
   return {static_cast<uint32_t>(this->Running.size()),
-          static_cast<uint32_t>(this->waiting()),
-          static_cast<uint32_t>(this->openSlots(Now)),
+          static_cast<uint32_t>(Waiting), static_cast<uint32_t>(Slots),
           static_cast<uint32_t>(Mean.count())};
 }
 
--- a/src/gate/Admission.h
+++ b/src/gate/Admission.h
@@ -4,6 +4,7 @@
 #include "base/TokenBucket.h"
 #include "calls/Message.h"
 #include "config/Config.h"
+#include "gate/ColdStart.h"
 
 #include <map>
 #include <random>
@@ -55,6 +56,8 @@
     /// Bounds of the advice when to come back.
     Millis ShortestRetry{20};
     Millis LongestRetry{5000};
+    /// Of an upstream that has just started.
+    ColdStart::Options Cold;
     Safeguards Guards;
   };
 
@@ -92,13 +95,18 @@
     std::vector<Dropped> Drop;
   };
 
-  Admission(Options Opts, uint64_t Seed) : Opts(Opts), Random(Seed) {}
+  Admission(Options Opts, uint64_t Seed)
+      : Opts(Opts), Random(Seed), Cold(Opts.Cold) {}
 
   void configure(const Service &Of, TimePoint Now);
   Answer ask(const Ask &One, TimePoint Now);
   /// Why a call would be refused if it were asked for now, its route's limit
   /// aside; nothing where it would run or wait.
   std::optional<Answer> wouldRefuse(const Ask &One, TimePoint Now);
+  /// The call is about to be sent; what it takes of a cold upstream's room is
+  /// given back by coldStart().settled(). An answer means that it must not be:
+  /// the upstream has had what it bears.
+  std::optional<Answer> start(TimePoint Now);
   /// Whether a call that starts after Wait is expected to meet its target.
   bool onTarget(const Ask &One, Clock::duration Wait, TimePoint Now) const;
   /// Ends a running or a waiting call. Answered is false where the run says
@@ -113,15 +121,22 @@
   /// last one's speed and room is not true of it.
   void restarted(TimePoint Now);
 
-  /// The first reason closes the gate to new work; waiting calls are dropped
+  /// Closes the gate to new work for one more reason; waiting calls are dropped
   /// by the next call of next().
-  void drain(const std::string &By);
-  /// Opens the gate again: the leaving mark was taken back.
-  void reopen() { this->DrainedBy.clear(); }
-  bool draining() const { return !this->DrainedBy.empty(); }
-  const std::string &drainedBy() const { return this->DrainedBy; }
-
-  wire::Load load(TimePoint Now) const;
+  void drain(const std::string &By) { this->Closed.insert(By); }
+  /// A reason is gone. The gate is open once none is left.
+  void reopen(const std::string &By) { this->Closed.erase(By); }
+  bool draining() const { return !this->Closed.empty(); }
+  bool isDrainedBy(const std::string &By) const {
+    return this->Closed.count(By) != 0;
+  }
+  /// The reasons, each after a comma but the first.
+  std::string drainedBy() const;
+
+  /// What entries are told: while the upstream is cold, the slots that the rate
+  /// which it bears keeps busy, and the calls that wait for more of it.
+  wire::Load load(TimePoint Now);
+  ColdStart &coldStart() { return this->Cold; }
   size_t running() const { return this->Running.size(); }
   size_t waiting() const { return this->Queue.size(); }
 
@@ -152,7 +167,7 @@
   Answer refuse(const std::string &Reason, Millis RetryAfter,
                 unsigned Status = 0);
   size_t openSlots(TimePoint Now) const;
-  Clock::duration expectedWait(size_t Ahead, TimePoint Now) const;
+  Clock::duration expectedWait(size_t Ahead, TimePoint Now);
   Millis comeBack(Clock::duration Wait);
   std::string limitKey(const Ask &One) const;
   std::optional<Answer> checkLimit(const Ask &One, const std::string &Key,
@@ -162,8 +177,8 @@
   bool inTime(const Ask &One, TimePoint Now) const;
   TimePoint latestStart(const Ask &One) const;
   QueueKey placeOf(const Ask &One) const;
-  bool isFree(TimePoint Now) const;
-  bool hasPlace(const Ask &One, TimePoint Now) const;
+  bool isFree(TimePoint Now);
+  bool hasPlace(const Ask &One, TimePoint Now);
   void wait(const Ask &One, TimePoint Since, const std::string &LimitKey);
   void learnRun(const RunningCall &Of, TimePoint Now);
   QueueMap::iterator drop(QueueMap::iterator At, const std::string &Reason,
@@ -184,7 +199,8 @@
   QueueMap Queue;
   std::map<CallId, QueueKey> Places;
   std::map<std::string, LimitState> Limits;
-  std::string DrainedBy;
+  std::set<std::string> Closed;
+  ColdStart Cold;
 };
 
 } // namespace hickorylift
--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -145,7 +145,7 @@
       this->Ends[Id] = Sent ? "may have run" : "not sent";
     };
     Hooks.Consumed = [](const CallId &, uint64_t, TimePoint) {};
-    Hooks.Health = [](const Result<std::string> &, TimePoint) {};
+    Hooks.Health = [](const Result<HealthAnswer> &, TimePoint) {};
     Hooks.Probed = [this](UpstreamPort Is, TimePoint) { this->Found = Is; };
     this->Http = std::make_unique<UpstreamClient>(
         Opts, Hooks, [this] { return Clock::now() + this->Ahead; });
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -1,6 +1,7 @@
 #include "http/UpstreamClient.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include <strings.h>
 
@@ -35,6 +36,16 @@
          0;
 }
 
+/// A whole number of milliseconds; nothing where it is none.
+std::optional<Millis> parseMillis(const std::string &Text) {
+  int64_t Ms = 0;
+  auto [Stop, Code] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Ms);
+  if (Text.empty() || Code != std::errc() || *Stop != '\0' || Ms < 0)
+    return std::nullopt;
+  return Millis(Ms);
+}
+
 } // namespace
 
 struct UpstreamClient::Call {
@@ -247,6 +258,7 @@
   }
   if (!Of.MayRepeat)
     Of.Sent.clear();
+  this->Hook.Sent(Of.Id, Of.WrittenAt);
 }
 
 void UpstreamClient::writeBody(Connection &On, std::string_view Bytes) {
@@ -393,16 +405,14 @@
   this->forget(Of);
   On->Current.reset();
   if (Of->IsHealth) {
-    unsigned Status = On->Parser->head().Status;
-    std::string Text = std::move(Of->Held);
     std::unique_ptr<ResponseParser> Parser = std::move(On->Parser);
     this->keep(On, *Parser, At);
-    if (Status == FirstFinalStatus)
-      return this->Hook.Health(Text, At);
-    return this->Hook.Health(Error{Errc::Refused, "health",
-                                   this->Opts.Address.text(),
-                                   "status " + std::to_string(Status)},
-                             At);
+    HealthAnswer Said;
+    Said.Status = Parser->head().Status;
+    Said.Text = std::move(Of->Held);
+    Said.ColdLeft = parseMillis(
+        findHeader(Parser->head().Headers, this->Opts.Names.ColdLeft));
+    return this->Hook.Health(Said, At);
   }
   std::unique_ptr<ResponseParser> Parser = std::move(On->Parser);
   this->keep(On, *Parser, At);
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -65,10 +65,14 @@
     std::function<void(const CallId &, TimePoint)> End;
     std::function<void(const CallId &, bool Sent, const Error &, TimePoint)>
         Failed;
+    /// A request goes out on a connection, whether a call's, once more a
+    /// call's, or a question how the upstream is.
+    std::function<void(const CallId &, TimePoint)> Sent = [](const CallId &,
+                                                             TimePoint) {};
     /// Bytes of the request's body written, in total.
     std::function<void(const CallId &, uint64_t, TimePoint)> Consumed;
-    /// What the upstream's own health endpoint says, as it says it.
-    std::function<void(Result<std::string>, TimePoint)> Health;
+    /// What the upstream's own health endpoint says, or that it said nothing.
+    std::function<void(const Result<HealthAnswer> &, TimePoint)> Health;
     /// After probe().
     std::function<void(UpstreamPort, TimePoint)> Probed = [](UpstreamPort,
                                                              TimePoint) {};
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -23,6 +23,7 @@
 const std::string BackupSalt = "backup";
 const std::string ListPrefix = "instances/";
 constexpr int64_t MaxSlots = 100000;
+constexpr int64_t MaxColdMs = 3600 * 1000;
 
 std::string address(JsonObject &From, const std::string &Key) {
   std::string Text = From.string(Key, std::nullopt);
@@ -57,6 +58,8 @@
     Out["slots"] = One.Slots;
   if (One.Incarnation)
     Out["incarnation"] = Json::UInt64(One.Incarnation);
+  if (One.ColdLeft.count() > 0)
+    Out["cold_ms"] = Json::Int64(One.ColdLeft.count());
   return writeJson(Out);
 }
 
@@ -75,6 +78,7 @@
   One.Slots = static_cast<uint32_t>(Top.integer("slots", 0, 0, MaxSlots));
   One.Incarnation =
       static_cast<uint64_t>(Top.integer("incarnation", 0, 0, INT64_MAX));
+  One.ColdLeft = Millis(Top.integer("cold_ms", 0, 0, MaxColdMs));
   return One;
 }
 
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -2,6 +2,7 @@
 #define HICKORYLIFT_MEMBERSHIP_MEMBERSHIP_H
 
 #include "base/Json.h"
+#include "base/Time.h"
 #include "config/Document.h"
 
 #include <map>
@@ -41,6 +42,8 @@
   /// Tells the starts of one upstream process under the same name apart; the
   /// greater is the later. 0 where the platform does not say.
   uint64_t Incarnation = 0;
+  /// How much longer it stays cold after its start, when the platform said so.
+  Millis ColdLeft{0};
 
   /// Whether it is the same start of the same upstream process as Other.
   bool sameStart(const Instance &Other) const {
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -14,6 +14,10 @@
 constexpr guint CallTickMs = 20;
 constexpr guint ControlTickMs = 100;
 constexpr Millis HealthTimeout{2000};
+// Whether an upstream is cold is asked again after half a second, and an answer
+// to the question before that must not come then. Late calls are ended in steps
+// of ControlTickMs.
+constexpr Millis ColdAnswerLimit{350};
 
 uint64_t positive(Millis Of) {
   return static_cast<uint64_t>(std::max<int64_t>(0, Of.count()));
@@ -257,6 +261,10 @@
     this->Upstream->pauseAnswer(Id, Paused);
   };
   Hooks.Probe = [this] { this->Upstream->probe(); };
+  Hooks.AskHealth = [this](const std::string &Path) {
+    this->Upstream->askHealth(Path.empty() ? this->Set.HealthPath : Path,
+                              ColdAnswerLimit);
+  };
   Hooks.Took = [this](Clock::duration Waited, Clock::duration Ran) {
     this->Operators->metrics().gateTook(Waited, Ran);
   };
@@ -266,6 +274,9 @@
 void Node::makeUpstream() {
   Gate &At = this->Core->gate();
   UpstreamClient::Hooks Hooks;
+  Hooks.Sent = [&At](const CallId &Id, TimePoint Now) {
+    At.upstreamSent(Id, Now);
+  };
   Hooks.Head = [&At](const CallId &Id, const ResponseHead &Head,
                      TimePoint Now) { At.upstreamHead(Id, Head, Now); };
   Hooks.Body = [&At](const CallId &Id, std::string_view Bytes, TimePoint Now) {
@@ -287,7 +298,7 @@
   Hooks.Consumed = [&At](const CallId &Id, uint64_t Total, TimePoint Now) {
     At.upstreamConsumed(Id, Total, Now);
   };
-  Hooks.Health = [this](const Result<std::string> &Said, TimePoint Now) {
+  Hooks.Health = [this](const Result<HealthAnswer> &Said, TimePoint Now) {
     this->Core->health(Said, Now);
   };
   Hooks.Probed = [&At](UpstreamPort Found, TimePoint Now) {
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -14,7 +14,10 @@
 // The link to this node's own gate; a transport's numbers start at one.
 constexpr LinkId LocalLink = 0;
 const char HealthDraining[] = "draining";
+// Why a gate is closed.
 const char ByList[] = "list";
+const char ByHealth[] = "upstream";
+const char ByStop[] = "stop";
 constexpr size_t MaxHealthText = 64;
 
 std::vector<std::string> ownFirst(const std::string &Own,
@@ -266,8 +269,8 @@
   this->noteOwnEntry(Own, Now);
   if (Own ? Own->Leaving : WasListed)
     this->drainGate(ByList, Now);
-  else if (Own && this->At->drainedBy() == ByList)
-    this->reopenGate(Now);
+  else if (Own)
+    this->reopenGate(ByList, Now);
 }
 
 // A gate that is closed, or not, is explained by what the list said of its
@@ -288,19 +291,24 @@
 
 // The endpoint lags and misleads, so it closes the gate when it says that the
 // upstream drains, and decides nothing else.
-void NodeCore::health(const Result<std::string> &Said, TimePoint Now) {
+void NodeCore::health(const Result<HealthAnswer> &Said, TimePoint Now) {
   this->observe(Now);
-  bool Up = static_cast<bool>(Said);
+  if (Said)
+    this->At->upstreamTold(Said->coldLeft(), Now);
+  bool Up = Said && Said->isWell();
+  std::string Text = Said ? Said->Text.substr(0, MaxHealthText) : "";
   if (Up != this->UpstreamUp)
-    this->Control->audit().add(
-        Now, "upstream", Up ? "reachable" : "lost", "health",
-        Up ? Said->substr(0, MaxHealthText) : Said.error().Detail);
+    this->Control->audit().add(Now, "upstream", Up ? "reachable" : "lost",
+                               "health",
+                               Up     ? Text
+                               : Said ? std::to_string(Said->Status)
+                                      : Said.error().Detail);
   this->UpstreamUp = Up;
-  this->UpstreamSays = Up ? Said->substr(0, MaxHealthText) : "";
-  if (Up && Said->rfind(HealthDraining, 0) == 0)
-    this->drainGate("upstream", Now);
-  else if (Up && this->At->drainedBy() == "upstream")
-    this->reopenGate(Now);
+  this->UpstreamSays = Up ? Text : "";
+  if (Up && Text.rfind(HealthDraining, 0) == 0)
+    this->drainGate(ByHealth, Now);
+  else if (Up)
+    this->reopenGate(ByHealth, Now);
 }
 
 bool NodeCore::ready() const {
@@ -313,7 +321,7 @@
 }
 
 void NodeCore::drainGate(const std::string &By, TimePoint Now) {
-  if (this->At->draining())
+  if (this->At->isDrainedBy(By))
     return;
   Gate::Held Left = this->At->held();
   std::string Outcome = "no new work; waiting=" + std::to_string(Left.Waiting) +
@@ -324,12 +332,14 @@
   this->At->drain(By, Now);
 }
 
-void NodeCore::reopenGate(TimePoint Now) {
-  if (!this->At->draining() || this->StopBy)
+void NodeCore::reopenGate(const std::string &By, TimePoint Now) {
+  if (!this->At->isDrainedBy(By))
     return;
-  this->Control->audit().add(Now, "gate-open", this->Opts.CallGate.Self,
-                             this->At->drainedBy(), "takes work again");
-  this->At->reopen(Now);
+  this->At->reopen(By, Now);
+  this->Control->audit().add(Now, "gate-open", this->Opts.CallGate.Self, By,
+                             this->At->draining()
+                                 ? "still closed: " + this->At->drainedBy()
+                                 : "takes work again");
 }
 
 void NodeCore::stop(const std::string &By, TimePoint Now) {
@@ -348,7 +358,7 @@
 // so the gate stays open as long as callers are taken.
 void NodeCore::endLinger(TimePoint Now) {
   this->LingerUntil.reset();
-  this->drainGate("stop", Now);
+  this->drainGate(ByStop, Now);
   this->From->drain();
   this->Hook.StopListening();
 }
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -95,10 +95,10 @@
   void callTick(TimePoint Now);
   void controlTick(TimePoint Now);
   /// What the upstream's own health endpoint said.
-  void health(const Result<std::string> &Said, TimePoint Now);
+  void health(const Result<HealthAnswer> &Said, TimePoint Now);
 
   void drainGate(const std::string &By, TimePoint Now);
-  void reopenGate(TimePoint Now);
+  void reopenGate(const std::string &By, TimePoint Now);
   void stop(const std::string &By, TimePoint Now);
 
   bool ready() const;
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -150,6 +150,8 @@
   Set("hickorylift_gate_running", "Calls at the upstream", Load.in_flight());
   Set("hickorylift_gate_waiting", "Calls that wait", Load.queued());
   Set("hickorylift_gate_slots", "Slots open", Load.slots());
+  Set("hickorylift_gate_cold", "1 while the upstream counts as cold",
+      Of.core().gate().isCold(Now));
   Set("hickorylift_upstream_connections", "Connections made to the upstream",
       Of.upstreamDials());
   Set("hickorylift_log_dropped_lines",
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -12,6 +12,8 @@
 constexpr unsigned NotFound = 404;
 constexpr unsigned NotAllowed = 405;
 constexpr unsigned Unavailable = 503;
+// Why a gate is closed.
+const char ByOperator[] = "operator";
 
 Json::Value toJson(const Stamp &Of) {
   Json::Value Out(Json::objectValue);
@@ -95,11 +97,11 @@
                ? answer(Message, Ok, "text/plain", "ready\n")
                : answer(Message, Unavailable, "text/plain", "not ready\n");
   if (Path == "/drain") {
-    Core.drainGate("operator", Self->Of.now());
+    Core.drainGate(ByOperator, Self->Of.now());
     return answer(Message, Ok, "text/plain", "draining\n");
   }
   if (Path == "/undrain") {
-    Core.reopenGate(Self->Of.now());
+    Core.reopenGate(ByOperator, Self->Of.now());
     return answer(Message, Ok, "text/plain",
                   Core.gate().draining() ? "draining\n" : "open\n");
   }
@@ -141,6 +143,7 @@
   Upstream["running"] = Load.in_flight();
   Upstream["waiting"] = Load.queued();
   Upstream["slots"] = Load.slots();
+  Upstream["cold"] = this->Of.core().gate().isCold(Now);
   Upstream["mean_run_us"] = Load.latency_us();
   Out["entry"]["calls"] = Json::UInt64(this->Of.core().entry().calls());
   Out["entry"]["refused"] =
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -17,6 +17,8 @@
 // A week: whoever is held for longer is better taken off by its route.
 constexpr int64_t LongestQuarantineS = 7 * 24 * 3600;
 constexpr int64_t MostCrashes = 10;
+constexpr double MostOverrun = 100;
+constexpr double MostSlack = 1e6;
 
 class SettingsReader {
 public:
@@ -35,6 +37,7 @@
     this->readCalls(Top);
     this->readKeys(Top);
     this->readQuarantine(Top);
+    this->readColdStart(Top);
     this->readRest(Top);
     Top.finish();
     return std::move(this->Out);
@@ -275,6 +278,14 @@
     Section.finish();
   }
 
+  void readColdStart(JsonObject &Top) {
+    JsonObject Section = this->section(Top, "cold_start");
+    ColdStart::Options &To = this->Out.Core.CallGate.Slots.Cold;
+    To.Overrun = Section.number("overrun", To.Overrun, 1, MostOverrun);
+    To.Slack = Section.number("slack", To.Slack, 0, MostSlack);
+    Section.finish();
+  }
+
   void readRest(JsonObject &Top) {
     JsonObject Log = this->section(Top, "log");
     this->Out.LogLevel =
