What operators evacuate is sent nothing

Cause: the product knew no evacuation.

Evacuated data centres are a document with a topic of its own: read from the store (op/evacuate/, with the configuration where that has a watch of its own) or from the product's own platform (key "evacuations"), pushed, repaired and ordered as the lists are, and held by every node, so a node that starts with the store away has it from a peer and an old answer takes nothing back. Entries choose among the other data centres and refuse at once where none is left (reason evacuated). The gate has the last word: it closes, refuses what its upstream has not seen, lets what runs end, and asks its upstream whether it is cold before it opens again.

Ruled out: a mark on each instance of the list, which an instance that is listed later would lack, and which an old copy of one list takes back.

--- a/scenario/Script.cpp
+++ b/scenario/Script.cpp
@@ -119,6 +119,8 @@
         {"platform", &Run::platform},
         {"old-build", &Run::oldBuild},
         {"upstream", &Run::upstream},
+        {"evacuate", &Run::evacuate},
+        {"chill", &Run::chill},
         {"call", &Run::call},
         {"load", &Run::load},
         {"hang-up", &Run::hangUp},
@@ -287,6 +289,18 @@
     }
   }
 
+  // evacuate north,south | nothing
+  void evacuate(const Words &W) {
+    std::set<std::string> DataCentres;
+    std::istringstream In(W.at(0));
+    for (std::string One; std::getline(In, One, ',');)
+      if (One != "nothing")
+        DataCentres.insert(One);
+    this->All.evacuate(DataCentres);
+  }
+
+  void chill(const Words &W) { this->All.chill(W.at(0)); }
+
   void call(const Words &W) {
     this->All.call(W.at(0), W.named("at"), W.at(1), W.at(2), W.named("key"),
                    W.number("body", 0), W.length("budget"));
--- a/scenario/World.h
+++ b/scenario/World.h
@@ -118,6 +118,8 @@
   // Of all incarnations.
   Stamp EverHeld;
   std::optional<TimePoint> DrainedAt;
+  /// Since when its data centre is evacuated.
+  std::optional<TimePoint> EvacuatedAt;
   bool Stopped = false;
   uint64_t ControlBytes = 0;
 };
@@ -180,6 +182,10 @@
   void hangUp(const std::string &Label);
   /// The upstream beside a node crashes.
   void crash(const std::string &Name);
+  /// The upstreams of a data centre are cold for their warm-up from now on.
+  void chill(const std::string &DataCentre);
+  /// Operators evacuate these data centres, and no others.
+  void evacuate(const std::set<std::string> &DataCentres);
 
   void run(Millis Length);
   /// Runs until the condition holds. False if the time is over first.
--- a/scenario/WorldUpstreams.cpp
+++ b/scenario/WorldUpstreams.cpp
@@ -1,5 +1,7 @@
 #include "scenario/World.h"
 
+#include "membership/Evacuations.h"
+
 #include <algorithm>
 
 // The upstreams of a World: what they do with the calls that their gates start,
@@ -12,6 +14,8 @@
 constexpr Micros UpstreamDelay{200};
 // No new work may start later than this after an upstream began to leave.
 constexpr Millis LastWorkAfterDrain{2000};
+// The same after operators evacuated its data centre.
+constexpr Millis LastWorkAfterEvacuation{2000};
 constexpr Millis ColdSpan{1000};
 
 } // namespace
@@ -76,6 +80,26 @@
   return Of.ColdStarts.size() > Of.ColdMost;
 }
 
+void World::chill(const std::string &DataCentre) {
+  for (auto &[Name, Of] : this->Nodes)
+    if (Of.DataCentre == DataCentre)
+      Of.Upstream.ColdUntil = this->Now + Of.Upstream.Warmup;
+}
+
+void World::evacuate(const std::set<std::string> &DataCentres) {
+  Json::Value Out(Json::objectValue);
+  Out["data_centres"] = Json::Value(Json::arrayValue);
+  for (const std::string &One : DataCentres)
+    Out["data_centres"].append(One);
+  this->put(EvacuationTopic, writeJson(Out));
+  for (auto &[Name, Of] : this->Nodes) {
+    if (!DataCentres.count(Of.DataCentre))
+      Of.EvacuatedAt.reset();
+    else if (!Of.EvacuatedAt)
+      Of.EvacuatedAt = this->Now;
+  }
+}
+
 void World::upstreamStart(const std::string &Name, const CallId &Id,
                           const RequestHead &Head) {
   NodeState &Of = this->node(Name);
@@ -103,6 +127,8 @@
   }
   if (Of.DrainedAt && this->Now - *Of.DrainedAt > LastWorkAfterDrain)
     this->note("new work at " + Name + " after it began to leave");
+  if (Of.EvacuatedAt && this->Now - *Of.EvacuatedAt > LastWorkAfterEvacuation)
+    this->note("new work at " + Name + ", whose data centre is evacuated");
   if (!Shed) {
     ++Up.RunsByLabel[Label];
     if (this->runsOf(Label) > 1 && !Repeatable)
--- a/src/base/Safeguards.cpp
+++ b/src/base/Safeguards.cpp
@@ -27,6 +27,7 @@
       {"drop-late", &this->DropLate},
       {"hold-crashers", &this->HoldCrashers},
       {"spare-cold", &this->SpareCold},
+      {"follow-evacuations", &this->FollowEvacuations},
   };
   for (const auto &One : All) {
     if (One.Name != Name)
--- a/src/base/Safeguards.h
+++ b/src/base/Safeguards.h
@@ -49,6 +49,8 @@
   bool HoldCrashers = true;
   /// A cold upstream is handed no more calls than it bears.
   bool SpareCold = true;
+  /// What operators evacuate is sent nothing.
+  bool FollowEvacuations = true;
 
   /// Turns the named one off. False if there is none of that name.
   bool turnOff(std::string_view Name);
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -232,15 +232,17 @@
 // A keyed call has one place to go, on trial or not: the gate that remembers
 // the key.
 const Instance *Entry::chooseGate(const Call &One, TimePoint Now) {
-  const auto &Upstreams = this->Fleet.upstreams(One.Target->Name);
   if (!One.Key.empty() && !One.Idempotent) {
-    const Instance *Home = keyHome(One.Key, Upstreams);
-    return Home && One.Tried.count(Home->Name) ? nullptr : Home;
+    const Instance *Home =
+        keyHome(One.Key, this->Fleet.upstreams(One.Target->Name));
+    bool Usable =
+        Home && !One.Tried.count(Home->Name) && !this->Fleet.isEvacuated(*Home);
+    return Usable ? Home : nullptr;
   }
   if (One.OnTrial)
     return this->trialGate(One, Now);
-  return this->Choose.pick(Upstreams, One.Tried, Now,
-                           wantOf(One.Head, *One.Taken));
+  return this->Choose.pick(this->Fleet.openUpstreams(One.Target->Name),
+                           One.Tried, Now, wantOf(One.Head, *One.Taken));
 }
 
 // A request that has one crash left, or has been held for its term, is tried at
@@ -248,7 +250,7 @@
 // cannot crash an upstream each.
 const Instance *Entry::trialGate(const Call &One, TimePoint Now) const {
   std::vector<const Instance *> Open;
-  for (const Instance *Up : this->Fleet.upstreams(One.Target->Name))
+  for (const Instance *Up : this->Fleet.openUpstreams(One.Target->Name))
     if (this->Choose.isOpen(*Up, Now))
       Open.push_back(Up);
   const Instance *Home = keyHome(One.Print.text(), Open);
@@ -283,11 +285,13 @@
     return;
   if (One.LastRefusal)
     return this->giveUp(Caller, *One.LastRefusal, Now);
-  const auto &Upstreams = this->Fleet.upstreams(One.Target->Name);
-  std::optional<Millis> Soonest = this->Choose.soonest(Upstreams, Now);
-  const char *Reason = Upstreams.empty() ? "no-upstream"
-                       : Soonest         ? "overload"
-                                         : "no-gate";
+  const auto &Open = this->Fleet.openUpstreams(One.Target->Name);
+  std::optional<Millis> Soonest = this->Choose.soonest(Open, Now);
+  bool Listed = !this->Fleet.upstreams(One.Target->Name).empty();
+  const char *Reason = !Listed        ? "no-upstream"
+                       : Open.empty() ? "evacuated"
+                       : Soonest      ? "overload"
+                                      : "no-gate";
   Refusal Why = this->refusal(Outcome::NotRun, Reason, "choose-gate", "");
   Why.RetryAfter = Soonest.value_or(this->Opts.ComeBack);
   this->giveUp(Caller, Why, Now);
--- a/src/cli/Views.cpp
+++ b/src/cli/Views.cpp
@@ -84,6 +84,12 @@
     std::cout << Status["oldest_list_age_ms"].asInt64() / 1000 << " s old\n";
   else
     std::cout << "not complete\n";
+  if (Status.isMember("evacuated")) {
+    std::cout << "  evacuated:";
+    for (const Json::Value &One : Status["evacuated"])
+      std::cout << " " << One.asString();
+    std::cout << "\n";
+  }
   std::cout << "  peers:";
   for (const Json::Value &Peer : Status["peers"])
     std::cout << " " << Peer.asString();
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -1,6 +1,7 @@
 #include "control/ControlPlane.h"
 
 #include "base/Hash.h"
+#include "membership/Evacuations.h"
 
 #include <algorithm>
 
@@ -492,11 +493,29 @@
 bool ControlPlane::accept(const Spreader::Arrival &Arrived, TimePoint Now) {
   if (Arrived.Topic == ConfigTopic)
     return this->acceptConfig(Arrived, Now);
-  if (!listTopicDataCentre(Arrived.Topic).empty())
+  if (Arrived.Topic == EvacuationTopic)
+    this->acceptEvacuations(Arrived, Now);
+  else if (!listTopicDataCentre(Arrived.Topic).empty())
     this->acceptList(Arrived, Now);
   return true;
 }
 
+void ControlPlane::acceptEvacuations(const Spreader::Arrival &Arrived,
+                                     TimePoint Now) {
+  std::set<std::string> Before = this->Fleet.evacuated();
+  std::set<std::string> After = evacuatedIn(*Arrived.Held);
+  bool Follows = this->Opts.Spread.Guards.FollowEvacuations;
+  if (!Follows || !this->Fleet.evacuate(After))
+    return;
+  for (const std::string &One : After)
+    if (!Before.count(One))
+      this->Trail.add(Now, "evacuation", One, Arrived.From, "begun");
+  for (const std::string &One : Before)
+    if (!After.count(One))
+      this->Trail.add(Now, "evacuation", One, Arrived.From, "taken back");
+  this->Hook.MembersChanged(Now);
+}
+
 bool ControlPlane::acceptConfig(const Spreader::Arrival &Arrived,
                                 TimePoint Now) {
   CompileResult Made = this->Compile.compile(*Arrived.Held);
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -190,6 +190,7 @@
   bool accept(const Spreader::Arrival &Arrived, TimePoint Now);
   bool acceptConfig(const Spreader::Arrival &Arrived, TimePoint Now);
   void acceptList(const Spreader::Arrival &Arrived, TimePoint Now);
+  void acceptEvacuations(const Spreader::Arrival &Arrived, TimePoint Now);
   bool hasList() const;
   bool hasSeedLink() const;
   ReadSituation situation(TimePoint Now);
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -155,6 +155,22 @@
       this->ByName[Name] = One.Who.get();
   for (const auto &[Name, One] : this->ByName)
     this->ByService[One->Service].push_back(One);
+  this->sortOpen();
+}
+
+void Membership::sortOpen() {
+  this->OpenByService = this->ByService;
+  for (auto &[Service, Among] : this->OpenByService)
+    std::erase_if(
+        Among, [this](const Instance *One) { return this->isEvacuated(*One); });
+}
+
+bool Membership::evacuate(const std::set<std::string> &DataCentres) {
+  if (DataCentres == this->Evacuated)
+    return false;
+  this->Evacuated = DataCentres;
+  this->sortOpen();
+  return true;
 }
 
 const Instance *Membership::find(const std::string &Name) const {
@@ -163,10 +179,20 @@
 }
 
 const std::vector<const Instance *> &
-Membership::upstreams(const std::string &Service) const {
+Membership::findIn(const ServiceMap &Of, const std::string &Service) {
   static const std::vector<const Instance *> None;
-  auto Found = this->ByService.find(Service);
-  return Found == this->ByService.end() ? None : Found->second;
+  auto Found = Of.find(Service);
+  return Found == Of.end() ? None : Found->second;
+}
+
+const std::vector<const Instance *> &
+Membership::upstreams(const std::string &Service) const {
+  return findIn(this->ByService, Service);
+}
+
+const std::vector<const Instance *> &
+Membership::openUpstreams(const std::string &Service) const {
+  return findIn(this->OpenByService, Service);
 }
 
 std::vector<std::string> Membership::dataCentres() const {
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -115,6 +115,13 @@
   /// Takes a newer list of one data centre.
   void update(const std::string &DataCentre, const Document &List);
 
+  /// Takes which data centres are evacuated. False if these are the same.
+  bool evacuate(const std::set<std::string> &DataCentres);
+  const std::set<std::string> &evacuated() const { return this->Evacuated; }
+  bool isEvacuated(const Instance &One) const {
+    return this->Evacuated.count(One.DataCentre) != 0;
+  }
+
   /// Whether this node is among its data centre's readers. True while its own
   /// list is empty: with nothing known, someone has to ask.
   bool isReader(const AvoidSet &Avoid = {}) const;
@@ -135,6 +142,9 @@
   /// All of one service, of all data centres, in the order of their names.
   const std::vector<const Instance *> &
   upstreams(const std::string &Service) const;
+  /// The same without those of evacuated data centres.
+  const std::vector<const Instance *> &
+  openUpstreams(const std::string &Service) const;
   std::vector<std::string> dataCentres() const;
   size_t size() const { return this->ByName.size(); }
   size_t size(const std::string &DataCentre) const;
@@ -151,6 +161,7 @@
   std::vector<const Instance *> readersAbove(const AvoidSet &Avoid) const;
   void addBridges(std::vector<Neighbour> &Out, const AvoidSet &Avoid) const;
   void rebuild();
+  void sortOpen();
 
   struct Listed {
     uint64_t Hash = 0;
@@ -160,7 +171,12 @@
   Options Opts;
   std::map<std::string, std::map<std::string, Listed>> Lists;
   std::map<std::string, const Instance *> ByName;
-  std::map<std::string, std::vector<const Instance *>> ByService;
+  using ServiceMap = std::map<std::string, std::vector<const Instance *>>;
+  static const std::vector<const Instance *> &
+  findIn(const ServiceMap &Of, const std::string &Service);
+  ServiceMap ByService;
+  ServiceMap OpenByService;
+  std::set<std::string> Evacuated;
   uint64_t Generation = 0;
 };
 
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -16,6 +16,7 @@
 const char HealthDraining[] = "draining";
 // Why a gate is closed.
 const char ByList[] = "list";
+const char ByEvacuation[] = "evacuation";
 const char ByHealth[] = "upstream";
 const char ByStop[] = "stop";
 constexpr size_t MaxHealthText = 64;
@@ -271,6 +272,18 @@
     this->drainGate(ByList, Now);
   else if (Own)
     this->reopenGate(ByList, Now);
+  this->followEvacuation(Now);
+}
+
+// Its upstreams may have been made cold while nothing was sent to them.
+void NodeCore::followEvacuation(TimePoint Now) {
+  const std::set<std::string> &Evacuated = this->Control->members().evacuated();
+  if (Evacuated.count(this->Opts.Control.DataCentre))
+    return this->drainGate(ByEvacuation, Now);
+  if (!this->At->isDrainedBy(ByEvacuation))
+    return;
+  this->At->doubtWarm(Now);
+  this->reopenGate(ByEvacuation, Now);
 }
 
 // A gate that is closed, or not, is explained by what the list said of its
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -120,6 +120,7 @@
   Gate::Hooks gateHooks();
   void membersChanged(TimePoint Now);
   void noteOwnEntry(const Instance *Own, TimePoint Now);
+  void followEvacuation(TimePoint Now);
   void sendToGate(const std::string &Gate, wire::CallFrameT Frame);
   void sendToEntry(LinkId Link, wire::CallFrameT Frame);
   void finishStop(TimePoint Now);
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -152,6 +152,9 @@
   Set("hickorylift_gate_slots", "Slots open", Load.slots());
   Set("hickorylift_gate_cold", "1 while the upstream counts as cold",
       Of.core().gate().isCold(Now));
+  Set("hickorylift_evacuated_data_centres",
+      "Data centres whose upstreams are sent nothing",
+      Of.core().control().members().evacuated().size());
   Set("hickorylift_upstream_connections", "Connections made to the upstream",
       Of.upstreamDials());
   Set("hickorylift_log_dropped_lines",
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -132,6 +132,8 @@
   if (std::optional<Millis> Age = Control.oldestListAge(Now))
     Out["oldest_list_age_ms"] = Json::Int64(Age->count());
   Out["instances"] = Json::UInt64(Control.members().size());
+  for (const std::string &One : Control.members().evacuated())
+    Out["evacuated"].append(One);
   Out["reader"] = Control.isReader();
   for (const std::string &Peer : Control.peers())
     Out["peers"].append(Peer);
@@ -164,6 +166,8 @@
     Out["root"] = Root->Operator;
   for (const std::string &Name : Fleet.dataCentres())
     Out["listed"][Name] = Json::UInt64(Fleet.size(Name));
+  for (const std::string &One : Fleet.evacuated())
+    Out["evacuated"].append(One);
   Out["data_centres"] = Json::Value(Json::objectValue);
   for (const wire::FleetReportT &Report : Control.fleet(Now)) {
     Json::Value &Row = Out["data_centres"][Report.data_centre];
--- a/src/reading/KeyValueStore.h
+++ b/src/reading/KeyValueStore.h
@@ -77,6 +77,9 @@
   std::string ConfigKey;
   /// Each item under it is one instance.
   std::string InstancePrefix;
+  /// Each item under it stands for an evacuated data centre, whose name follows
+  /// it. Empty where the store has none.
+  std::string EvacuationPrefix;
   std::function<Result<ReadVersion>(const StoredItem &)> ReadConfig;
   std::function<Result<Instance>(const StoredItem &)> ReadInstance;
   /// The key of the item that an instance was read from.
--- a/src/reading/Reader.cpp
+++ b/src/reading/Reader.cpp
@@ -1,6 +1,7 @@
 #include "reading/Reader.h"
 
 #include "base/Hash.h"
+#include "membership/Evacuations.h"
 #include "membership/Membership.h"
 
 #include <algorithm>
@@ -133,7 +134,7 @@
       Budget(Opts.ReadsPerSecond, Opts.ReadBurst) {}
 
 std::vector<std::string> Reader::watchedKeys() const {
-  std::vector<std::string> Out{ManifestKey};
+  std::vector<std::string> Out{ManifestKey, EvacuationTopic};
   for (const std::string &Name : this->DataCentres)
     Out.push_back(listTopic(Name));
   return Out;
@@ -146,6 +147,7 @@
   if (this->Current != Duty::Once && this->Current != Duty::Watch)
     return;
   this->WantManifest = true;
+  this->WantLists.insert(EvacuationTopic);
   for (const std::string &Name : this->DataCentres)
     this->WantLists.insert(listTopic(Name));
 }
@@ -243,7 +245,9 @@
 
 void Reader::onList(const std::string &Key, const Result<PlatformValue> &Got,
                     TimePoint AskedAt, TimePoint Now) {
-  if (!Got && this->notThereYet(Got.error())) {
+  bool Evacuations = Key == EvacuationTopic;
+  bool NeverWritten = Evacuations && !Got && Got.error().Code == Errc::NotFound;
+  if (NeverWritten || (!Got && this->notThereYet(Got.error()))) {
     this->WantLists.erase(Key);
     return this->goOn(Now);
   }
@@ -251,7 +255,9 @@
     return this->fail(Got.error(), Now);
   this->WantLists.erase(Key);
   Result<DocumentPtr> List =
-      readInstanceList(Got->Bytes, listTopicDataCentre(Key), Got->Revision);
+      Evacuations ? readEvacuations(Got->Bytes, Got->Revision)
+                  : readInstanceList(Got->Bytes, listTopicDataCentre(Key),
+                                     Got->Revision);
   if (!List)
     return this->refuseValue(Got->Revision, List.error(), Now);
   this->Busy = false;
--- a/src/reading/SplitReader.cpp
+++ b/src/reading/SplitReader.cpp
@@ -1,8 +1,10 @@
 #include "reading/SplitReader.h"
 
-// The three readers share nothing. The one of the configuration is given no
-// data centres, so it publishes no lists; the one of the lists never sees the
-// configuration's key. Once split, a node stays so: a configuration that has
+#include <algorithm>
+
+// The three readers share nothing. The one of what operators write is given no
+// data centres, so it publishes no lists; the one of the lists never sees their
+// keys. Once split, a node stays so: a configuration that has
 // been large will be again, and each change of mind reads everything anew.
 
 namespace hickorylift {
@@ -14,6 +16,17 @@
   return Of;
 }
 
+/// What operators write: their versions, and with them their evacuations, which
+/// are a few bytes each.
+std::string operatorPrefix(const StoreContents &Of) {
+  if (Of.EvacuationPrefix.empty())
+    return Of.ConfigKey;
+  auto Ends =
+      std::mismatch(Of.ConfigKey.begin(), Of.ConfigKey.end(),
+                    Of.EvacuationPrefix.begin(), Of.EvacuationPrefix.end());
+  return std::string(Of.ConfigKey.begin(), Ends.first);
+}
+
 } // namespace
 
 SplitReader::SplitReader(const Options &Opts, KeyValueStore &From,
@@ -23,7 +36,7 @@
                          uint64_t Seed)
     : Opts(Opts), Hook(Hooks),
       All(Opts.Read, From, Contents, Hooks, DataCentres, Seed),
-      Config(Opts.Read, From, narrowed(Contents, Contents.ConfigKey),
+      Config(Opts.Read, From, narrowed(Contents, operatorPrefix(Contents)),
              this->partHooks(this->ConfigAt), {}, Seed + 1),
       Lists(Opts.Read, From, narrowed(Contents, Contents.InstancePrefix),
             this->partHooks(this->ListsAt), DataCentres, Seed + 2) {}
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -1,5 +1,7 @@
 #include "reading/StoreReader.h"
 
+#include "membership/Evacuations.h"
+
 #include <algorithm>
 
 // Read all items once, then wait in one watch for what changes, and read all
@@ -76,7 +78,8 @@
   uint64_t From = this->Hook.CompleteAt();
   if (From <= this->HistoryGoneAt || From < this->At)
     return false;
-  if (!this->resumeConfig() || !this->resumeLists())
+  if (!this->resumeConfig() || !this->resumeEvacuations() ||
+      !this->resumeLists())
     return false;
   this->At = From;
   return true;
@@ -95,6 +98,19 @@
   return true;
 }
 
+bool StoreReader::resumeEvacuations() {
+  if (!this->readsEvacuations())
+    return true;
+  DocumentPtr Held = this->Hook.Held(EvacuationTopic);
+  if (!Held)
+    return false;
+  this->EvacuationDoc = Held;
+  this->Evacuations.clear();
+  for (const std::string &Name : evacuatedIn(*Held))
+    this->Evacuations.insert(this->Contents.EvacuationPrefix + Name);
+  return true;
+}
+
 // When an item was created is not in a list. Of two for one place the one that
 // is read later has a greater number, and counts.
 bool StoreReader::resumeLists() {
@@ -156,8 +172,10 @@
   this->WantAll = false;
   this->At = this->GatheredAt;
   this->Instances.clear();
+  this->Evacuations.clear();
   for (const StoredItem &Item : std::exchange(this->Gathered, {}))
     this->put(Item, Now);
+  this->publishEvacuations(Now);
   this->publishConfig(Now);
   this->publishLists(Now);
   this->confirmAll(AskedAt);
@@ -188,12 +206,15 @@
   this->succeed(Now);
   this->At = std::max(this->At, Got->At);
   for (const ItemChange &One : Got->Changes) {
-    if (One.Now)
+    if (One.Now) {
       this->put(*One.Now, Now);
-    else
-      this->Instances.erase(One.Key);
+      continue;
+    }
+    this->Instances.erase(One.Key);
+    this->Evacuations.erase(One.Key);
   }
   if (!Got->Changes.empty()) {
+    this->publishEvacuations(Now);
     this->publishConfig(Now);
     this->publishLists(Now);
   }
@@ -241,6 +262,30 @@
   }
   if (Item.Key.rfind(this->Contents.InstancePrefix, 0) == 0)
     this->putInstance(Item, Now);
+  else if (this->readsEvacuations() &&
+           Item.Key.rfind(this->Contents.EvacuationPrefix, 0) == 0)
+    this->Evacuations.insert(Item.Key);
+}
+
+bool StoreReader::readsEvacuations() const {
+  const std::string &Prefix = this->Contents.EvacuationPrefix;
+  return !Prefix.empty() && Prefix.rfind(this->Contents.Prefix, 0) == 0;
+}
+
+// Also where there are none: that one is over must overtake what others still
+// hold of it.
+void StoreReader::publishEvacuations(TimePoint Now) {
+  if (!this->readsEvacuations())
+    return;
+  std::set<std::string> DataCentres;
+  for (const std::string &Key : this->Evacuations)
+    DataCentres.insert(Key.substr(this->Contents.EvacuationPrefix.size()));
+  DocumentPtr New = makeEvacuations(this->At, DataCentres);
+  if (this->EvacuationDoc &&
+      this->EvacuationDoc->stamp().Hash == New->stamp().Hash)
+    return;
+  this->EvacuationDoc = New;
+  this->Hook.Publish(EvacuationTopic, New, Now);
 }
 
 // An item that cannot be read names no upstream: whatever stood there before is
@@ -338,6 +383,9 @@
   if (this->ConfigDoc)
     this->Hook.Confirm(ConfigTopic, this->ConfigDoc->stamp().Version,
                        this->ConfigDoc->stamp().Revision, AskedAt);
+  if (this->EvacuationDoc)
+    this->Hook.Confirm(EvacuationTopic, this->EvacuationDoc->stamp().Version,
+                       this->EvacuationDoc->stamp().Revision, AskedAt);
   if (this->ListsWait)
     return;
   for (const auto &[Place, Doc] : this->Published)
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 
 // A StoreReader keeps a copy of what matters in a key-value store, and
 // publishes versions and lists of instances from it. Where the node has all of
@@ -59,6 +60,7 @@
   bool resume();
   bool resumeLists();
   bool resumeConfig();
+  bool resumeEvacuations();
   void list(const std::string &After, TimePoint Now);
   void onPage(const Result<ItemPage> &Got, TimePoint AskedAt, TimePoint Now);
   void watch(TimePoint Now);
@@ -69,6 +71,8 @@
   void put(const StoredItem &Item, TimePoint Now);
   void putInstance(const StoredItem &Item, TimePoint Now);
   void publishConfig(TimePoint Now);
+  bool readsEvacuations() const;
+  void publishEvacuations(TimePoint Now);
   void publishLists(TimePoint Now);
   bool lacksListed() const;
   std::map<std::string, EntryMap> listEntries() const;
@@ -108,6 +112,9 @@
   // The latest start seen under each key, where the platform tells starts
   // apart.
   std::map<std::string, uint64_t> LatestStart;
+  // Keys of the items that evacuate a data centre.
+  std::set<std::string> Evacuations;
+  DocumentPtr EvacuationDoc;
   std::optional<StoredItem> Config;
   DocumentPtr ConfigDoc;
   std::map<std::string, DocumentPtr> Published;
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -1,4 +1,5 @@
 #include "reading/StoreReader.h"
+#include "membership/Evacuations.h"
 #include "reading/SplitReader.h"
 
 #include <boost/test/data/monomorphic.hpp>
@@ -57,6 +58,7 @@
   StoreContents Out;
   Out.ConfigKey = "c";
   Out.InstancePrefix = "i/";
+  Out.EvacuationPrefix = "c-e/";
   Out.ReadConfig = [](const StoredItem &Item) -> Result<ReadVersion> {
     if (Item.Value == "bad")
       return Error{Errc::Invalid, "read-item", "store", "bad"};
@@ -165,6 +167,20 @@
     }
   }
 
+  void evacuate(const std::string &DataCentre, bool Begins) {
+    ++this->Revision;
+    StoredItem New{"c-e/" + DataCentre, "{}", this->Revision, this->Revision};
+    ItemChange Change{New.Key, this->Revision, New};
+    if (!Begins)
+      Change.Now.reset();
+    this->untilAsked();
+    this->Store.changes(ItemChanges{{Change}, this->Revision}, this->Now);
+  }
+
+  std::set<std::string> evacuated() const {
+    return evacuatedIn(*this->Seen.at(EvacuationTopic));
+  }
+
   std::string entryOf(const std::string &Name) const {
     const EntryMap &Entries = this->Seen.at("instances/north")->entries();
     auto Found = Entries.find(Name);
@@ -183,6 +199,7 @@
     this->Seen[ConfigTopic] = Document::make(3, 30, {});
     this->Seen["instances/north"] = toldList({"x", "y"}, 35);
     this->Seen["instances/south"] = Document::make(20, 20, {});
+    this->Seen[EvacuationTopic] = makeEvacuations(25, {"south"});
     this->CompleteAt = 40;
     StoreReader::Options Opts;
     Opts.StartJitter = Millis(0);
@@ -304,6 +321,61 @@
                  .Bytes->find("leaving") != std::string::npos);
 }
 
+using Names = std::set<std::string>;
+
+BOOST_FIXTURE_TEST_CASE(EvacuationsComeAndGo, Fixture) {
+  this->startWith({{"c", "1", 4, 1}, {"c-e/south", "{}", 5, 5}}, 5);
+  BOOST_TEST(this->evacuated() == Names{"south"});
+  this->evacuate("north", true);
+  BOOST_TEST(this->evacuated() == (Names{"north", "south"}));
+  this->evacuate("south", false);
+  BOOST_TEST(this->evacuated() == Names{"north"});
+  this->evacuate("north", false);
+  BOOST_TEST(this->evacuated().empty());
+}
+
+// Guards against an evacuation that others hold for good: nobody says that
+// there is none.
+BOOST_FIXTURE_TEST_CASE(NoEvacuationIsSaidToo, Fixture) {
+  this->startWith({{"c", "1", 4, 1}}, 5);
+  BOOST_TEST(this->evacuated().empty());
+  BOOST_TEST(this->Seen.at(EvacuationTopic)->stamp().Revision == 5u);
+}
+
+// Guards against an evacuation that ended while the history was gone.
+BOOST_FIXTURE_TEST_CASE(EvacuationsAreReadAnew, Fixture) {
+  this->startWith({{"c-e/south", "{}", 5, 5}}, 5);
+  this->untilAsked();
+  this->Store.changes(historyGone(), this->Now);
+  this->untilAsked();
+  this->startWith({{"c", "1", 4, 1}}, 9);
+  BOOST_TEST(this->evacuated().empty());
+}
+
+// Guards against a node that has its evacuations from others, and takes back
+// one that it has not read itself.
+BOOST_FIXTURE_TEST_CASE(WhatOthersToldOfEvacuationsHolds, ToldFixture) {
+  this->Revision = 40;
+  this->evacuate("north", true);
+  BOOST_TEST(this->evacuated() == (Names{"north", "south"}));
+}
+
+// Guards against evacuations that nobody reads once the configuration has a
+// watch of its own.
+BOOST_FIXTURE_TEST_CASE(EvacuationsComeWithALargeConfiguration, Fixture) {
+  SplitReader::Options Opts;
+  Opts.Read.StartJitter = Millis(0);
+  Opts.SplitFrom = 0;
+  this->Seen[ConfigTopic] = Document::make(1, 1, {});
+  FakeStore Other;
+  SplitReader Both(Opts, Other, contents(), this->hooks(), {"north"}, 7);
+  Both.tick(this->Now, ReadDuty::Watch);
+  Other.page(ItemPage{{{"c", "2", 2, 1}, {"c-e/south", "{}", 2, 2}}, false, 2},
+             this->Now);
+  Other.page(ItemPage{{instance("x", 2)}, false, 2}, this->Now);
+  BOOST_TEST(this->evacuated() == Names{"south"});
+}
+
 // An address is given out again before the old entry has lapsed.
 BOOST_FIXTURE_TEST_CASE(TheLaterOfTwoEntriesCounts, Fixture) {
   this->startWith({instance("x+old", 1), instance("x+new", 5)}, 5);
@@ -377,6 +449,7 @@
   bool Config;
   bool North;
   bool South;
+  bool Evacuations;
   uint64_t CompleteAt;
   const char *Asked;
 };
@@ -385,10 +458,12 @@
 }
 
 const Told Tolds[] = {
-    {"everything", true, true, true, 40, "changes of "},
-    {"everything, but nobody knows up to when", true, true, true, 0, "all of "},
-    {"no version", false, true, true, 40, "all of "},
-    {"one list is missing", true, true, false, 40, "all of "},
+    {"everything", true, true, true, true, 40, "changes of "},
+    {"everything, but nobody knows up to when", true, true, true, true, 0,
+     "all of "},
+    {"no version", false, true, true, true, 40, "all of "},
+    {"one list is missing", true, true, false, true, 40, "all of "},
+    {"nothing of evacuations", true, true, true, false, 40, "all of "},
 };
 
 // Nodes lose their parents and read by themselves, and others start. Each that
@@ -404,6 +479,8 @@
     At.Seen["instances/north"] = toldList({"x", "y"}, 35);
   if (Row.South)
     At.Seen["instances/south"] = Document::make(20, 20, {});
+  if (Row.Evacuations)
+    At.Seen[EvacuationTopic] = makeEvacuations(20, {});
   At.CompleteAt = Row.CompleteAt;
   StoreReader::Options Opts;
   Opts.StartJitter = Millis(0);
