A cold spell ends a moment late, and a new process counts as having sent

Cause, supposed: what the upstream says is cut to whole milliseconds, so the gate took it for warm up to a millisecond early, and the calls that had waited for just that went out at once, on top of those of the last second. The end now comes 100 ms late.

Found by reading: a process that is killed beside a cold upstream and started again within a second knows nothing of what the one before has sent. It counts its first second as full, unless the upstream is so young that nobody can have sent it anything; so a fleet that loses power with its upstreams loses nothing.

Tests: ColdStarts/TheWaitEndsWithTheColdTime, /WhatAnEarlierProcessSentIsNotKnown, /AnUpstreamThatStartsWithItsNodeIsKnownWhole, /ANewProcessBesideAWarmUpstreamGoesOn.

--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -546,6 +546,7 @@
 }
 
 void Gate::tick(TimePoint Now) {
+  this->Slots.coldStart().watch(Now);
   this->endOrphans(Now);
   this->lookForUpstream(Now);
   this->askWhetherCold(Now);
--- a/src/gate/ColdStart.cpp
+++ b/src/gate/ColdStart.cpp
@@ -27,6 +27,24 @@
     this->doubt(Now);
 }
 
+void ColdStart::watch(TimePoint Now) {
+  if (!this->WatchedFrom)
+    this->WatchedFrom = Now;
+}
+
+bool ColdStart::isBlind(TimePoint Now) const {
+  return this->WatchedFrom && !this->WatchedAll &&
+         Now - *this->WatchedFrom < this->Opts.Span;
+}
+
+// Where all lose power together, nodes and upstreams start together, and their
+// callers would find nothing open for a second more.
+void ColdStart::judgeAge(Millis Left, TimePoint Now) {
+  TimePoint Began = Now - (this->Warmup - std::min(Left, this->Warmup));
+  this->WatchedAll |= Left.count() > 0 && this->WatchedFrom &&
+                      Began + this->Opts.RestartGap >= *this->WatchedFrom;
+}
+
 void ColdStart::doubt(TimePoint Now) {
   this->DoubtedAt = Now;
   this->ColdUntil = std::max(this->ColdUntil, Now + this->Warmup);
@@ -64,7 +82,9 @@
   if (!Left || Before)
     return;
   this->DoubtedAt.reset();
-  this->ColdUntil = Now + *Left;
+  this->judgeAge(*Left, Now);
+  bool Cold = Left->count() > 0;
+  this->ColdUntil = Cold ? Now + *Left + this->Opts.EndMargin : Now;
 }
 
 bool ColdStart::isCold(TimePoint Now) const {
@@ -90,6 +110,8 @@
 size_t ColdStart::room(TimePoint Now) {
   if (!this->isCold(Now))
     return SIZE_MAX;
+  if (this->isBlind(Now))
+    return 0;
   this->forgetOld(Now);
   return this->bound() -
          std::min(this->bound(), this->Sent.size() + this->Unsent);
@@ -98,6 +120,9 @@
 Clock::duration ColdStart::wait(TimePoint Now) {
   if (this->room(Now) > 0)
     return Clock::duration::zero();
+  if (this->isBlind(Now))
+    return std::min(*this->WatchedFrom + this->Opts.Span, this->ColdUntil) -
+           Now;
   size_t Taken = this->Sent.size() + this->Unsent;
   size_t MustGo = Taken - this->bound();
   // Without a request of which the end of the span is known: a span from now.
--- a/src/gate/ColdStart.h
+++ b/src/gate/ColdStart.h
@@ -37,6 +37,11 @@
     /// question how the upstream is, and a request that is sent once more since
     /// its connection was closed as it went out.
     unsigned Spare = 2;
+    /// Added to what the upstream says: it says whole milliseconds, and a wave
+    /// of calls that waited for its end must not come before it.
+    Millis EndMargin{100};
+    /// A process is not started again sooner after the end of the one before.
+    Millis RestartGap{100};
     /// Between two questions to an upstream that has not answered. An answer
     /// that takes longer must be dropped by whoever asks.
     Millis AskAgain{500};
@@ -50,6 +55,10 @@
   /// bears, and how long it stays cold. Zero calls: nothing is limited. The
   /// first time that a rate is stated, nothing is known of the upstream yet.
   void configure(double PerSecond, Millis Warmup, TimePoint Now);
+  /// From here on all that is sent is counted. What an earlier process beside
+  /// the same upstream has sent just before is not known, and may have been as
+  /// much as it bears.
+  void watch(TimePoint Now);
   /// The upstream may have started anew, or have been made cold: it counts as
   /// cold for a whole warm-up, or until it says otherwise.
   void doubt(TimePoint Now);
@@ -84,6 +93,8 @@
 private:
   bool isLimited() const { return this->PerSecond > 0; }
   size_t bound() const;
+  bool isBlind(TimePoint Now) const;
+  void judgeAge(Millis Left, TimePoint Now);
   void forgetOld(TimePoint Now);
 
   Options Opts;
@@ -97,6 +108,10 @@
   Millis ListedLeft{0};
   // Oldest first.
   std::deque<TimePoint> Sent;
+  std::optional<TimePoint> WatchedFrom;
+  // Whether the upstream is so young that no process before this one can have
+  // sent it anything.
+  bool WatchedAll = false;
   size_t Unsent = 0;
   std::set<std::string> Names;
 };
--- a/src/gate/ColdStartTest.cpp
+++ b/src/gate/ColdStartTest.cpp
@@ -132,6 +132,37 @@
   BOOST_TEST(!Of.asksNow(at(2000)));
 }
 
+// Guards against a process that is killed and started again at once, and sends
+// its cold upstream as much as the one before has just sent.
+BOOST_AUTO_TEST_CASE(WhatAnEarlierProcessSentIsNotKnown) {
+  ColdStart Of(options());
+  Of.watch(Start);
+  Of.configure(PerSecond, Warmup, at(300));
+  Of.watch(at(600));
+  BOOST_TEST(Of.room(at(999)) == 0u);
+  BOOST_TEST((Of.wait(at(300)) == Millis(700)));
+  BOOST_TEST(Of.room(at(1000)) == Bound);
+}
+
+// Guards against a second without service more, where all start together.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatStartsWithItsNodeIsKnownWhole) {
+  for (int64_t BeganMs : {-300, -50, 200}) {
+    ColdStart Of(options());
+    Of.watch(Start);
+    Of.configure(PerSecond, Warmup, at(400));
+    ask(Of, 400, Warmup - Millis(400 - BeganMs), 400);
+    BOOST_TEST(Of.room(at(500)) == (BeganMs < -100 ? 0u : Bound));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ANewProcessBesideAWarmUpstreamGoesOn) {
+  ColdStart Of(options());
+  Of.watch(Start);
+  Of.configure(PerSecond, Warmup, at(300));
+  ask(Of, 300, Millis(0), 301);
+  BOOST_TEST(Of.room(at(301)) == SIZE_MAX);
+}
+
 BOOST_AUTO_TEST_CASE(WithoutARateNothingIsLimited) {
   ColdStart Of(options());
   Of.configure(/*PerSecond=*/0, Warmup, Start);
@@ -197,8 +228,11 @@
   Of.told(Millis(200), at(500));
   for (size_t I = 0; I < Bound; ++I)
     Of.sent(at(500));
-  BOOST_TEST((Of.wait(at(500)) == Millis(200)));
-  BOOST_TEST(Of.room(at(700)) == SIZE_MAX);
+  BOOST_TEST((Of.wait(at(500)) == Millis(300)));
+  // What it says is cut to whole milliseconds, so a wave at its end comes
+  // early.
+  BOOST_TEST(Of.room(at(701)) == 0u);
+  BOOST_TEST(Of.room(at(800)) == SIZE_MAX);
 }
 
 // Guards against a gate that admits by its free slots what its cold upstream
