Soak: upstreams that crash by themselves and come back cold, evacuations

New faults: an upstream crashes by itself, a data centre is evacuated and taken back. New checks: a cold upstream that had more calls than it bears crashes and counts it; an evacuated upstream is judged as one that leaves. Crashes of no request are not counted as its crashes.

--- a/harness/Fleet.cpp
+++ b/harness/Fleet.cpp
@@ -366,9 +366,14 @@
   return Got ? *Got : Json::Value();
 }
 
-Json::Value Fleet::upstreamCounters(const std::string &Name) {
+bool Fleet::put(const std::string &Key, const std::string &Bytes) {
+  return putValue(this->Platform, Key, Bytes);
+}
+
+Json::Value Fleet::askUpstream(const std::string &Name,
+                               const std::string &Path) {
   Result<Json::Value> Got =
-      fetchJson(this->Nodes.at(Name).Upstream, "/admin", FetchSeconds);
+      fetchJson(this->Nodes.at(Name).Upstream, Path, FetchSeconds);
   return Got ? *Got : Json::Value();
 }
 
--- a/harness/Fleet.h
+++ b/harness/Fleet.h
@@ -92,7 +92,13 @@
   /// A number from /metrics, summed over labels.
   double metric(const std::string &Name, const std::string &Metric);
   Json::Value platformCounters();
-  Json::Value upstreamCounters(const std::string &Name);
+  Json::Value upstreamCounters(const std::string &Name) {
+    return this->askUpstream(Name, "/admin");
+  }
+  /// The same, once the upstream has done what this path asks for.
+  Json::Value askUpstream(const std::string &Name, const std::string &Path);
+  /// Writes a value to the platform.
+  bool put(const std::string &Key, const std::string &Bytes);
   /// Processor time that a node has used, in seconds, and its resident memory.
   double cpuSeconds(const std::string &Name);
   double residentMegabytes(const std::string &Name);
--- a/scenario/Soak.cpp
+++ b/scenario/Soak.cpp
@@ -29,7 +29,9 @@
 //   an answer is whole and the caller's own;
 //   no process goes back to an older version while it lives;
 //   a planned stop ends in order and in time;
-//   an upstream that leaves the list gets no call after its drain time;
+//   an upstream that leaves the list, or whose data centre is evacuated, gets
+//     no call after its drain time;
+//   an upstream that has just started gets no more calls than it bears cold;
 //   a request that crashes its upstreams comes to no more, by nodes that
 //     nothing disturbs, soon after the third;
 //   once the faults are over, every node has the newest version.
@@ -69,6 +71,9 @@
 // A node hears in time of a leave if nothing has disturbed it for so long.
 constexpr Millis QuietFor{3000};
 constexpr int MaxConnections = 200;
+// By the records and settings below, the bound for a cold upstream is twelve.
+const char ColdMost[] = "--cold_most=12";
+const char ColdLength[] = "--cold_ms=2000";
 // One request crashes its upstreams, and its caller insists. Whatever comes to
 // an upstream this long after the third crash counts, and a few are allowed.
 constexpr Millis MarkedEvery{200};
@@ -82,11 +87,15 @@
 const char Settings[] =
     R"("spread": {"heartbeat_ms": 400, "silence_ms": 1200},)"
     R"("calls": {"ping_ms": 100, "silence_ms": 400, "find_again_ms": 1500,)"
-    R"("connect_ms": 400}, "stop": {"within_ms": 6000, "linger_ms": 300})";
+    R"("connect_ms": 400}, "cold_start": {"overrun": 1.5, "slack": 3},)"
+    R"("stop": {"within_ms": 6000, "linger_ms": 300})";
 
 std::string records(uint64_t Version) {
-  std::string Out = R"([{"kind":"service","name":"a","schema":1},)"
-                    R"({"kind":"service","name":"b","schema":1})";
+  std::string Out = "[";
+  for (const char *Name : {"a", "b"})
+    absl::StrAppend(&Out, *Name == 'a' ? "" : ",", R"({"kind":"service",)",
+                    R"("name":")", Name, R"(","schema":2,)",
+                    R"("warmup_ms":2000,"cold_per_s":6})");
   for (const char *Name : {"a", "b"})
     absl::StrAppend(&Out, R"(,{"kind":"route","name":")", Name,
                     R"(","schema":3,"match":{"prefix":"/)", Name,
@@ -169,6 +178,7 @@
     harness::Fleet::Options Out;
     Out.Settings = Settings;
     Out.LogLevel = "info";
+    Out.UpstreamFlags = {ColdMost, ColdLength};
     return Out;
   }
 
@@ -220,7 +230,7 @@
   void fault(TimePoint End) {
     ++this->Faults;
     std::string Name = this->anyNode();
-    uint64_t Kind = this->draw(0, 7);
+    uint64_t Kind = this->draw(0, 9);
     bool Signals = Kind <= 2;
     // A stop needs its time, and one node is not signalled twice at once.
     if (Signals && (this->Busy.count(Name) || this->Busy.size() >= 3))
@@ -240,6 +250,10 @@
       return this->outage();
     case 6:
       return this->leave(Name);
+    case 7:
+      return this->crash(Name);
+    case 8:
+      return this->evacuate(this->All.node(Name).DataCentre);
     default:
       if (!this->publishNext())
         --this->Version;
@@ -340,14 +354,54 @@
     });
   }
 
+  void crash(const std::string &Name) {
+    this->post(this->All.node(Name).Upstream,
+               absl::StrCat("/admin/crash?ms=", this->draw(100, 1500)));
+  }
+
+  // Whether its node and the platform were left alone for so long that it hears
+  // in time of what is written now. Others are not judged.
+  bool hearsInTime(const std::string &Name) {
+    TimePoint Now = Clock::now();
+    return Now - this->QuietSince[Name] > QuietFor &&
+           Now - this->PlatformQuietSince > QuietFor && !this->Busy.count(Name);
+  }
+
+  // One data centre at a time. Its upstreams are left alone by all other faults
+  // of this kind meanwhile.
+  void evacuate(const std::string &DataCentre) {
+    if (std::exchange(this->Evacuating, true))
+      return;
+    std::vector<std::string> Judged;
+    for (const std::string &Name : this->Names)
+      if (this->All.node(Name).DataCentre == DataCentre &&
+          this->hearsInTime(Name))
+        Judged.push_back(Name);
+    this->NoOutageUntil = Clock::now() + DrainTime;
+    this->All.put("evacuations",
+                  absl::StrCat(R"({"data_centres":[")", DataCentre, R"("]})"));
+    for (const std::string &Name : Judged) {
+      this->Busy.insert(Name);
+      this->All.askUpstream(
+          Name, absl::StrCat("/admin/leave?within=", DrainTime.count()));
+    }
+    this->later(Millis(this->draw(2600, 5000)), [this, Judged] {
+      // Before any gate can hear that it is over.
+      for (const std::string &Name : Judged) {
+        this->All.askUpstream(Name, "/admin/stay");
+        this->rest(Name);
+      }
+      this->All.put("evacuations", R"({"data_centres":[]})");
+      this->Evacuating = false;
+    });
+  }
+
   // Its entry is marked, or only taken away. Whoever could not hear of it in
   // time is not judged: so its node and the platform are left alone meanwhile.
   void leave(const std::string &Name) {
-    TimePoint Now = Clock::now();
-    bool Quiet = Now - this->QuietSince[Name] > QuietFor &&
-                 Now - this->PlatformQuietSince > QuietFor;
-    if (!Quiet || this->Busy.count(Name))
+    if (!this->hearsInTime(Name))
       return;
+    TimePoint Now = Clock::now();
     this->Busy.insert(Name);
     this->NoOutageUntil = Now + DrainTime;
     using ListedAs = harness::Fleet::ListedAs;
@@ -356,8 +410,9 @@
     const std::string &Upstream = this->All.node(Name).Upstream;
     this->post(Upstream,
                absl::StrCat("/admin/leave?within=", DrainTime.count()));
-    this->later(Millis(this->draw(2600, 4000)), [this, Name, Upstream] {
-      this->post(Upstream, "/admin/stay");
+    this->later(Millis(this->draw(2600, 4000)), [this, Name] {
+      // Before any gate can hear that it stays.
+      this->All.askUpstream(Name, "/admin/stay");
       this->All.list(Name, ListedAs::Live);
       this->rest(Name);
     });
@@ -498,8 +553,10 @@
     for (const std::string &Name : this->Names) {
       Json::Value Counters = this->All.upstreamCounters(Name);
       for (const Json::Value &One : Counters["crashes"])
-        All.push_back({TimePoint(Millis(One["at_ms"].asInt64())), Name,
-                       One["call"].asString()});
+        // Others are of no request.
+        if (!One["call"].asString().empty())
+          All.push_back({TimePoint(Millis(One["at_ms"].asInt64())), Name,
+                         One["call"].asString()});
     }
     std::sort(All.begin(), All.end(),
               [](const Ran &A, const Ran &B) { return A.At < B.At; });
@@ -532,6 +589,10 @@
         this->Broken.push_back(absl::StrCat(
             Name, ": ", Late, " calls reached its upstream after its drain: ",
             writeJson(Counters["late_calls"])));
+      if (uint64_t Overruns = Counters["overruns"].asUInt64())
+        this->Broken.push_back(absl::StrCat(
+            Name, ": its cold upstream had more calls than it bears, ",
+            Overruns, " times"));
       const Json::Value &Ran = Counters["executions"];
       for (const std::string &Label : Ran.getMemberNames())
         Runs[Label] += Ran[Label].asUInt64();
@@ -579,6 +640,7 @@
   size_t LateCrashes = 0;
   TimePoint PlatformQuietSince;
   TimePoint NoOutageUntil;
+  bool Evacuating = false;
   std::vector<std::string> Broken;
   uint64_t Version = 0;
   uint64_t LastCall = 0;
--- a/standin/Flags.h
+++ b/standin/Flags.h
@@ -18,6 +18,7 @@
 ABSL_DECLARE_FLAG(uint64_t, version);
 ABSL_DECLARE_FLAG(uint32_t, slots);
 ABSL_DECLARE_FLAG(uint32_t, cold_ms);
+ABSL_DECLARE_FLAG(uint32_t, cold_most);
 ABSL_DECLARE_FLAG(uint32_t, lag_ms);
 ABSL_DECLARE_FLAG(uint32_t, connections);
 ABSL_DECLARE_FLAG(uint32_t, body_bytes);
--- a/standin/Main.cpp
+++ b/standin/Main.cpp
@@ -21,6 +21,9 @@
 ABSL_FLAG(uint64_t, version, 1, "version to publish");
 ABSL_FLAG(uint32_t, slots, 10, "calls at once (upstream)");
 ABSL_FLAG(uint32_t, cold_ms, 0, "time in which calls take three times as long");
+ABSL_FLAG(uint32_t, cold_most, 0,
+          "calls a second that it bears in that time, and crashes above; 0 for "
+          "any (upstream)");
 ABSL_FLAG(uint32_t, lag_ms, 0, "lag of health and load (upstream)");
 ABSL_FLAG(uint32_t, connections, 64, "connections (load)");
 ABSL_FLAG(uint32_t, body_bytes, 0, "size of each request's body (load)");
--- a/standin/Upstream.cpp
+++ b/standin/Upstream.cpp
@@ -10,6 +10,8 @@
 #include <absl/flags/flag.h>
 #include <libsoup/soup.h>
 
+#include <algorithm>
+#include <deque>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -27,7 +29,9 @@
 // executions by the header X-Call-Id, so that a test can hold "not run" against
 // what really ran, and tells the hash of the body that it got. /admin/leave
 // says how long it still takes calls, and what comes later is counted;
-// /admin/stay takes that back; /admin/crash?ms= crashes it by itself.
+// /admin/stay takes that back; /admin/crash?ms= crashes it by itself. While it
+// is cold (--cold_ms, --cold_most) its health says for how long, and it crashes
+// under more calls in a second than it bears, which is counted.
 
 namespace hickorylift::standin {
 
@@ -35,6 +39,8 @@
 
 constexpr unsigned ColdFactor = 3;
 constexpr guint CrashDelayMs = 5;
+constexpr Millis ColdSpan{1000};
+constexpr uint64_t OverrunBackMs = 1000;
 
 class UpstreamServer;
 
@@ -89,6 +95,11 @@
     if (Id)
       ++Self->Executions[Id];
     ++Self->Total;
+    if (Self->overrun()) {
+      ++Self->Overruns;
+      Self->crash(OverrunBackMs, "");
+      return;
+    }
     if (uint64_t Back = number(Query, "crash", 0)) {
       Self->crash(Back, Id ? Id : "");
       return;
@@ -111,7 +122,7 @@
     if (Id)
       soup_message_headers_replace(Headers, "X-Call-Id", Id);
     uint64_t Ms = number(Query, "ms", 0);
-    if (Clock::now() - Self->Start < Millis(absl::GetFlag(FLAGS_cold_ms)))
+    if (Self->coldLeft() > Clock::duration::zero())
       Ms *= ColdFactor;
     auto *Of = new Job{Self,
                        Message,
@@ -135,6 +146,23 @@
     g_source_attach(Of->Watch, nullptr);
   }
 
+  Clock::duration coldLeft() const {
+    TimePoint Until = this->Start + Millis(absl::GetFlag(FLAGS_cold_ms));
+    return std::max(Clock::duration::zero(), Until - Clock::now());
+  }
+
+  // Counts a call, and tells whether it is one more than it bears.
+  bool overrun() {
+    uint32_t Most = absl::GetFlag(FLAGS_cold_most);
+    if (Most == 0 || this->coldLeft() == Clock::duration::zero())
+      return false;
+    TimePoint Now = Clock::now();
+    this->ColdCalls.push_back(Now);
+    while (Now - this->ColdCalls.front() >= ColdSpan)
+      this->ColdCalls.pop_front();
+    return this->ColdCalls.size() > Most;
+  }
+
   // All connections that there are, also those that nobody uses just now.
   static void onRequestStarted(SoupServer *, SoupServerMessage *Message,
                                gpointer Data) {
@@ -172,6 +200,8 @@
     auto *Self = static_cast<UpstreamServer *>(Data);
     bool Open =
         static_cast<bool>(listenHttp(Self->Server, Self->Address, "listen"));
+    Self->Start = Clock::now();
+    Self->ColdCalls.clear();
     return Open ? G_SOURCE_REMOVE : G_SOURCE_CONTINUE;
   }
 
@@ -261,6 +291,11 @@
   static void onHealth(SoupServer *, SoupServerMessage *Message, const char *,
                        GHashTable *, gpointer Data) {
     auto *Self = static_cast<UpstreamServer *>(Data);
+    if (Self->coldLeft() > Clock::duration::zero())
+      soup_message_headers_replace(
+          soup_server_message_get_response_headers(Message),
+          "Hickorylift-Cold-Left-Ms",
+          std::to_string(toMillis(Self->coldLeft()).count()).c_str());
     text(Message, Self->SaysDraining ? "draining\n" : "ok\n");
   }
 
@@ -290,6 +325,7 @@
     for (const auto &[After, Call] : Self->Late)
       Out["late_calls"].append(Call + " by " + std::to_string(After.count()) +
                                " ms");
+    Out["overruns"] = Json::UInt64(Self->Overruns);
     Out["running"] = Json::UInt64(Self->Running);
     Out["crashes"] = Json::Value(Json::arrayValue);
     for (const auto &[At, By] : Self->Crashes) {
@@ -311,7 +347,11 @@
   std::set<Job *> Paused;
   // When, and under which call.
   std::vector<std::pair<Millis, std::string>> Crashes;
+  // Of the process, or of the one that follows a crash.
   TimePoint Start;
+  // Calls of the last second while it is cold.
+  std::deque<TimePoint> ColdCalls;
+  uint64_t Overruns = 0;
   std::map<std::string, uint64_t> Executions;
   uint64_t Total = 0;
   uint64_t Shed = 0;
