Lists say only that an upstream is cold again, not how its start goes on

Whoever starts is cold, and its gate asks it; only a later spell is news.

Test: StoreReading/ListsSayThatAnUpstreamIsColdAgain (8 rows).

--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -125,7 +125,7 @@
       std::optional<Instance> One = readInstance(*Entry.Bytes, Name, Faults);
       if (!One || One->Upstream.empty())
         return false;
-      Told[this->Contents.KeyOf(*One)] = {*One, /*Created=*/0};
+      Told[this->Contents.KeyOf(*One)] = {*One, /*Created=*/0, One->ColdLeft};
     }
     Lists[Place] = Held;
   }
@@ -311,7 +311,23 @@
         return !this->Instances.count(One.first);
       });
   }
-  this->Instances[Item.Key] = {*Read, Item.Created};
+  Listed New{*Read, Item.Created, Read->ColdLeft};
+  this->tellColdSpell(New, Item.Key);
+  this->Instances[Item.Key] = std::move(New);
+}
+
+// Whoever starts is cold, as everybody knows, and to count its time down would
+// change the lists of the whole fleet at each heartbeat of each upstream. So
+// the lists say only that one which had started is cold again.
+void StoreReader::tellColdSpell(Listed &New, const std::string &Key) const {
+  auto Old = this->Instances.find(Key);
+  bool Known =
+      Old != this->Instances.end() && Old->second.Who.sameStart(New.Who);
+  bool Begins = Known && New.ColdLeft > Old->second.ColdLeft;
+  bool GoesOn = Known && New.ColdLeft.count() > 0;
+  New.Who.ColdLeft = Begins   ? New.ColdLeft
+                     : GoesOn ? Old->second.Who.ColdLeft
+                              : Millis(0);
 }
 
 void StoreReader::publishConfig(TimePoint Now) {
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -56,6 +56,13 @@
   uint64_t reads() const override { return this->Reads; }
 
 private:
+  struct Listed {
+    Instance Who;
+    uint64_t Created = 0;
+    // As its entry says, while Who says so only of a later cold spell.
+    Millis ColdLeft{0};
+  };
+
   void step(TimePoint Now);
   bool resume();
   bool resumeLists();
@@ -70,6 +77,7 @@
   void fail(const Error &Why, TimePoint Now);
   void put(const StoredItem &Item, TimePoint Now);
   void putInstance(const StoredItem &Item, TimePoint Now);
+  void tellColdSpell(Listed &New, const std::string &Key) const;
   void publishConfig(TimePoint Now);
   bool readsEvacuations() const;
   void publishEvacuations(TimePoint Now);
@@ -83,11 +91,6 @@
   std::function<void(Result<T>, TimePoint)>
   guarded(std::function<void(const Result<T> &, TimePoint)> Then);
 
-  struct Listed {
-    Instance Who;
-    uint64_t Created = 0;
-  };
-
   Options Opts;
   KeyValueStore &From;
   StoreContents Contents;
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -76,6 +76,9 @@
     One.Operator = "127.0.0.1:2";
     // "leaving", or the same with the number of the start before it.
     One.Leaving = Item.Value.find("leaving") != std::string::npos;
+    // "cold" and how much longer, in milliseconds.
+    if (size_t At = Item.Value.find("cold "); At != std::string::npos)
+      One.ColdLeft = Millis(std::stoll(Item.Value.substr(At + 5)));
     if (std::isdigit(static_cast<unsigned char>(Item.Value.front())))
       One.Incarnation = std::stoull(Item.Value);
     if (Item.Value == "rubbish")
@@ -428,6 +431,41 @@
   BOOST_TEST((!Tells || Entry.find(Wanted) != std::string::npos));
 }
 
+/// What is written to one entry, in order, and how cold the lists then say that
+/// it is.
+struct Spells {
+  const char *What;
+  std::vector<std::string> Written;
+  int64_t ColdMs;
+};
+std::ostream &operator<<(std::ostream &To, const Spells &Of) {
+  return To << Of.What;
+}
+
+const Spells ColdSpells[] = {
+    {"it has started", {"5 cold 2900"}, 0},
+    {"its first spell goes on", {"5 cold 2900", "5 cold 1400"}, 0},
+    {"its first spell is over", {"5 cold 2900", "5 live"}, 0},
+    {"it is cold again", {"5 cold 2900", "5 live", "5 cold 2500"}, 2500},
+    {"it is cold anew before it was warm", {"5 cold 900", "5 cold 2700"}, 2700},
+    {"a second spell goes on", {"5 live", "5 cold 2500", "5 cold 1000"}, 2500},
+    {"a second spell is over", {"5 live", "5 cold 2500", "5 live"}, 0},
+    {"another start follows", {"5 live", "5 cold 2500", "6 cold 2800"}, 0},
+};
+
+// Guards against lists that change with each heartbeat of each upstream that
+// has started, and against a cold spell that nobody hears of.
+BOOST_DATA_TEST_CASE(ListsSayThatAnUpstreamIsColdAgain,
+                     boost::unit_test::data::make(ColdSpells), Row) {
+  Fixture At;
+  At.startWith({}, 100);
+  At.write("x", Row.Written);
+  std::string Entry = At.entryOf("x");
+  std::string Wanted = "\"cold_ms\":" + std::to_string(Row.ColdMs);
+  BOOST_TEST((Entry.find("cold_ms") != std::string::npos) == (Row.ColdMs > 0));
+  BOOST_TEST((Row.ColdMs == 0 || Entry.find(Wanted) != std::string::npos));
+}
+
 // Someone writes rubbish over the entry of an upstream and beside it. Callers
 // are not sent there, and go on to all the others.
 BOOST_FIXTURE_TEST_CASE(RubbishNamesNobodyAndTheOthersHold, Fixture) {
