A cold gate says when it has room, and is left alone until then

A cold gate knows to the millisecond when it may start another call; its refusal says so, and the entry asks elsewhere until then.

Tests: GateCold/ARefusalSaysWhenThereIsRoom, Placing/AGateIsLeftOutUntilItHasRoom.

--- a/src/calls/Calls_generated.h
+++ b/src/calls/Calls_generated.h
@@ -1379,6 +1379,7 @@
   uint32_t retry_after_ms = 0;
   std::unique_ptr<hickorylift::wire::Load> load{};
   uint32_t status = 0;
+  uint32_t room_in_ms = 0;
   FailedT() = default;
   FailedT(const FailedT &o);
   FailedT(FailedT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1397,7 +1398,8 @@
     VT_PEER = 12,
     VT_RETRY_AFTER_MS = 14,
     VT_LOAD = 16,
-    VT_STATUS = 18
+    VT_STATUS = 18,
+    VT_ROOM_IN_MS = 20
   };
   uint64_t seq() const {
     return GetField<uint64_t>(VT_SEQ, 0);
@@ -1423,6 +1425,9 @@
   uint32_t status() const {
     return GetField<uint32_t>(VT_STATUS, 0);
   }
+  uint32_t room_in_ms() const {
+    return GetField<uint32_t>(VT_ROOM_IN_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQ, 8) &&
@@ -1436,6 +1441,7 @@
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
            VerifyField<hickorylift::wire::Load>(verifier, VT_LOAD, 4) &&
            VerifyField<uint32_t>(verifier, VT_STATUS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ROOM_IN_MS, 4) &&
            verifier.EndTable();
   }
   FailedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1471,6 +1477,9 @@
   void add_status(uint32_t status) {
     fbb_.AddElement<uint32_t>(Failed::VT_STATUS, status, 0);
   }
+  void add_room_in_ms(uint32_t room_in_ms) {
+    fbb_.AddElement<uint32_t>(Failed::VT_ROOM_IN_MS, room_in_ms, 0);
+  }
   explicit FailedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1491,9 +1500,11 @@
     flatbuffers::Offset<flatbuffers::String> peer = 0,
     uint32_t retry_after_ms = 0,
     const hickorylift::wire::Load *load = nullptr,
-    uint32_t status = 0) {
+    uint32_t status = 0,
+    uint32_t room_in_ms = 0) {
   FailedBuilder builder_(_fbb);
   builder_.add_seq(seq);
+  builder_.add_room_in_ms(room_in_ms);
   builder_.add_status(status);
   builder_.add_load(load);
   builder_.add_retry_after_ms(retry_after_ms);
@@ -1518,7 +1529,8 @@
     const char *peer = nullptr,
     uint32_t retry_after_ms = 0,
     const hickorylift::wire::Load *load = nullptr,
-    uint32_t status = 0) {
+    uint32_t status = 0,
+    uint32_t room_in_ms = 0) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto step__ = step ? _fbb.CreateString(step) : 0;
   auto peer__ = peer ? _fbb.CreateString(peer) : 0;
@@ -1531,7 +1543,8 @@
       peer__,
       retry_after_ms,
       load,
-      status);
+      status,
+      room_in_ms);
 }
 
 flatbuffers::Offset<Failed> CreateFailed(flatbuffers::FlatBufferBuilder &_fbb, const FailedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2359,7 +2372,8 @@
         peer(o.peer),
         retry_after_ms(o.retry_after_ms),
         load((o.load) ? new hickorylift::wire::Load(*o.load) : nullptr),
-        status(o.status) {
+        status(o.status),
+        room_in_ms(o.room_in_ms) {
 }
 
 inline FailedT &FailedT::operator=(FailedT o) FLATBUFFERS_NOEXCEPT {
@@ -2371,6 +2385,7 @@
   std::swap(retry_after_ms, o.retry_after_ms);
   std::swap(load, o.load);
   std::swap(status, o.status);
+  std::swap(room_in_ms, o.room_in_ms);
   return *this;
 }
 
@@ -2391,6 +2406,7 @@
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
   { auto _e = load(); if (_e) _o->load = std::unique_ptr<hickorylift::wire::Load>(new hickorylift::wire::Load(*_e)); }
   { auto _e = status(); _o->status = _e; }
+  { auto _e = room_in_ms(); _o->room_in_ms = _e; }
 }
 
 inline flatbuffers::Offset<Failed> Failed::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FailedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2409,6 +2425,7 @@
   auto _retry_after_ms = _o->retry_after_ms;
   auto _load = _o->load ? _o->load.get() : nullptr;
   auto _status = _o->status;
+  auto _room_in_ms = _o->room_in_ms;
   return hickorylift::wire::CreateFailed(
       _fbb,
       _seq,
@@ -2418,7 +2435,8 @@
       _peer,
       _retry_after_ms,
       _load,
-      _status);
+      _status,
+      _room_in_ms);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/calls/EntryAnswers.cpp
+++ b/src/calls/EntryAnswers.cpp
@@ -160,7 +160,7 @@
   if (Why.Reason == "not-my-service" || Why.Reason == "upstream-replaced")
     this->Choose.unreachable(Gate, Now);
   if (Why.Reason == "overload")
-    this->Choose.refused(Gate, Now);
+    this->Choose.refused(Gate, Millis(Failed.room_in_ms), Now);
   if (Why.Reason == UpstreamIsGone || Why.Reason == UpstreamCrashed) {
     this->Links[Gate].Gone = true;
     this->Choose.unreachable(Gate, Now);
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -397,6 +397,8 @@
   Failed.peer = One.Why.Peer;
   Failed.retry_after_ms = static_cast<uint32_t>(One.Why.RetryAfter.count());
   Failed.status = One.Why.Status;
+  Failed.room_in_ms = static_cast<uint32_t>(
+      toMillis(this->Slots.coldStart().wait(Now)).count());
   Failed.load = std::make_unique<wire::Load>(this->load(Now));
   this->Hook.Send(One.Link, callFrame(std::move(Failed)));
 }
--- a/src/calls/GateColdTest.cpp
+++ b/src/calls/GateColdTest.cpp
@@ -142,6 +142,18 @@
   BOOST_TEST(this->startedOf(50) == 0u);
 }
 
+// Guards against entries that ask a cold gate again and again for room that it
+// cannot have yet.
+BOOST_FIXTURE_TEST_CASE(ARefusalSaysWhenThereIsRoom, Fixture) {
+  this->startedOf(Bound + 1);
+  this->Now += Millis(300);
+  this->startedOf(1);
+  BOOST_TEST(this->failed()->room_in_ms == 700u);
+  this->warm();
+  this->startedOf(200);
+  BOOST_TEST(this->failed()->room_in_ms == 0u);
+}
+
 // Guards against room that a call took and never used.
 BOOST_FIXTURE_TEST_CASE(WhatNeverGoesOutGivesItsRoomBack, Fixture) {
   this->Sends = false;
--- a/src/routing/Chooser.cpp
+++ b/src/routing/Chooser.cpp
@@ -348,12 +348,13 @@
   Of.SentSince = 0;
 }
 
-void Chooser::refused(const std::string &Gate, TimePoint Now) {
+void Chooser::refused(const std::string &Gate, Millis RoomIn, TimePoint Now) {
   State &Of = this->Gates[Gate];
   Micros NextFree(Of.Load.latency_us() /
                   std::max<uint32_t>(1, Of.Load.slots()));
-  Of.FullUntil = Now + std::clamp<Micros>(NextFree, this->Opts.ShortestFull,
-                                          this->Opts.LongestFull);
+  Micros Likely = std::clamp<Micros>(NextFree, this->Opts.ShortestFull,
+                                     this->Opts.LongestFull);
+  Of.FullUntil = Now + std::max<Micros>(Likely, RoomIn);
 }
 
 void Chooser::unreachable(const std::string &Gate, TimePoint Now) {
--- a/src/routing/Chooser.h
+++ b/src/routing/Chooser.h
@@ -140,8 +140,8 @@
   void carriedBody(const std::string &Gate, Micros Took, TimePoint Now);
   void learn(const std::string &Gate, const wire::Load &Load, TimePoint Now);
   /// The gate refused for want of room; it is left out until one of its slots
-  /// is likely to have come free.
-  void refused(const std::string &Gate, TimePoint Now);
+  /// is likely to have come free, and while it has said that none does.
+  void refused(const std::string &Gate, Millis RoomIn, TimePoint Now);
   /// The gate takes nothing new. It stays out until the list forgets it, or
   /// until it answers again.
   void draining(const std::string &Gate);
--- a/src/routing/ChooserTest.cpp
+++ b/src/routing/ChooserTest.cpp
@@ -156,6 +156,20 @@
   BOOST_TEST(Choose.pick(pointers(All), {}, Later, want(0)));
 }
 
+// Guards against offers that a call uses up at a gate that has said when it has
+// room again.
+BOOST_AUTO_TEST_CASE(AGateIsLeftOutUntilItHasRoom) {
+  Instance Only;
+  Only.Name = "only";
+  Only.DataCentre = "here";
+  Chooser Choose(Chooser::Options(), "here", "me", /*Seed=*/7);
+  Choose.learn("only", {1, 0, 10, 20 * Ms}, Start);
+  Choose.refused("only", Millis(700), Start);
+  BOOST_TEST(!Choose.pick({&Only}, {}, Start + Millis(699)));
+  BOOST_TEST((Choose.soonest({&Only}, Start) == Millis(700)));
+  BOOST_TEST(Choose.pick({&Only}, {}, Start + Millis(700)) == &Only);
+}
+
 // One gate was sent the short calls of a service and the other the long ones.
 // By their mean runs the first looks five times as fast, and would be sent all.
 BOOST_AUTO_TEST_CASE(ShortCallsDoNotMakeAGateFast) {
