--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -366,6 +366,7 @@
   void giveUpSearch(const std::string &Gate, Link &On, TimePoint Now);
   std::optional<CallerId> callOn(const std::string &Gate, uint64_t Seq) const;
 
+  static constexpr char StepEntry[] = "entry";
   static constexpr char StepLink[] = "gate-link";
 
   Options Opts;
--- a/src/calls/Message.cpp
+++ b/src/calls/Message.cpp
@@ -3,6 +3,7 @@
 #include "peer/Frame.h"
 
 #include <array>
+#include <charconv>
 
 #include <strings.h>
 
@@ -49,6 +50,17 @@
   return "";
 }
 
+std::optional<Millis> findMillis(const HeaderList &Headers,
+                                 std::string_view Name) {
+  std::string Text = findHeader(Headers, Name);
+  uint32_t Ms = 0;
+  auto [Stop, Code] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Ms);
+  if (Text.empty() || Code != std::errc() || *Stop != '\0')
+    return std::nullopt;
+  return Millis(Ms);
+}
+
 HeaderList endToEndHeaders(const HeaderList &Headers) {
   HeaderList Out;
   for (const HeaderField &One : Headers)
--- a/src/calls/Message.h
+++ b/src/calls/Message.h
@@ -38,6 +38,9 @@
                const std::string &Value);
 /// Case-insensitive; empty if absent.
 std::string findHeader(const HeaderList &Headers, std::string_view Name);
+/// A field that holds whole milliseconds; nothing where it does not.
+std::optional<Millis> findMillis(const HeaderList &Headers,
+                                 std::string_view Name);
 /// Without the fields that concern one connection only (RFC 9110, 7.6.1).
 HeaderList endToEndHeaders(const HeaderList &Headers);
 
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -1,7 +1,6 @@
 #include "http/UpstreamClient.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <strings.h>
 
@@ -36,16 +35,6 @@
          0;
 }
 
-/// A whole number of milliseconds; nothing where it is none.
-std::optional<Millis> parseMillis(const std::string &Text) {
-  int64_t Ms = 0;
-  auto [Stop, Code] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Ms);
-  if (Text.empty() || Code != std::errc() || *Stop != '\0' || Ms < 0)
-    return std::nullopt;
-  return Millis(Ms);
-}
-
 } // namespace
 
 struct UpstreamClient::Call {
@@ -410,8 +399,8 @@
     HealthAnswer Said;
     Said.Status = Parser->head().Status;
     Said.Text = std::move(Of->Held);
-    Said.ColdLeft = parseMillis(
-        findHeader(Parser->head().Headers, this->Opts.Names.ColdLeft));
+    Said.ColdLeft =
+        findMillis(Parser->head().Headers, this->Opts.Names.ColdLeft);
     return this->Hook.Health(Said, At);
   }
   std::unique_ptr<ResponseParser> Parser = std::move(On->Parser);
