--- a/src/calls/GateColdTest.cpp
+++ b/src/calls/GateColdTest.cpp
@@ -25,15 +25,6 @@
     this->list("up-1");
   }
 
-  void configure(const std::string &Records) {
-    FaultList Faults;
-    this->At->configure(
-        compileConfig(
-            *Document::make(2, 2, *readRecordFile(Records, "f", Faults)),
-            CompileOptions())
-            .Compiled,
-        this->Now);
-  }
   void list(const std::string &Upstream, Millis ColdLeft = Millis(0)) {
     Instance Own;
     Own.Name = "me";
--- a/src/calls/GateFixture.h
+++ b/src/calls/GateFixture.h
@@ -121,17 +121,21 @@
       this->AskedHealth.push_back(Path);
     };
     this->At = std::make_unique<Gate>(Opts, Hooks);
+    this->configure(GateRecords);
+    this->At->linkUp(Link, this->Now);
+    wire::CallHelloT Hello;
+    Hello.incarnation = 7;
+    this->At->frame(Link, callFrame(std::move(Hello)), this->Now);
+  }
+
+  void configure(const std::string &Records) {
     FaultList Faults;
     this->At->configure(
         compileConfig(
-            *Document::make(1, 1, *readRecordFile(GateRecords, "f", Faults)),
+            *Document::make(1, 1, *readRecordFile(Records, "f", Faults)),
             CompileOptions())
             .Compiled,
         this->Now);
-    this->At->linkUp(Link, this->Now);
-    wire::CallHelloT Hello;
-    Hello.incarnation = 7;
-    this->At->frame(Link, callFrame(std::move(Hello)), this->Now);
   }
 
   void listSlots(uint32_t Slots) {
