--- a/src/gate/ColdStart.cpp
+++ b/src/gate/ColdStart.cpp
@@ -91,9 +91,12 @@
   return this->isLimited() && Now < this->ColdUntil;
 }
 
+double ColdStart::bears() const {
+  return this->PerSecond * this->Opts.Overrun + this->Opts.Slack;
+}
+
 size_t ColdStart::bound() const {
-  double Bears = this->PerSecond * this->Opts.Overrun + this->Opts.Slack;
-  double Most = std::floor(Bears) - this->Opts.Spare;
+  double Most = std::floor(this->bears()) - this->Opts.Spare;
   return static_cast<size_t>(std::max(1.0, Most));
 }
 
@@ -142,7 +145,7 @@
   if (!this->isCold(Now))
     return false;
   this->forgetOld(Now);
-  return static_cast<double>(this->Sent.size()) > this->PerSecond;
+  return static_cast<double>(this->Sent.size()) > this->bears();
 }
 
 } // namespace hickorylift
--- a/src/gate/ColdStart.h
+++ b/src/gate/ColdStart.h
@@ -86,12 +86,12 @@
   void sent(TimePoint Now);
   /// Calls a second that are let through while it is cold.
   double rate() const;
-  /// Whether it is cold and had more in the last span than its service says
-  /// that it bears.
+  /// Whether it is cold and had more in the last span than it bears.
   bool isOverrun(TimePoint Now);
 
 private:
   bool isLimited() const { return this->PerSecond > 0; }
+  double bears() const;
   size_t bound() const;
   bool isBlind(TimePoint Now) const;
   void judgeAge(Millis Left, TimePoint Now);
--- a/src/gate/ColdStartTest.cpp
+++ b/src/gate/ColdStartTest.cpp
@@ -221,6 +221,18 @@
   BOOST_TEST(Of.room(at(1700)) == 1u);
 }
 
+// Guards against a request that crashes cold upstreams and is never held: what
+// its gate let through is no overrun.
+BOOST_AUTO_TEST_CASE(WhatWasLetThroughIsNoOverrun) {
+  ColdStart Of = warm();
+  Of.doubt(at(0));
+  for (; Of.room(at(10)) > 0;)
+    Of.sent(at(10));
+  BOOST_TEST(!Of.isOverrun(at(20)));
+  Of.sent(at(20));
+  BOOST_TEST(Of.isOverrun(at(20)));
+}
+
 BOOST_AUTO_TEST_CASE(TheWaitEndsWithTheColdTime) {
   ColdStart Of = warm();
   Of.doubt(at(0));
