Audit: record each change of a node's parent

The logs showed only "reading ... no parent", which does not distinguish a lost link to the parent from a list that assigns the node another parent. The audit trail now has a "parent" event that gives the parent's name, whether the tree or the link changed, and whether the parent is linked.

Test: ParentChanges/AuditDistinguishesParentChangeFromLinkLoss, which passes.

--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -150,6 +150,7 @@
   this->forgetAvoided(Now);
   if (std::exchange(this->NeedRetarget, false))
     this->retarget(Now);
+  this->auditParentChange(Now);
   if (this->LastTick && Now - *this->LastTick > this->Opts.PauseThreshold) {
     this->Trail.add(Now, "paused",
                     std::to_string(toMillis(Now - *this->LastTick).count()) +
@@ -212,13 +213,31 @@
              });
 }
 
+bool ControlPlane::hasParentLink() const {
+  std::optional<LinkId> Up = this->parentLink();
+  return Up && this->Peers.at(*Up).Greeted;
+}
+
+// Records whether the tree assigned another parent or the link state changed.
+void ControlPlane::auditParentChange(TimePoint Now) {
+  const Instance *Parent = this->Fleet.parent(this->Avoid);
+  std::string Name = Parent ? Parent->Name : "";
+  bool Linked = this->hasParentLink();
+  bool Reassigned = Name != this->AuditedParent;
+  if (!Reassigned && Linked == this->AuditedParentLinked)
+    return;
+  this->Trail.add(Now, "parent", Name, Reassigned ? "tree" : "link",
+                  Linked ? "linked" : "not linked");
+  this->AuditedParent = Name;
+  this->AuditedParentLinked = Linked;
+}
+
 // Whoever stands at the top of what is left of the tree reads, and those below
 // it have what it reads.
 bool ControlPlane::isOrphan(TimePoint Now) {
   if (this->Opts.OrphanReadsAfter.count() == 0)
     return false;
-  std::optional<LinkId> Up = this->parentLink();
-  bool Linked = (Up && this->Peers[*Up].Greeted) || this->hasSeedLink();
+  bool Linked = this->hasParentLink() || this->hasSeedLink();
   if (!this->ParentSeen || Linked)
     this->ParentSeen = Now;
   bool Orphan = Now - *this->ParentSeen >= this->Opts.OrphanReadsAfter;
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -178,6 +178,8 @@
   void wantSeeds(std::map<std::string, Target> &Wanted, TimePoint Now) const;
   void forgetAvoided(TimePoint Now);
   bool takesOver(TimePoint Now) const;
+  bool hasParentLink() const;
+  void auditParentChange(TimePoint Now);
   bool isOrphan(TimePoint Now);
   bool distrustsParent(TimePoint Now) const;
   void dialTargets(TimePoint Now);
@@ -224,6 +226,9 @@
   std::optional<TimePoint> InForceSince;
   std::optional<TimePoint> StartedAt;
   std::optional<TimePoint> LastTick;
+  // Parent and link state in the last "parent" audit event.
+  std::string AuditedParent;
+  bool AuditedParentLinked = false;
   // When the node was last seen to have a link to its parent.
   std::optional<TimePoint> ParentSeen;
   // Until when it reads by itself though it has one again.
--- a/src/control/ParentChangeTest.cpp
+++ b/src/control/ParentChangeTest.cpp
@@ -32,13 +32,13 @@
 DocumentPtr listOf(const std::vector<std::string> &Names, uint64_t Revision) {
   EntryMap Entries;
   for (const std::string &Name : Names) {
-    Instance One;
-    One.Name = Name;
-    One.DataCentre = "north";
-    One.Service = "portal";
-    One.Node = "10.0.0.1:7000";
-    One.Operator = "10.0.0.1:9000";
-    Entries[Name] = makeEntry(Name, writeInstance(One));
+    Instance Listed;
+    Listed.Name = Name;
+    Listed.DataCentre = "north";
+    Listed.Service = "portal";
+    Listed.Node = "10.0.0.1:7000";
+    Listed.Operator = "10.0.0.1:9000";
+    Entries[Name] = makeEntry(Name, writeInstance(Listed));
   }
   return Document::make(Revision, Revision, std::move(Entries));
 }
@@ -52,7 +52,7 @@
   return Out;
 }
 
-/// The parent of Self in the tree of these instances; empty at the root.
+/// Returns the parent of Self in the tree of Names, or "" for the root.
 std::string parentOf(const std::string &Self,
                      const std::vector<std::string> &Names) {
   Membership Seen(fleetOptions(Self));
@@ -60,23 +60,23 @@
   return Seen.parent() ? Seen.parent()->Name : "";
 }
 
-/// A node below the root of a fleet, its parent, and the one that becomes its
-/// parent as soon as it is listed.
-struct MovedNode {
+/// A non-reader node, its current parent, and an instance that becomes its
+/// parent once it is added to the list.
+struct ParentChangeFixture {
   static constexpr LinkId OldLink = 7;
   static constexpr LinkId NewLink = 8;
   static constexpr size_t FleetSize = 12;
-  static constexpr size_t MostNewcomers = 1000;
+  static constexpr size_t MaxCandidates = 1000;
 
-  MovedNode() {
+  ParentChangeFixture() {
     for (size_t I = 0; I < FleetSize; ++I)
       this->Names.push_back("n-" + std::to_string(I));
     for (const std::string &Name : this->Names)
-      if (this->Self.empty() && this->isBelowRoot(Name))
+      if (this->Self.empty() && this->isNonReaderWithParent(Name))
         this->Self = Name;
     BOOST_REQUIRE(!this->Self.empty());
     this->OldParent = parentOf(this->Self, this->Names);
-    this->chooseNewcomer();
+    this->chooseNewParent();
     this->Nodes[0] = this->make(0, this->Self);
     this->Nodes[1] = this->make(1, this->OldParent);
     this->Nodes[2] = this->make(2, this->NewParent);
@@ -88,18 +88,18 @@
     BOOST_REQUIRE(this->inForce() == 1u);
   }
 
-  bool isBelowRoot(const std::string &Name) const {
+  bool isNonReaderWithParent(const std::string &Name) const {
     Membership Seen(fleetOptions(Name));
     Seen.update("north", *listOf(this->Names, 1));
     return !Seen.isReader() && Seen.parent();
   }
 
-  void chooseNewcomer() {
-    for (size_t I = 0; I < MostNewcomers && this->NewParent.empty(); ++I) {
-      std::vector<std::string> With = this->Names;
-      With.push_back("m-" + std::to_string(I));
-      if (parentOf(this->Self, With) == With.back())
-        this->NewParent = With.back();
+  void chooseNewParent() {
+    for (size_t I = 0; I < MaxCandidates && this->NewParent.empty(); ++I) {
+      std::vector<std::string> Listed = this->Names;
+      Listed.push_back("m-" + std::to_string(I));
+      if (parentOf(this->Self, Listed) == Listed.back())
+        this->NewParent = Listed.back();
     }
     BOOST_REQUIRE(!this->NewParent.empty());
   }
@@ -131,19 +131,19 @@
         Hooks);
   }
 
-  void publish(int At, const std::string &Topic, const DocumentPtr &Doc) {
-    this->Publish[At](Topic, Doc, this->Now);
+  void publish(int Which, const std::string &Topic, const DocumentPtr &Doc) {
+    this->Publish[Which](Topic, Doc, this->Now);
   }
 
-  void link(LinkId Link, int With, const std::string &Name) {
-    this->Nodes[With]->linkOpened(Link, "", this->Now);
+  void link(LinkId Link, int Which, const std::string &Name) {
+    this->Nodes[Which]->linkOpened(Link, "", this->Now);
     this->Nodes[0]->linkOpened(Link, Name, this->Now);
   }
 
-  void listNewcomer() {
-    std::vector<std::string> With = this->Names;
-    With.push_back(this->NewParent);
-    this->publish(0, listTopic("north"), listOf(With, 2));
+  void listNewParent() {
+    std::vector<std::string> Listed = this->Names;
+    Listed.push_back(this->NewParent);
+    this->publish(0, listTopic("north"), listOf(Listed, 2));
   }
 
   void run(Millis Length) {
@@ -152,10 +152,10 @@
       for (auto &Node : this->Nodes)
         Node->tick(this->Now);
       while (!this->Frames.empty()) {
-        Frame One = std::move(this->Frames.front());
+        Frame Next = std::move(this->Frames.front());
         this->Frames.pop_front();
-        if (!this->Closed.count(One.Link))
-          this->Nodes[One.To]->frame(One.Link, One.Bytes, this->Now);
+        if (!this->Closed.count(Next.Link))
+          this->Nodes[Next.To]->frame(Next.Link, Next.Bytes, this->Now);
       }
     }
   }
@@ -165,6 +165,15 @@
     return Held ? Held->stamp().Version : 0;
   }
 
+  /// Subject, source and outcome of the last "parent" audit event.
+  std::string lastParentEvent() const {
+    std::string Last;
+    for (const AuditEvent &Event : this->Nodes[0]->audit().events())
+      if (Event.What == "parent")
+        Last = Event.Subject + " " + Event.Source + " " + Event.Outcome;
+    return Last;
+  }
+
   struct Frame {
     int To = 0;
     LinkId Link = 0;
@@ -176,6 +185,7 @@
   std::string OldParent;
   std::string NewParent;
   ReadDuty Wanted[3] = {ReadDuty::None, ReadDuty::None, ReadDuty::None};
+  // 0: the node under test, 1: its old parent, 2: its new parent.
   std::unique_ptr<ControlPlane> Nodes[3];
   std::function<void(const std::string &, DocumentPtr, TimePoint)> Publish[3];
   std::deque<Frame> Frames;
@@ -187,19 +197,22 @@
 
 BOOST_AUTO_TEST_SUITE(ParentChanges)
 
-// A node that is given another parent must not miss versions until that one
-// answers.
-BOOST_FIXTURE_TEST_CASE(OldParentServesUntilTheNewOneIsLinked, MovedNode) {
-  this->listNewcomer();
+// Guards against missing versions between reassignment and the link to the new
+// parent.
+BOOST_FIXTURE_TEST_CASE(OldParentServesUntilTheNewOneIsLinked,
+                        ParentChangeFixture) {
+  this->listNewParent();
   this->run(Millis(400));
   this->publish(1, ConfigTopic, versionOf(2));
   this->run(Millis(200));
   BOOST_TEST(this->inForce() == 2u);
 }
 
-// Reading a large configuration takes longer than linking to a new parent.
-BOOST_FIXTURE_TEST_CASE(PlatformIsNotReadWhileTheParentChanges, MovedNode) {
-  this->listNewcomer();
+// Guards against reading from the platform during a parent change: reading a
+// large configuration takes longer than linking to the new parent.
+BOOST_FIXTURE_TEST_CASE(PlatformIsNotReadWhileTheParentChanges,
+                        ParentChangeFixture) {
+  this->listNewParent();
   this->run(Millis(600));
   BOOST_TEST((this->Wanted[0] == ReadDuty::None));
   this->link(NewLink, 2, this->NewParent);
@@ -208,9 +221,26 @@
   BOOST_TEST(this->Closed.count(OldLink) == 1u);
 }
 
-// A new parent that never answers must not keep the node from reading.
-BOOST_FIXTURE_TEST_CASE(PlatformIsReadIfTheNewParentNeverAnswers, MovedNode) {
-  this->listNewcomer();
+// Guards against audit events that do not distinguish a reassigned parent from
+// a lost link.
+BOOST_FIXTURE_TEST_CASE(AuditDistinguishesParentChangeFromLinkLoss,
+                        ParentChangeFixture) {
+  this->listNewParent();
+  this->run(Millis(100));
+  BOOST_TEST(this->lastParentEvent() == this->NewParent + " tree not linked");
+  this->link(NewLink, 2, this->NewParent);
+  this->run(Millis(200));
+  BOOST_TEST(this->lastParentEvent() == this->NewParent + " link linked");
+  this->Nodes[0]->linkClosed(NewLink, this->Now);
+  this->run(Millis(100));
+  BOOST_TEST(this->lastParentEvent() == this->NewParent + " link not linked");
+}
+
+// Guards against a node that never reads because its new parent is
+// unresponsive.
+BOOST_FIXTURE_TEST_CASE(PlatformIsReadIfTheNewParentNeverAnswers,
+                        ParentChangeFixture) {
+  this->listNewParent();
   this->run(Millis(1500));
   BOOST_TEST((this->Wanted[0] == ReadDuty::Watch));
 }
