Keep links to former neighbours until the new parent is linked

This was found while tracing single nodes that refused a newly added route with 404 more than 2.5 s after its version was accepted.

Cause: when the list changes, the tree assigns other parents to some nodes. The link to the old parent was closed immediately although it worked. Until the link to the new parent was up, the node received no versions, and after 300 ms it read the platform: 0.67 MB, which takes more than a second on a 5 Mbit/s link. The new parent's greeting and the delta were queued behind that transfer. Class: break before make, and a recovery that uses up the resource it depends on.

Fix: a node closes a working link to a former neighbour only when the new parent has greeted, or when the node no longer has a parent. A new parent that never answers delays reading by at most 700 ms (PlatformIsReadIfTheNewParentNeverAnswers).

Ruled out: links condemned for silence (there were none in that data centre at the time).

Not changed: a first reader on a slow link receives a version about a second late, and so does its data centre.

--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -150,6 +150,7 @@
   this->forgetAvoided(Now);
   if (std::exchange(this->NeedRetarget, false))
     this->retarget(Now);
+  this->dropFormerLinks(Now);
   this->auditParentChange(Now);
   if (this->LastTick && Now - *this->LastTick > this->Opts.PauseThreshold) {
     this->Trail.add(Now, "paused",
@@ -237,7 +238,10 @@
 bool ControlPlane::isOrphan(TimePoint Now) {
   if (this->Opts.OrphanReadsAfter.count() == 0)
     return false;
-  bool Linked = this->hasParentLink() || this->hasSeedLink();
+  bool FormerParentValid =
+      this->FormerParentLink && Now < this->FormerParentValidUntil;
+  bool Linked =
+      this->hasParentLink() || this->hasSeedLink() || FormerParentValid;
   if (!this->ParentSeen || Linked)
     this->ParentSeen = Now;
   bool Orphan = Now - *this->ParentSeen >= this->Opts.OrphanReadsAfter;
@@ -315,6 +319,33 @@
   }
   this->Targets = std::move(Wanted);
   for (LinkId Link : Outdated)
+    this->dropOrKeepLink(Link, Now);
+}
+
+bool ControlPlane::isAwaitingParentLink() const {
+  return this->Fleet.parent(this->Avoid) && !this->hasParentLink();
+}
+
+// Closes an outdated link, or keeps it open until the new parent is linked.
+// Closing it earlier would leave the node without versions, so it would read
+// the platform, and on a slow network link reading a large configuration delays
+// the new parent's greeting.
+void ControlPlane::dropOrKeepLink(LinkId Link, TimePoint Now) {
+  const Peer &To = this->Peers.at(Link);
+  bool Usable = To.Greeted && To.Kind != Tie::Seed;
+  if (!Usable || !this->isAwaitingParentLink())
+    return this->drop(Link, Now);
+  this->FormerLinks.insert(Link);
+  if (To.Kind != Tie::Tree || this->FormerParentLink)
+    return;
+  this->FormerParentLink = Link;
+  this->FormerParentValidUntil = Now + this->Opts.FormerParentTimeout;
+}
+
+void ControlPlane::dropFormerLinks(TimePoint Now) {
+  if (this->isAwaitingParentLink())
+    return;
+  for (LinkId Link : std::exchange(this->FormerLinks, {}))
     this->drop(Link, Now);
 }
 
@@ -492,6 +523,9 @@
     return;
   std::string Target = Found->second.Target;
   this->Peers.erase(Found);
+  this->FormerLinks.erase(Link);
+  if (this->FormerParentLink == Link)
+    this->FormerParentLink.reset();
   this->Spread.linkDown(Link);
   this->View.dropChild(Link);
   auto To = this->Targets.find(Target);
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -78,6 +78,11 @@
     /// children would serve by the old one. A second or two longer than a
     /// version may take.
     Millis OrphanReadsOn{4000};
+    /// How long the link to the former parent counts as a parent link after the
+    /// tree has assigned another parent, if that one is not linked yet.
+    /// OrphanReadsAfter starts when this ends. Less than the time within which
+    /// a version must arrive, as the former parent may be disconnected as well.
+    Millis FormerParentTimeout{700};
     /// Links accepted at once. More are closed at the handshake, and the peer
     /// comes back later.
     size_t MaxLinks = 256;
@@ -180,6 +185,9 @@
   bool takesOver(TimePoint Now) const;
   bool hasParentLink() const;
   void auditParentChange(TimePoint Now);
+  bool isAwaitingParentLink() const;
+  void dropOrKeepLink(LinkId Link, TimePoint Now);
+  void dropFormerLinks(TimePoint Now);
   bool isOrphan(TimePoint Now);
   bool distrustsParent(TimePoint Now) const;
   void dialTargets(TimePoint Now);
@@ -233,6 +241,11 @@
   std::optional<TimePoint> ParentSeen;
   // Until when it reads by itself though it has one again.
   std::optional<TimePoint> ReadsOnUntil;
+  // Links to former neighbours, kept open until the new parent is linked.
+  std::set<LinkId> FormerLinks;
+  // The link to the former parent, and until when it counts as a parent link.
+  std::optional<LinkId> FormerParentLink;
+  TimePoint FormerParentValidUntil;
   bool NeedRetarget = true;
   // Somebody who has no list has turned to this node.
   bool TakenForSeed = false;
