--- a/src/control/ParentChangeTest.cpp
+++ b/src/control/ParentChangeTest.cpp
@@ -60,11 +60,12 @@
   return Seen.parent() ? Seen.parent()->Name : "";
 }
 
-/// A non-reader node, its current parent, and an instance that becomes its
-/// parent once it is added to the list.
+/// A non-reader node, its current parent, an instance that becomes its parent
+/// once it is added to the list, and its grandparent.
 struct ParentChangeFixture {
   static constexpr LinkId OldLink = 7;
   static constexpr LinkId NewLink = 8;
+  static constexpr LinkId GrandparentLink = 9;
   static constexpr size_t FleetSize = 12;
   static constexpr size_t MaxCandidates = 1000;
 
@@ -72,14 +73,16 @@
     for (size_t I = 0; I < FleetSize; ++I)
       this->Names.push_back("n-" + std::to_string(I));
     for (const std::string &Name : this->Names)
-      if (this->Self.empty() && this->isNonReaderWithParent(Name))
+      if (this->Self.empty() && this->hasGrandparent(Name))
         this->Self = Name;
     BOOST_REQUIRE(!this->Self.empty());
     this->OldParent = parentOf(this->Self, this->Names);
+    this->Grandparent = parentOf(this->OldParent, this->Names);
     this->chooseNewParent();
     this->Nodes[0] = this->make(0, this->Self);
     this->Nodes[1] = this->make(1, this->OldParent);
     this->Nodes[2] = this->make(2, this->NewParent);
+    this->Nodes[3] = this->make(3, this->Grandparent);
     this->publish(0, listTopic("north"), listOf(this->Names, 1));
     this->publish(1, ConfigTopic, versionOf(1));
     this->run(Millis(100));
@@ -88,10 +91,9 @@
     BOOST_REQUIRE(this->inForce() == 1u);
   }
 
-  bool isNonReaderWithParent(const std::string &Name) const {
-    Membership Seen(fleetOptions(Name));
-    Seen.update("north", *listOf(this->Names, 1));
-    return !Seen.isReader() && Seen.parent();
+  bool hasGrandparent(const std::string &Name) const {
+    std::string Parent = parentOf(Name, this->Names);
+    return !Parent.empty() && !parentOf(Parent, this->Names).empty();
   }
 
   void chooseNewParent() {
@@ -112,10 +114,15 @@
     Opts.Members = fleetOptions(Name);
     Opts.PeersFirst = Millis(0);
     Opts.OrphanReadsAfter = Millis(300);
+    Opts.Spread.HeartbeatInterval = Millis(400);
+    Opts.Spread.SilenceLimit = Millis(1200);
     ControlPlane::Hooks Hooks;
-    Hooks.Dial = [](const std::string &, const std::string &) {};
+    Hooks.Dial = [this, Which](const std::string &Peer, const std::string &) {
+      if (Which == 0)
+        this->Dialled.insert(Peer);
+    };
     Hooks.Send = [this, Which](LinkId Link, std::string Bytes) {
-      int To = Which != 0 ? 0 : Link == OldLink ? 1 : 2;
+      int To = Which != 0 ? 0 : static_cast<int>(Link - OldLink) + 1;
       this->Frames.push_back({To, Link, std::move(Bytes)});
     };
     Hooks.Close = [this, Which](LinkId Link) {
@@ -154,7 +161,7 @@
       while (!this->Frames.empty()) {
         Frame Next = std::move(this->Frames.front());
         this->Frames.pop_front();
-        if (!this->Closed.count(Next.Link))
+        if (!this->Closed.count(Next.Link) && !this->Silent.count(Next.Link))
           this->Nodes[Next.To]->frame(Next.Link, Next.Bytes, this->Now);
       }
     }
@@ -184,12 +191,18 @@
   std::string Self;
   std::string OldParent;
   std::string NewParent;
-  ReadDuty Wanted[3] = {ReadDuty::None, ReadDuty::None, ReadDuty::None};
-  // 0: the node under test, 1: its old parent, 2: its new parent.
-  std::unique_ptr<ControlPlane> Nodes[3];
-  std::function<void(const std::string &, DocumentPtr, TimePoint)> Publish[3];
+  std::string Grandparent;
+  ReadDuty Wanted[4] = {ReadDuty::None, ReadDuty::None, ReadDuty::None,
+                        ReadDuty::None};
+  // 0: the node under test, 1: its old parent, 2: its new parent, 3: its
+  // grandparent.
+  std::unique_ptr<ControlPlane> Nodes[4];
+  std::function<void(const std::string &, DocumentPtr, TimePoint)> Publish[4];
+  std::set<std::string> Dialled;
   std::deque<Frame> Frames;
   std::set<LinkId> Closed;
+  /// Links that carry nothing any more and are not closed.
+  std::set<LinkId> Silent;
   TimePoint Now = TimePoint(std::chrono::hours(1));
 };
 
@@ -247,4 +260,51 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(SilentParents)
+
+// A dial to a machine that is gone is answered as little as a heartbeat.
+BOOST_FIXTURE_TEST_CASE(AncestorsAreDialledOnceTheLinkIsCondemned,
+                        ParentChangeFixture) {
+  this->Silent.insert(OldLink);
+  this->run(Millis(1600));
+  BOOST_TEST(this->Closed.count(OldLink) == 1u);
+  BOOST_TEST(this->Dialled.count(this->Grandparent) == 1u);
+}
+
+// A version that is accepted while the parent is silent must not wait until the
+// node has read it from the platform.
+BOOST_FIXTURE_TEST_CASE(AncestorsBringVersionsSooner, ParentChangeFixture) {
+  this->Silent.insert(OldLink);
+  this->publish(3, ConfigTopic, versionOf(2));
+  TimePoint Start = this->Now;
+  while (!this->Dialled.count(this->Grandparent) &&
+         this->Now - Start < Millis(3000))
+    this->run(Millis(100));
+  this->link(GrandparentLink, 3, this->Grandparent);
+  this->run(Millis(200));
+  BOOST_TEST(this->inForce() == 2u);
+  BOOST_TEST((this->Now - Start < Millis(2000)));
+  BOOST_TEST((this->Wanted[0] == ReadDuty::None));
+}
+
+// A slow machine accepts links and hands versions on late.
+BOOST_FIXTURE_TEST_CASE(AncestorsServeOnOnceTheParentAnswersAgain,
+                        ParentChangeFixture) {
+  this->Silent.insert(OldLink);
+  this->run(Millis(1600));
+  this->link(GrandparentLink, 3, this->Grandparent);
+  this->run(Millis(100));
+  this->Nodes[1]->linkClosed(OldLink, this->Now);
+  this->Silent.clear();
+  this->Closed.clear();
+  this->link(OldLink, 1, this->OldParent);
+  this->run(Millis(2000));
+  BOOST_TEST(this->Closed.count(GrandparentLink) == 0u);
+  this->run(Millis(3000));
+  BOOST_TEST(this->Closed.count(GrandparentLink) == 1u);
+  BOOST_TEST(this->lastParentEvent() == this->OldParent + " tree linked");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace hickorylift
