Read the store's era and report restores

A store restored from an older copy could not be distinguished from one that had dropped its history: both return 410.

A node that sees a later era than before adds the audit event platform-restored and increments the metric hickorylift_platform_restores, once for each era however many of its readers report it. Nothing else depends on the era yet.

--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -109,6 +109,15 @@
       this->Trail.add(Now, "item-unreadable", Why.Detail, Why.Peer,
                       "names no upstream");
   };
+  // A source may have several readers, each of which reports the same restore.
+  Out.Restored = [this](uint64_t From, uint64_t To, TimePoint Now) {
+    if (this->PlatformEra && To <= *this->PlatformEra)
+      return;
+    this->PlatformEra = To;
+    ++this->PlatformRestores;
+    this->Trail.add(Now, "platform-restored", "era " + std::to_string(To),
+                    "platform", "was era " + std::to_string(From));
+  };
   Out.Recovered = [this](TimePoint Now) {
     this->LastReaderError.clear();
     this->Trail.add(Now, "platform-back", "", "platform", "answers again");
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -154,6 +154,8 @@
   Quarantine &quarantine() { return this->Hold; }
   /// Items of the platform that could not be used, so far.
   uint64_t unreadableItems() const { return this->UnreadableItems; }
+  /// Number of restores of the platform detected by this node.
+  uint64_t platformRestores() const { return this->PlatformRestores; }
   const Spreader &spreader() const { return this->Spread; }
   const DocumentSource &reader() const { return *this->Read; }
   /// Names of the peers with a control link.
@@ -224,6 +226,9 @@
   Hooks Hook;
   AuditTrail Trail;
   uint64_t UnreadableItems = 0;
+  uint64_t PlatformRestores = 0;
+  // The era after the last detected restore; empty if there was none.
+  std::optional<uint64_t> PlatformEra;
   // Whoever writes rubbish may do so often.
   TokenBucket UnreadableLog{/*Rate=*/1, /*Burst=*/10};
   Membership Fleet;
--- a/src/control/ControlPlaneTest.cpp
+++ b/src/control/ControlPlaneTest.cpp
@@ -326,6 +326,27 @@
   BOOST_TEST((Pair.Wanted[1] == ReadDuty::List));
 }
 
+// Guards against counting a restore once for each reader that reports it.
+BOOST_AUTO_TEST_CASE(RestoresAreCountedOnce) {
+  ReadDuty Wanted = ReadDuty::None;
+  SourceHooks Source;
+  ControlPlane Node(
+      ControlPlane::Options(),
+      [&](const SourceHooks &Given) {
+        Source = Given;
+        return std::make_unique<SilentSource>(&Wanted);
+      },
+      ControlPlane::Hooks());
+  TimePoint Now(std::chrono::hours(1));
+  Source.Restored(5, 6, Now);
+  Source.Restored(6, 7, Now);
+  Source.Restored(5, 6, Now);
+  Source.Restored(6, 7, Now);
+  BOOST_TEST(Node.platformRestores() == 2u);
+  BOOST_TEST(Node.audit().events().size() == 2u);
+  BOOST_TEST(Node.audit().events().back().What == "platform-restored");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -120,6 +120,9 @@
   Set("hickorylift_platform_unreadable",
       "Items of the platform that could not be used",
       Of.core().control().unreadableItems());
+  Set("hickorylift_platform_restores",
+      "Times that the platform was found restored from an older copy",
+      Of.core().control().platformRestores());
   this->setSpread(Of.core().control().spreader().counters());
   Set("hickorylift_instances", "Instances on the lists",
       Of.core().control().members().size());
--- a/src/reading/DocumentSource.h
+++ b/src/reading/DocumentSource.h
@@ -54,6 +54,10 @@
   /// Up to which revision nothing is missing from what this node holds, whoever
   /// told it; 0 where that is not known.
   std::function<uint64_t()> CompleteAt = [] { return uint64_t(0); };
+  /// The platform's era changed, which means that it was restored from an older
+  /// copy. May be called once per reader for the same restore.
+  std::function<void(uint64_t From, uint64_t To, TimePoint)> Restored =
+      [](uint64_t, uint64_t, TimePoint) {};
   /// The platform answers again after failures.
   std::function<void(TimePoint)> Recovered = [](TimePoint) {};
 };
--- a/src/reading/KeyValueStore.h
+++ b/src/reading/KeyValueStore.h
@@ -13,7 +13,9 @@
 
 // A KeyValueStore is a keyspace that we may read and watch: one counter of
 // revisions for all keys, pages that are not a snapshot, and a history that is
-// dropped after a while. An adapter makes the calls; StoreReader decides when.
+// dropped after a while. A store that is restored from an older copy starts a
+// new era, in which revision numbers are reused. An adapter makes the calls;
+// StoreReader decides when.
 
 namespace hickorylift {
 
@@ -31,6 +33,8 @@
   bool More = false;
   /// The store's revision when it answered.
   uint64_t At = 0;
+  /// The era of that revision, if the store reports one.
+  std::optional<uint64_t> Era{};
 };
 
 struct ItemChange {
@@ -44,6 +48,8 @@
   std::vector<ItemChange> Changes;
   /// Where the next watch goes on.
   uint64_t At = 0;
+  /// The era of that revision, if the store reports one.
+  std::optional<uint64_t> Era{};
 };
 
 class KeyValueStore {
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -163,6 +163,7 @@
   if (!Got)
     return this->fail(Got.error(), Now);
   this->succeed(Now);
+  this->updateEra(Got->Era, Now);
   if (this->Gathered.empty())
     this->GatheredAt = Got->At;
   this->Gathered.insert(this->Gathered.end(), Got->Items.begin(),
@@ -204,6 +205,7 @@
   if (!Got)
     return this->fail(Got.error(), Now);
   this->succeed(Now);
+  this->updateEra(Got->Era, Now);
   this->At = std::max(this->At, Got->At);
   for (const ItemChange &One : Got->Changes) {
     if (One.Now) {
@@ -227,6 +229,15 @@
     this->step(Now);
 }
 
+void StoreReader::updateEra(const std::optional<uint64_t> &Reported,
+                            TimePoint Now) {
+  if (!Reported || this->Era == Reported)
+    return;
+  if (this->Era)
+    this->Hook.Restored(*this->Era, *Reported, Now);
+  this->Era = Reported;
+}
+
 void StoreReader::succeed(TimePoint Now) {
   this->Busy = false;
   this->Failures = 0;
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -73,6 +73,7 @@
   void watch(TimePoint Now);
   void onChanges(const Result<ItemChanges> &Got, TimePoint AskedAt,
                  TimePoint Now);
+  void updateEra(const std::optional<uint64_t> &Reported, TimePoint Now);
   void succeed(TimePoint Now);
   void fail(const Error &Why, TimePoint Now);
   void put(const StoredItem &Item, TimePoint Now);
@@ -103,6 +104,8 @@
   bool WantAll = true;
   TimePoint NotBefore;
   TimePoint WatchedAt;
+  // The last era reported by the store.
+  std::optional<uint64_t> Era;
   // The revision up to which the copy is complete.
   uint64_t At = 0;
   // From there on the store had no history any more.
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -104,6 +104,8 @@
   std::map<std::string, DocumentPtr> Seen;
   std::vector<std::string> Failures;
   std::vector<std::string> Unreadable;
+  /// The old and the new era of each reported restore, in order.
+  std::vector<uint64_t> ReportedEras;
   std::unique_ptr<StoreReader> Read;
   TimePoint Now = Start;
   uint64_t Revision = 100;
@@ -129,6 +131,9 @@
     Hooks.Unreadable = [this](const Error &Why, TimePoint) {
       this->Unreadable.push_back(Why.Detail);
     };
+    Hooks.Restored = [this](uint64_t From, uint64_t To, TimePoint) {
+      this->ReportedEras.insert(this->ReportedEras.end(), {From, To});
+    };
     return Hooks;
   }
 
@@ -258,6 +263,20 @@
   BOOST_TEST(this->listed() == 1u);
 }
 
+// Guards against missing a restore, or reporting one on the first era seen.
+BOOST_FIXTURE_TEST_CASE(AnotherEraIsReportedOnce, Fixture) {
+  ItemPage First{{instance("x", 1)}, false, 2, 5};
+  this->Store.page(First, this->Now);
+  BOOST_TEST(this->ReportedEras.empty());
+  this->Store.changes(ItemChanges{{}, 2, 6}, this->Now);
+  this->untilAsked();
+  if (this->Store.Pages.empty())
+    this->Store.changes(ItemChanges{{}, 2, 6}, this->Now);
+  else
+    this->Store.page(ItemPage{{}, false, 2, 6}, this->Now);
+  BOOST_TEST((this->ReportedEras == std::vector<uint64_t>{5, 6}));
+}
+
 // The store is away for a while. Entries of living upstreams lapse, since they
 // cannot renew them, and are back soon after its return. Callers must not find
 // the fleet empty in between, nor one that is really gone kept for ever.
