--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -1,6 +1,7 @@
 #include "reading/StoreReader.h"
 #include "membership/Evacuations.h"
 #include "reading/SplitReader.h"
+#include "reading/StoreFixture.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -50,45 +51,6 @@
   std::deque<GotChanges> Watches;
 };
 
-StoredItem instance(const std::string &Name, uint64_t Revision) {
-  return {"i/" + Name, "live", Revision, Revision};
-}
-
-StoreContents contents() {
-  StoreContents Out;
-  Out.ConfigKey = "c";
-  Out.InstancePrefix = "i/";
-  Out.EvacuationPrefix = "c-e/";
-  Out.ReadConfig = [](const StoredItem &Item) -> Result<ReadVersion> {
-    if (Item.Value == "bad")
-      return Error{Errc::Invalid, "read-item", "store", "bad"};
-    return ReadVersion{std::stoull(Item.Value), {}};
-  };
-  Out.ReadInstance = [](const StoredItem &Item) -> Result<Instance> {
-    Instance One;
-    // Two entries for one place are told apart by what stands after the '+'.
-    std::string Name = Item.Key.substr(2);
-    One.Name = Name.substr(0, Name.find('+'));
-    One.Upstream = Name;
-    One.DataCentre = "north";
-    One.Service = "a";
-    One.Node = "127.0.0.1:1";
-    One.Operator = "127.0.0.1:2";
-    // "leaving", or the same with the number of the start before it.
-    One.Leaving = Item.Value.find("leaving") != std::string::npos;
-    // "cold" and how much longer, in milliseconds.
-    if (size_t At = Item.Value.find("cold "); At != std::string::npos)
-      One.ColdLeft = Millis(std::stoll(Item.Value.substr(At + 5)));
-    if (std::isdigit(static_cast<unsigned char>(Item.Value.front())))
-      One.Incarnation = std::stoull(Item.Value);
-    if (Item.Value == "rubbish")
-      return Error{Errc::Invalid, "read-item", "store", Item.Key};
-    return One;
-  };
-  Out.KeyOf = [](const Instance &One) { return "i/" + One.Upstream; };
-  return Out;
-}
-
 /// A list of the north as a neighbour tells it, of live instances.
 DocumentPtr toldList(const std::vector<std::string> &Names, uint64_t Revision) {
   EntryMap Entries;
