Read everything again after a restore of the store and order it first

Cause: revisions were used as a clock, but a restored store reuses them. A reader kept its version unless the new item had a higher revision: versions 78 and 80 arrived at revisions 41 and 42 and were ignored in favour of version 74 at 42; version 84 at 44 was the first to be taken. Lists and evacuations, which are ordered by revision alone, were refused by every node until the revision had passed its previous value. A watch that continued in the new history missed the changes in between. Class: an external counter used as a clock.

An answer of a later era now invalidates the state read in the previous one, and everything is read again; an answer of an earlier era is discarded. Documents are ordered by era and revision together. Eras are counted from the first one that any node has seen, which heartbeats carry in an optional field; nodes of the previous build ignore it. Until the store is restored, the numbers equal its revisions, as in that build.

Restores are detected quickly: the first watch after a failure waits 1 ms, and where the configuration has its own watch, its reader and the list reader tell each other the era.

Without an era, versions are taken after a full read (VersionsAreTakenIfNoEraIsReported); lists still wait for the revision to pass its previous value.

--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -109,6 +109,8 @@
       this->Trail.add(Now, "item-unreadable", Why.Detail, Why.Peer,
                       "names no upstream");
   };
+  Out.MetEra = [this](uint64_t Era) { this->Spread.meetEra(Era); };
+  Out.FirstEra = [this] { return this->Spread.firstEra(); };
   // A source may have several readers, each of which reports the same restore.
   Out.Restored = [this](uint64_t From, uint64_t To, TimePoint Now) {
     if (this->PlatformEra && To <= *this->PlatformEra)
--- a/src/reading/DocumentSource.h
+++ b/src/reading/DocumentSource.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 // A DocumentSource brings documents from the platform to one node, for as long
@@ -54,6 +55,12 @@
   /// Up to which revision nothing is missing from what this node holds, whoever
   /// told it; 0 where that is not known.
   std::function<uint64_t()> CompleteAt = [] { return uint64_t(0); };
+  /// Reports the era of an answer from the platform.
+  std::function<void(uint64_t Era)> MetEra = [](uint64_t) {};
+  /// The earliest platform era known to any node; nothing if none is known.
+  std::function<std::optional<uint64_t>()> FirstEra = [] {
+    return std::optional<uint64_t>();
+  };
   /// The platform's era changed, which means that it was restored from an older
   /// copy. May be called once per reader for the same restore.
   std::function<void(uint64_t From, uint64_t To, TimePoint)> Restored =
--- a/src/reading/SplitReader.cpp
+++ b/src/reading/SplitReader.cpp
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 
-// The three readers share nothing. The one of what operators write is given no
-// data centres, so it publishes no lists; the one of the lists never sees their
-// keys. Once split, a node stays so: a configuration that has
-// been large will be again, and each change of mind reads everything anew.
+// The three readers share only the store's era, as a watch of the configuration
+// may still wait after the list reader has seen a restore. The configuration
+// reader is given no data centres, so it publishes no lists; the list reader
+// never sees the configuration keys. Once split, a node stays split: a
+// configuration that has been large is likely to be large again, and each
+// switch reads everything again.
 
 namespace hickorylift {
 
@@ -63,6 +65,8 @@
   }
   if (!this->Split)
     return this->All.tick(Now, Wanted);
+  this->Config.learnEra(this->Lists.era(), Now);
+  this->Lists.learnEra(this->Config.era(), Now);
   this->Config.tick(Now, Wanted);
   this->Lists.tick(Now, Wanted);
 }
--- a/src/reading/StoreFixture.h
+++ b/src/reading/StoreFixture.h
@@ -8,15 +8,15 @@
 #include <deque>
 #include <map>
 
-// What tests read from a store, and a store that can be restored from a copy of
-// itself.
+// Store contents for tests, and an in-memory store that can be restored from a
+// copy of itself.
 //
 //   RestorableStore Store;
 //   Store.put("c", "1");
 //   Store.copy();
 //   Store.put("c", "2");
-//   Store.restore();                       // version 1 again, in the next era
-//   Store.answer(Now);                     // whatever waits for an answer
+//   Store.restore();                       // back to version 1, in the next
+//   era Store.answer(Now);                     // completes pending requests
 
 namespace hickorylift {
 
@@ -36,7 +36,7 @@
   };
   Out.ReadInstance = [](const StoredItem &Item) -> Result<Instance> {
     Instance One;
-    // Two entries for one place are told apart by what stands after the '+'.
+    // A suffix after '+' distinguishes two entries with the same name.
     std::string Name = Item.Key.substr(2);
     One.Name = Name.substr(0, Name.find('+'));
     One.Upstream = Name;
@@ -44,9 +44,9 @@
     One.Service = "a";
     One.Node = "127.0.0.1:1";
     One.Operator = "127.0.0.1:2";
-    // "leaving", or the same with the number of the start before it.
+    // "leaving", optionally preceded by the incarnation.
     One.Leaving = Item.Value.find("leaving") != std::string::npos;
-    // "cold" and how much longer, in milliseconds.
+    // "cold" followed by the remaining milliseconds.
     if (size_t At = Item.Value.find("cold "); At != std::string::npos)
       One.ColdLeft = Millis(std::stoll(Item.Value.substr(At + 5)));
     if (std::isdigit(static_cast<unsigned char>(Item.Value.front())))
@@ -59,42 +59,43 @@
   return Out;
 }
 
-/// Answers when the test says so, from what was written to it.
+/// In-memory store that answers requests only in answer().
 class RestorableStore : public KeyValueStore {
 public:
-  /// The store's era; nothing for one that tells none.
+  /// The store's era; nothing for a store that does not report one.
   std::optional<uint64_t> Era = 1;
 
   void put(const std::string &Key, const std::string &Value) {
-    ++this->Now.Revision;
-    auto [At, New] = this->Now.Items.try_emplace(Key);
+    ++this->Current.Revision;
+    auto [At, New] = this->Current.Items.try_emplace(Key);
     StoredItem &Item = At->second;
     Item.Key = Key;
     Item.Value = Value;
-    Item.Revision = this->Now.Revision;
+    Item.Revision = this->Current.Revision;
     if (New)
-      Item.Created = this->Now.Revision;
-    this->Now.History.push_back({Key, this->Now.Revision, Item});
+      Item.Created = this->Current.Revision;
+    this->Current.History.push_back({Key, this->Current.Revision, Item});
   }
 
   void remove(const std::string &Key) {
-    ++this->Now.Revision;
-    this->Now.Items.erase(Key);
-    this->Now.History.push_back({Key, this->Now.Revision, std::nullopt});
+    ++this->Current.Revision;
+    this->Current.Items.erase(Key);
+    this->Current.History.push_back(
+        {Key, this->Current.Revision, std::nullopt});
   }
 
-  void copy() { this->Copy = this->Now; }
+  void copy() { this->Copy = this->Current; }
 
-  /// Watches that wait are cut.
+  /// Returns to the last copy in the next era and closes pending watches.
   void restore() {
     for (Watch &One : this->Watches)
-      One.Cut = true;
-    this->Now = this->Copy;
+      One.Closed = true;
+    this->Current = this->Copy;
     if (this->Era)
       ++*this->Era;
   }
 
-  uint64_t revision() const { return this->Now.Revision; }
+  uint64_t revision() const { return this->Current.Revision; }
   size_t ranges() const { return this->Ranges; }
 
   void range(const std::string &Prefix, const std::string &, TimePoint,
@@ -127,40 +128,41 @@
     uint64_t After = 0;
     TimePoint Until;
     GotChanges Done;
-    bool Cut = false;
+    bool Closed = false;
   };
 
-  static bool begins(const std::string &Key, const std::string &Prefix) {
+  static bool startsWith(const std::string &Key, const std::string &Prefix) {
     return Key.rfind(Prefix, 0) == 0;
   }
 
   ItemPage page(const std::string &Prefix) const {
     ItemPage Out;
-    Out.At = this->Now.Revision;
+    Out.At = this->Current.Revision;
     Out.Era = this->Era;
-    for (const auto &[Key, Item] : this->Now.Items)
-      if (begins(Key, Prefix))
+    for (const auto &[Key, Item] : this->Current.Items)
+      if (startsWith(Key, Prefix))
         Out.Items.push_back(Item);
     return Out;
   }
 
   void answer(Watch &Of, TimePoint At) {
-    if (Of.Cut)
-      return Of.Done(Error{Errc::Closed, "store-watch", "store", "cut"}, At);
-    if (Of.After > this->Now.Revision)
-      return Of.Done(Error{Errc::Stale, "store-watch", "store", "gone"}, At);
+    if (Of.Closed)
+      return Of.Done(Error{Errc::Closed, "store-watch", "store", "closed"}, At);
+    if (Of.After > this->Current.Revision)
+      return Of.Done(Error{Errc::Stale, "store-watch", "store", "history gone"},
+                     At);
     ItemChanges Out;
-    Out.At = this->Now.Revision;
+    Out.At = this->Current.Revision;
     Out.Era = this->Era;
-    for (const ItemChange &One : this->Now.History)
-      if (One.Revision > Of.After && begins(One.Key, Of.Prefix))
+    for (const ItemChange &One : this->Current.History)
+      if (One.Revision > Of.After && startsWith(One.Key, Of.Prefix))
         Out.Changes.push_back(One);
     if (Out.Changes.empty() && At < Of.Until)
       return this->Watches.push_back(std::move(Of));
     Of.Done(Out, At);
   }
 
-  State Now;
+  State Current;
   State Copy;
   size_t Ranges = 0;
   std::vector<std::pair<std::string, GotPage>> Pages;
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -16,6 +16,14 @@
 // the first page: what changed between the pages comes again, and an item is
 // only ever replaced by a later revision of itself.
 //
+// A store restored from an older copy reuses revisions, so a revision is only
+// meaningful within its era. An answer of a later era invalidates the state of
+// the previous one, and everything is read again. Documents are ordered by
+// place, which combines era and revision, so documents of a later era supersede
+// those of an earlier one at any revision. Eras are counted from the earliest
+// known to any node: until the store is restored, places equal its revisions,
+// which keeps them compatible with builds without eras.
+//
 // While the store is away, nobody can renew an entry, and entries of living
 // instances lapse. So after its return a list that lacks an instance is held
 // back until the instances have had time to renew: taken at once, it would
@@ -27,6 +35,9 @@
 namespace {
 
 constexpr unsigned MaxBackoffShift = 10;
+// A place holds the era in its upper 24 bits and the revision in its lower 40.
+constexpr unsigned EraShift = 40;
+constexpr uint64_t RevisionMask = (uint64_t(1) << EraShift) - 1;
 
 } // namespace
 
@@ -47,7 +58,7 @@
     this->Gathered.clear();
     this->NotBefore = Now + this->startDelay();
     // Others have read on meanwhile.
-    this->WantAll |= Reads && this->Hook.CompleteAt() > this->At;
+    this->WantAll |= Reads && this->Hook.CompleteAt() > this->place(this->At);
   }
   if (this->ListsWait && Now >= this->SettledAt)
     this->publishLists(Now);
@@ -76,25 +87,39 @@
 
 bool StoreReader::resume() {
   uint64_t From = this->Hook.CompleteAt();
-  if (From <= this->HistoryGoneAt || From < this->At)
-    return false;
-  if (!this->resumeConfig() || !this->resumeEvacuations() ||
-      !this->resumeLists())
+  if (!this->resumeAt(From) || !this->resumeConfig() ||
+      !this->resumeEvacuations() || !this->resumeLists())
     return false;
-  this->At = From;
+  this->At = From & RevisionMask;
   return true;
 }
 
+// Takes over the era of Place and returns whether reading can continue from
+// there. Returns false if Place belongs to another era than the known one.
+bool StoreReader::resumeAt(uint64_t Place) {
+  uint64_t Revision = Place & RevisionMask;
+  std::optional<uint64_t> First = this->Hook.FirstEra();
+  std::optional<uint64_t> PlaceEra;
+  if (First)
+    PlaceEra = *First + (Place >> EraShift);
+  if (this->Era && PlaceEra != this->Era)
+    return false;
+  this->Era = PlaceEra;
+  return Revision > this->HistoryGoneAt && Revision >= this->At;
+}
+
 bool StoreReader::resumeConfig() {
   if (this->Contents.ConfigKey.rfind(this->Contents.Prefix, 0) != 0)
     return true;
   DocumentPtr Held = this->Hook.Held(ConfigTopic);
   if (!Held)
     return false;
+  // A version held from an earlier era has no revision in this one.
+  uint64_t Place = Held->stamp().Revision;
+  bool OfThisEra = Place >= this->place(0);
   this->ConfigDoc = Held;
-  this->Config = StoredItem();
-  this->Config->Key = this->Contents.ConfigKey;
-  this->Config->Revision = Held->stamp().Revision;
+  this->ConfigRevision = OfThisEra ? Place & RevisionMask : 0;
+  this->PendingConfig.reset();
   return true;
 }
 
@@ -163,8 +188,11 @@
   if (!Got)
     return this->fail(Got.error(), Now);
   this->succeed(Now);
-  this->updateEra(Got->Era, Now);
-  if (this->Gathered.empty())
+  bool IsFirst = this->Gathered.empty();
+  EraCheck Check = this->checkEra(Got->Era, Now);
+  if (Check == EraCheck::Earlier || (Check == EraCheck::Later && !IsFirst))
+    return;
+  if (IsFirst)
     this->GatheredAt = Got->At;
   this->Gathered.insert(this->Gathered.end(), Got->Items.begin(),
                         Got->Items.end());
@@ -174,6 +202,7 @@
   this->At = this->GatheredAt;
   this->Instances.clear();
   this->Evacuations.clear();
+  this->ConfigRevision = 0;
   for (const StoredItem &Item : std::exchange(this->Gathered, {}))
     this->put(Item, Now);
   this->publishEvacuations(Now);
@@ -187,13 +216,15 @@
 // Lists that are held back say less than the store does.
 void StoreReader::tellComplete() {
   if (!this->ListsWait)
-    this->Hook.Complete(this->At);
+    this->Hook.Complete(this->place(this->At));
 }
 
 void StoreReader::watch(TimePoint Now) {
   this->WatchedAt = Now;
+  Millis Wait =
+      this->Failing ? this->Opts.WatchWaitAfterFailure : this->Opts.WatchWait;
   this->From.watch(
-      this->Contents.Prefix, this->At, this->Opts.WatchWait, Now,
+      this->Contents.Prefix, this->At, Wait, Now,
       this->guarded<ItemChanges>(
           [this, Now](const Result<ItemChanges> &Got, TimePoint Then) {
             this->onChanges(Got, Now, Then);
@@ -205,7 +236,8 @@
   if (!Got)
     return this->fail(Got.error(), Now);
   this->succeed(Now);
-  this->updateEra(Got->Era, Now);
+  if (this->checkEra(Got->Era, Now) != EraCheck::Same)
+    return;
   this->At = std::max(this->At, Got->At);
   for (const ItemChange &One : Got->Changes) {
     if (One.Now) {
@@ -229,13 +261,53 @@
     this->step(Now);
 }
 
-void StoreReader::updateEra(const std::optional<uint64_t> &Reported,
-                            TimePoint Now) {
-  if (!Reported || this->Era == Reported)
+// Compares the era of an answer with the current one. An answer of a later era
+// starts that era; one of an earlier era predates a restore and is refused.
+StoreReader::EraCheck
+StoreReader::checkEra(const std::optional<uint64_t> &Reported, TimePoint Now) {
+  if (!Reported || Reported == this->Era)
+    return EraCheck::Same;
+  if (!this->Era || *Reported > *this->Era) {
+    this->beginEra(*Reported, Now);
+    return EraCheck::Later;
+  }
+  this->fail(Error{Errc::Refused, "store-era", "store",
+                   "answer from era " + std::to_string(*Reported) +
+                       ", current era is " + std::to_string(*this->Era)},
+             Now);
+  return EraCheck::Earlier;
+}
+
+void StoreReader::learnEra(const std::optional<uint64_t> &Reported,
+                           TimePoint Now) {
+  if (!this->Era || !Reported || *Reported <= *this->Era)
     return;
-  if (this->Era)
-    this->Hook.Restored(*this->Era, *Reported, Now);
-  this->Era = Reported;
+  ++*this->Epoch;
+  this->Busy = false;
+  this->beginEra(*Reported, Now);
+}
+
+void StoreReader::beginEra(uint64_t New, TimePoint Now) {
+  if (this->Era) {
+    this->SettledAt = Now + this->Opts.SettleFor;
+    this->Hook.Restored(*this->Era, New, Now);
+  }
+  this->Era = New;
+  this->Hook.MetEra(New);
+  this->WantAll = true;
+  this->At = 0;
+  this->HistoryGoneAt = 0;
+  this->Gathered.clear();
+  this->NotBefore = Now + this->startDelay();
+}
+
+// Returns the position of a revision of the current era in the order across
+// eras.
+uint64_t StoreReader::place(uint64_t Revision) const {
+  uint64_t CurrentEra = this->Era.value_or(0);
+  uint64_t First =
+      std::min(this->Hook.FirstEra().value_or(CurrentEra), CurrentEra);
+  return ((CurrentEra - First) << EraShift) + Revision;
 }
 
 void StoreReader::succeed(TimePoint Now) {
@@ -267,8 +339,10 @@
 
 void StoreReader::put(const StoredItem &Item, TimePoint Now) {
   if (Item.Key == this->Contents.ConfigKey) {
-    if (!this->Config || this->Config->Revision < Item.Revision)
-      this->Config = Item;
+    if (this->ConfigRevision < Item.Revision) {
+      this->ConfigRevision = Item.Revision;
+      this->PendingConfig = Item;
+    }
     return;
   }
   if (Item.Key.rfind(this->Contents.InstancePrefix, 0) == 0)
@@ -291,7 +365,7 @@
   std::set<std::string> DataCentres;
   for (const std::string &Key : this->Evacuations)
     DataCentres.insert(Key.substr(this->Contents.EvacuationPrefix.size()));
-  DocumentPtr New = makeEvacuations(this->At, DataCentres);
+  DocumentPtr New = makeEvacuations(this->place(this->At), DataCentres);
   if (this->EvacuationDoc &&
       this->EvacuationDoc->stamp().Hash == New->stamp().Hash)
     return;
@@ -342,16 +416,18 @@
 }
 
 void StoreReader::publishConfig(TimePoint Now) {
-  bool Known = this->ConfigDoc && this->Config &&
-               this->ConfigDoc->stamp().Revision == this->Config->Revision;
-  if (!this->Config || Known)
+  if (!this->PendingConfig)
     return;
-  Result<ReadVersion> Read = this->Contents.ReadConfig(*this->Config);
+  StoredItem Item = *std::exchange(this->PendingConfig, std::nullopt);
+  Result<ReadVersion> Read = this->Contents.ReadConfig(Item);
   if (!Read)
     return this->Hook.Failed(Read.error(), Now);
-  this->ConfigDoc = Document::make(Read->Version, this->Config->Revision,
+  DocumentPtr New = Document::make(Read->Version, this->place(Item.Revision),
                                    std::move((*Read).Records));
-  this->Hook.Publish(ConfigTopic, this->ConfigDoc, Now);
+  if (this->ConfigDoc && this->ConfigDoc->stamp() == New->stamp())
+    return;
+  this->ConfigDoc = New;
+  this->Hook.Publish(ConfigTopic, New, Now);
 }
 
 // Two entries may name one place for a while: the address of one that is gone
@@ -396,8 +472,9 @@
   this->ListsWait = Now < this->SettledAt && this->lacksListed();
   if (this->ListsWait)
     return;
+  uint64_t At = this->place(this->At);
   for (auto &[Place, Entries] : this->listEntries()) {
-    DocumentPtr New = Document::make(this->At, this->At, std::move(Entries));
+    DocumentPtr New = Document::make(At, At, std::move(Entries));
     DocumentPtr &Old = this->Published[Place];
     if (Old && Old->stamp().Hash == New->stamp().Hash)
       continue;
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -24,6 +24,9 @@
   struct Options {
     /// How long one watch may wait at the store.
     Millis WatchWait{10000};
+    /// WatchWait for the first watch after a failure. Kept short because the
+    /// store may have been restored, which only its answer shows.
+    Millis WatchWaitAfterFailure{1};
     /// Between the starts of two watches. Changes that come in quick
     /// succession are then read together, at one call for all of them.
     Millis WatchGap{250};
@@ -53,6 +56,11 @@
               uint64_t Seed);
 
   void tick(TimePoint Now, ReadDuty Wanted) override;
+  /// The store's era; nothing if it is not known.
+  std::optional<uint64_t> era() const { return this->Era; }
+  /// Takes over an era that another reader has seen. If it is later than the
+  /// current one, discards pending requests and reads everything again.
+  void learnEra(const std::optional<uint64_t> &Reported, TimePoint Now);
   uint64_t reads() const override { return this->Reads; }
 
 private:
@@ -65,6 +73,7 @@
 
   void step(TimePoint Now);
   bool resume();
+  bool resumeAt(uint64_t Place);
   bool resumeLists();
   bool resumeConfig();
   bool resumeEvacuations();
@@ -73,7 +82,10 @@
   void watch(TimePoint Now);
   void onChanges(const Result<ItemChanges> &Got, TimePoint AskedAt,
                  TimePoint Now);
-  void updateEra(const std::optional<uint64_t> &Reported, TimePoint Now);
+  enum class EraCheck { Same, Later, Earlier };
+  EraCheck checkEra(const std::optional<uint64_t> &Reported, TimePoint Now);
+  void beginEra(uint64_t New, TimePoint Now);
+  uint64_t place(uint64_t Revision) const;
   void succeed(TimePoint Now);
   void fail(const Error &Why, TimePoint Now);
   void put(const StoredItem &Item, TimePoint Now);
@@ -104,7 +116,7 @@
   bool WantAll = true;
   TimePoint NotBefore;
   TimePoint WatchedAt;
-  // The last era reported by the store.
+  // The store's era. All revisions below belong to it.
   std::optional<uint64_t> Era;
   // The revision up to which the copy is complete.
   uint64_t At = 0;
@@ -121,7 +133,9 @@
   // Keys of the items that evacuate a data centre.
   std::set<std::string> Evacuations;
   DocumentPtr EvacuationDoc;
-  std::optional<StoredItem> Config;
+  // Revision of the newest version, and its item until it is decoded.
+  uint64_t ConfigRevision = 0;
+  std::optional<StoredItem> PendingConfig;
   DocumentPtr ConfigDoc;
   std::map<std::string, DocumentPtr> Published;
   bool Failing = false;
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -232,13 +232,22 @@
   BOOST_TEST(this->ReportedEras.empty());
   this->Store.changes(ItemChanges{{}, 2, 6}, this->Now);
   this->untilAsked();
-  if (this->Store.Pages.empty())
-    this->Store.changes(ItemChanges{{}, 2, 6}, this->Now);
-  else
-    this->Store.page(ItemPage{{}, false, 2, 6}, this->Now);
+  this->Store.page(ItemPage{{}, false, 2, 6}, this->Now);
   BOOST_TEST((this->ReportedEras == std::vector<uint64_t>{5, 6}));
 }
 
+// Guards against applying a page that was requested before a restore.
+BOOST_FIXTURE_TEST_CASE(PagesOfEarlierErasAreDiscarded, Fixture) {
+  this->Store.page(ItemPage{{{"c", "1", 4, 1}}, false, 4, 6}, this->Now);
+  this->Store.changes(historyGone(), this->Now);
+  this->untilAsked();
+  this->Store.page(ItemPage{{{"c", "2", 9, 1}}, false, 9, 5}, this->Now);
+  BOOST_TEST(this->Seen.at(ConfigTopic)->stamp().Version == 1u);
+  this->untilAsked();
+  this->Store.page(ItemPage{{{"c", "3", 5, 1}}, false, 5, 6}, this->Now);
+  BOOST_TEST(this->Seen.at(ConfigTopic)->stamp().Version == 3u);
+}
+
 // The store is away for a while. Entries of living upstreams lapse, since they
 // cannot renew them, and are back soon after its return. Callers must not find
 // the fleet empty in between, nor one that is really gone kept for ever.
--- a/src/reading/StoreRestoreTest.cpp
+++ b/src/reading/StoreRestoreTest.cpp
@@ -17,9 +17,9 @@
 
 const char North[] = "instances/north";
 constexpr Millis Step{50};
-constexpr LinkId TheLink = 1;
+constexpr LinkId PeerLink = 1;
 
-/// A reader of the store, and what its node holds.
+/// A node with a reader of the store and a spreader.
 struct ReadingNode {
   ReadingNode(RestorableStore &Store, Spreader::Hooks Hooks)
       : Spread(Spreader::Options(), std::move(Hooks), 7) {
@@ -47,6 +47,8 @@
     Out.Complete = [this](uint64_t At) { this->Spread.complete(At); };
     Out.CompleteAt = [this] { return this->Spread.completeAt(); };
     Out.Failed = [](const Error &, TimePoint) {};
+    Out.MetEra = [this](uint64_t Era) { this->Spread.meetEra(Era); };
+    Out.FirstEra = [this] { return this->Spread.firstEra(); };
     Out.Restored = [this](uint64_t, uint64_t, TimePoint) { ++this->Restores; };
     return Out;
   }
@@ -75,7 +77,7 @@
   unsigned Restores = 0;
 };
 
-/// Two nodes that can be linked, and their store.
+/// A store and two nodes that can be linked.
 struct Restores {
   RestorableStore Store;
   std::unique_ptr<ReadingNode> Nodes[2];
@@ -104,14 +106,14 @@
   void link() {
     this->Linked = true;
     for (auto &Node : this->Nodes)
-      Node->Spread.linkUp(TheLink, "peer", /*Eager=*/true, this->Now);
+      Node->Spread.linkUp(PeerLink, "peer", /*Eager=*/true, this->Now);
   }
 
   void cut() {
     this->Linked = false;
     this->Frames.clear();
     for (auto &Node : this->Nodes)
-      Node->Spread.linkDown(TheLink);
+      Node->Spread.linkDown(PeerLink);
   }
 
   void run(Millis Length) {
@@ -133,21 +135,22 @@
       auto [To, Frame] = this->Frames.front();
       this->Frames.erase(this->Frames.begin());
       if (this->Linked)
-        this->Nodes[To]->Spread.receive(TheLink, Frame, this->Now);
+        this->Nodes[To]->Spread.receive(PeerLink, Frame, this->Now);
     }
   }
 
-  /// Entries that say nothing new but count the store's revision up.
-  void countUp(unsigned Writes) {
+  /// Raises the store's revision without changing any value.
+  void advanceRevision(unsigned Writes) {
     for (unsigned I = 0; I < Writes; ++I)
       this->Store.put("i/x", "live");
   }
 
-  /// Goes back over so many writes. The last of them change every document, so
-  /// that all have been published at about the highest revision.
+  /// Restores a copy made before this many writes and a few more. The last
+  /// ones change the lists and evacuations, so that these are published near
+  /// the highest revision.
   void loseWrites(unsigned Writes) {
     this->Store.copy();
-    this->countUp(Writes);
+    this->advanceRevision(Writes);
     this->Store.put("i/w", "live");
     this->Store.put("c-e/west", "{}");
     this->run(Millis(1000));
@@ -160,42 +163,42 @@
   ReadingNode &node(int Which = 0) { return *this->Nodes[Which]; }
 };
 
-/// How many writes are lost, and how many follow before anybody reads.
-struct Drill {
+/// How many writes a restore loses, and how many follow before the next read.
+struct RestoreCase {
   const char *What;
-  unsigned Lost;
-  unsigned Again;
+  unsigned LostWrites;
+  unsigned NewWrites;
 };
-std::ostream &operator<<(std::ostream &To, const Drill &Of) {
+std::ostream &operator<<(std::ostream &To, const RestoreCase &Of) {
   return To << Of.What;
 }
 
-const Drill Drills[] = {
-    {"the count stays far below where it was", 40, 1},
-    {"the next write has the last one's revision", 1, 0},
-    {"the count has passed where it was", 3, 9},
+const RestoreCase RestoreCases[] = {
+    {"the revision stays far below the previous one", 40, 1},
+    {"the next write reuses the last revision", 1, 0},
+    {"the revision passes the previous one", 3, 9},
 };
 
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(StoreRestores)
 
-// Guards against a version that nobody takes for the revision that it has.
-BOOST_DATA_TEST_CASE(NewVersionsAreTaken, data::make(Drills), Row) {
+// Guards against ignoring a new version because of a reused revision.
+BOOST_DATA_TEST_CASE(NewVersionsAreTaken, data::make(RestoreCases), Row) {
   Restores At;
   At.Store.copy();
-  At.countUp(Row.Lost);
+  At.advanceRevision(Row.LostWrites);
   At.Store.put("c", "2");
   At.run(Millis(1000));
   BOOST_TEST(At.node().version() == 2u);
   At.Store.restore();
-  At.countUp(Row.Again);
+  At.advanceRevision(Row.NewWrites);
   At.Store.put("c", "3");
   At.run(Millis(1000));
   BOOST_TEST(At.node().version() == 3u);
 }
 
-// Guards against a version in force that is left for the copy's older one.
+// Guards against replacing the version in force by an older one from the copy.
 BOOST_FIXTURE_TEST_CASE(OlderVersionsAreNotTaken, Restores) {
   this->Store.copy();
   this->Store.put("c", "2");
@@ -205,21 +208,22 @@
   BOOST_TEST(this->node().version() == 2u);
 }
 
-// Guards against calls to an upstream whose drain nobody hears of.
-BOOST_DATA_TEST_CASE(DrainsAreTaken, data::make(Drills), Row) {
+// Guards against missing a drain after a restore.
+BOOST_DATA_TEST_CASE(DrainsAreTaken, data::make(RestoreCases), Row) {
   Restores At;
-  At.loseWrites(Row.Lost);
-  At.countUp(Row.Again);
+  At.loseWrites(Row.LostWrites);
+  At.advanceRevision(Row.NewWrites);
   At.Store.put("i/y", "leaving");
   At.run(Millis(1000));
   BOOST_TEST(At.node().stateOf("y") == "leaving");
 }
 
-// Guards against upstreams that come or go and nobody hears of it.
-BOOST_DATA_TEST_CASE(InstancesThatComeAndGoAreTaken, data::make(Drills), Row) {
+// Guards against missing added or removed instances after a restore.
+BOOST_DATA_TEST_CASE(AddedAndRemovedInstancesAreTaken, data::make(RestoreCases),
+                     Row) {
   Restores At;
-  At.loseWrites(Row.Lost);
-  At.countUp(Row.Again);
+  At.loseWrites(Row.LostWrites);
+  At.advanceRevision(Row.NewWrites);
   At.Store.put("i/z", "live");
   At.Store.remove("i/y");
   At.run(Millis(4000));
@@ -227,11 +231,11 @@
   BOOST_TEST(At.node().stateOf("y") == "none");
 }
 
-// Guards against an evacuation, or the end of one, that nobody hears of.
-BOOST_DATA_TEST_CASE(EvacuationsAreTaken, data::make(Drills), Row) {
+// Guards against missing the start or end of an evacuation after a restore.
+BOOST_DATA_TEST_CASE(EvacuationsAreTaken, data::make(RestoreCases), Row) {
   Restores At;
-  At.loseWrites(Row.Lost);
-  At.countUp(Row.Again);
+  At.loseWrites(Row.LostWrites);
+  At.advanceRevision(Row.NewWrites);
   At.Store.put("c-e/south", "{}");
   At.run(Millis(1000));
   BOOST_TEST(At.node().evacuates("south"));
@@ -240,8 +244,8 @@
   BOOST_TEST(!At.node().evacuates("south"));
 }
 
-// Guards against nodes that do not read, and refuse what the readers bring.
-BOOST_FIXTURE_TEST_CASE(NodesThatDoNotReadFollow, Restores) {
+// Guards against nodes without read duty refusing documents of the new era.
+BOOST_FIXTURE_TEST_CASE(NodesWithoutReadDutyAreUpdated, Restores) {
   this->start(1);
   this->node(1).Duty = ReadDuty::None;
   this->link();
@@ -255,13 +259,13 @@
   BOOST_TEST(this->node(1).stateOf("y") == "leaving");
 }
 
-// Guards against a node that is cut off with the lists of the era before, and
-// brings them back.
-BOOST_FIXTURE_TEST_CASE(ListsOfTheEraBeforeAreNotBroughtBack, Restores) {
+// Guards against lists of an earlier era spreading again from a node that was
+// disconnected during the restore.
+BOOST_FIXTURE_TEST_CASE(ListsOfEarlierErasDoNotSpreadAgain, Restores) {
   this->start(1);
   this->node(1).Duty = ReadDuty::None;
   this->link();
-  this->countUp(40);
+  this->advanceRevision(40);
   this->run(Millis(3000));
   this->cut();
   this->loseWrites(40);
@@ -273,9 +277,9 @@
     BOOST_TEST(Node->stateOf("y") == "leaving");
 }
 
-// Guards against a node that has started since, knows nothing of the era before
-// and meets one that does.
-BOOST_FIXTURE_TEST_CASE(NodesThatStartedSinceAgreeWithTheOthers, Restores) {
+// Guards against conflicting places between a node started after the restore
+// and one that knows the earlier era.
+BOOST_FIXTURE_TEST_CASE(NodesStartedAfterARestoreAgreeWithOthers, Restores) {
   this->loseWrites(40);
   this->run(Millis(1000));
   this->start(1);
@@ -293,25 +297,25 @@
     BOOST_TEST(Node->stateOf("y") == "live");
 }
 
-// Guards against a reader that goes on from a revision of the era before.
-BOOST_FIXTURE_TEST_CASE(NewReadersDoNotGoOnFromTheEraBefore, Restores) {
+// Guards against a reader resuming from a revision of an earlier era.
+BOOST_FIXTURE_TEST_CASE(NewReadersDoNotResumeFromEarlierEras, Restores) {
   this->start(1);
   this->node(1).Duty = ReadDuty::None;
   this->link();
   this->Store.copy();
-  this->countUp(5);
+  this->advanceRevision(5);
   this->run(Millis(5000));
   this->cut();
   this->node(0).Duty = ReadDuty::None;
   this->Store.restore();
   this->Store.put("i/y", "leaving");
-  this->countUp(20);
+  this->advanceRevision(20);
   this->node(1).Duty = ReadDuty::Watch;
   this->run(Millis(1000));
   BOOST_TEST(this->node(1).stateOf("y") == "leaving");
 }
 
-BOOST_FIXTURE_TEST_CASE(SecondRestoresAreFollowedToo, Restores) {
+BOOST_FIXTURE_TEST_CASE(SecondRestoresAreHandled, Restores) {
   this->loseWrites(40);
   this->run(Millis(100));
   this->loseWrites(30);
@@ -323,19 +327,19 @@
   BOOST_TEST(this->node().Restores == 2u);
 }
 
-// Guards against a watch of the configuration that waits in the new history for
-// as long as it may, while a version written before it was asked is missed.
-BOOST_FIXTURE_TEST_CASE(PartsOfAReaderLearnOfItFromEachOther, Restores) {
+// Guards against missing a version written after the restore but before the
+// configuration watch, which then waits for its full timeout.
+BOOST_FIXTURE_TEST_CASE(ConfigReaderLearnsEraFromListReader, Restores) {
   SplitReader::Options Opts;
   Opts.Read.StartJitter = Millis(0);
   Opts.SplitFrom = 0;
-  SplitReader Both(Opts, this->Store, contents(), this->node().sourceHooks(),
-                   {"north"}, 7);
+  SplitReader Reader(Opts, this->Store, contents(), this->node().sourceHooks(),
+                     {"north"}, 7);
   this->node().Duty = ReadDuty::None;
   auto Run = [&](Millis Length) {
     for (TimePoint End = this->Now + Length; this->Now < End;
          this->Now += Step) {
-      Both.tick(this->Now, ReadDuty::Watch);
+      Reader.tick(this->Now, ReadDuty::Watch);
       this->Store.answer(this->Now);
     }
   };
@@ -343,18 +347,18 @@
   this->Store.copy();
   this->Store.put("c", "2");
   Run(Millis(100));
-  // The watch of the configuration is answered, and the next one not yet asked.
+  // Answers the configuration watch; the next one has not been sent yet.
   this->Store.put("c", "3");
   Run(Millis(100));
   this->Store.restore();
   this->Store.put("c", "4");
-  this->countUp(20);
+  this->advanceRevision(20);
   Run(Millis(1500));
   BOOST_TEST(this->node().version() == 4u);
 }
 
-// Guards against an answer that was under way while the store was restored.
-BOOST_FIXTURE_TEST_CASE(AnswersOfAnEarlierEraAreThrownAway, Restores) {
+// Guards against applying an answer that was requested before a restore.
+BOOST_FIXTURE_TEST_CASE(AnswersOfEarlierErasAreDiscarded, Restores) {
   this->loseWrites(40);
   this->run(Millis(4000));
   this->Store.Era = 1;
@@ -368,13 +372,13 @@
   BOOST_TEST(this->node().stateOf("y") == "leaving");
 }
 
-// Guards against a store of before that tells no era: its versions are taken.
-BOOST_FIXTURE_TEST_CASE(VersionsAreTakenIfNoEraIsTold, Restores) {
+// Guards against ignoring versions from an older store that reports no era.
+BOOST_FIXTURE_TEST_CASE(VersionsAreTakenIfNoEraIsReported, Restores) {
   this->Store.Era.reset();
   this->start(0);
   this->run(Millis(1000));
   this->Store.copy();
-  this->countUp(40);
+  this->advanceRevision(40);
   this->Store.put("c", "2");
   this->run(Millis(1000));
   this->Store.restore();
@@ -383,9 +387,9 @@
   BOOST_TEST(this->node().version() == 3u);
 }
 
-// Guards against stamps that nodes of an earlier build cannot follow, as long
-// as the store was not restored.
-BOOST_FIXTURE_TEST_CASE(StampsAreTheStoresRevisionsWithoutARestore, Restores) {
+// Guards against stamps that are incompatible with earlier builds while the
+// store has not been restored.
+BOOST_FIXTURE_TEST_CASE(StampsEqualRevisionsWithoutARestore, Restores) {
   this->Store.Era = 17;
   this->start(0);
   this->run(Millis(1000));
@@ -400,20 +404,20 @@
 
 BOOST_AUTO_TEST_SUITE(RefusedDocuments)
 
-// A neighbour that announces a document and is gone before it has sent it.
-struct GoneNeighbour : Restores {
+// A neighbour that announces documents and disconnects before sending them.
+struct DisconnectedNeighbour : Restores {
   void announce(const std::string &Topic) {
-    wire::AnnounceT Said;
-    Said.topic = Topic;
-    Said.held = wireStamp(Stamp{1000000, 1000000, 1});
-    this->Nodes[0]->Spread.receive(TheLink, frameOf(std::move(Said)),
+    wire::AnnounceT Frame;
+    Frame.topic = Topic;
+    Frame.held = wireStamp(Stamp{1000000, 1000000, 1});
+    this->Nodes[0]->Spread.receive(PeerLink, frameOf(std::move(Frame)),
                                    this->Now);
   }
 };
 
-// Guards against a document that was refused once and is never published.
-BOOST_FIXTURE_TEST_CASE(ArePublishedAgain, GoneNeighbour) {
-  this->Nodes[0]->Spread.linkUp(TheLink, "peer", /*Eager=*/true, this->Now);
+// Guards against never publishing a document again after it was refused.
+BOOST_FIXTURE_TEST_CASE(ArePublishedAgain, DisconnectedNeighbour) {
+  this->Nodes[0]->Spread.linkUp(PeerLink, "peer", /*Eager=*/true, this->Now);
   for (const char *Topic : {ConfigTopic, North, EvacuationTopic})
     this->announce(Topic);
   this->Store.put("c", "2");
@@ -421,7 +425,7 @@
   this->Store.put("c-e/south", "{}");
   this->run(Millis(1000));
   BOOST_TEST(this->node().stateOf("y") == "live");
-  this->Nodes[0]->Spread.linkDown(TheLink);
+  this->Nodes[0]->Spread.linkDown(PeerLink);
   this->run(Millis(4000));
   BOOST_TEST(this->node().version() == 2u);
   BOOST_TEST(this->node().stateOf("y") == "leaving");
@@ -432,8 +436,8 @@
 
 BOOST_AUTO_TEST_SUITE(RestoredCopies)
 
-// Guards against an upstream that serves and is left out, for the copy was made
-// before it came.
+// Guards against dropping a live upstream that was added after the copy was
+// made.
 BOOST_FIXTURE_TEST_CASE(MissingInstancesAreWaitedFor, Restores) {
   this->Store.copy();
   this->Store.put("i/w", "live");
@@ -448,7 +452,7 @@
   BOOST_TEST(this->node().stateOf("w") == "none");
 }
 
-// Guards against calls to an upstream whose drain the copy does not have.
+// Guards against calls to an upstream whose drain is missing from the copy.
 BOOST_FIXTURE_TEST_CASE(LostDrainsHoldForAWhile, Restores) {
   this->Store.copy();
   this->Store.put("i/x", "leaving");
@@ -464,8 +468,8 @@
   BOOST_TEST(this->node().stateOf("y") == "live");
 }
 
-// Guards against calls to a data centre whose evacuation the copy does not
-// have.
+// Guards against calls to a data centre whose evacuation is missing from the
+// copy.
 BOOST_FIXTURE_TEST_CASE(LostEvacuationsHoldForAWhile, Restores) {
   this->Store.copy();
   this->Store.put("c-e/south", "{}");
@@ -481,7 +485,7 @@
   BOOST_TEST(!this->node().evacuates("west"));
 }
 
-// Guards against a drain that waits for an instance that is missing beside it.
+// Guards against delaying a drain because another instance is missing.
 BOOST_FIXTURE_TEST_CASE(NewsIsNotHeldBackByWhatIsMissing, Restores) {
   this->Store.copy();
   this->Store.put("i/z", "live");
--- a/src/spread/Spread_generated.h
+++ b/src/spread/Spread_generated.h
@@ -665,6 +665,7 @@
   uint32_t seq = 0;
   uint32_t echo = 0;
   uint64_t complete_at = 0;
+  flatbuffers::Optional<uint64_t> first_era = flatbuffers::nullopt;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -681,7 +682,8 @@
     VT_REPORT = 8,
     VT_SEQ = 10,
     VT_ECHO = 12,
-    VT_COMPLETE_AT = 14
+    VT_COMPLETE_AT = 14,
+    VT_FIRST_ERA = 16
   };
   const flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::TopicState>> *topics() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::TopicState>> *>(VT_TOPICS);
@@ -701,6 +703,9 @@
   uint64_t complete_at() const {
     return GetField<uint64_t>(VT_COMPLETE_AT, 0);
   }
+  flatbuffers::Optional<uint64_t> first_era() const {
+    return GetOptional<uint64_t, uint64_t>(VT_FIRST_ERA);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TOPICS) &&
@@ -713,6 +718,7 @@
            VerifyField<uint32_t>(verifier, VT_SEQ, 4) &&
            VerifyField<uint32_t>(verifier, VT_ECHO, 4) &&
            VerifyField<uint64_t>(verifier, VT_COMPLETE_AT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FIRST_ERA, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -742,6 +748,9 @@
   void add_complete_at(uint64_t complete_at) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_COMPLETE_AT, complete_at, 0);
   }
+  void add_first_era(uint64_t first_era) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_FIRST_ERA, first_era);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -760,8 +769,10 @@
     flatbuffers::Offset<hickorylift::wire::FleetReport> report = 0,
     uint32_t seq = 0,
     uint32_t echo = 0,
-    uint64_t complete_at = 0) {
+    uint64_t complete_at = 0,
+    flatbuffers::Optional<uint64_t> first_era = flatbuffers::nullopt) {
   HeartbeatBuilder builder_(_fbb);
+  if(first_era) { builder_.add_first_era(*first_era); }
   builder_.add_complete_at(complete_at);
   builder_.add_echo(echo);
   builder_.add_seq(seq);
@@ -783,7 +794,8 @@
     flatbuffers::Offset<hickorylift::wire::FleetReport> report = 0,
     uint32_t seq = 0,
     uint32_t echo = 0,
-    uint64_t complete_at = 0) {
+    uint64_t complete_at = 0,
+    flatbuffers::Optional<uint64_t> first_era = flatbuffers::nullopt) {
   auto topics__ = topics ? _fbb.CreateVector<flatbuffers::Offset<hickorylift::wire::TopicState>>(*topics) : 0;
   auto ages_ms__ = ages_ms ? _fbb.CreateVector<uint32_t>(*ages_ms) : 0;
   return hickorylift::wire::CreateHeartbeat(
@@ -793,7 +805,8 @@
       report,
       seq,
       echo,
-      complete_at);
+      complete_at,
+      first_era);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2280,7 +2293,8 @@
         report((o.report) ? new hickorylift::wire::FleetReportT(*o.report) : nullptr),
         seq(o.seq),
         echo(o.echo),
-        complete_at(o.complete_at) {
+        complete_at(o.complete_at),
+        first_era(o.first_era) {
   topics.reserve(o.topics.size());
   for (const auto &topics_ : o.topics) { topics.emplace_back((topics_) ? new hickorylift::wire::TopicStateT(*topics_) : nullptr); }
 }
@@ -2292,6 +2306,7 @@
   std::swap(seq, o.seq);
   std::swap(echo, o.echo);
   std::swap(complete_at, o.complete_at);
+  std::swap(first_era, o.first_era);
   return *this;
 }
 
@@ -2310,6 +2325,7 @@
   { auto _e = seq(); _o->seq = _e; }
   { auto _e = echo(); _o->echo = _e; }
   { auto _e = complete_at(); _o->complete_at = _e; }
+  { auto _e = first_era(); _o->first_era = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2326,6 +2342,7 @@
   auto _seq = _o->seq;
   auto _echo = _o->echo;
   auto _complete_at = _o->complete_at;
+  auto _first_era = _o->first_era;
   return hickorylift::wire::CreateHeartbeat(
       _fbb,
       _topics,
@@ -2333,7 +2350,8 @@
       _report,
       _seq,
       _echo,
-      _complete_at);
+      _complete_at,
+      _first_era);
 }
 
 inline AnnounceT::AnnounceT(const AnnounceT &o)
--- a/src/spread/Spreader.cpp
+++ b/src/spread/Spreader.cpp
@@ -76,6 +76,10 @@
     this->CompleteAt = std::max(this->CompleteAt, Revision);
 }
 
+void Spreader::meetEra(uint64_t Era) {
+  this->FirstEra = std::min(this->FirstEra.value_or(Era), Era);
+}
+
 bool Spreader::heardFromAny() const {
   for (const auto &[Id, On] : this->Links)
     if (On.HeardSeq != 0)
@@ -326,6 +330,8 @@
   Beat.seq = ++On.SentSeq;
   Beat.echo = On.HeardSeq;
   Beat.complete_at = this->CompleteAt;
+  if (this->FirstEra)
+    Beat.first_era = *this->FirstEra;
   On.SentAt.push_back(Now);
   if (On.SentAt.size() > KeptSendTimes)
     On.SentAt.pop_front();
@@ -411,6 +417,8 @@
 void Spreader::onHeartbeat(LinkId From, Link &On, const wire::HeartbeatT &Beat,
                            TimePoint Now) {
   On.HeardSeq = std::max(On.HeardSeq, Beat.seq);
+  if (Beat.first_era)
+    this->meetEra(*Beat.first_era);
   std::optional<TimePoint> ComposedAfter;
   uint32_t Back = On.SentSeq - Beat.echo;
   if (Beat.echo != 0 && Back < On.SentAt.size())
--- a/src/spread/Spreader.h
+++ b/src/spread/Spreader.h
@@ -111,6 +111,12 @@
   /// 0 where that is not known. It never falls: what is held only grows newer.
   uint64_t completeAt() const { return this->CompleteAt; }
 
+  /// Records an era of the platform that this node or another has seen.
+  void meetEra(uint64_t Era);
+  /// The earliest platform era known to any node; nothing if none is known. It
+  /// never rises, and heartbeats spread it to all connected nodes.
+  std::optional<uint64_t> firstEra() const { return this->FirstEra; }
+
   void linkUp(LinkId Link, const std::string &Peer, bool Eager, TimePoint Now);
   void linkDown(LinkId Link);
   void receive(LinkId Link, const wire::SpreadFrameT &Frame, TimePoint Now);
@@ -228,6 +234,7 @@
   // What was sent last of each topic.
   std::map<std::string, Packed> LastPacked;
   uint64_t CompleteAt = 0;
+  std::optional<uint64_t> FirstEra;
   TokenBucket Snapshots;
   std::optional<TimePoint> LastTick;
 };
