Republish documents that the node does not hold

Observed: the drain of an upstream was never obeyed after a restore of the store, although the store's revision had passed its value before the restore seconds earlier.

Cause: a reader recorded a list, the evacuations or a configuration version as published even if the spreader had refused it, because a neighbour was known to hold a newer one or because its own number was lower. It did not publish the document again until its content changed.

On each answer of the store, compare what was read with what the node holds: lists and evacuations by content, configuration versions by stamp. Publish again lists and evacuations that differ and a version newer than the held one. A list received from other nodes with the same content is confirmed by its own stamp.

--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -247,7 +247,7 @@
     this->Instances.erase(One.Key);
     this->Evacuations.erase(One.Key);
   }
-  if (!Got->Changes.empty()) {
+  if (!Got->Changes.empty() || this->wasRefused()) {
     this->publishEvacuations(Now);
     this->publishConfig(Now);
     this->publishLists(Now);
@@ -366,10 +366,10 @@
   for (const std::string &Key : this->Evacuations)
     DataCentres.insert(Key.substr(this->Contents.EvacuationPrefix.size()));
   DocumentPtr New = makeEvacuations(this->place(this->At), DataCentres);
-  if (this->EvacuationDoc &&
-      this->EvacuationDoc->stamp().Hash == New->stamp().Hash)
+  bool Known = this->holds(EvacuationTopic, New);
+  this->EvacuationDoc = Known ? this->Hook.Held(EvacuationTopic) : New;
+  if (Known)
     return;
-  this->EvacuationDoc = New;
   this->Hook.Publish(EvacuationTopic, New, Now);
 }
 
@@ -415,19 +415,55 @@
                               : Millis(0);
 }
 
-void StoreReader::publishConfig(TimePoint Now) {
+// Whether the document that the node holds for Topic has the content of Doc.
+bool StoreReader::holds(const std::string &Topic,
+                        const DocumentPtr &Doc) const {
+  DocumentPtr Held = this->Hook.Held(Topic);
+  return Held && Held->stamp().Hash == Doc->stamp().Hash;
+}
+
+// Whether the node lacks a document that was read. The spreader refuses
+// documents while a neighbour announces a newer one, and the neighbour may
+// disconnect before sending it.
+bool StoreReader::wasRefused() const {
+  if (this->EvacuationDoc && !this->holds(EvacuationTopic, this->EvacuationDoc))
+    return true;
+  if (this->ConfigDoc && this->lacksConfig())
+    return true;
+  return std::any_of(this->Published.begin(), this->Published.end(),
+                     [this](const auto &One) {
+                       return !this->holds(listTopic(One.first), One.second);
+                     });
+}
+
+// Whether the node holds no version or an older one than was read.
+bool StoreReader::lacksConfig() const {
+  DocumentPtr Held = this->Hook.Held(ConfigTopic);
+  return !Held || Held->stamp() < this->ConfigDoc->stamp();
+}
+
+// Returns whether the pending item holds another document than ConfigDoc.
+bool StoreReader::decodeConfig(TimePoint Now) {
   if (!this->PendingConfig)
-    return;
+    return false;
   StoredItem Item = *std::exchange(this->PendingConfig, std::nullopt);
   Result<ReadVersion> Read = this->Contents.ReadConfig(Item);
-  if (!Read)
-    return this->Hook.Failed(Read.error(), Now);
+  if (!Read) {
+    this->Hook.Failed(Read.error(), Now);
+    return false;
+  }
   DocumentPtr New = Document::make(Read->Version, this->place(Item.Revision),
                                    std::move((*Read).Records));
   if (this->ConfigDoc && this->ConfigDoc->stamp() == New->stamp())
-    return;
+    return false;
   this->ConfigDoc = New;
-  this->Hook.Publish(ConfigTopic, New, Now);
+  return true;
+}
+
+void StoreReader::publishConfig(TimePoint Now) {
+  bool IsNew = this->decodeConfig(Now);
+  if (IsNew || (this->ConfigDoc && this->lacksConfig()))
+    this->Hook.Publish(ConfigTopic, this->ConfigDoc, Now);
 }
 
 // Two entries may name one place for a while: the address of one that is gone
@@ -475,11 +511,10 @@
   uint64_t At = this->place(this->At);
   for (auto &[Place, Entries] : this->listEntries()) {
     DocumentPtr New = Document::make(At, At, std::move(Entries));
-    DocumentPtr &Old = this->Published[Place];
-    if (Old && Old->stamp().Hash == New->stamp().Hash)
-      continue;
-    Old = New;
-    this->Hook.Publish(listTopic(Place), New, Now);
+    bool Known = this->holds(listTopic(Place), New);
+    this->Published[Place] = Known ? this->Hook.Held(listTopic(Place)) : New;
+    if (!Known)
+      this->Hook.Publish(listTopic(Place), New, Now);
   }
 }
 
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -91,10 +91,14 @@
   void put(const StoredItem &Item, TimePoint Now);
   void putInstance(const StoredItem &Item, TimePoint Now);
   void tellColdSpell(Listed &New, const std::string &Key) const;
+  bool decodeConfig(TimePoint Now);
   void publishConfig(TimePoint Now);
   bool readsEvacuations() const;
   void publishEvacuations(TimePoint Now);
   void publishLists(TimePoint Now);
+  bool wasRefused() const;
+  bool lacksConfig() const;
+  bool holds(const std::string &Topic, const DocumentPtr &Doc) const;
   bool lacksListed() const;
   std::map<std::string, EntryMap> listEntries() const;
   void confirmAll(TimePoint AskedAt);
--- a/src/reading/StoreRestoreTest.cpp
+++ b/src/reading/StoreRestoreTest.cpp
@@ -415,7 +415,7 @@
   }
 };
 
-// Guards against never publishing a document again after it was refused.
+// Guards against never republishing a document that was refused.
 BOOST_FIXTURE_TEST_CASE(ArePublishedAgain, DisconnectedNeighbour) {
   this->Nodes[0]->Spread.linkUp(PeerLink, "peer", /*Eager=*/true, this->Now);
   for (const char *Topic : {ConfigTopic, North, EvacuationTopic})
