Keep only entries missing from a restored store until they can be rewritten

User impact: after a restore from a copy some seconds old, calls go to an upstream whose drain is missing from the copy, and to a data centre whose evacuation is missing from it, until both are written again. A newly written drain is delayed by up to 2.2 s if any other instance is missing, because the whole list was held back.

Cause: an entry absent from the copy was treated as removed, and the wait for missing instances applied to a whole list at once.

Fix: for 2.2 s after a restore is detected, an upstream that was seen leaving stays leaving within the same start, and an evacuation is kept unless it is seen to be removed in the new era. Missing instances are kept on the lists individually, also after a plain outage; everything else is published at once. While any list has kept entries, all lists are ordered just before the store's content at the same revision, and reading does not continue from them.

With each of these removed again, a case fails: keeping a drain, honouring seen removals, the order of lists with kept entries.

--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -25,10 +25,11 @@
 // which keeps them compatible with builds without eras.
 //
 // While the store is away, nobody can renew an entry, and entries of living
-// instances lapse. So after its return a list that lacks an instance is held
-// back until the instances have had time to renew: taken at once, it would
-// empty the fleet. What is still missing then is gone. Versions are never held
-// back.
+// instances lapse. So after its return, missing instances stay on the list
+// until they have had time to renew; removing them at once would empty the
+// fleet. Those still missing then are removed. A restored store may also lack
+// drains and evacuations until they are written again, so these are kept for
+// the same time. Versions are never held back.
 
 namespace hickorylift {
 
@@ -60,6 +61,8 @@
     // Others have read on meanwhile.
     this->WantAll |= Reads && this->Hook.CompleteAt() > this->place(this->At);
   }
+  if (this->EvacuationsWait && Now >= this->RestoreSettledAt)
+    this->publishEvacuations(Now);
   if (this->ListsWait && Now >= this->SettledAt)
     this->publishLists(Now);
   if (Reads && !this->Busy && Now >= this->NotBefore)
@@ -213,9 +216,10 @@
   this->step(Now);
 }
 
-// Lists that are held back say less than the store does.
+// Documents with kept entries differ from the store, so the copy is not
+// reported as complete while there are any.
 void StoreReader::tellComplete() {
-  if (!this->ListsWait)
+  if (!this->ListsWait && !this->EvacuationsWait)
     this->Hook.Complete(this->place(this->At));
 }
 
@@ -245,7 +249,8 @@
       continue;
     }
     this->Instances.erase(One.Key);
-    this->Evacuations.erase(One.Key);
+    if (this->Evacuations.erase(One.Key) != 0)
+      this->RemovedEvacuations.insert(One.Key);
   }
   if (!Got->Changes.empty() || this->wasRefused()) {
     this->publishEvacuations(Now);
@@ -290,6 +295,7 @@
 void StoreReader::beginEra(uint64_t New, TimePoint Now) {
   if (this->Era) {
     this->SettledAt = Now + this->Opts.SettleFor;
+    this->RestoreSettledAt = this->SettledAt;
     this->Hook.Restored(*this->Era, New, Now);
   }
   this->Era = New;
@@ -298,6 +304,7 @@
   this->At = 0;
   this->HistoryGoneAt = 0;
   this->Gathered.clear();
+  this->RemovedEvacuations.clear();
   this->NotBefore = Now + this->startDelay();
 }
 
@@ -365,7 +372,10 @@
   std::set<std::string> DataCentres;
   for (const std::string &Key : this->Evacuations)
     DataCentres.insert(Key.substr(this->Contents.EvacuationPrefix.size()));
-  DocumentPtr New = makeEvacuations(this->place(this->At), DataCentres);
+  this->EvacuationsWait =
+      Now < this->RestoreSettledAt && this->keepMissingEvacuations(DataCentres);
+  DocumentPtr New = this->makeDocument(
+      makeEvacuations(0, DataCentres)->entries(), this->EvacuationsWait);
   bool Known = this->holds(EvacuationTopic, New);
   this->EvacuationDoc = Known ? this->Hook.Held(EvacuationTopic) : New;
   if (Known)
@@ -373,6 +383,28 @@
   this->Hook.Publish(EvacuationTopic, New, Now);
 }
 
+// Adds evacuations that this node holds and that the restored store may have
+// lost. Returns whether any were added.
+bool StoreReader::keepMissingEvacuations(
+    std::set<std::string> &DataCentres) const {
+  DocumentPtr Held = this->Hook.Held(EvacuationTopic);
+  if (!Held)
+    return false;
+  bool Kept = false;
+  for (const std::string &Name : evacuatedIn(*Held))
+    if (!this->RemovedEvacuations.count(this->Contents.EvacuationPrefix + Name))
+      Kept |= DataCentres.insert(Name).second;
+  return Kept;
+}
+
+// Makes a document at the current revision. One with kept entries is ordered
+// just before the store's content at that revision, which then supersedes it.
+DocumentPtr StoreReader::makeDocument(EntryMap Entries, bool HasKept) const {
+  uint64_t At = this->place(this->At);
+  return Document::make(At, HasKept && At > 0 ? At - 1 : At,
+                        std::move(Entries));
+}
+
 // An item that cannot be read names no upstream: whatever stood there before is
 // no longer what the platform says. The other items are not touched by it.
 //
@@ -468,14 +500,14 @@
 
 // Two entries may name one place for a while: the address of one that is gone
 // is given out again. The later one is the one that is there.
-std::map<std::string, EntryMap> StoreReader::listEntries() const {
+StoreReader::EntriesByDataCentre StoreReader::listEntries() const {
   std::map<std::string, const Listed *> ByName;
   for (const auto &[Key, One] : this->Instances) {
     const Listed *&Kept = ByName[One.Who.Name];
     if (!Kept || Kept->Created < One.Created)
       Kept = &One;
   }
-  std::map<std::string, EntryMap> Out;
+  EntriesByDataCentre Out;
   for (const std::string &Name : this->DataCentres)
     Out[Name];
   for (const auto &[Name, One] : ByName) {
@@ -486,31 +518,53 @@
   return Out;
 }
 
-// Whether an instance that this node holds as living is missing now, whoever
-// told of it: a process that started while the store was away has read nothing
-// itself, and has its list from others.
-bool StoreReader::lacksListed() const {
+// Adds instances that the node's lists hold and the store lacks, and after a
+// restore also missing drains. Uses the lists the node holds, whatever their
+// source: a process that started while the store was away has read nothing
+// itself and has its lists from others. Returns whether anything was kept.
+bool StoreReader::keepMissing(EntriesByDataCentre &Lists, TimePoint Now) const {
   std::set<std::string> Read;
   for (const auto &[Key, One] : this->Instances)
     Read.insert(One.Who.Name);
-  for (const std::string &Place : this->DataCentres) {
+  bool Kept = false;
+  for (auto &[Place, Entries] : Lists) {
     DocumentPtr Held = this->Hook.Held(listTopic(Place));
     if (!Held)
       continue;
-    for (const auto &[Name, Entry] : Held->entries())
-      if (!Read.count(Name))
-        return true;
+    for (const auto &[Name, Entry] : Held->entries()) {
+      if (!Read.count(Name)) {
+        Entries[Name] = Entry;
+        Kept = true;
+      } else if (Now < this->RestoreSettledAt) {
+        Kept |= this->keepMissingDrain(Entries, Name, Entry);
+      }
+    }
   }
-  return false;
+  return Kept;
+}
+
+// Keeps an instance leaving if it was held as leaving in the same start: a
+// restored store may have lost the drain. Returns whether it was kept.
+bool StoreReader::keepMissingDrain(EntryMap &Entries, const std::string &Name,
+                                   const DocumentEntry &Held) const {
+  auto Read = Entries.find(Name);
+  if (Read == Entries.end() || Read->second.Hash == Held.Hash)
+    return false;
+  FaultList Faults;
+  std::optional<Instance> Old = readInstance(*Held.Bytes, Name, Faults);
+  std::optional<Instance> New = readInstance(*Read->second.Bytes, Name, Faults);
+  if (!Old || !New || !Old->Leaving || New->Leaving || !Old->sameStart(*New))
+    return false;
+  New->Leaving = true;
+  Read->second = makeEntry(Name, writeInstance(*New));
+  return true;
 }
 
 void StoreReader::publishLists(TimePoint Now) {
-  this->ListsWait = Now < this->SettledAt && this->lacksListed();
-  if (this->ListsWait)
-    return;
-  uint64_t At = this->place(this->At);
-  for (auto &[Place, Entries] : this->listEntries()) {
-    DocumentPtr New = Document::make(At, At, std::move(Entries));
+  EntriesByDataCentre Lists = this->listEntries();
+  this->ListsWait = Now < this->SettledAt && this->keepMissing(Lists, Now);
+  for (auto &[Place, Entries] : Lists) {
+    DocumentPtr New = this->makeDocument(std::move(Entries), this->ListsWait);
     bool Known = this->holds(listTopic(Place), New);
     this->Published[Place] = Known ? this->Hook.Held(listTopic(Place)) : New;
     if (!Known)
@@ -522,7 +576,7 @@
   if (this->ConfigDoc)
     this->Hook.Confirm(ConfigTopic, this->ConfigDoc->stamp().Version,
                        this->ConfigDoc->stamp().Revision, AskedAt);
-  if (this->EvacuationDoc)
+  if (this->EvacuationDoc && !this->EvacuationsWait)
     this->Hook.Confirm(EvacuationTopic, this->EvacuationDoc->stamp().Version,
                        this->EvacuationDoc->stamp().Revision, AskedAt);
   if (this->ListsWait)
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -95,12 +95,17 @@
   void publishConfig(TimePoint Now);
   bool readsEvacuations() const;
   void publishEvacuations(TimePoint Now);
+  bool keepMissingEvacuations(std::set<std::string> &DataCentres) const;
+  DocumentPtr makeDocument(EntryMap Entries, bool HasKept) const;
   void publishLists(TimePoint Now);
   bool wasRefused() const;
   bool lacksConfig() const;
   bool holds(const std::string &Topic, const DocumentPtr &Doc) const;
-  bool lacksListed() const;
-  std::map<std::string, EntryMap> listEntries() const;
+  using EntriesByDataCentre = std::map<std::string, EntryMap>;
+  bool keepMissing(EntriesByDataCentre &Lists, TimePoint Now) const;
+  bool keepMissingDrain(EntryMap &Entries, const std::string &Name,
+                        const DocumentEntry &Held) const;
+  EntriesByDataCentre listEntries() const;
   void confirmAll(TimePoint AskedAt);
   void tellComplete();
   Millis startDelay();
@@ -136,6 +141,8 @@
   std::map<std::string, uint64_t> LatestStart;
   // Keys of the items that evacuate a data centre.
   std::set<std::string> Evacuations;
+  // Keys of evacuations that were seen to be removed in the current era.
+  std::set<std::string> RemovedEvacuations;
   DocumentPtr EvacuationDoc;
   // Revision of the newest version, and its item until it is decoded.
   uint64_t ConfigRevision = 0;
@@ -144,8 +151,13 @@
   std::map<std::string, DocumentPtr> Published;
   bool Failing = false;
   unsigned Failures = 0;
+  // Until then missing instances are kept, as their entries may have lapsed.
   TimePoint SettledAt;
+  // Until then drains and evacuations missing from a restored store are kept.
+  TimePoint RestoreSettledAt;
+  // Whether the published lists or evacuations contain kept entries.
   bool ListsWait = false;
+  bool EvacuationsWait = false;
   TokenBucket Budget;
   uint64_t Reads = 0;
   std::shared_ptr<uint64_t> Epoch = std::make_shared<uint64_t>(0);
