Share document fixtures between control plane tests

ControlPlaneTest.cpp and ParentChangeTest.cpp each defined their own silent document source, version document, instance list and membership options for a fleet. Move them to ControlFixture.h. No check, bound or figure of a test is changed.

--- a/src/control/ControlPlaneTest.cpp
+++ b/src/control/ControlPlaneTest.cpp
@@ -1,6 +1,5 @@
 #include "control/ControlPlane.h"
-
-#include "config/RecordFile.h"
+#include "control/ControlFixture.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -17,28 +16,6 @@
 const char SeedName[] = "10.0.0.1";
 const char SeedAddress[] = "10.0.0.1:7000";
 
-/// A platform that is away: nothing ever comes of asking it.
-class SilentSource : public DocumentSource {
-public:
-  explicit SilentSource(ReadDuty *Wanted = nullptr) : Wanted(Wanted) {}
-  void tick(TimePoint, ReadDuty Now) override {
-    if (this->Wanted)
-      *this->Wanted = Now;
-  }
-  uint64_t reads() const override { return 0; }
-
-private:
-  ReadDuty *Wanted;
-};
-
-DocumentPtr versionOf(uint64_t Number) {
-  FaultList Faults;
-  std::optional<EntryMap> Records = readRecordFile(
-      R"([{"kind": "service", "name": "portal", "schema": 1}])", "f", Faults);
-  BOOST_REQUIRE(Records.has_value());
-  return Document::make(Number, Number, std::move(*Records));
-}
-
 /// One node and the seed that it is told of, joined by links that the test
 /// makes and cuts.
 struct SeededNode {
@@ -126,29 +103,6 @@
   TimePoint Now = TimePoint(std::chrono::hours(1));
 };
 
-DocumentPtr listOf(size_t Size, const std::string &DataCentre = "north") {
-  EntryMap Entries;
-  for (size_t I = 0; I < Size; ++I) {
-    Instance One;
-    One.Name = "n-" + std::to_string(I);
-    One.DataCentre = DataCentre;
-    One.Service = "portal";
-    One.Node = "10.0.0.1:7000";
-    One.Operator = "10.0.0.1:9000";
-    Entries[One.Name] = makeEntry(One.Name, writeInstance(One));
-  }
-  return Document::make(1, 1, std::move(Entries));
-}
-
-Membership::Options fleetOptions(const std::string &Self) {
-  Membership::Options Out;
-  Out.Self = Self;
-  Out.DataCentre = "north";
-  Out.Readers = 1;
-  Out.SpareReaders = 1;
-  return Out;
-}
-
 /// A node of a larger fleet that neither reads nor stands at the root of the
 /// tree, and its parent.
 struct ChildNode {
@@ -156,7 +110,8 @@
 
   ChildNode() {
     for (size_t I = 0; I < FleetSize && this->Self.empty(); ++I) {
-      Membership Seen(fleetOptions("n-" + std::to_string(I)));
+      Membership Seen(
+          fleetOptions("n-" + std::to_string(I), /*SpareReaders=*/1));
       Seen.update("north", *listOf(FleetSize));
       if (Seen.isReader() || !Seen.parent())
         continue;
@@ -176,7 +131,7 @@
     Opts.Self = Name;
     Opts.DataCentre = "north";
     Opts.DataCentres = {"north"};
-    Opts.Members = fleetOptions(Name);
+    Opts.Members = fleetOptions(Name, /*SpareReaders=*/1);
     Opts.PeersFirst = Millis(0);
     Opts.OrphanReadsAfter = Millis(300);
     ControlPlane::Hooks Hooks;
--- a/src/control/ParentChangeTest.cpp
+++ b/src/control/ParentChangeTest.cpp
@@ -1,7 +1,6 @@
+#include "control/ControlFixture.h"
 #include "control/ControlPlane.h"
 
-#include "config/RecordFile.h"
-
 #include <boost/test/unit_test.hpp>
 
 #include <deque>
@@ -11,51 +10,10 @@
 
 namespace {
 
-class SilentSource : public DocumentSource {
-public:
-  explicit SilentSource(ReadDuty &Wanted) : Wanted(Wanted) {}
-  void tick(TimePoint, ReadDuty Now) override { this->Wanted = Now; }
-  uint64_t reads() const override { return 0; }
-
-private:
-  ReadDuty &Wanted;
-};
-
-DocumentPtr versionOf(uint64_t Number) {
-  FaultList Faults;
-  std::optional<EntryMap> Records = readRecordFile(
-      R"([{"kind": "service", "name": "portal", "schema": 1}])", "f", Faults);
-  BOOST_REQUIRE(Records.has_value());
-  return Document::make(Number, Number, std::move(*Records));
-}
-
-DocumentPtr listOf(const std::vector<std::string> &Names, uint64_t Revision) {
-  EntryMap Entries;
-  for (const std::string &Name : Names) {
-    Instance Listed;
-    Listed.Name = Name;
-    Listed.DataCentre = "north";
-    Listed.Service = "portal";
-    Listed.Node = "10.0.0.1:7000";
-    Listed.Operator = "10.0.0.1:9000";
-    Entries[Name] = makeEntry(Name, writeInstance(Listed));
-  }
-  return Document::make(Revision, Revision, std::move(Entries));
-}
-
-Membership::Options fleetOptions(const std::string &Self) {
-  Membership::Options Out;
-  Out.Self = Self;
-  Out.DataCentre = "north";
-  Out.Readers = 1;
-  Out.SpareReaders = 0;
-  return Out;
-}
-
 /// Returns the parent of Self in the tree of Names, or "" for the root.
 std::string parentOf(const std::string &Self,
                      const std::vector<std::string> &Names) {
-  Membership Seen(fleetOptions(Self));
+  Membership Seen(fleetOptions(Self, /*SpareReaders=*/0));
   Seen.update("north", *listOf(Names, 1));
   return Seen.parent() ? Seen.parent()->Name : "";
 }
@@ -111,7 +69,7 @@
     Opts.Self = Name;
     Opts.DataCentre = "north";
     Opts.DataCentres = {"north"};
-    Opts.Members = fleetOptions(Name);
+    Opts.Members = fleetOptions(Name, /*SpareReaders=*/0);
     Opts.PeersFirst = Millis(0);
     Opts.OrphanReadsAfter = Millis(300);
     Opts.Spread.HeartbeatInterval = Millis(400);
@@ -133,7 +91,7 @@
         Opts,
         [this, Which](const SourceHooks &Given) {
           this->Publish[Which] = Given.Publish;
-          return std::make_unique<SilentSource>(this->Wanted[Which]);
+          return std::make_unique<SilentSource>(&this->Wanted[Which]);
         },
         Hooks);
   }
