Keep the full watch wait for large configurations after a failure

A configuration of 0.67 MB takes a second or more on a 5 Mbit/s link, so the watch timed out. The timeout counted as a failure, so the next watch was just as short, and this repeated indefinitely.

The configuration reader, used for large configurations, now keeps its full wait after a failure, as the list reader detects a restore for it.

--- a/src/reading/SplitReader.cpp
+++ b/src/reading/SplitReader.cpp
@@ -18,6 +18,14 @@
   return Of;
 }
 
+/// Keeps the full watch wait after a failure: the timeout of a watch depends on
+/// its wait, and a large configuration takes time to transfer. A short watch is
+/// not needed to detect a restore, as the list reader does that.
+StoreReader::Options configOptions(StoreReader::Options Opts) {
+  Opts.WatchWaitAfterFailure = Opts.WatchWait;
+  return Opts;
+}
+
 /// What operators write: their versions, and with them their evacuations, which
 /// are a few bytes each.
 std::string operatorPrefix(const StoreContents &Of) {
@@ -38,7 +46,8 @@
                          uint64_t Seed)
     : Opts(Opts), Hook(Hooks),
       All(Opts.Read, From, Contents, Hooks, DataCentres, Seed),
-      Config(Opts.Read, From, narrowed(Contents, operatorPrefix(Contents)),
+      Config(configOptions(Opts.Read), From,
+             narrowed(Contents, operatorPrefix(Contents)),
              this->partHooks(this->ConfigAt), {}, Seed + 1),
       Lists(Opts.Read, From, narrowed(Contents, Contents.InstancePrefix),
             this->partHooks(this->ListsAt), DataCentres, Seed + 2) {}
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -24,9 +24,10 @@
     this->RangeAfter = After;
     this->Pages.push_back(std::move(Done));
   }
-  void watch(const std::string &Prefix, uint64_t After, Millis, TimePoint,
+  void watch(const std::string &Prefix, uint64_t After, Millis Wait, TimePoint,
              GotChanges Done) override {
     this->Asked.push_back("changes of " + Prefix);
+    this->WatchWaits[Prefix] = Wait;
     this->WatchAfter = After;
     this->Watches.push_back(std::move(Done));
   }
@@ -47,6 +48,8 @@
   std::vector<std::string> Asked;
   std::string RangeAfter;
   uint64_t WatchAfter = 0;
+  /// Wait of the most recent watch for each prefix.
+  std::map<std::string, Millis> WatchWaits;
   std::deque<GotPage> Pages;
   std::deque<GotChanges> Watches;
 };
@@ -314,6 +317,28 @@
                  .Bytes->find("leaving") != std::string::npos);
 }
 
+// Guards against repeated watch timeouts that keep a large configuration from
+// being received after a failure.
+BOOST_FIXTURE_TEST_CASE(LargeConfigurationsKeepTheirWaitAfterAFailure,
+                        Fixture) {
+  SplitReader::Options Opts;
+  Opts.Read.StartJitter = Millis(0);
+  Opts.SplitFrom = 0;
+  this->Seen[ConfigTopic] = Document::make(1, 1, {});
+  FakeStore Other;
+  SplitReader Both(Opts, Other, contents(), this->hooks(), {"north"}, 7);
+  Both.tick(this->Now, ReadDuty::Watch);
+  Other.page(ItemPage{{{"c", "2", 2, 1}}, false, 2}, this->Now);
+  Other.page(ItemPage{{instance("x", 2)}, false, 2}, this->Now);
+  Other.changes(unreachable(), this->Now);
+  Other.changes(unreachable(), this->Now);
+  for (int I = 0; I < 200; ++I, this->Now += Millis(10))
+    Both.tick(this->Now, ReadDuty::Watch);
+  BOOST_TEST(Other.Watches.size() == 2u);
+  BOOST_TEST((Other.WatchWaits.at("c") == Opts.Read.WatchWait));
+  BOOST_TEST((Other.WatchWaits.at("i/") == Opts.Read.WatchWaitAfterFailure));
+}
+
 using Names = std::set<std::string>;
 
 BOOST_FIXTURE_TEST_CASE(EvacuationsComeAndGo, Fixture) {
