Limit the pauses of a platform read instead of its whole transfer

Symptom: a reader on a link of 5 Mbit/s takes no version from the platform for seconds.

Cause: the time limit of a read (1.5 s) and of a watch (its wait and 0.6 s) covered the transfer. A version of 0.67 MB takes 1.1 s of such a link alone, longer beside calls, and each new read starts from the first byte.

Fix: the limit now ends with the head of the response; from there on each pause is limited (1.5 s), and the whole transfer to 30 s. A failed read says after how many bytes. An oversized response is given up while it arrives.

--- a/src/base/HttpFetch.cpp
+++ b/src/base/HttpFetch.cpp
@@ -14,6 +14,7 @@
 
 constexpr int ProbeEverySeconds = 1;
 constexpr int MsInSecond = 1000;
+constexpr size_t PieceBytes = 64 * 1024;
 
 struct Pending {
   HttpFetcher::GotReply Done;
@@ -23,7 +24,13 @@
   SoupMessage *Message = nullptr;
   GCancellable *Stop = nullptr;
   guint Timer = 0;
+  // Set once the head of the response has arrived.
+  GInputStream *Stream = nullptr;
+  TimePoint HeadAt;
+  std::string Body;
   size_t MaxBytes = 0;
+  Millis StallLimit{0};
+  Millis MaxTransfer{0};
 };
 
 gboolean onTimeout(gpointer Data) {
@@ -40,40 +47,100 @@
   (*static_cast<std::map<std::string, std::string> *>(Data))[Lower] = Value;
 }
 
-Result<HttpReply> judge(const Pending &Call, GBytes *Body, GError *Why) {
-  if (!Body) {
-    bool TimedOut = g_cancellable_is_cancelled(Call.Stop);
-    return Error{TimedOut ? Errc::Timeout : Errc::Unreachable, Call.Step,
-                 Call.Peer, Why ? Why->message : "no answer"};
-  }
-  gsize Size = 0;
-  const char *Bytes = static_cast<const char *>(g_bytes_get_data(Body, &Size));
-  if (Size > Call.MaxBytes)
-    return Error{Errc::TooLarge, Call.Step, Call.Peer,
-                 std::to_string(Size) + " bytes"};
+void startTimer(Pending &Call, Millis Limit) {
+  if (Call.Timer)
+    g_source_remove(Call.Timer);
+  Call.Timer =
+      g_timeout_add(static_cast<guint>(Limit.count()), onTimeout, &Call);
+}
+
+// Tells a server that doesn't answer from a transfer that stopped.
+Error failure(const Pending &Call, const GError *Why) {
+  bool TimedOut = g_cancellable_is_cancelled(Call.Stop);
+  std::string Detail = Why ? Why->message : "no answer";
+  if (Call.Stream)
+    Detail += ", after " + std::to_string(Call.Body.size()) + " bytes";
+  return Error{TimedOut ? Errc::Timeout : Errc::Unreachable, Call.Step,
+               Call.Peer, Detail};
+}
+
+Error tooLarge(const Pending &Call) {
+  return Error{Errc::TooLarge, Call.Step, Call.Peer,
+               "more than " + std::to_string(Call.MaxBytes) + " bytes"};
+}
+
+HttpReply makeReply(Pending &Call) {
   HttpReply Out;
   Out.Status = soup_message_get_status(Call.Message);
-  Out.Body.assign(Bytes ? Bytes : "", Size);
+  Out.Body = std::move(Call.Body);
   soup_message_headers_foreach(soup_message_get_response_headers(Call.Message),
                                addHeader, &Out.Headers);
   return Out;
 }
 
-void onReply(GObject *Source, GAsyncResult *Outcome, gpointer Data) {
-  std::unique_ptr<Pending> Call(static_cast<Pending *>(Data));
-  GError *Why = nullptr;
-  GBytes *Body =
-      soup_session_send_and_read_finish(SOUP_SESSION(Source), Outcome, &Why);
+void finish(std::unique_ptr<Pending> Call, Result<HttpReply> Reply) {
   if (Call->Timer)
     g_source_remove(Call->Timer);
-  Result<HttpReply> Reply = judge(*Call, Body, Why);
-  g_clear_error(&Why);
-  g_clear_pointer(&Body, g_bytes_unref);
+  // A response that wasn't read to its end must not be waited for.
+  if (!Reply)
+    g_cancellable_cancel(Call->Stop);
+  if (Call->Stream)
+    g_input_stream_close(Call->Stream, Call->Stop, nullptr);
+  g_clear_object(&Call->Stream);
   g_object_unref(Call->Message);
   g_object_unref(Call->Stop);
   Call->Done(std::move(Reply), Call->Now());
 }
 
+void onPiece(GObject *Source, GAsyncResult *Outcome, gpointer Data);
+
+void readPiece(Pending *Call) {
+  g_input_stream_read_bytes_async(Call->Stream, PieceBytes, G_PRIORITY_DEFAULT,
+                                  Call->Stop, onPiece, Call);
+}
+
+void onPiece(GObject *Source, GAsyncResult *Outcome, gpointer Data) {
+  std::unique_ptr<Pending> Call(static_cast<Pending *>(Data));
+  GError *Why = nullptr;
+  GBytes *Piece =
+      g_input_stream_read_bytes_finish(G_INPUT_STREAM(Source), Outcome, &Why);
+  if (!Piece) {
+    Error Cause = failure(*Call, Why);
+    g_clear_error(&Why);
+    return finish(std::move(Call), Cause);
+  }
+  gsize Size = 0;
+  const char *Bytes = static_cast<const char *>(g_bytes_get_data(Piece, &Size));
+  if (Size > 0)
+    Call->Body.append(Bytes, Size);
+  g_bytes_unref(Piece);
+  if (Call->Body.size() > Call->MaxBytes) {
+    Error Cause = tooLarge(*Call);
+    return finish(std::move(Call), Cause);
+  }
+  if (Size == 0) {
+    HttpReply Reply = makeReply(*Call);
+    return finish(std::move(Call), std::move(Reply));
+  }
+  Millis Left = Call->MaxTransfer - toMillis(Call->Now() - Call->HeadAt);
+  startTimer(*Call, std::clamp(Left, Millis(0), Call->StallLimit));
+  readPiece(Call.release());
+}
+
+void onHead(GObject *Source, GAsyncResult *Outcome, gpointer Data) {
+  std::unique_ptr<Pending> Call(static_cast<Pending *>(Data));
+  GError *Why = nullptr;
+  Call->Stream = soup_session_send_finish(SOUP_SESSION(Source), Outcome, &Why);
+  if (!Call->Stream) {
+    Error Cause = failure(*Call, Why);
+    g_clear_error(&Why);
+    return finish(std::move(Call), Cause);
+  }
+  Call->HeadAt = Call->Now();
+  startTimer(*Call, Call->StallLimit);
+  readPiece(Call.release());
+}
+
 } // namespace
 
 HttpFetcher::HttpFetcher(Options Opts, std::function<TimePoint()> Now)
@@ -108,7 +175,7 @@
 }
 
 void HttpFetcher::fetch(const std::string &Path, const std::string &Step,
-                        Millis Limit, GotReply Done) {
+                        Millis HeadLimit, GotReply Done) {
   std::string Url = "http://" + this->Opts.Address + Path;
   auto Call = std::make_unique<Pending>();
   Call->Done = std::move(Done);
@@ -118,14 +185,15 @@
   Call->Message = soup_message_new("GET", Url.c_str());
   Call->Stop = g_cancellable_new();
   Call->MaxBytes = this->Opts.MaxBytes;
-  Call->Timer =
-      g_timeout_add(static_cast<guint>(Limit.count()), onTimeout, Call.get());
+  Call->StallLimit = this->Opts.StallLimit;
+  Call->MaxTransfer = this->Opts.MaxTransfer;
+  startTimer(*Call, HeadLimit);
   if (this->Opts.SilenceLimit.count() > 0)
     g_signal_connect(Call->Message, "network-event", G_CALLBACK(onNetworkEvent),
                      this);
   Pending *Raw = Call.release();
-  soup_session_send_and_read_async(this->Session, Raw->Message,
-                                   G_PRIORITY_DEFAULT, Raw->Stop, onReply, Raw);
+  soup_session_send_async(this->Session, Raw->Message, G_PRIORITY_DEFAULT,
+                          Raw->Stop, onHead, Raw);
 }
 
 } // namespace hickorylift
--- a/src/base/HttpFetch.h
+++ b/src/base/HttpFetch.h
@@ -10,7 +10,7 @@
 #include <map>
 #include <string>
 
-// An HttpFetcher reads from one HTTP server with a limit of time and bytes on
+// An HttpFetcher reads from one HTTP server with limits of time and bytes on
 // each request. For reading a platform, not for carrying calls.
 //
 //   HttpFetcher Get(Options, Clock);
@@ -39,6 +39,13 @@
     /// between may lose track of a connection without a reset, and a request
     /// that waits for a change would hang on it unseen.
     std::chrono::seconds SilenceLimit{0};
+    /// A response is given up when no more of it arrives for this long. How
+    /// long a transfer takes depends on its size and on the other traffic of
+    /// the link, so a limit on all of it would make a large response fail
+    /// every time while the link is busy.
+    Millis StallLimit{1500};
+    /// Longest transfer of a response, however it progresses.
+    Millis MaxTransfer{30000};
   };
   using GotReply = std::function<void(Result<HttpReply>, TimePoint)>;
 
@@ -48,8 +55,9 @@
   HttpFetcher &operator=(const HttpFetcher &) = delete;
 
   /// Done is called once, never from within. Step is for errors; a reply of
-  /// any status is a result.
-  void fetch(const std::string &Path, const std::string &Step, Millis Limit,
+  /// any status is a result. HeadLimit is the time until the head of the
+  /// response; its body is bounded by Options::StallLimit.
+  void fetch(const std::string &Path, const std::string &Step, Millis HeadLimit,
              GotReply Done);
   const std::string &address() const { return this->Opts.Address; }
 
