Keep the links of a node whose own list entry has expired

Symptom: after a data centre was cut off, a few of its nodes had a version two seconds later than all others, and refused its new route with 404.

Cause: the entries of its upstreams expire while they cannot be renewed. After the cut its nodes receive an empty list of their own data centre, then some 25 lists that grow by one entry each.

Fix: while a node that was listed is missing from its list, and for 2 s after it is listed again, it keeps its targets as long as its link to a parent works, and does not read. The root, and a node whose parent's link fails, follow the list as before. How many nodes read is taken from the last complete list.

--- a/src/control/ControlLinks.cpp
+++ b/src/control/ControlLinks.cpp
@@ -106,6 +106,33 @@
     this->closeOrKeepLink(Link, Now);
 }
 
+void ControlPlane::noteOwnEntry(TimePoint Now) {
+  bool Listed = this->Fleet.find(this->Opts.Self) != nullptr;
+  this->WasListed |= Listed;
+  if (this->WasListed && !Listed)
+    this->LastUnlistedAt = Now;
+}
+
+// Whether the tree of the current list is not to be followed. After a data
+// centre was cut off from the platform, its list is empty and then grows entry
+// by entry. Each of these lists gives most nodes another parent, or none. Nodes
+// that followed them closed working links, and each read the platform instead,
+// so that the link to the next parent had to wait for a large configuration on
+// a slow network link. The parent of the last complete list serves until its
+// link fails.
+bool ControlPlane::keepsLinks(TimePoint Now) const {
+  if (!this->LastUnlistedAt ||
+      Now - *this->LastUnlistedAt >= this->Opts.RelistSettleTime)
+    return false;
+  return std::any_of(this->Targets.begin(), this->Targets.end(),
+                     [this](const auto &Named) {
+                       const Target &Kept = Named.second;
+                       return Kept.Kind == LinkKind::Tree && Kept.Link &&
+                              !this->Avoided.count(Named.first) &&
+                              this->Peers.at(*Kept.Link).HelloReceived;
+                     });
+}
+
 bool ControlPlane::isAwaitingParentLink() const {
   return this->Fleet.parent(this->Avoided) && !this->hasParentLink();
 }
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -158,8 +158,11 @@
   // Links are retargeted here and not on the arrival of a list, because the
   // arrival is handled within a link that retargeting may close.
   this->expireAvoided(Now);
-  if (std::exchange(this->NeedsRetarget, false))
+  this->noteOwnEntry(Now);
+  if (this->NeedsRetarget && !this->keepsLinks(Now)) {
+    this->NeedsRetarget = false;
     this->retarget(Now);
+  }
   this->closeFormerLinks(Now);
   this->auditParentChange(Now);
   if (this->LastTick && Now - *this->LastTick > this->Opts.PauseThreshold) {
@@ -190,11 +193,13 @@
   Situation.UsedAsSeed = this->UsedAsSeed;
   Situation.HasSeedLink = this->hasSeedLink();
   Situation.HasNeighbourState = this->Spread.hasNeighbourState();
-  Situation.IsReader = this->Fleet.isReader(this->Avoided);
   // In a small fleet every node reads the platform itself instead of relying on
   // the other nodes.
-  Situation.IsFirstReader = this->Fleet.everyNodeReads() ||
-                            this->Fleet.readerRank(this->Avoided) == 0;
+  bool EveryNodeReads = this->everyNodeReads(Now);
+  Situation.IsReader = EveryNodeReads || (!this->keepsLinks(Now) &&
+                                          this->Fleet.isReader(this->Avoided));
+  Situation.IsFirstReader =
+      EveryNodeReads || this->Fleet.readerRank(this->Avoided) == 0;
   // Without a list no node can have a parent.
   Situation.LostParent = Situation.HasList && this->hasLostParent(Now);
   Situation.ParentMayBeSlow = this->parentMayBeSlow(Now);
@@ -206,6 +211,14 @@
   return Situation;
 }
 
+// An expired list makes a fleet look small.
+bool ControlPlane::everyNodeReads(TimePoint Now) {
+  bool FollowsList = !this->keepsLinks(Now);
+  if (FollowsList && this->Fleet.find(this->Opts.Self))
+    this->EveryNodeReads = this->Fleet.everyNodeReads();
+  return FollowsList ? this->Fleet.everyNodeReads() : this->EveryNodeReads;
+}
+
 void ControlPlane::updateReadDuty(TimePoint Now) {
   ReadPlan Plan = planReading(this->readSituation(Now));
   if (Plan.Duty != this->LastDuty)
@@ -258,8 +271,8 @@
     return false;
   bool FormerParentValid =
       this->FormerParentLink && Now < this->FormerParentValidUntil;
-  bool Linked =
-      this->hasParentLink() || this->hasSeedLink() || FormerParentValid;
+  bool Linked = this->hasParentLink() || this->hasSeedLink() ||
+                FormerParentValid || this->keepsLinks(Now);
   if (!this->ParentLastLinkedAt || Linked)
     this->ParentLastLinkedAt = Now;
   bool Lost = Now - *this->ParentLastLinkedAt >= this->Opts.LostParentReadDelay;
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -95,6 +95,11 @@
     /// which a version must arrive, as the former parent may be disconnected as
     /// well.
     Millis FormerParentTimeout{700};
+    /// A node whose own entry has expired keeps its links and its parent until
+    /// it has been listed again for this long. The entries of a data centre
+    /// that was cut off from the platform expire together, and are written
+    /// again one after the other within a heartbeat interval of the upstreams.
+    Millis RelistSettleTime{2000};
     /// Once this many links are open, further links that peers dial are closed
     /// at the handshake, and the peer redials later. Links that this node dials
     /// are counted, but never refused.
@@ -214,6 +219,9 @@
   bool hasParentLink() const;
   void auditParentChange(TimePoint Now);
   bool isAwaitingParentLink() const;
+  void noteOwnEntry(TimePoint Now);
+  bool everyNodeReads(TimePoint Now);
+  bool keepsLinks(TimePoint Now) const;
   void closeOrKeepLink(LinkId Link, TimePoint Now);
   void closeFormerLinks(TimePoint Now);
   bool hasLostParent(TimePoint Now);
@@ -284,6 +292,12 @@
   std::optional<LinkId> FormerParentLink;
   TimePoint FormerParentValidUntil;
   bool NeedsRetarget = true;
+  // Whether this node has ever been listed, and when it last was found missing
+  // after that.
+  bool WasListed = false;
+  std::optional<TimePoint> LastUnlistedAt;
+  // Whether every node reads, according to the last list that named this node.
+  bool EveryNodeReads = false;
   // A node that has no list opened a link to this node as its seed.
   bool UsedAsSeed = false;
   ReadDuty LastDuty = ReadDuty::None;
--- a/src/control/ParentChangeTest.cpp
+++ b/src/control/ParentChangeTest.cpp
@@ -111,6 +111,12 @@
     this->publish(0, listTopic("north"), makeInstanceList(Listed, 2));
   }
 
+  /// Publishes the own list with these instances, which may lack this node.
+  void listOnly(const std::vector<std::string> &Listed) {
+    this->publish(0, listTopic("north"),
+                  makeInstanceList(Listed, ++this->ListRevision));
+  }
+
   void run(Millis Length) {
     for (TimePoint End = this->Now + Length; this->Now < End;
          this->Now += Millis(100)) {
@@ -164,6 +170,7 @@
   /// Links that lose all frames, in both directions.
   std::set<LinkId> UnresponsiveLinks;
   TimePoint Now = TimePoint(std::chrono::hours(1));
+  uint64_t ListRevision = 1;
 };
 
 } // namespace
@@ -218,6 +225,50 @@
   BOOST_TEST((this->Duties[0] == ReadDuty::Watch));
 }
 
+// Guards against a data centre that loses its links, and whose nodes all read
+// the platform, because their entries expired while it was cut off.
+BOOST_FIXTURE_TEST_CASE(LinksOutliveExpiredEntries, ParentChangeFixture) {
+  this->listOnly({});
+  this->run(Millis(700));
+  BOOST_TEST(this->Closed.count(OldLink) == 0u);
+  BOOST_TEST((this->Duties[0] == ReadDuty::None));
+  std::vector<std::string> Renewed;
+  for (const std::string &Name : this->Names) {
+    Renewed.push_back(Name);
+    this->listOnly(Renewed);
+    this->run(Millis(100));
+    BOOST_TEST((this->Duties[0] == ReadDuty::None));
+  }
+  this->publish(1, ConfigTopic, makeVersion(2));
+  this->run(Millis(200));
+  BOOST_TEST(this->activeVersion() == 2u);
+  this->run(Millis(4000));
+  BOOST_TEST(this->Closed.count(OldLink) == 0u);
+  BOOST_TEST(this->lastParentEvent() == this->OldParent + " tree linked");
+}
+
+// Guards against a node that waits for a former parent that is gone, because
+// its own entry expired as well.
+BOOST_FIXTURE_TEST_CASE(UnlistedNodeReadsOnceItsParentIsGone,
+                        ParentChangeFixture) {
+  this->listOnly({});
+  this->run(Millis(300));
+  this->Nodes[0]->linkClosed(OldLink, this->Now);
+  this->run(Millis(500));
+  BOOST_TEST((this->Duties[0] != ReadDuty::None));
+}
+
+// Guards against links that no list change ever replaces.
+BOOST_FIXTURE_TEST_CASE(RelistedNodeChangesItsParent, ParentChangeFixture) {
+  this->listOnly({});
+  this->run(Millis(300));
+  std::vector<std::string> Listed = this->Names;
+  Listed.push_back(this->NewParent);
+  this->listOnly(Listed);
+  this->run(Millis(3000));
+  BOOST_TEST(this->Dialled.count(this->NewParent) == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(UnresponsiveParents)
