Show that what an upstream states in its answers is not kept to

The stand-in of an upstream can state in its answers how many calls a second it takes, and that it is leaving, under the product's own field names, and counts what breaks either.

--- a/scenario/Live.cpp
+++ b/scenario/Live.cpp
@@ -80,6 +80,7 @@
         {"call", &LiveRun::call},
         {"load", &LiveRun::load},
         {"crash-upstream", &LiveRun::crashUpstream},
+        {"upstream-states", &LiveRun::upstreamStates},
         {"hang-up", &LiveRun::hangUp},
         {"cli", &LiveRun::cli},
         {"await", &LiveRun::await},
@@ -225,6 +226,14 @@
                "/admin/crash?ms=" + W.Words.at(1));
   }
 
+  // upstream-states NAME rate=R leaving=1: what its answers state from now on.
+  void upstreamStates(const LiveLine &W) {
+    std::string Path = "/admin/state?";
+    for (const auto &[Key, Value] : W.Named)
+      Path += Key + "=" + Value + "&";
+    this->post(this->fleet().node(W.Words.at(0)).Upstream, Path);
+  }
+
   void call(const LiveLine &W) {
     this->callAt(W, W.Words.at(0), W.Named.at("at"));
   }
@@ -385,6 +394,19 @@
     return Sum;
   }
 
+  // expect counted NAME COUNTER at-least=N at-most=N: of its upstream.
+  void expectCounted(const LiveLine &W) {
+    uint64_t Count =
+        this->fleet().upstreamCounters(W.Words.at(1))[W.Words.at(2)].asUInt64();
+    bool Enough = !W.Named.count("at-least") ||
+                  Count >= std::stoull(W.Named.at("at-least"));
+    bool Few = !W.Named.count("at-most") ||
+               Count <= std::stoull(W.Named.at("at-most"));
+    if (!Enough || !Few)
+      this->Failure =
+          W.Words.at(1) + ": " + W.Words.at(2) + " " + std::to_string(Count);
+  }
+
   size_t crashes() {
     size_t Sum = 0;
     for (const auto &[Name, Of] : this->fleet().nodes())
@@ -397,6 +419,8 @@
     const std::string &Who = W.Words.at(1);
     if (What == "share") {
       this->expectShare(W);
+    } else if (What == "counted") {
+      this->expectCounted(W);
     } else if (What == "crashes") {
       if (size_t Count = this->crashes(); Count != std::stoull(Who))
         this->Failure = std::to_string(Count) + " crashes";
--- a/standin/Upstream.cpp
+++ b/standin/Upstream.cpp
@@ -29,9 +29,14 @@
 // executions by the header X-Call-Id, so that a test can hold "not run" against
 // what really ran, and tells the hash of the body that it got. /admin/leave
 // says how long it still takes calls, and what comes later is counted;
-// /admin/stay takes that back; /admin/crash?ms= crashes it by itself. While it
-// is cold (--cold_ms, --cold_most) its health says for how long, and it crashes
-// under more calls in a second than it bears, which is counted.
+// /admin/stay takes that back; /admin/crash?ms= crashes it by itself.
+// /admin/state?rate=&leaving= is what its answers state from now on: the calls
+// per second that it takes, and that it is leaving; both end where they are not
+// given, or with a crash. It counts the calls of which a window had more than
+// it tolerates at that rate, and those that come too late after it has stated
+// that it is leaving. While it is cold (--cold_ms, --cold_most) its health says
+// for how long, and it crashes under more calls in a second than it bears,
+// which is counted.
 
 namespace hickorylift::standin {
 
@@ -41,6 +46,14 @@
 constexpr guint CrashDelayMs = 5;
 constexpr Millis ColdSpan{1000};
 constexpr uint64_t OverrunBackMs = 1000;
+// Calls are held against the stated rate over this window, from so long after
+// the rate was stated; what is tolerated there.
+constexpr Millis RateWindow{4000};
+constexpr Millis RateGrace{3000};
+constexpr double RateFactor = 1.5;
+constexpr double RateExtra = 5;
+// How long it takes calls after its first answer that states that it leaves.
+constexpr Millis LeavingDrain{2000};
 
 class UpstreamServer;
 
@@ -78,6 +91,13 @@
     return Found ? std::strtoull(Found, nullptr, 10) : Default;
   }
 
+  static std::string text(GHashTable *Query, const char *Key) {
+    const char *Found =
+        Query ? static_cast<const char *>(g_hash_table_lookup(Query, Key))
+              : nullptr;
+    return Found ? Found : "";
+  }
+
   static void onWork(SoupServer *, SoupServerMessage *Message, const char *,
                      GHashTable *Query, gpointer Data) {
     auto *Self = static_cast<UpstreamServer *>(Data);
@@ -85,8 +105,10 @@
         soup_server_message_get_request_headers(Message);
     SoupMessageHeaders *Headers =
         soup_server_message_get_response_headers(Message);
+    Self->countAgainstRate();
     if (Self->Running >= absl::GetFlag(FLAGS_slots)) {
       ++Self->Shed;
+      Self->addStatement(Headers);
       soup_message_headers_replace(Headers, "X-Shed", "1");
       soup_server_message_set_status(Message, 503, nullptr);
       return;
@@ -146,6 +168,39 @@
     g_source_attach(Of->Watch, nullptr);
   }
 
+  void countAgainstRate() {
+    TimePoint Now = Clock::now();
+    this->Arrivals.push_back(Now);
+    while (Now - this->Arrivals.front() >= RateWindow)
+      this->Arrivals.pop_front();
+    if (this->StatedRate.empty())
+      return;
+    ++this->SinceStated;
+    double Tolerated = RateFactor * std::stod(this->StatedRate) *
+                           std::chrono::duration<double>(RateWindow).count() +
+                       RateExtra;
+    this->OverRate += Now >= this->StatedAt + RateGrace &&
+                      static_cast<double>(this->Arrivals.size()) > Tolerated;
+  }
+
+  void addStatement(SoupMessageHeaders *Headers) {
+    if (!this->StatedRate.empty())
+      soup_message_headers_replace(Headers, "Hickorylift-Rate-Limit",
+                                   this->StatedRate.c_str());
+    if (!this->StatesLeaving)
+      return;
+    soup_message_headers_replace(Headers, "Hickorylift-Leaving", "1");
+    if (!this->TakesUntil)
+      this->TakesUntil = Clock::now() + LeavingDrain;
+  }
+
+  void state(const std::string &Rate, bool Leaving) {
+    this->StatedRate = Rate;
+    this->StatedAt = Clock::now();
+    this->SinceStated = 0;
+    this->StatesLeaving = Leaving;
+  }
+
   Clock::duration coldLeft() const {
     TimePoint Until = this->Start + Millis(absl::GetFlag(FLAGS_cold_ms));
     return std::max(Clock::duration::zero(), Until - Clock::now());
@@ -194,6 +249,8 @@
     for (GSocket *One : this->Connections)
       g_socket_shutdown(One, TRUE, TRUE, nullptr);
     soup_server_disconnect(this->Server);
+    this->state("", /*Leaving=*/false);
+    this->TakesUntil.reset();
     g_timeout_add(static_cast<guint>(BackAfterMs), onBack, this);
   }
   static gboolean onBack(gpointer Data) {
@@ -252,6 +309,7 @@
         soup_server_message_get_response_headers(Of->Message);
     soup_message_headers_replace(Headers, "X-Answer-Hash",
                                  hexHash(contentHash(Body)).c_str());
+    Of->Owner->addStatement(Headers);
     if (Of->Drop)
       g_socket_shutdown(soup_server_message_get_socket(Of->Message), TRUE, TRUE,
                         nullptr);
@@ -314,6 +372,8 @@
       auto *Due = new CrashDue{Self, number(Query, "ms", 0)};
       g_timeout_add(CrashDelayMs, onCrashDue, Due);
     }
+    if (std::string(Path) == "/admin/state")
+      Self->state(text(Query, "rate"), number(Query, "leaving", 0) != 0);
     if (std::string(Path) == "/admin/stay")
       Self->TakesUntil.reset();
     Json::Value Out(Json::objectValue);
@@ -326,6 +386,8 @@
       Out["late_calls"].append(Call + " by " + std::to_string(After.count()) +
                                " ms");
     Out["overruns"] = Json::UInt64(Self->Overruns);
+    Out["over_rate"] = Json::UInt64(Self->OverRate);
+    Out["since_stated"] = Json::UInt64(Self->SinceStated);
     Out["running"] = Json::UInt64(Self->Running);
     Out["crashes"] = Json::Value(Json::arrayValue);
     for (const auto &[At, By] : Self->Crashes) {
@@ -352,6 +414,13 @@
   // Calls of the last second while it is cold.
   std::deque<TimePoint> ColdCalls;
   uint64_t Overruns = 0;
+  // What its answers state, and the calls of the last window.
+  std::string StatedRate;
+  TimePoint StatedAt;
+  bool StatesLeaving = false;
+  std::deque<TimePoint> Arrivals;
+  uint64_t SinceStated = 0;
+  uint64_t OverRate = 0;
   std::map<std::string, uint64_t> Executions;
   uint64_t Total = 0;
   uint64_t Shed = 0;
