Keep to the rate of calls that an upstream states in its answers

Cause: nothing read the field. The gate knew one rate, that of a cold upstream.

Fix: the gate beside an upstream carries all of its calls, so it keeps to the rate alone (StatedRateLimiter, beside ColdStartLimiter). Calls are paced at the stated rate, and none starts that would exceed what the upstream tolerates in a window, counting what it got before its first statement. The rest follows: calls wait or are refused with reason "stated-rate" and a time that comes from the rate; the load reported to entries shows it, so that they choose other gates; entries remember the last statement that they have passed on, and repeat it to a gate whose process is new. A statement holds for one start of the upstream, until an answer of the upstream itself states something else. A field that cannot be read changes nothing and is logged at a bounded rate. Answers replayed for an idempotency key carry no statement. `status`, a metric and the audit trail show what is stated.

Ruled out: each node limiting for itself (the rate did not move at all).

Health queries do not count: at one a second they had left no call for an upstream that states 0.5.

--- a/scenario/Live.cpp
+++ b/scenario/Live.cpp
@@ -230,7 +230,7 @@
   void upstreamStates(const LiveLine &W) {
     std::string Path = "/admin/state?";
     for (const auto &[Key, Value] : W.Named)
-      Path += Key + "=" + Value + "&";
+      Path.append(Key).append("=").append(Value).append("&");
     this->post(this->fleet().node(W.Words.at(0)).Upstream, Path);
   }
 
--- a/src/calls/Dialect.h
+++ b/src/calls/Dialect.h
@@ -34,6 +34,12 @@
   /// On every answer that the upstream itself produced. A success without it
   /// came from another program.
   std::string UpstreamMark;
+  /// On an answer of an upstream in need: the calls per second that it takes
+  /// from all nodes together, as a decimal number. Holds for as long as its
+  /// answers state it.
+  std::string RateLimit = "Hickorylift-Rate-Limit";
+  /// On every answer of an upstream that is leaving; the value is 1.
+  std::string Leaving = "Hickorylift-Leaving";
   /// On an answer of the health endpoint: milliseconds that the upstream stays
   /// cold.
   std::string ColdTimeLeft = "Hickorylift-Cold-Left-Ms";
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -101,6 +101,7 @@
       for (const Instance *Gate : this->Fleet.upstreams(Name)) {
         Listed.insert(Gate->Name);
         this->Balancer.updateInstance(*Gate);
+        this->Statements.instanceListed(*Gate);
       }
   this->Balancer.retainOnly(Listed);
 }
@@ -242,6 +243,8 @@
                         ? Call.MatchedRoute->Priority
                         : Class->second;
   }
+  if (const Instance *Target = this->Fleet.find(Call.Gate); Target && !Resume)
+    Call.SentTo = {Target->Upstream, Target->Incarnation};
   Call.CurrentState = State::Sent;
   Call.SentAt = Now;
   Call.GateIncarnation = this->Links[Call.Gate].Incarnation;
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -10,6 +10,7 @@
 #include "routing/LoadBalancer.h"
 #include "routing/NodeRank.h"
 #include "routing/RequestAgeEstimator.h"
+#include "routing/StatementMemory.h"
 #include "routing/TrafficSplitter.h"
 
 #include <functional>
@@ -284,6 +285,8 @@
     bool OnTrial = false;
     std::string Gate;
     uint64_t GateIncarnation = 0;
+    // The start of the gate's upstream that was listed when the call was sent.
+    StatementMemory::UpstreamStart SentTo;
     TimePoint AssignedAt;
     // When the Open frame was sent over the current link.
     TimePoint SentAt;
@@ -357,6 +360,8 @@
   void onHello(const std::string &Gate, GateLink &Link,
                const wire::CallHelloT &Hello, TimePoint Now);
   void onHead(const std::string &Gate, const wire::HeadT &Head, TimePoint Now);
+  void noteStatement(const std::string &Gate, const PendingCall &Call,
+                     const ResponseHead &Answer);
   void recordRoundTrip(const std::string &Gate, const PendingCall &Call,
                        const wire::HeadT &Head, TimePoint Now);
   void onData(const std::string &Gate, const wire::DataT &Data, TimePoint Now);
@@ -395,6 +400,7 @@
   Hooks Hook;
   const Membership &Fleet;
   LoadBalancer Balancer;
+  StatementMemory Statements;
   ConfigPtr ActiveConfig;
   std::map<CallerId, PendingCall> Calls;
   // When each call is to be given up; entries of ended calls are skipped.
--- a/src/calls/EntryAnswers.cpp
+++ b/src/calls/EntryAnswers.cpp
@@ -90,6 +90,17 @@
   this->Balancer.recordRtt(Gate, std::max(Micros(0), Elapsed - AtGate), Now);
 }
 
+// The gate has read the statement and logged what it can't read of it.
+void Entry::noteStatement(const std::string &Gate, const PendingCall &Call,
+                          const ResponseHead &Answer) {
+  const StatementMemory::Remembered *Known = this->Statements.find(Gate);
+  std::string Fault;
+  UpstreamStatement Stated =
+      readStatement(Answer.Headers, this->Opts.HeaderNames,
+                    Known ? Known->Stated : UpstreamStatement(), Fault);
+  this->Statements.record(Gate, Call.SentTo, Stated);
+}
+
 void Entry::onHead(const std::string &Gate, const wire::HeadT &Head,
                    TimePoint Now) {
   if (Head.load)
@@ -114,6 +125,7 @@
   Answer.Reason = Head.reason;
   Answer.Headers = fromWire(Head.headers);
   Answer.Length = Head.length;
+  this->noteStatement(Gate, Call, Answer);
   this->Hook.Head(*Caller, Answer);
 }
 
@@ -166,7 +178,7 @@
   // now.
   if (Cause.Reason == "not-my-service" || Cause.Reason == "upstream-replaced")
     this->Balancer.markUnreachable(Gate, Now);
-  if (Cause.Reason == "overload")
+  if (Cause.Reason == "overload" || Cause.Reason == "stated-rate")
     this->Balancer.recordRefusal(Gate, Millis(Failed.room_in_ms), Now);
   if (Cause.Reason == UpstreamGone || Cause.Reason == UpstreamCrashed) {
     this->Links[Gate].UpstreamGone = true;
--- a/src/calls/EntryLinks.cpp
+++ b/src/calls/EntryLinks.cpp
@@ -39,6 +39,13 @@
   wire::CallHelloT Hello;
   Hello.node = this->Opts.Self;
   Hello.incarnation = this->Opts.Incarnation;
+  if (const auto *Known = this->Statements.find(Gate)) {
+    Hello.upstream = Known->Start.first;
+    Hello.upstream_incarnation = Known->Start.second;
+    if (Known->Stated.CallsPerSecond)
+      Hello.stated_rate = *Known->Stated.CallsPerSecond;
+    Hello.stated_leaving = Known->Stated.Leaving;
+  }
   this->Hook.Send(Gate, makeCallFrame(std::move(Hello)));
 }
 
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -57,9 +57,14 @@
   for (const Instance *Upstream : Upstreams) {
     if (Upstream->Name != this->Opts.Self)
       continue;
+    std::pair<std::string, uint64_t> Start(Upstream->Upstream,
+                                           Upstream->Incarnation);
     if (this->ListedInstance && !Upstream->sameStart(*this->ListedInstance)) {
       this->AdmissionControl.upstreamRestarted(Now);
+      this->forgetStatement(Now);
       this->suspectRestart(Now);
+    } else if (this->RememberedStart && *this->RememberedStart != Start) {
+      this->forgetStatement(Now);
     }
     this->ListedInstance = *Upstream;
     this->AdmissionControl.coldStart().observeUpstream(Upstream->Upstream, Now);
@@ -90,7 +95,7 @@
     return;
   if (const auto *Hello = Frame.payload.AsCallHello()) {
     this->EntryByLink[Link] = Hello->incarnation;
-    return;
+    return this->takeRemembered(*Hello, Now);
   }
   if (const auto *Open = Frame.payload.AsOpen())
     return this->onOpen(Link, *Open, Now);
@@ -217,6 +222,8 @@
   Call.Phase = State::Finished;
   Call.HaveAnswerHead = true;
   Call.AnswerHead = std::move(Recorded.Head);
+  // What the upstream stated when the call ran doesn't hold now.
+  removeStatement(Call.AnswerHead.Headers, this->Opts.HeaderNames);
   Call.AnswerHead.Headers.push_back({"Hickorylift-Replayed", "true"});
   Call.AnswerHead.Length = static_cast<int64_t>(Recorded.Body.size());
   Call.AnswerBody.append(Recorded.Body);
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -4,6 +4,7 @@
 #include "calls/Body.h"
 #include "calls/Dialect.h"
 #include "calls/Message.h"
+#include "calls/UpstreamStatement.h"
 #include "config/Config.h"
 #include "gate/Admission.h"
 #include "gate/CrashDetector.h"
@@ -129,6 +130,14 @@
                        TimePoint)>
         UpstreamCrashed =
             [](const std::vector<Quarantine::RunningRequest> &, TimePoint) {};
+    /// The upstream's answers state something else than before.
+    std::function<void(const UpstreamStatement &Before,
+                       const UpstreamStatement &After, TimePoint)>
+        StatementChanged = [](const UpstreamStatement &,
+                              const UpstreamStatement &, TimePoint) {};
+    /// An answer contains a statement that can't be read.
+    std::function<void(const std::string &Fault, TimePoint)>
+        StatementUnreadable = [](const std::string &, TimePoint) {};
     /// Queries the upstream's health endpoint at this path, or at the default
     /// one if the path is empty. The owner calls upstreamReported() with the
     /// result within ColdStartLimiter::Options::QueryInterval, or never.
@@ -197,6 +206,8 @@
   bool isCold(TimePoint Now) {
     return this->AdmissionControl.coldStart().isCold(Now);
   }
+  /// What the upstream states in its answers.
+  const UpstreamStatement &upstreamStatement() const { return this->Stated; }
   /// Whether no call runs or waits and no answer is still to be sent to an
   /// entry.
   bool idle() const;
@@ -307,6 +318,10 @@
   void releaseSendReservation(CallRecord &Call);
   void markUpstreamGone(TimePoint Now);
   void markUpstreamBack(TimePoint Now);
+  void noteStatement(const ResponseHead &Head, TimePoint Now);
+  void setStatement(const UpstreamStatement &New, TimePoint Now);
+  void forgetStatement(TimePoint Now);
+  void takeRemembered(const wire::CallHelloT &Hello, TimePoint Now);
   void reprobeIfDue(TimePoint Now);
   void startProbe();
   void announceState(TimePoint Now);
@@ -367,6 +382,12 @@
   uint32_t ListedSlots = 0;
   // This instance's entry in the last list that contained one.
   std::optional<Instance> ListedInstance;
+  // What the upstream states, by its answers or as an entry remembers it.
+  UpstreamStatement Stated;
+  // Whether an answer of this start of the upstream has been read.
+  bool HeardUpstream = false;
+  // The start to which a remembered statement belongs, until an answer is read.
+  std::optional<std::pair<std::string, uint64_t>> RememberedStart;
   // Running idempotent calls whose link was lost, with the time of the loss.
   std::map<CallId, TimePoint> LinkLostAt;
   std::map<CallId, CallRecord> Calls;
--- a/src/calls/GateFixture.h
+++ b/src/calls/GateFixture.h
@@ -93,12 +93,26 @@
   }
 
   GateFixture() {
+    this->TestGate = std::make_unique<Gate>(this->options(), this->hooks());
+    this->configure(GateRecords);
+    this->TestGate->linkUp(Link, this->Now);
+    wire::CallHelloT Hello;
+    Hello.incarnation = 7;
+    this->TestGate->handleFrame(Link, makeCallFrame(std::move(Hello)),
+                                this->Now);
+  }
+
+  Gate::Options options() const {
     Gate::Options Opts;
     Opts.Self = "me";
     Opts.Service = "a";
     Opts.HeaderNames.NotRun = "Not-Run";
     Opts.HeaderNames.ExpectedUpstream = "Expect-Upstream";
     Opts.HeaderNames.Budget = "Budget";
+    return Opts;
+  }
+
+  Gate::Hooks hooks() {
     Gate::Hooks Hooks;
     Hooks.Send = [this](Gate::LinkId, wire::CallFrameT Frame) {
       this->SentFrames.push_back(std::move(Frame));
@@ -127,13 +141,7 @@
     Hooks.QueryHealth = [this](const std::string &Path) {
       this->HealthQueries.push_back(Path);
     };
-    this->TestGate = std::make_unique<Gate>(Opts, Hooks);
-    this->configure(GateRecords);
-    this->TestGate->linkUp(Link, this->Now);
-    wire::CallHelloT Hello;
-    Hello.incarnation = 7;
-    this->TestGate->handleFrame(Link, makeCallFrame(std::move(Hello)),
-                                this->Now);
+    return Hooks;
   }
 
   void configure(const std::string &Records) {
--- a/src/calls/GateLinks.cpp
+++ b/src/calls/GateLinks.cpp
@@ -93,8 +93,7 @@
       static_cast<uint32_t>(Call.RefusalDetails.RetryAfter.count());
   Failed.status = Call.RefusalDetails.Status;
   Failed.room_in_ms = static_cast<uint32_t>(
-      toMillis(this->AdmissionControl.coldStart().timeUntilCapacity(Now))
-          .count());
+      toMillis(this->AdmissionControl.timeUntilCapacity(Now)).count());
   Failed.load = std::make_unique<wire::Load>(this->load(Now));
   this->Hook.Send(Call.Link, makeCallFrame(std::move(Failed)));
 }
--- /dev/null
+++ b/src/calls/GateStatements.cpp
@@ -0,0 +1,67 @@
+#include "calls/Gate.h"
+
+#include <algorithm>
+#include <cmath>
+
+// What the upstream states about itself in its answers: the rate of calls that
+// it takes. Every call passes through this gate, so the gate alone keeps to it.
+//
+// A statement belongs to one start of the upstream and holds until an answer
+// states something else. A gate whose process starts again knows nothing of it,
+// and its first calls would exceed the rate before an answer arrives. So each
+// entry repeats the last statement that it has passed on in the first frame of
+// its link, and the gate believes it until it has read an answer itself.
+
+namespace hickorylift {
+
+void Gate::noteStatement(const ResponseHead &Head, TimePoint Now) {
+  const Dialect &Names = this->Opts.HeaderNames;
+  bool IsAnswer = Names.UpstreamMark.empty() ||
+                  !findHeader(Head.Headers, Names.UpstreamMark).empty();
+  // A refusal without a statement doesn't end one: an upstream that is full
+  // answers in few words.
+  if (!IsAnswer && !hasStatement(Head.Headers, Names))
+    return;
+  std::string Fault;
+  UpstreamStatement New =
+      readStatement(Head.Headers, Names, this->Stated, Fault);
+  if (!Fault.empty())
+    this->Hook.StatementUnreadable(Fault, Now);
+  this->HeardUpstream = true;
+  this->RememberedStart.reset();
+  this->setStatement(New, Now);
+}
+
+void Gate::setStatement(const UpstreamStatement &New, TimePoint Now) {
+  this->AdmissionControl.statedRate().setRate(New.CallsPerSecond, Now);
+  UpstreamStatement Before = std::exchange(this->Stated, New);
+  if (Before != New)
+    this->Hook.StatementChanged(Before, New, Now);
+}
+
+// The upstream was started again, or another one has taken its place.
+void Gate::forgetStatement(TimePoint Now) {
+  this->HeardUpstream = false;
+  this->RememberedStart.reset();
+  this->AdmissionControl.statedRate().upstreamRestarted();
+  this->setStatement(UpstreamStatement(), Now);
+}
+
+// Of several entries, the one with the lowest rate is believed: what the others
+// remember may be older, and an answer corrects it soon.
+void Gate::takeRemembered(const wire::CallHelloT &Hello, TimePoint Now) {
+  std::pair<std::string, uint64_t> Start(Hello.upstream,
+                                         Hello.upstream_incarnation);
+  bool IsOtherStart = this->ListedInstance &&
+                      (this->ListedInstance->Upstream != Start.first ||
+                       this->ListedInstance->Incarnation != Start.second);
+  if (this->HeardUpstream || IsOtherStart || !Hello.stated_rate)
+    return;
+  UpstreamStatement New = this->Stated;
+  New.CallsPerSecond =
+      std::min(New.CallsPerSecond.value_or(HUGE_VAL), *Hello.stated_rate);
+  this->RememberedStart = Start;
+  this->setStatement(New, Now);
+}
+
+} // namespace hickorylift
--- a/src/calls/GateUpstream.cpp
+++ b/src/calls/GateUpstream.cpp
@@ -20,14 +20,15 @@
 } // namespace
 
 void Gate::requestSent(const CallId &Id, TimePoint Now) {
-  this->AdmissionControl.coldStart().recordSent(Now);
-  if (CallRecord *Call = this->findCall(Id))
+  CallRecord *Call = this->findCall(Id);
+  this->AdmissionControl.recordSent(/*IsCall=*/Call != nullptr, Now);
+  if (Call)
     this->releaseSendReservation(*Call);
 }
 
 void Gate::releaseSendReservation(CallRecord &Call) {
   if (std::exchange(Call.AwaitingSend, false))
-    this->AdmissionControl.coldStart().releaseReservation();
+    this->AdmissionControl.releaseReservation();
 }
 
 void Gate::requestConsumed(const CallId &Id, uint64_t Total, TimePoint) {
@@ -45,6 +46,7 @@
   CallRecord *Call = this->findCall(Id);
   if (!Call || Call->Phase != State::Running)
     return;
+  this->noteStatement(Head, Now);
   if (this->handleUpstreamRefusal(Id, *Call, Head, Now))
     return this->advanceQueue(Now);
   Call->HaveAnswerHead = true;
--- a/src/calls/Message.cpp
+++ b/src/calls/Message.cpp
@@ -43,6 +43,10 @@
   return std::to_string(this->Entry) + "-" + std::to_string(this->Seq);
 }
 
+bool isHeader(const HeaderField &Field, std::string_view Name) {
+  return sameName(Field.Name, Name);
+}
+
 std::string findHeader(const HeaderList &Headers, std::string_view Name) {
   for (const HeaderField &Field : Headers)
     if (sameName(Field.Name, Name))
--- a/src/calls/Message.h
+++ b/src/calls/Message.h
@@ -37,6 +37,8 @@
 /// Sets a header field and removes all earlier fields of that name.
 void setHeader(HeaderList &Headers, const std::string &Name,
                const std::string &Value);
+/// Whether the field has this name, compared without regard to case.
+bool isHeader(const HeaderField &Field, std::string_view Name);
 /// The value of the first field of that name, compared without regard to case.
 /// Empty if there is none.
 std::string findHeader(const HeaderList &Headers, std::string_view Name);
--- a/src/cli/Views.cpp
+++ b/src/cli/Views.cpp
@@ -101,6 +101,11 @@
             << Upstream["waiting"].asUInt();
   if (Upstream["cold"].asBool())
     std::cout << ", cold";
+  if (Upstream.isMember("stated_rate"))
+    std::cout << ", takes " << Upstream["stated_rate"].asDouble()
+              << " calls a second";
+  if (Upstream["leaving"].asBool())
+    std::cout << ", leaving";
   if (!Upstream["drained_by"].asString().empty())
     std::cout << ", draining by " << Upstream["drained_by"].asString();
   std::cout << "\n";
--- a/src/gate/Admission.cpp
+++ b/src/gate/Admission.cpp
@@ -35,6 +35,8 @@
 namespace {
 
 constexpr unsigned TooManyRequests = 429;
+const char ReasonOverload[] = "overload";
+const char ReasonStatedRate[] = "stated-rate";
 
 } // namespace
 
@@ -84,17 +86,56 @@
   return Base + Millis(this->Rng() % (Base.count() + 1));
 }
 
+// Both limits may hold at once: an upstream that has just started may also
+// state a rate.
+size_t Admission::rateCapacity(TimePoint Now) {
+  return std::min(this->ColdLimiter.capacity(Now),
+                  this->RateLimiter.capacity(Now));
+}
+
+Clock::duration Admission::timeUntilCapacity(TimePoint Now) {
+  return std::max(this->ColdLimiter.timeUntilCapacity(Now),
+                  this->RateLimiter.timeUntilCapacity(Now));
+}
+
+std::optional<double> Admission::allowedRate(TimePoint Now) const {
+  std::optional<double> Rate;
+  if (this->ColdLimiter.isCold(Now))
+    Rate = this->ColdLimiter.allowedRate();
+  if (this->RateLimiter.isLimited())
+    Rate =
+        std::min(Rate.value_or(HUGE_VAL), this->RateLimiter.allowedRate(Now));
+  return Rate;
+}
+
+const char *Admission::overloadReason(TimePoint Now) {
+  return this->RateLimiter.capacity(Now) == 0 ? ReasonStatedRate
+                                              : ReasonOverload;
+}
+
+void Admission::releaseReservation() {
+  this->ColdLimiter.releaseReservation();
+  this->RateLimiter.releaseReservation();
+}
+
+void Admission::recordSent(bool IsCall, TimePoint Now) {
+  this->ColdLimiter.recordSent(Now);
+  if (IsCall)
+    this->RateLimiter.recordSent(Now);
+}
+
 Clock::duration Admission::expectedWait(size_t Ahead, TimePoint Now) {
   Clock::duration MeanRun =
       this->MeanRunTime.value_or(this->Opts.InitialLatency);
   Clock::duration ForSlot = MeanRun * static_cast<int64_t>(Ahead + 1) /
                             static_cast<int64_t>(this->openSlots(Now));
-  if (!this->ColdLimiter.isCold(Now))
+  std::optional<double> Rate = this->allowedRate(Now);
+  if (!Rate)
     return ForSlot;
   auto CallInterval = std::chrono::duration_cast<Clock::duration>(
-      std::chrono::duration<double>(1 / this->ColdLimiter.allowedRate()));
-  Clock::duration ForCapacity = this->ColdLimiter.timeUntilCapacity(Now) +
-                                CallInterval * static_cast<int64_t>(Ahead);
+      std::chrono::duration<double>(1 / *Rate));
+  Clock::duration ForCapacity =
+      this->timeUntilCapacity(Now) + CallInterval * static_cast<int64_t>(Ahead);
   return std::max(ForSlot, ForCapacity);
 }
 
@@ -191,7 +232,7 @@
 
 bool Admission::canRunNow(TimePoint Now) {
   return this->RunningCalls.size() < this->openSlots(Now) &&
-         this->Queue.empty() && this->ColdLimiter.capacity(Now) > 0;
+         this->Queue.empty() && this->rateCapacity(Now) > 0;
 }
 
 std::optional<Admission::Result> Admission::wouldRefuse(const Request &Call,
@@ -203,8 +244,9 @@
   if (Now >= Call.Deadline)
     return this->refuse("deadline", Millis(0));
   if (!this->canRunNow(Now) && !this->canQueue(Call, Now))
-    return this->refuse("overload", this->retryAfter(this->expectedWait(
-                                        this->Queue.size(), Now)));
+    return this->refuse(
+        this->overloadReason(Now),
+        this->retryAfter(this->expectedWait(this->Queue.size(), Now)));
   return std::nullopt;
 }
 
@@ -230,10 +272,11 @@
 // Checks the capacity again, because the body of the call may have taken long
 // to arrive since the call got its slot.
 std::optional<Admission::Result> Admission::reserveCapacity(TimePoint Now) {
-  if (this->ColdLimiter.capacity(Now) == 0)
-    return this->refuse(
-        "overload", this->retryAfter(this->ColdLimiter.timeUntilCapacity(Now)));
+  if (this->rateCapacity(Now) == 0)
+    return this->refuse(this->overloadReason(Now),
+                        this->retryAfter(this->timeUntilCapacity(Now)));
   this->ColdLimiter.reserve();
+  this->RateLimiter.reserve();
   return std::nullopt;
 }
 
@@ -324,7 +367,8 @@
     else if (DropsLate && !this->canMeetDeadline(Call, Now))
       Position = this->dropQueued(Position, "deadline", Millis(0), Update);
     else if (DropsLate && (WaitedTooLong || MissesTarget))
-      Position = this->dropQueued(Position, "overload", RetryAfter, Update);
+      Position = this->dropQueued(Position, this->overloadReason(Now),
+                                  RetryAfter, Update);
     else
       ++Position;
   }
@@ -338,11 +382,11 @@
   Millis RetryAfter =
       this->retryAfter(this->expectedWait(this->Queue.size(), Now));
   while (this->Queue.size() > this->ServiceConfig.QueueLimit)
-    this->dropQueued(std::prev(this->Queue.end()), "overload", RetryAfter,
-                     Update);
+    this->dropQueued(std::prev(this->Queue.end()), this->overloadReason(Now),
+                     RetryAfter, Update);
   // The returned calls reserve their capacity only later, one by one, when they
   // are sent.
-  size_t Capacity = this->ColdLimiter.capacity(Now);
+  size_t Capacity = this->rateCapacity(Now);
   while (!this->Queue.empty() && Capacity > Update.ToRun.size() &&
          this->RunningCalls.size() < this->openSlots(Now)) {
     auto First = this->Queue.begin();
@@ -360,16 +404,13 @@
       this->MeanRunTime.value_or(Clock::duration::zero()));
   double Slots = static_cast<double>(this->openSlots(Now));
   double Waiting = static_cast<double>(this->waitingCount());
-  if (this->ColdLimiter.isCold(Now)) {
+  if (std::optional<double> Rate = this->allowedRate(Now)) {
     using Seconds = std::chrono::duration<double>;
     Clock::duration RunTime =
         this->MeanRunTime.value_or(this->Opts.InitialLatency);
-    double Busy =
-        std::ceil(this->ColdLimiter.allowedRate() * Seconds(RunTime).count());
+    double Busy = std::ceil(*Rate * Seconds(RunTime).count());
     Slots = std::clamp(Busy, 1.0, Slots);
-    Waiting +=
-        std::ceil(this->ColdLimiter.allowedRate() *
-                  Seconds(this->ColdLimiter.timeUntilCapacity(Now)).count());
+    Waiting += std::ceil(*Rate * Seconds(this->timeUntilCapacity(Now)).count());
   }
   return {static_cast<uint32_t>(this->RunningCalls.size()),
           static_cast<uint32_t>(Waiting), static_cast<uint32_t>(Slots),
--- a/src/gate/Admission.h
+++ b/src/gate/Admission.h
@@ -5,6 +5,7 @@
 #include "calls/Message.h"
 #include "config/Config.h"
 #include "gate/ColdStartLimiter.h"
+#include "gate/StatedRateLimiter.h"
 
 #include <map>
 #include <random>
@@ -67,6 +68,8 @@
     Millis MaxRetryAfter{5000};
     /// Limits for an upstream that has just started.
     ColdStartLimiter::Options ColdStartOpts;
+    /// Limits for an upstream that states the rate of calls that it takes.
+    StatedRateLimiter::Options StatedRateOpts;
     Safeguards Guards;
   };
 
@@ -107,18 +110,27 @@
   };
 
   Admission(Options Opts, uint64_t Seed)
-      : Opts(Opts), Rng(Seed), ColdLimiter(Opts.ColdStartOpts) {}
+      : Opts(Opts), Rng(Seed), ColdLimiter(Opts.ColdStartOpts),
+        RateLimiter(Opts.StatedRateOpts) {}
 
   void configure(const Service &Config, TimePoint Now);
   Result admit(const Request &Call, TimePoint Now);
   /// Returns the refusal that the call would get if it were made now, without
   /// checking its route's limit; nothing if it would run or wait.
   std::optional<Result> wouldRefuse(const Request &Call, TimePoint Now);
-  /// Reserves capacity for a call that is about to be sent. A cold upstream's
-  /// reservation is returned by coldStart().releaseReservation(). A returned
-  /// result means that the call must not be sent, because the upstream has
-  /// already received as much as it can handle.
+  /// Reserves capacity for a call that is about to be sent, until
+  /// releaseReservation(). A returned result means that the call must not be
+  /// sent, because the upstream has already received as much as it can handle.
   std::optional<Result> reserveCapacity(TimePoint Now);
+  /// Ends a reservation: the request was sent, or will not be.
+  void releaseReservation();
+  /// A request has been sent to the upstream, by any component. IsCall is false
+  /// for a health query: those count against a cold upstream, but not against
+  /// the rate that an upstream states for calls.
+  void recordSent(bool IsCall, TimePoint Now);
+  /// Time until one more call may start at a cold or limited upstream; zero if
+  /// one may start now. Says nothing about free slots.
+  Clock::duration timeUntilCapacity(TimePoint Now);
   /// Whether a call that starts after Wait is expected to meet its target.
   bool canMeetTarget(const Request &Call, Clock::duration Wait,
                      TimePoint Now) const;
@@ -147,12 +159,13 @@
   /// The drain reasons, separated by commas.
   std::string drainReasons() const;
 
-  /// The load that is reported to the entries. While the upstream is cold, its
-  /// slots are the number that the allowed call rate keeps busy, and the
-  /// waiting calls are raised by the calls that would start at that rate in the
-  /// time until there is capacity again.
+  /// The load that is reported to the entries. While the upstream is cold or
+  /// states a rate, its slots are the number that the allowed call rate keeps
+  /// busy, and the waiting calls are raised by the calls that would start at
+  /// that rate in the time until there is capacity again.
   wire::Load load(TimePoint Now);
   ColdStartLimiter &coldStart() { return this->ColdLimiter; }
+  StatedRateLimiter &statedRate() { return this->RateLimiter; }
   size_t runningCount() const { return this->RunningCalls.size(); }
   size_t waitingCount() const { return this->Queue.size(); }
 
@@ -183,6 +196,9 @@
   Result refuse(const std::string &Reason, Millis RetryAfter,
                 unsigned Status = 0);
   size_t openSlots(TimePoint Now) const;
+  size_t rateCapacity(TimePoint Now);
+  std::optional<double> allowedRate(TimePoint Now) const;
+  const char *overloadReason(TimePoint Now);
   Clock::duration expectedWait(size_t Ahead, TimePoint Now);
   Millis retryAfter(Clock::duration Wait);
   std::string limitKey(const Request &Call) const;
@@ -220,6 +236,7 @@
   std::map<std::string, LimitState> Limits;
   std::set<std::string> DrainReasons;
   ColdStartLimiter ColdLimiter;
+  StatedRateLimiter RateLimiter;
 };
 
 } // namespace hickorylift
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -1,5 +1,6 @@
 #include "node/NodeCore.h"
 
+#include <sstream>
 #include <utility>
 
 // Every event passes through observe(), and the call tick alone comes fifty
@@ -21,6 +22,12 @@
 const char ByStop[] = "stop";
 constexpr size_t MaxHealthText = 64;
 
+std::string formatNumber(double Value) {
+  std::ostringstream Out;
+  Out << Value;
+  return Out.str();
+}
+
 std::vector<std::string> ownFirst(const std::string &Own,
                                   const std::vector<std::string> &All) {
   std::vector<std::string> Out{Own};
@@ -136,6 +143,15 @@
   Out.Send = [this](LinkId Link, wire::CallFrameT Frame) {
     this->sendToEntry(Link, std::move(Frame));
   };
+  Out.StatementChanged = [this](const UpstreamStatement &Before,
+                                const UpstreamStatement &After, TimePoint Now) {
+    this->noteStatement(Before, After, Now);
+  };
+  Out.StatementUnreadable = [this](const std::string &Fault, TimePoint Now) {
+    if (this->StatementLog.take(Now))
+      this->Control->audit().add(Now, "statement-unreadable",
+                                 this->Opts.CallGate.Self, "answer", Fault);
+  };
   Out.ListAge = [this](TimePoint Now) {
     return this->Control->oldestListAge(Now);
   };
@@ -301,6 +317,21 @@
                              Says);
 }
 
+// An upstream may state another rate in each answer. That it begins or ends to
+// state one is always worth a line.
+void NodeCore::noteStatement(const UpstreamStatement &Before,
+                             const UpstreamStatement &After, TimePoint Now) {
+  bool RateOnly = Before.CallsPerSecond && After.CallsPerSecond &&
+                  Before.Leaving == After.Leaving;
+  if (RateOnly && !this->StatementLog.take(Now))
+    return;
+  std::string Rate =
+      After.CallsPerSecond ? formatNumber(*After.CallsPerSecond) : "none";
+  this->Control->audit().add(
+      Now, "upstream-states", this->Opts.CallGate.Self, "answer",
+      "calls_per_s=" + Rate + " leaving=" + (After.Leaving ? "yes" : "no"));
+}
+
 // The endpoint lags and misleads, so it closes the gate when it says that the
 // upstream drains, and decides nothing else.
 void NodeCore::health(const Result<HealthAnswer> &Said, TimePoint Now) {
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -121,6 +121,8 @@
   void membersChanged(TimePoint Now);
   void noteOwnEntry(const Instance *Own, TimePoint Now);
   void followEvacuation(TimePoint Now);
+  void noteStatement(const UpstreamStatement &Before,
+                     const UpstreamStatement &After, TimePoint Now);
   void sendToGate(const std::string &Gate, wire::CallFrameT Frame);
   void sendToEntry(LinkId Link, wire::CallFrameT Frame);
   void finishStop(TimePoint Now);
@@ -137,6 +139,9 @@
   OwnEntry SeenAs = OwnEntry::Missing;
   bool UpstreamUp = false;
   std::string UpstreamSays;
+  // Limits audit events about what the upstream states, as each answer may
+  // state something else.
+  TokenBucket StatementLog{/*Rate=*/1, /*Burst=*/5};
   void endLinger(TimePoint Now);
   void pausedFor(Millis Gap, TimePoint Now);
 
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -101,6 +101,33 @@
               Count, {{"standing", statusName(What)}});
 }
 
+void Metrics::setGate(Gate &At, TimePoint Now) {
+  auto Set = [this](const char *Name, const char *Help, auto Value) {
+    this->set(Name, Help, static_cast<double>(Value), {});
+  };
+  const Gate::Counters &Gated = At.counters();
+  Set("hickorylift_gate_started", "Calls started at the upstream",
+      Gated.Started);
+  Set("hickorylift_gate_answered", "Calls answered by the upstream",
+      Gated.Answered);
+  for (const auto &[Reason, Count] : Gated.RefusedBy)
+    this->set("hickorylift_gate_refused", "Calls refused, by cause",
+              static_cast<double>(Count), {{"reason", Reason}});
+  wire::Load Load = At.load(Now);
+  Set("hickorylift_gate_running", "Calls at the upstream", Load.in_flight());
+  Set("hickorylift_gate_waiting", "Calls that wait", Load.queued());
+  Set("hickorylift_gate_slots", "Slots open", Load.slots());
+  Set("hickorylift_gate_cold", "1 while the upstream counts as cold",
+      At.isCold(Now));
+  const UpstreamStatement &Stated = At.upstreamStatement();
+  this->set("hickorylift_upstream_stated_rate",
+            "Calls per second that the upstream takes by its own word, -1 "
+            "without one",
+            Stated.CallsPerSecond.value_or(-1), {});
+  Set("hickorylift_upstream_leaving",
+      "1 once the upstream states that it leaves", Stated.Leaving);
+}
+
 std::string Metrics::text(Node &Of) {
   TimePoint Now = Of.now();
   auto Set = [&](const char *Name, const char *Help, uint64_t Value) {
@@ -140,21 +167,8 @@
   for (const auto &[Reason, Count] : Entered.RefusedBy)
     this->set("hickorylift_entry_refused", "Requests refused, by cause",
               static_cast<double>(Count), {{"reason", Reason}});
-  const Gate::Counters &Gated = Of.core().gate().counters();
-  Set("hickorylift_gate_started", "Calls started at the upstream",
-      Gated.Started);
-  Set("hickorylift_gate_answered", "Calls answered by the upstream",
-      Gated.Answered);
-  for (const auto &[Reason, Count] : Gated.RefusedBy)
-    this->set("hickorylift_gate_refused", "Calls refused, by cause",
-              static_cast<double>(Count), {{"reason", Reason}});
+  this->setGate(Of.core().gate(), Now);
   this->setQuarantine(Of.core().control().quarantine(), Now);
-  wire::Load Load = Of.core().gate().load(Now);
-  Set("hickorylift_gate_running", "Calls at the upstream", Load.in_flight());
-  Set("hickorylift_gate_waiting", "Calls that wait", Load.queued());
-  Set("hickorylift_gate_slots", "Slots open", Load.slots());
-  Set("hickorylift_gate_cold", "1 while the upstream counts as cold",
-      Of.core().gate().isCold(Now));
   Set("hickorylift_evacuated_data_centres",
       "Data centres whose upstreams are sent nothing",
       Of.core().control().members().evacuated().size());
--- a/src/operator/Metrics.h
+++ b/src/operator/Metrics.h
@@ -14,6 +14,7 @@
 
 namespace hickorylift {
 
+class Gate;
 class Node;
 
 /// The node's counters in the Prometheus text format. They are kept by the
@@ -31,6 +32,7 @@
 
 private:
   void setSpread(const Spreader::Counters &Spread);
+  void setGate(Gate &At, TimePoint Now);
   void setQuarantine(const Quarantine &Hold, TimePoint Now);
   void set(const std::string &Name, const std::string &Help, double Value,
            const std::map<std::string, std::string> &Labels = {});
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -146,6 +146,10 @@
   Upstream["waiting"] = Load.queued();
   Upstream["slots"] = Load.slots();
   Upstream["cold"] = this->Of.core().gate().isCold(Now);
+  const UpstreamStatement &Stated = this->Of.core().gate().upstreamStatement();
+  if (Stated.CallsPerSecond)
+    Upstream["stated_rate"] = *Stated.CallsPerSecond;
+  Upstream["leaving"] = Stated.Leaving;
   Upstream["mean_run_us"] = Load.latency_us();
   Out["entry"]["calls"] = Json::UInt64(this->Of.core().entry().callCount());
   Out["entry"]["refused"] =
