Send nothing more to an upstream that states that it is leaving

Cause: nothing read the field; a gate closed for the list's word, an operator, an evacuation, its health or a stop.

Fix: the statement closes the gate for as long as that start of the upstream lives. It opens when the list names another start, or the port has closed and opened; an answer without the statement belongs to a call that was running, and the list or a health answer may be wrong. Entries remember by upstream and start that it leaves: they choose other gates, keyed calls and trials included, and tell a gate whose process is new.

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -113,14 +113,24 @@
     const Instance *Home = keyHome(
         Call.IdempotencyKey, this->Fleet.upstreams(Call.TargetService->Name));
     bool Usable = Home && !Call.TriedGates.count(Home->Name) &&
-                  !this->Fleet.isEvacuated(*Home);
+                  !this->Fleet.isEvacuated(*Home) &&
+                  !this->Statements.isLeaving(*Home);
     return Usable ? Home : nullptr;
   }
   if (Call.OnTrial)
     return this->trialGate(Call, Now);
-  return this->Balancer.pick(
-      this->Fleet.routableUpstreams(Call.TargetService->Name), Call.TriedGates,
-      Now, makeCallInfo(Call.Head, *Call.MatchedRoute));
+  const std::vector<const Instance *> &Routable =
+      this->Fleet.routableUpstreams(Call.TargetService->Name);
+  LoadBalancer::CallInfo Info = makeCallInfo(Call.Head, *Call.MatchedRoute);
+  if (!this->Statements.isAnyLeaving())
+    return this->Balancer.pick(Routable, Call.TriedGates, Now, Info);
+  // Their gates are closed, but one whose process has started again may not
+  // know it yet.
+  std::vector<const Instance *> Staying = Routable;
+  std::erase_if(Staying, [this](const Instance *Gate) {
+    return this->Statements.isLeaving(*Gate);
+  });
+  return this->Balancer.pick(Staying, Call.TriedGates, Now, Info);
 }
 
 // A request that is one crash short of quarantine, or whose quarantine term is
@@ -130,7 +140,8 @@
   std::vector<const Instance *> Open;
   for (const Instance *Gate :
        this->Fleet.routableUpstreams(Call.TargetService->Name))
-    if (this->Balancer.isAvailable(*Gate, Now))
+    if (this->Balancer.isAvailable(*Gate, Now) &&
+        !this->Statements.isLeaving(*Gate))
       Open.push_back(Gate);
   const Instance *Home = keyHome(Call.RequestFingerprint.text(), Open);
   return Home && Call.TriedGates.count(Home->Name) ? nullptr : Home;
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -119,6 +119,24 @@
     this->TestedEntry->request(Id, Head, this->Now);
   }
 
+  /// The gate "g-1" answers a call, with one header field.
+  void answerWith(uint64_t Seq, const HeaderField &Field) {
+    wire::HeadT Head;
+    Head.seq = Seq;
+    Head.status = 200;
+    Head.headers = toWire({Field});
+    this->TestedEntry->handleFrame("g-1", makeCallFrame(std::move(Head)),
+                                   this->Now);
+  }
+  /// The first frame of the latest link to a gate.
+  const wire::CallHelloT *lastHello() const {
+    const wire::CallHelloT *Last = nullptr;
+    for (const auto &[Gate, Frame] : this->Sent)
+      if (const auto *Hello = Frame.payload.AsCallHello())
+        Last = Hello;
+    return Last;
+  }
+
   /// A call that must not run twice, with a body of 20,000 bytes.
   void upload(Entry::CallerId Id) {
     RequestHead Head;
@@ -729,6 +747,47 @@
   BOOST_TEST(this->Refused.empty());
 }
 
+// Guards against calls to an upstream that is leaving: its gate was started
+// again and takes calls, because it has not read an answer yet.
+BOOST_FIXTURE_TEST_CASE(UpstreamThatStatedItLeavesGetsNoCalls, EntryFixture) {
+  this->setGates({"g-1"});
+  this->TestedEntry->membersChanged(this->Now);
+  this->request(1, "/read/1");
+  this->connectGate("g-1");
+  this->answerWith(this->opens().back().second->seq,
+                   {"Hickorylift-Leaving", "1"});
+  this->TestedEntry->linkDown("g-1", this->Now);
+  this->connectGate("g-1", /*Incarnation=*/2);
+  const wire::CallHelloT *Hello = this->lastHello();
+  BOOST_REQUIRE(Hello);
+  BOOST_TEST(Hello->upstream == "up-g-1");
+  BOOST_TEST(Hello->stated_leaving);
+  this->request(2, "/read/2");
+  BOOST_TEST(this->Refused.count(2) == 1u);
+  BOOST_TEST(this->opens().size() == 1u);
+  this->setGates({"g-1", "g-2"});
+  this->TestedEntry->membersChanged(this->Now);
+  this->request(3, "/read/3");
+  this->connectGate("g-2");
+  BOOST_TEST(this->opens().back().first == "g-2");
+}
+
+// Guards against a gate whose process is new and that sends a burst to an
+// upstream which states a rate.
+BOOST_FIXTURE_TEST_CASE(EntryRepeatsTheStatedRate, EntryFixture) {
+  this->setGates({"g-1"});
+  this->TestedEntry->membersChanged(this->Now);
+  this->request(1, "/read/1");
+  this->connectGate("g-1");
+  BOOST_TEST(!this->lastHello()->stated_rate);
+  this->answerWith(this->opens().back().second->seq,
+                   {"Hickorylift-Rate-Limit", "2.5"});
+  this->TestedEntry->linkDown("g-1", this->Now);
+  this->connectGate("g-1", /*Incarnation=*/2);
+  BOOST_REQUIRE(this->lastHello()->stated_rate);
+  BOOST_TEST(*this->lastHello()->stated_rate == 2.5);
+}
+
 BOOST_FIXTURE_TEST_CASE(OpenFrameNamesOriginAndUpstream, EntryFixture) {
   this->request(1, "/read/1");
   this->connectGate(this->Dialled.back());
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -130,7 +130,8 @@
                        TimePoint)>
         UpstreamCrashed =
             [](const std::vector<Quarantine::RunningRequest> &, TimePoint) {};
-    /// The upstream's answers state something else than before.
+    /// The upstream's answers state something else than before. Called before
+    /// the gate closes for it, and after it opens.
     std::function<void(const UpstreamStatement &Before,
                        const UpstreamStatement &After, TimePoint)>
         StatementChanged = [](const UpstreamStatement &,
@@ -149,6 +150,10 @@
     std::function<void()> Probe;
   };
 
+  /// The reason for which the gate is closed once its upstream has stated that
+  /// it is leaving.
+  static constexpr char DrainedByStatement[] = "answer";
+
   /// Totals since the gate was created.
   struct Counters {
     uint64_t Started = 0;
--- a/src/calls/GateStatements.cpp
+++ b/src/calls/GateStatements.cpp
@@ -4,13 +4,20 @@
 #include <cmath>
 
 // What the upstream states about itself in its answers: the rate of calls that
-// it takes. Every call passes through this gate, so the gate alone keeps to it.
+// it takes, and that it is leaving. Every call passes through this gate, so the
+// gate alone keeps to it.
 //
 // A statement belongs to one start of the upstream and holds until an answer
 // states something else. A gate whose process starts again knows nothing of it,
 // and its first calls would exceed the rate before an answer arrives. So each
 // entry repeats the last statement that it has passed on in the first frame of
 // its link, and the gate believes it until it has read an answer itself.
+//
+// That the upstream is leaving holds for the whole start and closes the gate.
+// Nothing is sent to it from then on, so no later answer could withdraw it; an
+// answer without the statement that arrives afterwards belongs to a call that
+// was running. The instance list may go on naming the upstream, and its health
+// endpoint may be wrong, so neither opens the gate.
 
 namespace hickorylift {
 
@@ -29,14 +36,21 @@
     this->Hook.StatementUnreadable(Fault, Now);
   this->HeardUpstream = true;
   this->RememberedStart.reset();
+  New.Leaving |= this->Stated.Leaving;
   this->setStatement(New, Now);
 }
 
 void Gate::setStatement(const UpstreamStatement &New, TimePoint Now) {
   this->AdmissionControl.statedRate().setRate(New.CallsPerSecond, Now);
   UpstreamStatement Before = std::exchange(this->Stated, New);
-  if (Before != New)
-    this->Hook.StatementChanged(Before, New, Now);
+  if (Before == New)
+    return;
+  // The hook reports what the gate holds when it closes.
+  if (Before.Leaving && !New.Leaving)
+    this->reopen(DrainedByStatement, Now);
+  this->Hook.StatementChanged(Before, New, Now);
+  if (New.Leaving && !Before.Leaving)
+    this->drain(DrainedByStatement, Now);
 }
 
 // The upstream was started again, or another one has taken its place.
@@ -55,11 +69,14 @@
   bool IsOtherStart = this->ListedInstance &&
                       (this->ListedInstance->Upstream != Start.first ||
                        this->ListedInstance->Incarnation != Start.second);
-  if (this->HeardUpstream || IsOtherStart || !Hello.stated_rate)
+  bool StatesSomething = Hello.stated_rate || Hello.stated_leaving;
+  if (this->HeardUpstream || IsOtherStart || !StatesSomething)
     return;
   UpstreamStatement New = this->Stated;
-  New.CallsPerSecond =
-      std::min(New.CallsPerSecond.value_or(HUGE_VAL), *Hello.stated_rate);
+  if (Hello.stated_rate)
+    New.CallsPerSecond =
+        std::min(New.CallsPerSecond.value_or(HUGE_VAL), *Hello.stated_rate);
+  New.Leaving |= Hello.stated_leaving;
   this->RememberedStart = Start;
   this->setStatement(New, Now);
 }
--- a/src/calls/GateStatementsTest.cpp
+++ b/src/calls/GateStatementsTest.cpp
@@ -14,6 +14,7 @@
   {"kind":"route","name":"r","schema":3,"match":{"prefix":"/"},
    "service":"a","idempotent":false}])";
 const char RateField[] = "Hickorylift-Rate-Limit";
+const char LeavingField[] = "Hickorylift-Leaving";
 /// Calls that start together at an upstream that states 20 a second: those of
 /// 250 ms, and one.
 constexpr size_t BurstAtTwenty = 6;
@@ -83,13 +84,17 @@
   void answer(HeaderList Headers, unsigned Status = 200, bool Marked = true) {
     this->dropWaiting();
     BOOST_REQUIRE(this->sendCalls(1) == 1);
+    this->finishCall(this->LastSeq, std::move(Headers), Status, Marked);
+  }
+  void finishCall(uint64_t Seq, HeaderList Headers, unsigned Status = 200,
+                  bool Marked = true) {
     ResponseHead Head;
     Head.Status = Status;
     Head.Headers = std::move(Headers);
     if (Marked)
       Head.Headers.push_back({"Mark", "1"});
     Head.Length = 0;
-    this->TestGate->upstreamHead({7, this->LastSeq}, Head, this->Now);
+    this->TestGate->upstreamHead({7, Seq}, Head, this->Now);
   }
 };
 
@@ -144,10 +149,72 @@
      [](Fixture &Test) { Test.greetRemembering("up-1", 1); }, true},
 };
 
+/// An event at a gate whose upstream has stated that it is leaving, and whether
+/// the gate is still closed afterwards.
+struct ClosedRow {
+  const char *Name;
+  std::function<void(Fixture &)> Event;
+  bool ExpectedClosed;
+};
+std::ostream &operator<<(std::ostream &Stream, const ClosedRow &Row) {
+  return Stream << Row.Name;
+}
+
+const ClosedRow ClosedRows[] = {
+    {"nothing", [](Fixture &) {}, true},
+    {"the answer of a call that was running states nothing",
+     [](Fixture &Test) { Test.finishCall(1, {}); }, true},
+    {"the list names the same start",
+     [](Fixture &Test) { Test.listUpstream("up-1"); }, true},
+    {"its health is good",
+     [](Fixture &Test) {
+       Test.TestGate->upstreamReported(Millis(0), Test.Now);
+     },
+     true},
+    {"another upstream is listed",
+     [](Fixture &Test) { Test.listUpstream("up-2"); }, false},
+    {"it was started again under its name",
+     [](Fixture &Test) { Test.listUpstream("up-1", 5); }, false},
+    {"another upstream is listed, and an operator drains the gate",
+     [](Fixture &Test) {
+       Test.TestGate->drain("operator", Test.Now);
+       Test.listUpstream("up-2");
+     },
+     true},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(GateStatements)
 
+// Guards against calls to an upstream that has stated that it is leaving, and
+// against a gate that never opens for the one that takes its place.
+BOOST_DATA_TEST_CASE(LeavingClosesTheGateForOneStart, data::make(ClosedRows),
+                     Row) {
+  Fixture Test;
+  BOOST_REQUIRE(Test.sendCalls(2) == 2);
+  Test.finishCall(2, {{LeavingField, "1"}});
+  BOOST_TEST(Test.TestGate->draining());
+  BOOST_TEST(Test.sendCalls(1) == 0u);
+  BOOST_REQUIRE(Test.lastFailed());
+  BOOST_TEST(Test.lastFailed()->reason == "draining");
+  Row.Event(Test);
+  BOOST_TEST(Test.TestGate->draining() == Row.ExpectedClosed);
+  BOOST_TEST(Test.sendCalls(1) == (Row.ExpectedClosed ? 0u : 1u));
+}
+
+// Guards against calls to an upstream that is leaving, from a gate whose
+// process has just started: an entry remembers it.
+BOOST_FIXTURE_TEST_CASE(EntryTellsANewGateThatItsUpstreamLeaves, Fixture) {
+  wire::CallHelloT Hello;
+  Hello.upstream = "up-1";
+  Hello.stated_leaving = true;
+  this->greet(std::move(Hello));
+  BOOST_TEST(this->sendCalls(1) == 0u);
+  this->listUpstream("up-2");
+  BOOST_TEST(this->sendCalls(1) == 1u);
+}
+
 // Guards against an upstream that gets more than the rate that it states, and
 // against a limit that outlives its statement.
 BOOST_DATA_TEST_CASE(StatedRateHoldsUntilAnAnswerEndsIt, data::make(HoldsRows),
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -327,9 +327,14 @@
     return;
   std::string Rate =
       After.CallsPerSecond ? formatNumber(*After.CallsPerSecond) : "none";
-  this->Control->audit().add(
-      Now, "upstream-states", this->Opts.CallGate.Self, "answer",
-      "calls_per_s=" + Rate + " leaving=" + (After.Leaving ? "yes" : "no"));
+  std::string Leaving = After.Leaving ? "yes" : "no";
+  this->Control->audit().add(Now, "upstream-states", this->Opts.CallGate.Self,
+                             "answer",
+                             "calls_per_s=" + Rate + " leaving=" + Leaving);
+  if (After.Leaving && !Before.Leaving)
+    this->auditDrain(Gate::DrainedByStatement, Now);
+  if (Before.Leaving && !After.Leaving)
+    this->auditReopen(Gate::DrainedByStatement, Now);
 }
 
 // The endpoint lags and misleads, so it closes the gate when it says that the
@@ -366,19 +371,27 @@
 void NodeCore::drainGate(const std::string &By, TimePoint Now) {
   if (this->At->isDrainedBy(By))
     return;
+  this->auditDrain(By, Now);
+  this->At->drain(By, Now);
+}
+
+void NodeCore::auditDrain(const std::string &By, TimePoint Now) {
   Gate::UnfinishedCalls Left = this->At->unfinishedCalls();
   std::string Outcome = "no new work; waiting=" + std::to_string(Left.Waiting) +
                         " admitted=" + std::to_string(Left.Admitted) +
                         " running=" + std::to_string(Left.Running);
   this->Control->audit().add(Now, "gate-draining", this->Opts.CallGate.Self, By,
                              Outcome);
-  this->At->drain(By, Now);
 }
 
 void NodeCore::reopenGate(const std::string &By, TimePoint Now) {
   if (!this->At->isDrainedBy(By))
     return;
   this->At->reopen(By, Now);
+  this->auditReopen(By, Now);
+}
+
+void NodeCore::auditReopen(const std::string &By, TimePoint Now) {
   this->Control->audit().add(Now, "gate-open", this->Opts.CallGate.Self, By,
                              this->At->draining()
                                  ? "still closed: " + this->At->drainReasons()
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -121,6 +121,8 @@
   void membersChanged(TimePoint Now);
   void noteOwnEntry(const Instance *Own, TimePoint Now);
   void followEvacuation(TimePoint Now);
+  void auditDrain(const std::string &By, TimePoint Now);
+  void auditReopen(const std::string &By, TimePoint Now);
   void noteStatement(const UpstreamStatement &Before,
                      const UpstreamStatement &After, TimePoint Now);
   void sendToGate(const std::string &Gate, wire::CallFrameT Frame);
--- a/src/routing/StatementMemory.cpp
+++ b/src/routing/StatementMemory.cpp
@@ -1,5 +1,7 @@
 #include "routing/StatementMemory.h"
 
+#include <algorithm>
+
 // Statements belong to one start of an upstream. An upstream that takes
 // another's place, at the same address or under the same name, has stated
 // nothing yet; without the start it would inherit that the other one leaves,
@@ -33,6 +35,12 @@
          Known->Start == UpstreamStart(Of.Upstream, Of.Incarnation);
 }
 
+bool StatementMemory::isAnyLeaving() const {
+  return std::any_of(
+      this->Statements.begin(), this->Statements.end(),
+      [](const auto &Known) { return Known.second.Stated.Leaving; });
+}
+
 const StatementMemory::Remembered *
 StatementMemory::find(const std::string &Gate) const {
   auto Found = this->Statements.find(Gate);
--- a/src/routing/StatementMemory.h
+++ b/src/routing/StatementMemory.h
@@ -39,6 +39,7 @@
   void instanceListed(const Instance &Listed);
   /// Whether this start of the instance's upstream has stated that it leaves.
   bool isLeaving(const Instance &Of) const;
+  bool isAnyLeaving() const;
   /// The latest statement from a gate's upstream; null if it states nothing.
   const Remembered *find(const std::string &Gate) const;
 
