Forget what an unlisted upstream stated where the list names no starts

Cause: a statement ends with another start in the list, and such a list shows none; a closed gate sends nothing, so it does not see the port close either.

Fix: without a name and an incarnation, a gap in the list ends the statement at the gate and at the entries. With them it does not: an entry may expire while its upstream lives.

Evidence: GateStatements/LeavingEndsWithAGapInAListWithoutStarts and RememberedStatements/StatementWithoutAStartEndsWithAGapInTheList; the second row of each kind keeps the statement of an upstream that has a name.

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -104,6 +104,7 @@
         this->Statements.instanceListed(*Gate);
       }
   this->Balancer.retainOnly(Listed);
+  this->Statements.retainListed(Listed);
 }
 
 // A call with an idempotency key goes only to the key's home, the gate that
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -54,6 +54,7 @@
 void Gate::membersChanged(const std::vector<const Instance *> &Upstreams,
                           TimePoint Now) {
   this->KeyChecker.setUpstreams(Upstreams, Now);
+  this->forgetUnlistedUpstream(Upstreams, Now);
   for (const Instance *Upstream : Upstreams) {
     if (Upstream->Name != this->Opts.Self)
       continue;
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -326,6 +326,8 @@
   void noteStatement(const ResponseHead &Head, TimePoint Now);
   void setStatement(const UpstreamStatement &New, TimePoint Now);
   void forgetStatement(TimePoint Now);
+  void forgetUnlistedUpstream(const std::vector<const Instance *> &Listed,
+                              TimePoint Now);
   void takeRemembered(const wire::CallHelloT &Hello, TimePoint Now);
   void reprobeIfDue(TimePoint Now);
   void startProbe();
--- a/src/calls/GateStatements.cpp
+++ b/src/calls/GateStatements.cpp
@@ -61,6 +61,24 @@
   this->setStatement(UpstreamStatement(), Now);
 }
 
+// Where the list tells the starts of an upstream apart, a statement outlives a
+// gap in the list: an entry may expire while its upstream lives. Otherwise only
+// the gap shows that the upstream has been replaced.
+void Gate::forgetUnlistedUpstream(const std::vector<const Instance *> &Listed,
+                                  TimePoint Now) {
+  bool HasIdentity =
+      this->ListedInstance && (!this->ListedInstance->Upstream.empty() ||
+                               this->ListedInstance->Incarnation != 0);
+  bool IsListed =
+      std::any_of(Listed.begin(), Listed.end(), [this](const Instance *Of) {
+        return Of->Name == this->Opts.Self;
+      });
+  if (!this->ListedInstance || HasIdentity || IsListed)
+    return;
+  this->ListedInstance.reset();
+  this->forgetStatement(Now);
+}
+
 // Of several entries, the one with the lowest rate is believed: what the others
 // remember may be older, and an answer corrects it soon.
 void Gate::takeRemembered(const wire::CallHelloT &Hello, TimePoint Now) {
--- a/src/calls/GateStatementsTest.cpp
+++ b/src/calls/GateStatementsTest.cpp
@@ -175,6 +175,12 @@
      [](Fixture &Test) { Test.listUpstream("up-2"); }, false},
     {"it was started again under its name",
      [](Fixture &Test) { Test.listUpstream("up-1", 5); }, false},
+    {"its entry expires, and is listed again",
+     [](Fixture &Test) {
+       Test.TestGate->membersChanged({}, Test.Now);
+       Test.listUpstream("up-1");
+     },
+     true},
     {"another upstream is listed, and an operator drains the gate",
      [](Fixture &Test) {
        Test.TestGate->drain("operator", Test.Now);
@@ -203,6 +209,19 @@
   BOOST_TEST(Test.sendCalls(1) == (Row.ExpectedClosed ? 0u : 1u));
 }
 
+// Guards against a gate that never opens again on a platform that does not tell
+// the starts of an upstream apart.
+BOOST_FIXTURE_TEST_CASE(LeavingEndsWithAGapInAListWithoutStarts, Fixture) {
+  this->listUpstream("");
+  BOOST_REQUIRE(this->sendCalls(1) == 1);
+  this->finishCall(this->LastSeq, {{LeavingField, "1"}});
+  this->listUpstream("");
+  BOOST_TEST(this->TestGate->draining());
+  this->TestGate->membersChanged({}, this->Now);
+  this->listUpstream("");
+  BOOST_TEST(!this->TestGate->draining());
+}
+
 // Guards against calls to an upstream that is leaving, from a gate whose
 // process has just started: an entry remembers it.
 BOOST_FIXTURE_TEST_CASE(EntryTellsANewGateThatItsUpstreamLeaves, Fixture) {
--- a/src/routing/StatementMemory.cpp
+++ b/src/routing/StatementMemory.cpp
@@ -29,6 +29,12 @@
     this->Statements.erase(Found);
 }
 
+void StatementMemory::retainListed(const std::set<std::string> &Listed) {
+  std::erase_if(this->Statements, [&](const auto &Known) {
+    return Known.second.Start == UpstreamStart() && !Listed.count(Known.first);
+  });
+}
+
 bool StatementMemory::isLeaving(const Instance &Of) const {
   const Remembered *Known = this->find(Of.Name);
   return Known && Known->Stated.Leaving &&
--- a/src/routing/StatementMemory.h
+++ b/src/routing/StatementMemory.h
@@ -5,6 +5,7 @@
 #include "membership/Membership.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -37,6 +38,10 @@
   /// The instance is listed. Statements of an earlier start of its upstream are
   /// dropped.
   void instanceListed(const Instance &Listed);
+  /// Drops the statements of instances that are not listed any more and whose
+  /// upstreams have neither a name nor an incarnation. Without these, only a
+  /// gap in the list shows that an upstream has been replaced.
+  void retainListed(const std::set<std::string> &Listed);
   /// Whether this start of the instance's upstream has stated that it leaves.
   bool isLeaving(const Instance &Of) const;
   bool isAnyLeaving() const;
--- a/src/routing/StatementMemoryTest.cpp
+++ b/src/routing/StatementMemoryTest.cpp
@@ -70,6 +70,19 @@
   BOOST_TEST(Memory.isLeaving(Row.Listed) == Row.ExpectedLeaving);
 }
 
+// Guards against leaving out an instance for good on a platform that does not
+// tell the starts of an upstream apart.
+BOOST_AUTO_TEST_CASE(StatementWithoutAStartEndsWithAGapInTheList) {
+  StatementMemory Memory;
+  Memory.record("north-1", {"", 0}, leaving());
+  Memory.record("north-2", {"up-2", 0}, leaving());
+  Memory.retainListed({"north-1", "north-2"});
+  BOOST_TEST(Memory.isLeaving(listed("")));
+  Memory.retainListed({});
+  BOOST_TEST(!Memory.isLeaving(listed("")));
+  BOOST_TEST(Memory.find("north-2"));
+}
+
 // Guards against a limit that is remembered after it has ended.
 BOOST_AUTO_TEST_CASE(RateIsForgottenWithTheStatement) {
   StatementMemory Memory;
