Play what upstreams state in scenarios and in the soak

Scenarios with faked time: stated-rate (a gate killed, entries cut off from it) and stated-leaving (the platform away, the gate killed). Both fail with the new safeguard heed-statements off: "more calls came to n-1 than the rate it states", "new work at n-1 after it stated that it leaves".

--- a/scenario/Script.cpp
+++ b/scenario/Script.cpp
@@ -279,8 +279,16 @@
         Up.DiesOnRequest = true;
       else if (What == "crashes" && Up.Alive)
         this->All.crash(Name);
+      else if (What == "leaves")
+        Up.StatesLeaving = true;
+      else if (What == "states-nothing")
+        Up.StatedRate.reset();
       if (std::optional<Millis> Length = W.length("run"))
         Up.RunTime = *Length;
+      if (uint64_t Rate = W.number("rate", 0)) {
+        Up.StatedRate = static_cast<double>(Rate);
+        Up.RateStatedAt = this->All.now();
+      }
       Up.Sheds = static_cast<uint32_t>(W.number("sheds", Up.Sheds));
       Up.CrashesOn = W.named("crashes-on", Up.CrashesOn);
       Up.BackAfter = W.length("back").value_or(Up.BackAfter);
--- a/scenario/Soak.cpp
+++ b/scenario/Soak.cpp
@@ -32,6 +32,8 @@
 //   an upstream that leaves the list, or whose data centre is evacuated, gets
 //     no call after its drain time;
 //   an upstream that has just started gets no more calls than it bears cold;
+//   one that states a rate of calls in its answers gets no more than it
+//   tolerates, and one that states that it leaves gets none after its drain;
 //   a request that crashes its upstreams comes to no more, by nodes that
 //     nothing disturbs, soon after the third;
 //   once the faults are over, every node has the newest version.
@@ -75,6 +77,11 @@
 const char ColdMost[] = "--cold_most=12";
 const char ColdLength[] = "--cold_ms=2000";
 constexpr Millis StayAgain{100};
+constexpr Millis StatementEvery{1500};
+// An upstream holds its calls against a rate from so long after it stated it.
+constexpr Millis RateEffect{3000};
+// From an upstream's end to the next step of its replacement.
+constexpr Millis ReplacedAfter{500};
 // One request crashes its upstreams, and its caller insists. Whatever comes to
 // an upstream this long after the third crash counts, and a few are allowed.
 constexpr Millis MarkedEvery{200};
@@ -124,6 +131,7 @@
 public:
   explicit SoakRun(uint64_t Seed)
       : All(options()), Seed(Seed), Random(Seed),
+        StatementRandom(Seed + 1000003),
         Session(SOUP_SESSION(g_object_new(SOUP_TYPE_SESSION, "max-conns",
                                           MaxConnections, "max-conns-per-host",
                                           MaxConnections, "proxy-resolver",
@@ -151,6 +159,10 @@
         this->fault(End);
         NextFault = Clock::now() + Millis(this->draw(100, 700));
       }
+      if (Clock::now() >= this->NextStatement) {
+        this->statement();
+        this->NextStatement = Clock::now() + StatementEvery;
+      }
       this->doDue();
       this->All.runFor(CallEvery);
     }
@@ -261,6 +273,48 @@
     }
   }
 
+  // What upstreams state has a generator of its own, so that the other faults
+  // of a seed do not depend on it.
+  void statement() {
+    auto Draw = [this](uint64_t Least, uint64_t Most) {
+      return Least + this->StatementRandom() % (Most - Least + 1);
+    };
+    std::string Name = this->Names[Draw(0, this->Names.size() - 1)];
+    Millis Length(Draw(2500, 4500));
+    if (Draw(0, 3) == 0)
+      return this->leaveByAnswer(Name, Length);
+    if (!this->Stating.insert(Name).second)
+      return;
+    this->post(
+        this->All.node(Name).Upstream,
+        absl::StrCat("/admin/state?rate=", Draw(0, 30), ".", Draw(0, 9)));
+    this->later(Length + RateEffect, [this, Name] {
+      this->post(this->All.node(Name).Upstream, "/admin/state?");
+      this->Stating.erase(Name);
+    });
+  }
+
+  // The upstream says so in its answers, then leaves the list, ends, and comes
+  // back as another one.
+  void leaveByAnswer(const std::string &Name, Millis Length) {
+    if (this->Busy.count(Name) || !this->Stating.insert(Name).second)
+      return;
+    using ListedAs = harness::Fleet::ListedAs;
+    this->Busy.insert(Name);
+    const std::string &Upstream = this->All.node(Name).Upstream;
+    this->post(Upstream, "/admin/state?leaving=1");
+    this->later(Length,
+                [this, Name] { this->All.list(Name, ListedAs::Removed); });
+    this->later(Length + ReplacedAfter, [this, Upstream] {
+      this->post(Upstream, "/admin/crash?ms=100");
+    });
+    this->later(Length + 2 * ReplacedAfter, [this, Name] {
+      this->All.list(Name, ListedAs::Live);
+      this->Stating.erase(Name);
+      this->rest(Name);
+    });
+  }
+
   void freeze(const std::string &Name) {
     this->disturb(Name);
     this->All.signal(Name, SIGSTOP);
@@ -613,6 +667,11 @@
         this->Broken.push_back(absl::StrCat(
             Name, ": its cold upstream had more calls than it bears, ",
             Overruns, " times"));
+      if (uint64_t Over = Counters["over_rate"].asUInt64())
+        this->Broken.push_back(
+            absl::StrCat(Name, ": ", Over,
+                         " calls beyond what its upstream tolerates at the "
+                         "rate that it stated"));
       const Json::Value &Ran = Counters["executions"];
       for (const std::string &Label : Ran.getMemberNames())
         Runs[Label] += Ran[Label].asUInt64();
@@ -639,6 +698,10 @@
   harness::Fleet All;
   uint64_t Seed;
   std::mt19937_64 Random;
+  std::mt19937_64 StatementRandom;
+  // Nodes whose upstreams state something.
+  std::set<std::string> Stating;
+  TimePoint NextStatement;
   SoupSession *Session;
   std::vector<std::string> Names;
   std::map<std::string, SoakCall> Calls;
--- a/scenario/World.h
+++ b/scenario/World.h
@@ -72,6 +72,13 @@
   uint32_t ColdMost = 0;
   TimePoint ColdUntil;
   std::deque<TimePoint> ColdStarts;
+  /// What its answers state: the calls per second that it takes, and that it is
+  /// leaving. Both end with its process.
+  std::optional<double> StatedRate;
+  bool StatesLeaving = false;
+  TimePoint RateStatedAt;
+  std::optional<TimePoint> StatedLeavingAt;
+  std::deque<TimePoint> Starts;
   std::map<std::string, unsigned> RunsByLabel;
   std::map<std::string, TimePoint> LastRunByKey;
   uint64_t Running = 0;
@@ -247,6 +254,8 @@
   void upstreamFinish(const std::string &Name, const CallId &Id);
   HealthAnswer healthOf(const UpstreamState &Of) const;
   bool overruns(UpstreamState &Of) const;
+  void checkStatements(const std::string &Name, UpstreamState &Of);
+  HeaderList statementOf(UpstreamState &Of) const;
   void endCall(uint64_t Caller, CallState::End How);
   bool isCut(const std::string &A, const std::string &B) const;
   void step();
--- a/scenario/WorldUpstreams.cpp
+++ b/scenario/WorldUpstreams.cpp
@@ -17,6 +17,12 @@
 // The same after operators evacuated its data centre.
 constexpr Millis LastWorkAfterEvacuation{2000};
 constexpr Millis ColdSpan{1000};
+// An upstream holds its calls against the rate that it states over this window,
+// from so long after it stated it, and tolerates so much there.
+constexpr Millis RateWindow{4000};
+constexpr Millis RateEffect{3000};
+constexpr double RateFactor = 1.5;
+constexpr double RateExtra = 5;
 
 } // namespace
 
@@ -81,6 +87,35 @@
   return Of.ColdStarts.size() > Of.ColdMost;
 }
 
+void World::checkStatements(const std::string &Name, UpstreamState &Of) {
+  Of.Starts.push_back(this->Now);
+  while (this->Now - Of.Starts.front() >= RateWindow)
+    Of.Starts.pop_front();
+  if (Of.StatedRate && this->Now - Of.RateStatedAt >= RateEffect) {
+    double Tolerated = *Of.StatedRate * RateFactor *
+                           std::chrono::duration<double>(RateWindow).count() +
+                       RateExtra;
+    if (static_cast<double>(Of.Starts.size()) > Tolerated)
+      this->note("more calls came to " + Name + " than the rate it states");
+  }
+  if (Of.StatedLeavingAt &&
+      this->Now - *Of.StatedLeavingAt > LastWorkAfterDrain)
+    this->note("new work at " + Name + " after it stated that it leaves");
+}
+
+HeaderList World::statementOf(UpstreamState &Of) const {
+  HeaderList Fields;
+  if (Of.StatedRate)
+    Fields.push_back(
+        {"Hickorylift-Rate-Limit", std::to_string(*Of.StatedRate)});
+  if (!Of.StatesLeaving)
+    return Fields;
+  Fields.push_back({"Hickorylift-Leaving", "1"});
+  if (!Of.StatedLeavingAt)
+    Of.StatedLeavingAt = this->Now;
+  return Fields;
+}
+
 void World::chill(const std::string &DataCentre) {
   for (auto &[Name, Of] : this->Nodes)
     if (Of.DataCentre == DataCentre)
@@ -126,6 +161,7 @@
     this->note("more calls came to " + Name + " than it bears while cold");
     return this->crash(Name);
   }
+  this->checkStatements(Name, Up);
   if (Of.DrainedAt && this->Now - *Of.DrainedAt > LastWorkAfterDrain)
     this->note("new work at " + Name + " after it began to leave");
   if (Of.EvacuatedAt && this->Now - *Of.EvacuatedAt > LastWorkAfterEvacuation)
@@ -175,6 +211,9 @@
   this->later(Up.BackAfter, [this, Name] {
     UpstreamState &Back = this->node(Name).Upstream;
     Back.Alive = true;
+    Back.StatedRate.reset();
+    Back.StatedLeavingAt.reset();
+    Back.StatesLeaving = false;
     Back.ColdUntil = this->Now + Back.Warmup;
   });
 }
@@ -206,8 +245,10 @@
   this->Jobs[Name].erase(Found);
   --this->node(Name).Upstream.Running;
   ++this->node(Name).Upstream.Answered;
-  this->at(Name, UpstreamDelay, [this, Id, Done](NodeState &There) {
+  HeaderList Stated = this->statementOf(this->node(Name).Upstream);
+  this->at(Name, UpstreamDelay, [this, Id, Done, Stated](NodeState &There) {
     ResponseHead Head;
+    Head.Headers = Stated;
     Head.Status = Done.Shed ? 503 : 200;
     std::string Body = Done.Shed ? "" : answerFor(Done.Label, Done.Body);
     Head.Length = static_cast<int64_t>(Body.size());
--- a/src/base/Safeguards.cpp
+++ b/src/base/Safeguards.cpp
@@ -27,6 +27,7 @@
       {"drop-late", &this->DropLate},
       {"hold-crashers", &this->HoldCrashers},
       {"spare-cold", &this->SpareCold},
+      {"heed-statements", &this->HeedStatements},
       {"follow-evacuations", &this->FollowEvacuations},
   };
   for (const auto &One : All) {
--- a/src/base/Safeguards.h
+++ b/src/base/Safeguards.h
@@ -49,6 +49,9 @@
   bool HoldCrashers = true;
   /// A cold upstream is handed no more calls than it bears.
   bool SpareCold = true;
+  /// Acts on what upstreams state in their answers: their rate of calls, and
+  /// that they are leaving.
+  bool HeedStatements = true;
   /// What operators evacuate is sent nothing.
   bool FollowEvacuations = true;
 
--- a/src/calls/EntryAnswers.cpp
+++ b/src/calls/EntryAnswers.cpp
@@ -93,6 +93,8 @@
 // The gate has read the statement and logged what it can't read of it.
 void Entry::noteStatement(const std::string &Gate, const PendingCall &Call,
                           const ResponseHead &Answer) {
+  if (!this->Opts.Guards.HeedStatements)
+    return;
   const StatementMemory::Remembered *Known = this->Statements.find(Gate);
   std::string Fault;
   UpstreamStatement Stated =
--- a/src/calls/GateStatements.cpp
+++ b/src/calls/GateStatements.cpp
@@ -27,7 +27,8 @@
                   !findHeader(Head.Headers, Names.UpstreamMark).empty();
   // A refusal without a statement doesn't end one: an upstream that is full
   // answers in few words.
-  if (!IsAnswer && !hasStatement(Head.Headers, Names))
+  bool StatesNothing = !IsAnswer && !hasStatement(Head.Headers, Names);
+  if (StatesNothing || !this->Opts.Guards.HeedStatements)
     return;
   std::string Fault;
   UpstreamStatement New =
