--- a/src/calls/GateStatementsTest.cpp
+++ b/src/calls/GateStatementsTest.cpp
@@ -246,6 +246,35 @@
   BOOST_TEST(Started == (Row.ExpectedLimited ? BurstAtTwenty : 50u));
 }
 
+/// A rate that a cold upstream states, whose service tolerates ten calls in a
+/// second while it is cold, and the calls that start together.
+struct ColdRow {
+  const char *StatedRate;
+  size_t ExpectedStarts;
+};
+std::ostream &operator<<(std::ostream &Stream, const ColdRow &Row) {
+  return Stream << Row.StatedRate;
+}
+
+// The cold limit keeps two calls in reserve, and the answered one counts.
+const ColdRow ColdRows[] = {{"2", 1}, {"8", 3}, {"1000", 7}};
+
+// Guards against a cold upstream that crashes because it states a rate, and
+// against exceeding that rate because it is cold.
+BOOST_DATA_TEST_CASE(LowerOfBothLimitsHolds, data::make(ColdRows), Row) {
+  Fixture Test;
+  Test.configure(R"([
+    {"kind":"service","name":"a","schema":2,"slots":100,"warmup_ms":3000,
+     "cold_per_s":10},
+    {"kind":"route","name":"r","schema":3,"match":{"prefix":"/"},
+     "service":"a","idempotent":false}])");
+  Test.answer({{RateField, Row.StatedRate}});
+  Test.TestGate->suspectRestart(Test.Now);
+  Test.Now += Millis(300);
+  BOOST_TEST(Test.TestGate->isCold(Test.Now));
+  BOOST_TEST(Test.sendCalls(50) == Row.ExpectedStarts);
+}
+
 // Guards against callers that are not told when there is room, or that wait for
 // it without a chance.
 BOOST_FIXTURE_TEST_CASE(RefusalSaysWhenThereIsRoom, Fixture) {
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -195,11 +195,11 @@
   Situation.HasNeighbourState = this->Spread.hasNeighbourState();
   // In a small fleet every node reads the platform itself instead of relying on
   // the other nodes.
-  bool EveryNodeReads = this->everyNodeReads(Now);
-  Situation.IsReader = EveryNodeReads || (!this->keepsLinks(Now) &&
-                                          this->Fleet.isReader(this->Avoided));
+  bool AllNodesRead = this->everyNodeReads(Now);
+  Situation.IsReader = AllNodesRead || (!this->keepsLinks(Now) &&
+                                        this->Fleet.isReader(this->Avoided));
   Situation.IsFirstReader =
-      EveryNodeReads || this->Fleet.readerRank(this->Avoided) == 0;
+      AllNodesRead || this->Fleet.readerRank(this->Avoided) == 0;
   // Without a list no node can have a parent.
   Situation.LostParent = Situation.HasList && this->hasLostParent(Now);
   Situation.ParentMayBeSlow = this->parentMayBeSlow(Now);
