Begin the round robin of a split route at a random place

Each entry was exact by itself: a smooth weighted round robin. But all of them began it with the same credits, and again at each new set of weights, so 587 entries gave their turn to the light part in the same moment.

An entry now begins at a random place of the sequence, and at another one for each new set of weights. Each call then has the probability of its weight, and the sum over entries is off by no more than independent draws. State of routes that a version does not have is discarded; it was kept for ever.

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -55,6 +55,7 @@
     : Opts(std::move(GivenOpts)), Hook(std::move(Hooks)), Fleet(Fleet),
       Balancer(this->Opts.BalancerOptions, this->Opts.DataCentre,
                this->Opts.Self, this->Opts.Seed),
+      SplitSchedule(this->Opts.Seed),
       ShedRetries(this->Opts.AllocatorOptions, this->Opts.Seed),
       CallRank(this->Opts.RankOptions, this->Opts.Seed),
       Hedges(this->Opts.HedgeOptions) {
@@ -93,6 +94,11 @@
   this->Hook.LogEvent(Event, Now);
 }
 
+void Entry::configure(const ConfigPtr &NewConfig) {
+  this->ActiveConfig = NewConfig;
+  this->SplitSchedule.retainOnly(*NewConfig);
+}
+
 void Entry::membersChanged(TimePoint) {
   std::set<std::string> Listed;
   if (this->ActiveConfig)
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -234,7 +234,7 @@
 
   Entry(Options Opts, Hooks Hooks, const Membership &Fleet);
 
-  void configure(const ConfigPtr &NewConfig) { this->ActiveConfig = NewConfig; }
+  void configure(const ConfigPtr &NewConfig);
   void membersChanged(TimePoint Now);
 
   void request(CallerId Caller, const RequestHead &Head, TimePoint Now);
