Let spare readers ask the platform only if nobody else has

A spare now asks once neither it nor another node has asked for 1.5 s, as the confirmations that heartbeats carry tell it. Readers send a heartbeat at once when they have asked. The time after which a spare notices that its primary no longer reaches the platform is the same. A spare that has not asked for long continues from its node's documents.

SpareAsksOnlyIfNoOtherNodeDoes and SpareContinuesFromTheNodesDocuments failed before: 7 requests in ten seconds, now none.

--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -75,6 +75,12 @@
   Hooks.Confirm = [this](const std::string &Topic, uint64_t Version,
                          uint64_t Revision, TimePoint AskedAt) {
     this->Spread.confirm(Topic, Version, Revision, AskedAt);
+    // Spare readers ask the platform themselves if they get no confirmation.
+    if (!this->EveryNodeReads)
+      this->Spread.sendHeartbeatsBy(AskedAt);
+  };
+  Hooks.ConfirmedAt = [this](const std::string &Topic) {
+    return this->Spread.confirmedAt(Topic);
   };
   Hooks.CurrentDocument = [this](const std::string &Topic) {
     return this->Spread.storedDocument(Topic);
--- a/src/reading/DocumentSource.h
+++ b/src/reading/DocumentSource.h
@@ -35,7 +35,8 @@
   /// Read everything once, because no neighbour has any document.
   Once,
   /// Watch for changes as a spare: another node watches too and normally
-  /// delivers them sooner.
+  /// delivers them sooner. The source asks the platform only if no node has
+  /// done so lately.
   Spare,
   /// Watch for changes.
   Watch,
@@ -52,6 +53,12 @@
   /// Returns the document that the node has for a topic, or null. The source
   /// reads only what is missing from it.
   std::function<DocumentPtr(const std::string &Topic)> CurrentDocument;
+  /// When a node last asked the platform, as far as this node knows, and was
+  /// told that the node's document for a topic is the current one; nothing if
+  /// that is not known.
+  std::function<std::optional<TimePoint>(const std::string &Topic)>
+      ConfirmedAt =
+          [](const std::string &) { return std::optional<TimePoint>(); };
   std::function<void(const Error &, TimePoint)> Failed;
   /// The platform answers, but one item can't be parsed.
   std::function<void(const Error &, TimePoint)> Unreadable = [](const Error &,
--- a/src/reading/StorePublishing.cpp
+++ b/src/reading/StorePublishing.cpp
@@ -18,6 +18,10 @@
     this->Hook.ReportComplete(this->globalRevision(this->CopyRevision));
 }
 
+bool StoreReader::readsConfig() const {
+  return this->Layout.ConfigKey.rfind(this->Layout.Prefix, 0) == 0;
+}
+
 bool StoreReader::readsEvacuations() const {
   const std::string &Prefix = this->Layout.EvacuationPrefix;
   return !Prefix.empty() && Prefix.rfind(this->Layout.Prefix, 0) == 0;
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -71,10 +71,40 @@
     this->publishEvacuations(Now);
   if (this->ListsIncludeKept && Now >= this->InstanceGraceEnd)
     this->publishLists(Now);
-  if (HasDuty && !this->Busy && Now >= this->NotBefore)
+  if (HasDuty && !this->Busy && Now >= this->NotBefore &&
+      !this->isServedByOthers(Now))
     this->startNextRequest(Now);
 }
 
+// Whether a spare need not ask the platform now, because another node has asked
+// it less than SpareWatchInterval ago and has published the answer. All nodes
+// share the platform's request rate, and while instances change all the time, a
+// spare that asked in any case would cost almost as much as its primary.
+bool StoreReader::isServedByOthers(TimePoint Now) {
+  if (this->CurrentDuty != ReadDuty::Spare)
+    return false;
+  std::vector<std::string> Topics;
+  for (const std::string &Name : this->DataCentres)
+    Topics.push_back(listTopic(Name));
+  if (this->readsConfig())
+    Topics.push_back(ConfigTopic);
+  for (const std::string &Topic : Topics)
+    this->LastAskedByAny =
+        std::max(this->LastAskedByAny, this->Hook.ConfirmedAt(Topic));
+  return this->LastAskedByAny &&
+         Now - *this->LastAskedByAny < this->Opts.SpareWatchInterval;
+}
+
+// A spare's copy is as old as its last request. Continuing from there would
+// transfer again what other nodes have sent since, or would fail because the
+// store has discarded that history.
+void StoreReader::catchUpWithNode() {
+  bool Behind =
+      this->Hook.CompleteRevision() > this->globalRevision(this->CopyRevision);
+  if (this->CurrentDuty == ReadDuty::Spare && Behind)
+    this->resume();
+}
+
 Millis StoreReader::startDelay() {
   if (this->CurrentDuty == ReadDuty::ListForOthers)
     return Millis(0);
@@ -86,7 +116,9 @@
     return;
   ++this->Reads;
   this->Busy = true;
-  if (this->FullReadNeeded && this->PageItems.empty() && this->resume())
+  if (!this->FullReadNeeded)
+    this->catchUpWithNode();
+  else if (this->PageItems.empty() && this->resume())
     this->FullReadNeeded = false;
   if (!this->FullReadNeeded)
     return this->startWatch(Now);
@@ -121,7 +153,7 @@
 }
 
 bool StoreReader::resumeConfig() {
-  if (this->Layout.ConfigKey.rfind(this->Layout.Prefix, 0) != 0)
+  if (!this->readsConfig())
     return true;
   DocumentPtr Current = this->Hook.CurrentDocument(ConfigTopic);
   if (!Current)
@@ -267,7 +299,7 @@
   this->NotBefore =
       this->WatchStartedAt +
       (Spare ? this->Opts.SpareWatchInterval : this->Opts.WatchInterval);
-  if (Now >= this->NotBefore)
+  if (Now >= this->NotBefore && !this->isServedByOthers(Now))
     this->startNextRequest(Now);
 }
 
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -31,10 +31,11 @@
     /// Minimum time between the starts of two watches. Changes in quick
     /// succession are then read together, with one call for all of them.
     Millis WatchInterval{250};
-    /// WatchInterval of a spare reader. It matters when the primary reader has
-    /// stopped responding: detecting that and this interval together must stay
-    /// within the two to three seconds in which operators expect a change to be
-    /// in force.
+    /// A spare reader asks the platform once neither it nor, as far as it
+    /// knows, any other node has asked for this long. It matters when the
+    /// primary reader can no longer reach the platform: this time and the
+    /// spreading of a change together must stay within the two to three seconds
+    /// in which operators expect the change to be in force.
     Millis SpareWatchInterval{1500};
     /// The wait after a failure is random, up to a limit that starts at
     /// InitialBackoff and doubles with each failure up to MaxBackoff.
@@ -79,6 +80,8 @@
   };
 
   void startNextRequest(TimePoint Now);
+  bool isServedByOthers(TimePoint Now);
+  void catchUpWithNode();
   bool resume();
   bool resumeAt(uint64_t Position);
   bool resumeLists();
@@ -100,6 +103,7 @@
   void updateColdSpell(ListedInstance &New, const std::string &Key) const;
   bool decodeConfig(TimePoint Now);
   void publishConfig(TimePoint Now);
+  bool readsConfig() const;
   bool readsEvacuations() const;
   void publishEvacuations(TimePoint Now);
   bool keepMissingEvacuations(std::set<std::string> &DataCentres) const;
@@ -159,6 +163,8 @@
   DocumentPtr ConfigDoc;
   // The list of each data centre as it was published last.
   std::map<std::string, DocumentPtr> ListDocs;
+  // The latest time at which any node is known to have asked the platform.
+  std::optional<TimePoint> LastAskedByAny;
   bool Failing = false;
   unsigned Failures = 0;
   // Until then missing instances are kept, as their entries may have expired
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -80,6 +80,9 @@
   uint64_t Revision = 100;
   uint64_t CompleteRevision = 0;
   uint64_t ReportedComplete = 0;
+  ReadDuty Duty = ReadDuty::Watch;
+  /// When another node last asked the platform, as far as this node knows.
+  std::optional<TimePoint> AskedByOthers;
 
   SourceHooks hooks() {
     SourceHooks Hooks;
@@ -91,6 +94,9 @@
       return Found == this->Documents.end() ? nullptr : Found->second;
     };
     Hooks.CompleteRevision = [this] { return this->CompleteRevision; };
+    Hooks.ConfirmedAt = [this](const std::string &) {
+      return this->AskedByOthers;
+    };
     Hooks.ReportComplete = [this](uint64_t Revision) {
       this->ReportedComplete = Revision;
     };
@@ -117,7 +123,7 @@
 
   void step(Millis By) {
     this->Now += By;
-    this->Read->tick(this->Now, ReadDuty::Watch);
+    this->Read->tick(this->Now, this->Duty);
   }
 
   /// Advances the time until the reader sends a request, at most two seconds.
@@ -191,6 +197,26 @@
   }
 };
 
+/// A reader that has read everything. From then on another node asks the
+/// platform every second, as this node knows, until OthersAskFor.
+struct SpareRow {
+  const char *Name;
+  ReadDuty Duty;
+  Millis OthersAskFor;
+  /// Requests in ten seconds that are answered without changes.
+  size_t Requests;
+};
+std::ostream &operator<<(std::ostream &To, const SpareRow &Row) {
+  return To << Row.Name;
+}
+
+const SpareRow SpareRows[] = {
+    {"others always ask", ReadDuty::Spare, Millis(10000), 0},
+    {"others never ask", ReadDuty::Spare, Millis(0), 7},
+    {"others stop asking", ReadDuty::Spare, Millis(4000), 4},
+    {"no spare", ReadDuty::Watch, Millis(10000), 40},
+};
+
 Error unreachable() { return Error{Errc::Unreachable, "s", "p", "away"}; }
 Error historyGone() { return Error{Errc::Stale, "s", "p", "gone"}; }
 
@@ -198,6 +224,43 @@
 
 BOOST_AUTO_TEST_SUITE(StoreReading)
 
+// Guards against spares that ask the platform as often as their primary while
+// lists change all the time, and against ones that wait although the primary
+// has stopped.
+BOOST_DATA_TEST_CASE(SpareAsksOnlyIfNoOtherNodeDoes,
+                     boost::unit_test::data::make(SpareRows), Row) {
+  CompleteNodeFixture Test;
+  Test.Store.answerWatch(ItemChanges{{}, 41}, Test.Now);
+  Test.Duty = Row.Duty;
+  TimePoint Begin = Test.Now;
+  size_t Before = Test.Store.Requests.size();
+  for (Millis Passed{0}; Passed < Millis(10000); Passed += Millis(10)) {
+    if (Passed <= Row.OthersAskFor && Passed.count() % 1000 == 0 &&
+        Row.OthersAskFor.count() > 0)
+      Test.AskedByOthers = Begin + Passed;
+    Test.step(Millis(10));
+    if (!Test.Store.PendingWatches.empty())
+      Test.Store.answerWatch(ItemChanges{{}, 41}, Test.Now);
+  }
+  BOOST_TEST(Test.Store.Requests.size() - Before == Row.Requests);
+}
+
+// Guards against a spare that has not asked for long and then transfers again
+// what other nodes have sent meanwhile, or asks for history that is gone.
+BOOST_FIXTURE_TEST_CASE(SpareContinuesFromTheNodesDocuments,
+                        CompleteNodeFixture) {
+  this->Store.answerWatch(ItemChanges{{}, 41}, this->Now);
+  this->Duty = ReadDuty::Spare;
+  this->AskedByOthers = this->Now;
+  this->step(Millis(1000));
+  this->CompleteRevision = 5000;
+  this->Documents["instances/north"] = receivedList({"x", "y", "z"}, 5000);
+  this->runUntilRequest();
+  BOOST_TEST(this->Store.LastWatchAfter == 5000u);
+  this->Store.answerWatch(ItemChanges{{}, 5001}, this->Now);
+  BOOST_TEST(this->listed() == 3u);
+}
+
 BOOST_FIXTURE_TEST_CASE(WatchStartsFromTheFirstPage, Fixture) {
   this->Store.answerRange(ItemPage{{storedInstance("x", 3)}, true, 10},
                           this->Now);
--- a/src/spread/Spreader.cpp
+++ b/src/spread/Spreader.cpp
@@ -116,6 +116,11 @@
     Found->second.NextHeartbeatAt = std::min(Found->second.NextHeartbeatAt, At);
 }
 
+void Spreader::sendHeartbeatsBy(TimePoint At) {
+  for (auto &[Id, LinkState] : this->Links)
+    LinkState.NextHeartbeatAt = std::min(LinkState.NextHeartbeatAt, At);
+}
+
 void Spreader::linkUp(LinkId Id, const std::string &Peer, bool Eager,
                       TimePoint Now) {
   Link &LinkState = this->Links[Id];
@@ -149,12 +154,15 @@
   return Found == this->Topics.end() ? nullptr : Found->second.Accepted;
 }
 
+std::optional<TimePoint> Spreader::confirmedAt(const std::string &Topic) const {
+  auto Found = this->Topics.find(Topic);
+  return Found == this->Topics.end() ? std::nullopt : Found->second.ConfirmedAt;
+}
+
 std::optional<Millis> Spreader::age(const std::string &Topic,
                                     TimePoint Now) const {
-  auto Found = this->Topics.find(Topic);
-  if (Found == this->Topics.end() || !Found->second.ConfirmedAt)
-    return std::nullopt;
-  return toMillis(Now - *Found->second.ConfirmedAt);
+  std::optional<TimePoint> At = this->confirmedAt(Topic);
+  return At ? std::optional(toMillis(Now - *At)) : std::nullopt;
 }
 
 bool Spreader::isOutdated(const Stamp &New, const DocumentPtr &Current) const {
--- a/src/spread/Spreader.h
+++ b/src/spread/Spreader.h
@@ -143,6 +143,8 @@
   void resync(TimePoint Now);
   /// Sends the next heartbeat on a link at At, unless it is due earlier.
   void sendHeartbeatBy(LinkId Link, TimePoint At);
+  /// The same on all links.
+  void sendHeartbeatsBy(TimePoint At);
 
   /// The newest document known, accepted or not; null if none.
   DocumentPtr storedDocument(const std::string &Topic) const;
@@ -151,6 +153,9 @@
   /// Time since the platform was last known to have the stored document;
   /// nullopt if that was never confirmed.
   std::optional<Millis> age(const std::string &Topic, TimePoint Now) const;
+  /// When the platform was last known to have the stored document; nullopt if
+  /// that was never confirmed.
+  std::optional<TimePoint> confirmedAt(const std::string &Topic) const;
   const Counters &counters() const { return this->Counts; }
   /// Whether any neighbour has sent the stamps of its documents.
   bool hasNeighbourState() const;
