--- a/src/calls/Calls_generated.h
+++ b/src/calls/Calls_generated.h
@@ -41,6 +41,10 @@
 struct CreditBuilder;
 struct CreditT;
 
+struct ServiceCalls;
+struct ServiceCallsBuilder;
+struct ServiceCallsT;
+
 struct Head;
 struct HeadBuilder;
 struct HeadT;
@@ -1233,6 +1237,87 @@
 CreateCredit(flatbuffers::FlatBufferBuilder &_fbb, const CreditT *_o,
              const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ServiceCallsT : public flatbuffers::NativeTable {
+  typedef ServiceCalls TableType;
+  std::string service{};
+  float count = 0.0f;
+};
+
+struct ServiceCalls FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServiceCallsT NativeTableType;
+  typedef ServiceCallsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_COUNT = 6
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  float count() const { return GetField<float>(VT_COUNT, 0.0f); }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) && VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<float>(verifier, VT_COUNT, 4) && verifier.EndTable();
+  }
+  ServiceCallsT *
+  UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void
+  UnPackTo(ServiceCallsT *_o,
+           const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ServiceCalls>
+  Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServiceCallsT *_o,
+       const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ServiceCallsBuilder {
+  typedef ServiceCalls Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ServiceCalls::VT_SERVICE, service);
+  }
+  void add_count(float count) {
+    fbb_.AddElement<float>(ServiceCalls::VT_COUNT, count, 0.0f);
+  }
+  explicit ServiceCallsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+      : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServiceCalls> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServiceCalls>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServiceCalls>
+CreateServiceCalls(flatbuffers::FlatBufferBuilder &_fbb,
+                   flatbuffers::Offset<flatbuffers::String> service = 0,
+                   float count = 0.0f) {
+  ServiceCallsBuilder builder_(_fbb);
+  builder_.add_count(count);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct ServiceCalls::Traits {
+  using type = ServiceCalls;
+  static auto constexpr Create = CreateServiceCalls;
+};
+
+inline flatbuffers::Offset<ServiceCalls>
+CreateServiceCallsDirect(flatbuffers::FlatBufferBuilder &_fbb,
+                         const char *service = nullptr, float count = 0.0f) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return hickorylift::wire::CreateServiceCalls(_fbb, service__, count);
+}
+
+flatbuffers::Offset<ServiceCalls>
+CreateServiceCalls(flatbuffers::FlatBufferBuilder &_fbb,
+                   const ServiceCallsT *_o,
+                   const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct HeadT : public flatbuffers::NativeTable {
   typedef Head TableType;
   uint64_t seq = 0;
@@ -1245,6 +1330,7 @@
   uint32_t waited_us = 0;
   uint32_t slowdown_percent = 0;
   uint32_t shed_percent = 0;
+  std::vector<std::unique_ptr<hickorylift::wire::ServiceCallsT>> nested_calls{};
   HeadT() = default;
   HeadT(const HeadT &o);
   HeadT(HeadT &&) FLATBUFFERS_NOEXCEPT = default;
@@ -1265,7 +1351,8 @@
     VT_RAN_US = 16,
     VT_WAITED_US = 18,
     VT_SLOWDOWN_PERCENT = 20,
-    VT_SHED_PERCENT = 22
+    VT_SHED_PERCENT = 22,
+    VT_NESTED_CALLS = 24
   };
   uint64_t seq() const { return GetField<uint64_t>(VT_SEQ, 0); }
   uint32_t status() const { return GetField<uint32_t>(VT_STATUS, 0); }
@@ -1289,6 +1376,13 @@
   uint32_t shed_percent() const {
     return GetField<uint32_t>(VT_SHED_PERCENT, 0);
   }
+  const flatbuffers::Vector<
+      flatbuffers::Offset<hickorylift::wire::ServiceCalls>> *
+  nested_calls() const {
+    return GetPointer<const flatbuffers::Vector<
+        flatbuffers::Offset<hickorylift::wire::ServiceCalls>> *>(
+        VT_NESTED_CALLS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQ, 8) &&
@@ -1304,7 +1398,9 @@
            VerifyField<uint32_t>(verifier, VT_WAITED_US, 4) &&
            VerifyField<uint32_t>(verifier, VT_SLOWDOWN_PERCENT, 4) &&
            VerifyField<uint32_t>(verifier, VT_SHED_PERCENT, 4) &&
-           verifier.EndTable();
+           VerifyOffset(verifier, VT_NESTED_CALLS) &&
+           verifier.VerifyVector(nested_calls()) &&
+           verifier.VerifyVectorOfTables(nested_calls()) && verifier.EndTable();
   }
   HeadT *
   UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1353,6 +1449,12 @@
   void add_shed_percent(uint32_t shed_percent) {
     fbb_.AddElement<uint32_t>(Head::VT_SHED_PERCENT, shed_percent, 0);
   }
+  void
+  add_nested_calls(flatbuffers::Offset<flatbuffers::Vector<
+                       flatbuffers::Offset<hickorylift::wire::ServiceCalls>>>
+                       nested_calls) {
+    fbb_.AddOffset(Head::VT_NESTED_CALLS, nested_calls);
+  }
   explicit HeadBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -1371,10 +1473,14 @@
         headers = 0,
     int64_t length = 0, const hickorylift::wire::Load *load = nullptr,
     uint32_t ran_us = 0, uint32_t waited_us = 0, uint32_t slowdown_percent = 0,
-    uint32_t shed_percent = 0) {
+    uint32_t shed_percent = 0,
+    flatbuffers::Offset<flatbuffers::Vector<
+        flatbuffers::Offset<hickorylift::wire::ServiceCalls>>>
+        nested_calls = 0) {
   HeadBuilder builder_(_fbb);
   builder_.add_length(length);
   builder_.add_seq(seq);
+  builder_.add_nested_calls(nested_calls);
   builder_.add_shed_percent(shed_percent);
   builder_.add_slowdown_percent(slowdown_percent);
   builder_.add_waited_us(waited_us);
@@ -1398,16 +1504,23 @@
         nullptr,
     int64_t length = 0, const hickorylift::wire::Load *load = nullptr,
     uint32_t ran_us = 0, uint32_t waited_us = 0, uint32_t slowdown_percent = 0,
-    uint32_t shed_percent = 0) {
+    uint32_t shed_percent = 0,
+    const std::vector<flatbuffers::Offset<hickorylift::wire::ServiceCalls>>
+        *nested_calls = nullptr) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ =
       headers
           ? _fbb.CreateVector<flatbuffers::Offset<hickorylift::wire::Header>>(
                 *headers)
           : 0;
-  return hickorylift::wire::CreateHead(_fbb, seq, status, reason__, headers__,
-                                       length, load, ran_us, waited_us,
-                                       slowdown_percent, shed_percent);
+  auto nested_calls__ =
+      nested_calls ? _fbb.CreateVector<
+                         flatbuffers::Offset<hickorylift::wire::ServiceCalls>>(
+                         *nested_calls)
+                   : 0;
+  return hickorylift::wire::CreateHead(
+      _fbb, seq, status, reason__, headers__, length, load, ran_us, waited_us,
+      slowdown_percent, shed_percent, nested_calls__);
 }
 
 flatbuffers::Offset<Head>
@@ -2626,6 +2739,53 @@
   return hickorylift::wire::CreateCredit(_fbb, _seq, _consumed);
 }
 
+inline ServiceCallsT *
+ServiceCalls::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ServiceCallsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ServiceCalls::UnPackTo(
+    ServiceCallsT *_o,
+    const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  {
+    auto _e = service();
+    if (_e)
+      _o->service = _e->str();
+  }
+  {
+    auto _e = count();
+    _o->count = _e;
+  }
+}
+
+inline flatbuffers::Offset<ServiceCalls>
+ServiceCalls::Pack(flatbuffers::FlatBufferBuilder &_fbb,
+                   const ServiceCallsT *_o,
+                   const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServiceCalls(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ServiceCalls>
+CreateServiceCalls(flatbuffers::FlatBufferBuilder &_fbb,
+                   const ServiceCallsT *_o,
+                   const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs {
+    flatbuffers::FlatBufferBuilder *__fbb;
+    const ServiceCallsT *__o;
+    const flatbuffers::rehasher_function_t *__rehasher;
+  } _va = {&_fbb, _o, _rehasher};
+  (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _count = _o->count;
+  return hickorylift::wire::CreateServiceCalls(_fbb, _service, _count);
+}
+
 inline HeadT::HeadT(const HeadT &o)
     : seq(o.seq), status(o.status), reason(o.reason), length(o.length),
       load((o.load) ? new hickorylift::wire::Load(*o.load) : nullptr),
@@ -2636,6 +2796,12 @@
     headers.emplace_back((headers_) ? new hickorylift::wire::HeaderT(*headers_)
                                     : nullptr);
   }
+  nested_calls.reserve(o.nested_calls.size());
+  for (const auto &nested_calls_ : o.nested_calls) {
+    nested_calls.emplace_back(
+        (nested_calls_) ? new hickorylift::wire::ServiceCallsT(*nested_calls_)
+                        : nullptr);
+  }
 }
 
 inline HeadT &HeadT::operator=(HeadT o) FLATBUFFERS_NOEXCEPT {
@@ -2649,6 +2815,7 @@
   std::swap(waited_us, o.waited_us);
   std::swap(slowdown_percent, o.slowdown_percent);
   std::swap(shed_percent, o.shed_percent);
+  std::swap(nested_calls, o.nested_calls);
   return *this;
 }
 
@@ -2713,6 +2880,17 @@
     auto _e = shed_percent();
     _o->shed_percent = _e;
   }
+  {
+    auto _e = nested_calls();
+    if (_e) {
+      _o->nested_calls.resize(_e->size());
+      for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) {
+        _o->nested_calls[_i] =
+            std::unique_ptr<hickorylift::wire::ServiceCallsT>(
+                _e->Get(_i)->UnPack(_resolver));
+      }
+    }
+  }
 }
 
 inline flatbuffers::Offset<Head>
@@ -2751,9 +2929,21 @@
   auto _waited_us = _o->waited_us;
   auto _slowdown_percent = _o->slowdown_percent;
   auto _shed_percent = _o->shed_percent;
-  return hickorylift::wire::CreateHead(_fbb, _seq, _status, _reason, _headers,
-                                       _length, _load, _ran_us, _waited_us,
-                                       _slowdown_percent, _shed_percent);
+  auto _nested_calls =
+      _o->nested_calls.size()
+          ? _fbb.CreateVector<
+                flatbuffers::Offset<hickorylift::wire::ServiceCalls>>(
+                _o->nested_calls.size(),
+                [](size_t i, _VectorArgs *__va) {
+                  return CreateServiceCalls(*__va->__fbb,
+                                            __va->__o->nested_calls[i].get(),
+                                            __va->__rehasher);
+                },
+                &_va)
+          : 0;
+  return hickorylift::wire::CreateHead(
+      _fbb, _seq, _status, _reason, _headers, _length, _load, _ran_us,
+      _waited_us, _slowdown_percent, _shed_percent, _nested_calls);
 }
 
 inline FailedT::FailedT(const FailedT &o)
--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -266,7 +266,6 @@
                         ? Call.MatchedRoute->Priority
                         : Class->second;
     this->setLineage(Call, Open);
-    this->chargeRepeatedRun(Call, Now);
   }
   if (const Instance *Target = this->Fleet.find(Call.Gate); Target && !Resume)
     Call.SentTo = {Target->Upstream, Target->Incarnation};
@@ -414,6 +413,8 @@
     Final.RetryAfter = this->Opts.RetryAfter;
   if (MayRetry)
     Final.RetryAfter = this->retryAfter(Call, Final, Now);
+  if (Final.CallOutcome == Outcome::NotRun)
+    this->refundNestedCosts(Call);
   const char *EventName = HaveHead ? "call-broken"
                           : Final.CallOutcome == Outcome::Unknown
                               ? "call-unknown"
@@ -472,8 +473,7 @@
          static_cast<double>(std::max<size_t>(1, this->Fleet.size()));
 }
 
-RetryBudget &Entry::retryBudget(const PendingCall &Call) {
-  const std::string &Service = Call.TargetService->Name;
+RetryBudget &Entry::retryBudget(const std::string &Service) {
   double Reserve = this->retryReserve();
   RetryBudget::Options BudgetOpts{.Reserve = Reserve,
                                   .Window = this->Opts.RetryWindow};
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -5,6 +5,7 @@
 #include "calls/Dialect.h"
 #include "calls/Message.h"
 #include "config/Config.h"
+#include "lineage/NestedCallEstimator.h"
 #include "lineage/RunRegistry.h"
 #include "membership/Membership.h"
 #include "quarantine/Quarantine.h"
@@ -213,6 +214,10 @@
     /// Open frames do not say which calls are repeats.
     std::function<std::optional<RunRegistry::Run>(const std::string &RequestId)>
         FindParentRun;
+    /// The nested request with this id causes these calls for the run that
+    /// makes it: one to its own service, and those that its own run will make.
+    std::function<void(const std::string &RequestId, const ServiceCalls &)>
+        RecordNestedCall = [](const std::string &, const ServiceCalls &) {};
   };
 
   struct Counters {
@@ -222,10 +227,9 @@
     uint64_t Resumed = 0;
     uint64_t Unknown = 0;
     uint64_t Aborted = 0;
-    /// Nested calls, and those of them whose run is a repeat and that were
-    /// charged to the retry budget.
+    /// Nested calls, and those of them whose run is a repeat.
     uint64_t Nested = 0;
-    uint64_t ChargedToRepeats = 0;
+    uint64_t NestedOfRepeats = 0;
     /// Calls sent to a second gate; of these, the ones that the second gate
     /// refused to run, that it answered first, and that were cancelled because
     /// the first gate answered or the call ended.
@@ -338,8 +342,9 @@
     uint32_t SuspectRefusals = 0;
     // The run that makes the call, if it is nested.
     std::optional<RunRegistry::Run> ParentRun;
-    // The first sending was charged to the retry budget.
-    bool ChargedToRepeat = false;
+    // What the last retry was charged to the budgets of the services that its
+    // run calls.
+    ServiceCalls ChargedCalls;
     // Identifies the request to the quarantine. A request on trial goes only
     // to the one gate that tries it.
     Fingerprint RequestFingerprint;
@@ -420,14 +425,16 @@
                  TimePoint Now);
   void retryOrGiveUp(CallerId Caller, const Refusal &Cause, TimePoint Now);
   void retryElsewhere(CallerId Caller, const Refusal &Cause, TimePoint Now);
-  RetryBudget &retryBudget(const PendingCall &Call);
+  RetryBudget &retryBudget(const std::string &Service);
   double retryReserve() const;
   void findParentRun(PendingCall &Call);
   void recordFirstTry(const PendingCall &Call);
-  void chargeRepeatedRun(PendingCall &Call, TimePoint Now);
+  std::vector<RetryBudget::Cost> nestedCosts(const PendingCall &Call);
+  void noteCharged(PendingCall &Call, const std::vector<RetryBudget::Cost> &);
+  void refundNestedCosts(PendingCall &Call);
   void setLineage(const PendingCall &Call, wire::OpenT &Open) const;
   bool mayRetry(PendingCall &Call, const Refusal &Cause, TimePoint Now);
-  bool spendRetry(const PendingCall &Call, const Refusal &Cause, TimePoint Now);
+  bool spendRetry(PendingCall &Call, const Refusal &Cause, TimePoint Now);
   bool isServiceShedding(const PendingCall &Call, const Refusal &Cause,
                          TimePoint Now) const;
   bool blamesGate(const PendingCall &Call, const Refusal &Cause,
@@ -513,6 +520,7 @@
   std::map<uint64_t, CallerId> DetachedBySeq;
   std::map<std::string, GateLink> Links;
   std::map<std::string, RetryBudget> RetryBudgets;
+  NestedCallEstimator NestedCalls{NestedCallEstimator::Options()};
   TrafficSplitter SplitSchedule;
   RequestAgeEstimator CallAges;
   RetryAllocator ShedRetries;
--- a/src/calls/EntryAnswers.cpp
+++ b/src/calls/EntryAnswers.cpp
@@ -135,6 +135,9 @@
     this->Balancer.recordRunTime(Gate, Call.MatchedRoute->Name,
                                  Micros(Head.ran_us), Now);
   this->recordRoundTrip(Gate, Call, Head, Now);
+  if (this->Hook.FindParentRun)
+    this->NestedCalls.recordRun(Call.MatchedRoute->Name,
+                                fromWire(Head.nested_calls));
   ResponseHead Answer;
   Answer.Status = Head.status;
   Answer.Reason = Head.reason;
--- a/src/calls/EntryHedges.cpp
+++ b/src/calls/EntryHedges.cpp
@@ -63,8 +63,11 @@
       Quarantine::Status::Free)
     return;
   const Instance *Second = this->chooseGate(Call, Now);
-  if (!Second || !this->retryBudget(Call).spendRetry(Now))
+  std::vector<RetryBudget::Cost> Costs = this->nestedCosts(Call);
+  RetryBudget &Budget = this->retryBudget(Call.TargetService->Name);
+  if (!Second || !Budget.spendRetry(Now, /*Kept=*/0, Costs))
     return;
+  this->noteCharged(Call, Costs);
   this->Hedges.spendHedge(Route);
   ++this->Counts.HedgesSent;
   Call.Detached = DetachedRun{
@@ -137,8 +140,10 @@
     ++this->Counts.HedgesRefused;
     --Call.Offers;
     Call.TriedGates.erase(Call.Gate);
-    if (FirstRunContinues)
-      this->retryBudget(Call).refundRetry();
+    if (FirstRunContinues) {
+      this->retryBudget(Call.TargetService->Name).refund(/*Retries=*/1);
+      this->refundNestedCosts(Call);
+    }
   } else if (FirstRunContinues) {
     this->noteRunFailure(Call, Cause);
   }
--- a/src/calls/EntryNested.cpp
+++ b/src/calls/EntryNested.cpp
@@ -5,7 +5,10 @@
 
 // Nested calls: those that a run of the upstream beside this entry makes. They
 // are at least as urgent as their run. A call that a repeated run makes would
-// not exist without the repeat, so it is charged to the retry budget.
+// not exist without the repeat, and is a repeat at its own service. Whoever
+// repeats a call therefore pays for the calls that its run will make: it knows
+// their usual number from the answers of its route. If they were counted only
+// where they are made, nothing could prevent them any more.
 
 namespace hickorylift {
 
@@ -17,6 +20,11 @@
   if (!Call.ParentRun)
     return;
   ++this->Counts.Nested;
+  this->Counts.NestedOfRepeats += Call.ParentRun->Repeat ? 1 : 0;
+  ServiceCalls Caused = this->NestedCalls.callsPerRun(Call.MatchedRoute->Name);
+  Caused[Call.TargetService->Name] += 1;
+  this->Hook.RecordNestedCall(
+      findHeader(Call.Head.Headers, this->Opts.HeaderNames.RequestId), Caused);
   // The call has less time left than others of its route because its run has
   // used some, not because it was refused before.
   Call.Returning = false;
@@ -28,21 +36,35 @@
 void Entry::recordFirstTry(const PendingCall &Call) {
   if (Call.ParentRun)
     return;
-  this->retryBudget(Call).recordFirstTry(
-      std::min(Call.MatchedRoute->Retry->BudgetPercent,
-               this->Opts.MaxRetryPercent),
-      Call.ReceivedAt);
+  this->retryBudget(Call.TargetService->Name)
+      .recordFirstTry(std::min(Call.MatchedRoute->Retry->BudgetPercent,
+                               this->Opts.MaxRetryPercent),
+                      Call.ReceivedAt);
 }
 
-// The call is sent whether or not a retry is available: its run holds a slot
-// and is wasted without the answer. If the call is sent again, that is a retry
-// of its own, which mayRetry() takes from the budget.
-void Entry::chargeRepeatedRun(PendingCall &Call, TimePoint Now) {
-  bool Charged = Call.ParentRun && Call.ParentRun->Repeat;
-  if (!Charged || std::exchange(Call.ChargedToRepeat, true))
-    return;
-  this->retryBudget(Call).charge(Now);
-  ++this->Counts.ChargedToRepeats;
+// What a retry of the call costs the services that its run calls. The retry
+// itself is spent from the budget of its own service.
+std::vector<RetryBudget::Cost> Entry::nestedCosts(const PendingCall &Call) {
+  // Services that fewer runs call are left out.
+  constexpr double MinCallsPerRun = 0.01;
+  std::vector<RetryBudget::Cost> Costs;
+  for (const auto &[Service, Count] :
+       this->NestedCalls.callsPerRun(Call.MatchedRoute->Name))
+    if (Service != Call.TargetService->Name && Count >= MinCallsPerRun)
+      Costs.push_back({Service, &this->retryBudget(Service), Count});
+  return Costs;
+}
+
+void Entry::noteCharged(PendingCall &Call,
+                        const std::vector<RetryBudget::Cost> &Costs) {
+  Call.ChargedCalls.clear();
+  for (const RetryBudget::Cost &Charged : Costs)
+    Call.ChargedCalls[Charged.Service] = Charged.Retries;
+}
+
+void Entry::refundNestedCosts(PendingCall &Call) {
+  for (const auto &[Service, Count] : std::exchange(Call.ChargedCalls, {}))
+    this->retryBudget(Service).refund(Count);
 }
 
 // The route's priority is the least urgent that the call may get, because
--- a/src/calls/EntryNestedTest.cpp
+++ b/src/calls/EntryNestedTest.cpp
@@ -14,6 +14,9 @@
 
 const std::string Records = R"([
   {"kind":"service","name":"a","schema":1},
+  {"kind":"service","name":"b","schema":1},
+  {"kind":"route","name":"direct","schema":3,"match":{"prefix":"/b"},
+   "service":"b","idempotent":true,"attempts":2,"timeout_ms":1000},
   {"kind":"route","name":"read","schema":3,"match":{"prefix":"/"},
    "service":"a","idempotent":true,"attempts":2,"timeout_ms":1000,
    "priority":4}])";
@@ -29,11 +32,11 @@
 
   explicit NestedFixture(const std::string &Separator = ".") {
     EntryMap Entries;
-    for (const char *Name : {"g-1", "g-2"}) {
+    for (const char *Name : {"g-1", "g-2", "h-1", "h-2"}) {
       Instance Gate;
       Gate.Name = Name;
       Gate.DataCentre = "north";
-      Gate.Service = "a";
+      Gate.Service = Name[0] == 'g' ? "a" : "b";
       Gate.Node = "127.0.0.1:1";
       Gate.Operator = "127.0.0.1:2";
       Entries[Name] = makeEntry(Name, writeInstance(Gate));
@@ -49,8 +52,8 @@
     Entry::Options Opts;
     Opts.Self = "me";
     Opts.HeaderNames.RequestId = "Request-Id";
-    // One retry in reserve at each of the two nodes.
-    Opts.FleetRetryReserve = 2;
+    // One retry in reserve at each of the four nodes.
+    Opts.FleetRetryReserve = 4;
     Opts.MaxRetryPercent = 5;
     Entry::Hooks Hooks;
     Hooks.Connect = [](const Instance &) {};
@@ -59,10 +62,16 @@
         this->Opens.emplace_back(Gate, *Open);
     };
     Hooks.Refuse = [](Entry::CallerId, const Refusal &) {};
+    Hooks.Head = [](Entry::CallerId, const ResponseHead &) {};
+    Hooks.BodyEnd = [](Entry::CallerId) {};
     if (this->Runs->enabled())
       Hooks.FindParentRun = [this](const std::string &RequestId) {
         return this->Runs->findParent(RequestId);
       };
+    Hooks.RecordNestedCall = [this](const std::string &RequestId,
+                                    const ServiceCalls &Caused) {
+      this->Runs->recordNestedCall(RequestId, Caused);
+    };
     this->TestedEntry =
         std::make_unique<Entry>(Opts, std::move(Hooks), this->Fleet);
     FaultList Faults;
@@ -71,7 +80,7 @@
             *Document::make(1, 1, *readRecordFile(Records, "f", Faults)),
             CompileOptions())
             .Compiled);
-    for (const char *Gate : {"g-1", "g-2"}) {
+    for (const char *Gate : {"g-1", "g-2", "h-1", "h-2"}) {
       this->TestedEntry->linkUp(Gate, this->Now);
       wire::CallHelloT Hello;
       Hello.incarnation = 1;
@@ -80,15 +89,32 @@
   }
 
   /// Sends a request and returns its Open frame.
-  wire::OpenT request(const std::string &RequestId) {
+  wire::OpenT request(const std::string &RequestId,
+                      const std::string &Path = "/x") {
     RequestHead Head;
     Head.Method = "GET";
-    Head.Path = "/x";
+    Head.Path = Path;
     Head.Headers = {{"Request-Id", RequestId}};
     this->TestedEntry->request(++this->LastCaller, Head, this->Now);
     BOOST_REQUIRE(!this->Opens.empty());
     return this->Opens.back().second;
   }
+  /// Sends a request, which is answered by a run that has caused so many calls
+  /// to service "b".
+  void answerNext(const std::string &Path, float CallsToB) {
+    wire::HeadT Head;
+    Head.seq = this->request("answered", Path).seq;
+    Head.status = 200;
+    Head.nested_calls = toWire(ServiceCalls{{"b", CallsToB}});
+    std::string Gate = this->Opens.back().first;
+    wire::DataT End;
+    End.seq = Head.seq;
+    End.end = true;
+    this->TestedEntry->handleFrame(Gate, makeCallFrame(std::move(Head)),
+                                   this->Now);
+    this->TestedEntry->handleFrame(Gate, makeCallFrame(std::move(End)),
+                                   this->Now);
+  }
   /// The gate that got the last Open frame refuses the call. Returns whether
   /// the call was then sent to another gate.
   bool refuseLast(const std::string &Reason) {
@@ -130,29 +156,26 @@
   Test.Runs->runEnded({7, 5});
 }
 
-/// Nested calls of a run, then first tries of callers; whether a call that
-/// reached an upstream is then sent to another one. Each node has one retry in
-/// reserve, and 20 first tries earn one.
+/// Ten runs of route "read" make calls to service "b", and FirstTries requests
+/// of callers go to "b". Then calls of "read" are shed or lost. Each node has
+/// one retry in reserve for each service.
 struct BudgetRow {
   const char *Name;
-  const char *NestedId;
-  int NestedCalls;
+  float CallsPerRun;
   int FirstTries;
-  bool Retries;
+  /// Whether the retries are shed too, so that none of them makes calls.
+  bool Shed;
+  int Retried;
 };
 std::ostream &operator<<(std::ostream &To, const BudgetRow &Row) {
   return To << Row.Name;
 }
 
 const BudgetRow BudgetRows[] = {
-    {"reserve", "", 0, 0, true},
-    {"run is no repeat", "usual.1", 50, 0, true},
-    {"reserve is spent", "repeat.1", 1, 0, false},
-    {"spent retry is earned again", "repeat.1", 1, 21, true},
-    {"debt of two is not paid", "repeat.1", 3, 39, false},
-    {"debt of two is paid", "repeat.1", 3, 61, true},
-    {"debt is at its bound", "repeat.1", 500, 199, false},
-    {"bounded debt is paid", "repeat.1", 500, 221, true},
+    {"runs make no calls", 0, 0, false, 2},
+    {"runs call a service without retries left", 4, 0, false, 0},
+    {"the service has earned some", 4, 140, false, 2},
+    {"retries that are shed cost it nothing", 1, 0, true, 2},
 };
 
 } // namespace
@@ -169,7 +192,7 @@
   BOOST_TEST(Open.priority == Row.Priority);
   const Entry::Counters &Counts = Test.TestedEntry->counters();
   BOOST_TEST(Counts.Nested == (Row.Nested ? 1u : 0u));
-  BOOST_TEST(Counts.ChargedToRepeats == (Row.Repeat ? 1u : 0u));
+  BOOST_TEST(Counts.NestedOfRepeats == (Row.Repeat ? 1u : 0u));
 }
 
 // Guards against a feature that changes calls although it is off.
@@ -210,27 +233,39 @@
   BOOST_TEST(!Test.request("urgent.1").nested);
 }
 
-// Guards against repeated runs whose calls exceed the retry budget, against
-// nested calls that earn retries, and against a debt that lasts.
-BOOST_DATA_TEST_CASE(RepeatedRunsAreChargedToTheRetryBudget,
+// Guards against repeated runs whose calls exceed the retry budget of the
+// services that they call.
+BOOST_DATA_TEST_CASE(RetriesArePaidForWithTheServicesTheirRunsCall,
                      data::make(BudgetRows), Row) {
   NestedFixture Test;
-  startRuns(Test);
-  for (int I = 0; I < Row.NestedCalls; ++I)
-    Test.request(Row.NestedId);
-  // The call that is refused at the end is a first try too.
-  for (int I = 0; I < std::max(1, Row.FirstTries); ++I)
+  for (int I = 0; I < 10; ++I)
+    Test.answerNext("/x", Row.CallsPerRun);
+  for (int I = 0; I < Row.FirstTries; ++I)
+    Test.answerNext("/b", 0);
+  // Forty first tries earn two retries of service "a", with one in reserve.
+  for (int I = 0; I < 30; ++I)
+    Test.answerNext("/x", Row.CallsPerRun);
+  int Retried = 0;
+  for (int I = 0; I < 2; ++I) {
     Test.request("caller");
-  BOOST_TEST(Test.refuseLast("upstream-shed") == Row.Retries);
+    Retried += Test.refuseLast(Row.Shed ? "upstream-shed" : "upstream-lost");
+    if (Row.Shed)
+      Test.refuseLast("upstream-shed");
+  }
+  BOOST_TEST(Retried == Row.Retried);
 }
 
-// Guards against a call that is charged again for each gate that refuses it.
-BOOST_AUTO_TEST_CASE(OnlyTheFirstSendingIsCharged) {
+// Guards against counts that leave out what nested calls cause in turn.
+BOOST_AUTO_TEST_CASE(NestedCallsCountWithThoseTheyCause) {
   NestedFixture Test;
   startRuns(Test);
-  Test.request("repeat.1");
-  BOOST_TEST(Test.refuseLast("overload"));
-  BOOST_TEST(Test.TestedEntry->counters().ChargedToRepeats == 1u);
+  for (int I = 0; I < 4; ++I)
+    Test.answerNext("/x", 0.5);
+  Test.request("usual.1");
+  Test.request("usual.2", "/b");
+  ServiceCalls Expected{{"a", 1}, {"b", 1.5}};
+  BOOST_TEST((Test.Runs->nestedCalls({7, 2}) == Expected));
+  BOOST_TEST(Test.Runs->nestedCalls({7, 1}).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/calls/EntryShedding.cpp
+++ b/src/calls/EntryShedding.cpp
@@ -41,13 +41,19 @@
          this->ShedRetries.isShedding(Call.TargetService->Name, Now);
 }
 
-bool Entry::spendRetry(const PendingCall &Call, const Refusal &Cause,
-                       TimePoint Now) {
-  RetryBudget &Budget = this->retryBudget(Call);
-  if (!this->isServiceShedding(Call, Cause, Now))
-    return Budget.spendRetry(Now);
+// A retry that no upstream has run has made no calls.
+bool Entry::spendRetry(PendingCall &Call, const Refusal &Cause, TimePoint Now) {
+  if (Cause.CallOutcome == Outcome::NotRun)
+    this->refundNestedCosts(Call);
+  std::vector<RetryBudget::Cost> Costs = this->nestedCosts(Call);
+  RetryBudget &Budget = this->retryBudget(Call.TargetService->Name);
   RetryAllocator::Call Shed{Call.ParentRun.has_value(), Call.Returning};
-  return this->ShedRetries.spendRetry(Shed, Budget, Now);
+  bool Granted = this->isServiceShedding(Call, Cause, Now)
+                     ? this->ShedRetries.spendRetry(Shed, Budget, Now, Costs)
+                     : Budget.spendRetry(Now, /*Kept=*/0, Costs);
+  if (Granted)
+    this->noteCharged(Call, Costs);
+  return Granted;
 }
 
 // A caller that repeats a shed call draws on no retry budget, so it is told to
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -164,6 +164,9 @@
     /// The call has ended, or will not run. Also called for calls that were
     /// never started.
     std::function<void(const CallId &)> RunEnded = [](const CallId &) {};
+    /// The calls that a run has caused so far.
+    std::function<ServiceCalls(const CallId &)> NestedCalls =
+        [](const CallId &) { return ServiceCalls(); };
     /// An answer contains a statement that can't be read.
     std::function<void(const std::string &Fault, TimePoint)>
         StatementUnreadable = [](const std::string &, TimePoint) {};
@@ -326,6 +329,8 @@
     std::string BufferedBody;
     bool HaveAnswerHead = false;
     ResponseHead AnswerHead;
+    // The calls that the run had caused when its answer began.
+    ServiceCalls NestedCalls;
     SendStream AnswerBody;
     bool AnswerPaused = false;
     uint64_t AnswerBytes = 0;
--- a/src/calls/GateLinks.cpp
+++ b/src/calls/GateLinks.cpp
@@ -62,6 +62,7 @@
   Head.waited_us = static_cast<uint32_t>(
       std::chrono::duration_cast<Micros>(Call.StartedAt - Call.ArrivedAt)
           .count());
+  Head.nested_calls = toWire(Call.NestedCalls);
   Head.shed_percent = this->shedPercent(Now);
   Head.slowdown_percent = this->reportSlowdown(Call.Link, Now);
   this->Hook.Send(Call.Link, makeCallFrame(std::move(Head)));
--- a/src/calls/GateUpstream.cpp
+++ b/src/calls/GateUpstream.cpp
@@ -54,6 +54,7 @@
   Call->HaveAnswerHead = true;
   Call->AnsweredAt = Now;
   Call->AnswerHead = Head;
+  Call->NestedCalls = this->Hook.NestedCalls(Id);
   this->sendHead(Id, *Call, Now);
   if (Head.Length == 0)
     this->upstreamEnd(Id, Now);
--- a/src/calls/Message.cpp
+++ b/src/calls/Message.cpp
@@ -120,4 +120,24 @@
   return Headers;
 }
 
+std::vector<std::unique_ptr<wire::ServiceCallsT>>
+toWire(const ServiceCalls &Calls) {
+  std::vector<std::unique_ptr<wire::ServiceCallsT>> WireCalls;
+  for (const auto &[Service, Count] : Calls) {
+    WireCalls.push_back(std::make_unique<wire::ServiceCallsT>());
+    WireCalls.back()->service = Service;
+    WireCalls.back()->count = static_cast<float>(Count);
+  }
+  return WireCalls;
+}
+
+ServiceCalls
+fromWire(const std::vector<std::unique_ptr<wire::ServiceCallsT>> &WireCalls) {
+  ServiceCalls Calls;
+  for (const auto &Counted : WireCalls)
+    if (Counted->count > 0)
+      Calls[Counted->service] += Counted->count;
+  return Calls;
+}
+
 } // namespace hickorylift
--- a/src/calls/Message.h
+++ b/src/calls/Message.h
@@ -7,6 +7,7 @@
 #include "calls/Calls_generated.h"
 
 #include <compare>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,6 +29,10 @@
   std::string text() const;
 };
 
+/// Number of calls by the name of the service that they are sent to. Means over
+/// several runs are fractions.
+using ServiceCalls = std::map<std::string, double>;
+
 struct HeaderField {
   std::string Name;
   std::string Value;
@@ -145,6 +150,10 @@
 std::vector<std::unique_ptr<wire::HeaderT>> toWire(const HeaderList &Headers);
 HeaderList
 fromWire(const std::vector<std::unique_ptr<wire::HeaderT>> &WireHeaders);
+std::vector<std::unique_ptr<wire::ServiceCallsT>>
+toWire(const ServiceCalls &Calls);
+ServiceCalls
+fromWire(const std::vector<std::unique_ptr<wire::ServiceCallsT>> &WireCalls);
 
 } // namespace hickorylift
 
--- a/src/lineage/RunRegistry.cpp
+++ b/src/lineage/RunRegistry.cpp
@@ -11,7 +11,8 @@
       RequestId.size() > this->Opts.MaxIdBytes ||
       this->runCount() >= this->Opts.MaxRuns)
     return;
-  this->RunByCall[Call] = this->RunsById.emplace(RequestId, Started);
+  this->RunByCall[Call] =
+      this->RunsById.emplace(RequestId, RecordedRun{Started, {}});
 }
 
 void RunRegistry::runEnded(const CallId &Call) {
@@ -22,25 +23,41 @@
   this->RunByCall.erase(Found);
 }
 
-std::optional<RunRegistry::Run>
-RunRegistry::findParent(std::string_view RequestId) const {
-  if (!this->enabled())
-    return std::nullopt;
+// The id of the run that makes the request, if it is a nested call; else empty.
+std::string_view RunRegistry::parentId(std::string_view RequestId) const {
   const std::string &Separator = this->Opts.IdSeparator;
   size_t End = RequestId.rfind(Separator);
-  bool HasOwnPart = End != std::string_view::npos &&
+  bool HasOwnPart = this->enabled() && End != std::string_view::npos &&
                     End + Separator.size() < RequestId.size();
-  if (!HasOwnPart)
-    return std::nullopt;
-  auto [First, Last] = this->RunsById.equal_range(RequestId.substr(0, End));
+  return HasOwnPart ? RequestId.substr(0, End) : std::string_view();
+}
+
+std::optional<RunRegistry::Run>
+RunRegistry::findParent(std::string_view RequestId) const {
+  auto [First, Last] = this->RunsById.equal_range(this->parentId(RequestId));
   if (First == Last)
     return std::nullopt;
-  Run Parent = First->second;
+  Run Parent = First->second.Properties;
   for (auto Next = std::next(First); Next != Last; ++Next) {
-    Parent.Priority = std::min(Parent.Priority, Next->second.Priority);
-    Parent.Repeat |= Next->second.Repeat;
+    const Run &Other = Next->second.Properties;
+    Parent.Priority = std::min(Parent.Priority, Other.Priority);
+    Parent.Repeat |= Other.Repeat;
   }
   return Parent;
 }
 
+void RunRegistry::recordNestedCall(std::string_view RequestId,
+                                   const ServiceCalls &Caused) {
+  auto [First, Last] = this->RunsById.equal_range(this->parentId(RequestId));
+  for (; First != Last; ++First)
+    for (const auto &[Service, Count] : Caused)
+      First->second.Caused[Service] += Count;
+}
+
+ServiceCalls RunRegistry::nestedCalls(const CallId &Call) const {
+  auto Found = this->RunByCall.find(Call);
+  return Found == this->RunByCall.end() ? ServiceCalls()
+                                        : Found->second->second.Caused;
+}
+
 } // namespace hickorylift
--- a/src/lineage/RunRegistry.h
+++ b/src/lineage/RunRegistry.h
@@ -18,6 +18,8 @@
 //   Registry.runStarted(Call, "4066304395", Started);
 //   Registry.findParent("4066304395.2"); // the run
 //   Registry.findParent("1a8c0e6bd8.2"); // nothing: no such run
+//   Registry.recordNestedCall("4066304395.2", {{"prices", 1}});
+//   Registry.nestedCalls(Call);          // {{"prices", 1}}
 //   Registry.runEnded(Call);
 //   Registry.findParent("4066304395.2"); // nothing: the run has ended
 //
@@ -63,10 +65,23 @@
   /// known which of them makes the request, and the result has the most urgent
   /// of their priorities and is a repeat if any of them is.
   std::optional<Run> findParent(std::string_view RequestId) const;
+  /// Counts the calls that the request with this id causes for the run that
+  /// makes it: one to its own service, and those that its own run will make.
+  /// If several runs have the same id, for all of them.
+  void recordNestedCall(std::string_view RequestId, const ServiceCalls &Caused);
+  /// The calls counted so far for the run of the call; empty if no run is
+  /// recorded for it.
+  ServiceCalls nestedCalls(const CallId &Call) const;
   size_t runCount() const { return this->RunByCall.size(); }
 
 private:
-  using RunMap = std::multimap<std::string, Run, std::less<>>;
+  struct RecordedRun {
+    Run Properties;
+    ServiceCalls Caused;
+  };
+  using RunMap = std::multimap<std::string, RecordedRun, std::less<>>;
+
+  std::string_view parentId(std::string_view RequestId) const;
 
   Options Opts;
   RunMap RunsById;
--- a/src/lineage/RunRegistryTest.cpp
+++ b/src/lineage/RunRegistryTest.cpp
@@ -100,6 +100,21 @@
   BOOST_TEST(Registry.findParent("4.1").has_value());
 }
 
+// Guards against calls that are counted for the wrong run or twice.
+BOOST_AUTO_TEST_CASE(NestedCallsAreCountedByRun) {
+  RunRegistry Registry({.IdSeparator = "."});
+  Registry.runStarted(First, "run", {});
+  Registry.runStarted(Second, "other", {});
+  Registry.recordNestedCall("run.1", {{"a", 1}});
+  Registry.recordNestedCall("run.2", {{"a", 1}, {"b", 0.5}});
+  Registry.recordNestedCall("gone.1", {{"a", 1}});
+  BOOST_TEST(
+      (Registry.nestedCalls(First) == ServiceCalls{{"a", 2}, {"b", 0.5}}));
+  BOOST_TEST(Registry.nestedCalls(Second).empty());
+  Registry.runEnded(First);
+  BOOST_TEST(Registry.nestedCalls(First).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -132,6 +132,10 @@
     Out.FindParentRun = [this](const std::string &RequestId) {
       return this->Runs.findParent(RequestId);
     };
+  Out.RecordNestedCall = [this](const std::string &RequestId,
+                                const ServiceCalls &Caused) {
+    this->Runs.recordNestedCall(RequestId, Caused);
+  };
   Out.Close = [this](const std::string &Gate) {
     auto Link = this->GateLinks.find(Gate);
     if (Link == this->GateLinks.end())
@@ -165,6 +169,9 @@
     this->Runs.runStarted(Call, RequestId, Started);
   };
   Out.RunEnded = [this](const CallId &Call) { this->Runs.runEnded(Call); };
+  Out.NestedCalls = [this](const CallId &Call) {
+    return this->Runs.nestedCalls(Call);
+  };
   Out.SlowdownChanged = [this](bool Slow, uint32_t Percent, TimePoint Now) {
     this->noteSlowdown(Slow, Percent, Now);
   };
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -193,8 +193,7 @@
   Set("hickorylift_entry_nested_calls",
       "Requests made by runs of the upstream beside this node", Entered.Nested);
   Set("hickorylift_entry_repeated_run_calls",
-      "Nested calls charged to the retry budget, as their runs are repeats",
-      Entered.ChargedToRepeats);
+      "Nested calls of runs that are repeats", Entered.NestedOfRepeats);
   Set("hickorylift_hedges_sent", "Calls sent to a second gate",
       Entered.HedgesSent);
   Set("hickorylift_hedges_refused", "Hedges that their gate did not run",
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -191,7 +191,7 @@
   Out["enabled"] = this->Of.core().runs().enabled();
   Out["runs"] = Json::UInt64(this->Of.core().runs().runCount());
   Out["seen"] = Json::UInt64(Counts.Nested);
-  Out["charged_to_repeats"] = Json::UInt64(Counts.ChargedToRepeats);
+  Out["of_repeats"] = Json::UInt64(Counts.NestedOfRepeats);
   return Out;
 }
 
--- a/src/routing/RetryAllocator.cpp
+++ b/src/routing/RetryAllocator.cpp
@@ -32,12 +32,13 @@
 }
 
 bool RetryAllocator::spendRetry(const Call &Shed, RetryBudget &Budget,
-                                TimePoint Now) {
+                                TimePoint Now,
+                                const std::vector<RetryBudget::Cost> &Others) {
   CallClass Class = classify(Shed);
   double Kept = Class == CallClass::FirstTime
                     ? this->Opts.ReservedShare * Budget.capacity()
                     : 0;
-  bool Granted = Budget.spendRetry(Now, Kept);
+  bool Granted = Budget.spendRetry(Now, Kept, Others);
   auto &Counted = Granted ? this->Counts.Granted : this->Counts.Withheld;
   ++Counted[static_cast<size_t>(Class)];
   return Granted;
--- a/src/routing/RetryAllocator.h
+++ b/src/routing/RetryAllocator.h
@@ -72,9 +72,10 @@
                     TimePoint Now);
   /// Whether gates of the service report shedding.
   bool isShedding(const std::string &Service, TimePoint Now) const;
-  /// Takes a retry for the call from its service's budget; false if there is
-  /// none for it.
-  bool spendRetry(const Call &Shed, RetryBudget &Budget, TimePoint Now);
+  /// Takes a retry for the call from its service's budget, and what the retry
+  /// costs others; false if there is none for it.
+  bool spendRetry(const Call &Shed, RetryBudget &Budget, TimePoint Now,
+                  const std::vector<RetryBudget::Cost> &Others = {});
   /// The time after which a caller whose call was shed should retry, spread at
   /// random.
   Millis shedRetryAfter();
--- a/src/routing/RetryBudget.cpp
+++ b/src/routing/RetryBudget.cpp
@@ -45,18 +45,15 @@
   this->AdvancedAt = Now;
   double Remaining = std::exp2(-HalfLivesPerWindow * Windows);
   this->EarnedInAll *= Remaining;
-  if (this->Earned > 0)
-    this->Earned *= Remaining;
+  this->Earned *= Remaining;
   this->refillReserve(Windows * this->Opts.Reserve);
 }
 
-// Pays a debt first. Returns what the reserve has no room for.
+// Returns what the reserve has no room for.
 double RetryBudget::refillReserve(double Count) {
-  double Paid = std::min(Count, std::max(0.0, -this->Earned));
-  this->Earned += Paid;
-  double Added = std::min(Count - Paid, this->Opts.Reserve - this->InReserve);
+  double Added = std::min(Count, this->Opts.Reserve - this->InReserve);
   this->InReserve += Added;
-  return Count - Paid - Added;
+  return Count - Added;
 }
 
 void RetryBudget::recordFirstTry(double Percent, TimePoint Now) {
@@ -66,22 +63,26 @@
   this->EarnedInAll += Percent / Hundred;
 }
 
-// Takes earned retries first, then the reserve, and what is left becomes debt.
+// Takes earned retries first, then the reserve.
 void RetryBudget::spend(double Count) {
-  double FromEarned = std::clamp(this->Earned, 0.0, Count);
-  double FromReserve = std::min(this->InReserve, Count - FromEarned);
-  this->InReserve -= FromReserve;
+  double FromEarned = std::min(this->Earned, Count);
   this->Earned -= FromEarned;
-  this->Earned -= Count - FromEarned - FromReserve;
+  this->InReserve -= std::min(this->InReserve, Count - FromEarned);
 }
 
-bool RetryBudget::spendRetry(TimePoint Now, double Kept) {
+bool RetryBudget::spendRetry(TimePoint Now, double Kept,
+                             const std::vector<Cost> &Others) {
   this->advance(Now);
-  double Available = this->balance() - Kept;
-  if (this->Earned < 0 || Available <= 0)
+  double Taken = std::min(this->balance() - Kept, 1.0);
+  for (const Cost &Other : Others) {
+    Other.Budget->advance(Now);
+    Taken = std::min(Taken, Other.Budget->balance() / Other.Retries);
+  }
+  if (Taken <= 0)
     return false;
-  double Taken = std::min(Available, 1.0);
   this->spend(Taken);
+  for (const Cost &Other : Others)
+    Other.Budget->spend(Taken * Other.Retries);
   this->Spent += Taken;
   // Sums of shares such as 0.05 do not reach exactly one.
   constexpr double WholeRetry = 1 - 1e-9;
@@ -91,14 +92,10 @@
   return true;
 }
 
-void RetryBudget::charge(TimePoint Now) {
-  this->advance(Now);
-  this->spend(1);
-  this->Earned = std::max(this->Earned, -this->Opts.MaxDebt);
+void RetryBudget::refund(double Retries) {
+  this->Earned += this->refillReserve(Retries);
 }
 
-void RetryBudget::refundRetry() { this->Earned += this->refillReserve(1); }
-
 void RetryBudget::limitReserve(double NewReserve) {
   this->Opts.Reserve = std::min(this->Opts.Reserve, NewReserve);
   this->InReserve = std::min(this->InReserve, this->Opts.Reserve);
--- a/src/routing/RetryBudget.h
+++ b/src/routing/RetryBudget.h
@@ -4,6 +4,8 @@
 #include "base/Time.h"
 
 #include <optional>
+#include <string>
+#include <vector>
 
 // A RetryBudget limits the retries that one entry makes for one service. No
 // entry knows how many retries the others make, so each has a fixed part of
@@ -15,6 +17,10 @@
 //   if (Budget.spendRetry(Now))
 //     retry(Call);
 //
+// The calls that the run of a retry makes are repeats at the services that they
+// go to, and nobody can prevent them once it runs. So a retry is spent from the
+// budgets of these services too, as many retries as its run makes calls there.
+//
 // In a large fleet these parts are fractions of one retry. An entry that has
 // only a fraction makes a whole retry with that probability, and the fraction
 // is spent in either case. All entries together thus make as many retries as
@@ -33,30 +39,31 @@
     /// try has earned loses half of its value in a quarter of it, so that an
     /// entry cannot save retries for long and spend them all in one window.
     Millis Window{10000};
-    /// Limits the debt that charge() may cause: a debt of ten is paid by 200
-    /// first tries at 5 retries in 100, and a larger one would prevent retries
-    /// long after the upstreams have recovered.
-    double MaxDebt = 10;
+  };
+
+  /// What a retry costs the budget of another service.
+  struct Cost {
+    std::string Service;
+    RetryBudget *Budget = nullptr;
+    double Retries = 0;
   };
 
   /// Entries need different seeds.
   RetryBudget(Options Opts, uint64_t Seed);
 
-  /// Records a first try, which earns Percent of a retry. A debt is paid first.
+  /// Records a first try, which earns Percent of a retry.
   void recordFirstTry(double Percent, TimePoint Now);
-  /// Spends one retry; false if none is available. Leaves at least Kept.
-  bool spendRetry(TimePoint Now, double Kept = 0);
-  /// Spends one retry for a call that is made in any case. If none is
-  /// available, the budget goes into debt, up to MaxDebt.
-  void charge(TimePoint Now);
-  /// Returns a retry that was spent on a call which no upstream has run. A debt
-  /// is paid first.
-  void refundRetry();
+  /// Spends one retry, and what it costs other budgets; false if one of them
+  /// has none left. Leaves at least Kept in this budget.
+  bool spendRetry(TimePoint Now, double Kept = 0,
+                  const std::vector<Cost> &Others = {});
+  /// Returns retries that were spent on a call which no upstream has run.
+  void refund(double Retries);
   /// Lowers the reserve to this entry's part of one that all entries share. It
   /// is never raised: lists that have expired make a fleet look small.
   void limitReserve(double NewReserve);
 
-  /// Retries left as of the last call; negative if there is a debt.
+  /// Retries left as of the last call.
   double balance() const { return this->Earned + this->InReserve; }
   /// The balance that there would be if nothing had been spent lately.
   double capacity() const { return this->EarnedInAll + this->Opts.Reserve; }
@@ -67,7 +74,7 @@
   double refillReserve(double Count);
 
   Options Opts;
-  // Earned by first tries and not spent; negative if there is a debt.
+  // Earned by first tries and not spent.
   double Earned = 0;
   // Earned by first tries, spent or not.
   double EarnedInAll = 0;
--- a/src/routing/RetryBudgetTest.cpp
+++ b/src/routing/RetryBudgetTest.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <random>
 #include <vector>
@@ -172,14 +173,51 @@
   BOOST_TEST(!Budget.spendRetry(Start));
 }
 
-// Guards against a debt that lasts where no first try pays it, as at a service
-// that only other services call.
+// Guards against a reserve that is spent once and for all, as at a service that
+// earns nothing because only other services call it.
 BOOST_AUTO_TEST_CASE(ReserveComesBackWithinAWindow) {
   RetryBudget Budget({.Reserve = 4, .Window = Window}, /*Seed=*/1);
-  for (int I = 0; I < 6; ++I)
-    Budget.charge(Start);
-  BOOST_TEST(!Budget.spendRetry(Start + Window / 4));
-  BOOST_TEST(Budget.spendRetry(Start + Window));
+  for (int I = 0; I < 4; ++I)
+    BOOST_TEST(Budget.spendRetry(Start));
+  BOOST_TEST(!Budget.spendRetry(Start));
+  for (int I = 0; I < 4; ++I)
+    BOOST_TEST(Budget.spendRetry(Start + Window));
+}
+
+/// The reserves of a service and of another one that its runs call, and the
+/// number of these calls. Retries: what is granted over many entries, in the
+/// mean of an entry.
+struct CostRow {
+  double Own;
+  double Other;
+  double CallsPerRun;
+  double Retries;
+};
+std::ostream &operator<<(std::ostream &To, const CostRow &Row) {
+  return To << Row.Own << " and " << Row.Other << ", " << Row.CallsPerRun
+            << " calls a run";
+}
+
+const CostRow CostRows[] = {
+    {2, 10, 1, 2},   {2, 1, 1, 1},     {2, 0, 1, 0},      {2, 1, 0.5, 2},
+    {2, 1, 4, 0.25}, {0.1, 1, 1, 0.1}, {1, 0.1, 2, 0.05}, {0, 1, 1, 0},
+};
+
+// Guards against retries whose runs make more calls than the budget of the
+// called service allows.
+BOOST_DATA_TEST_CASE(RetriesCostTheServicesTheirRunsCall, data::make(CostRows),
+                     Row) {
+  constexpr uint64_t Entries = 2000;
+  int Granted = 0;
+  for (uint64_t Seed = 1; Seed <= Entries; ++Seed) {
+    RetryBudget Own({.Reserve = Row.Own}, Seed);
+    RetryBudget Other({.Reserve = Row.Other}, Seed);
+    for (int I = 0; I < 20; ++I)
+      Granted += Own.spendRetry(Start, 0, {{"b", &Other, Row.CallsPerRun}});
+    BOOST_TEST(Other.balance() >= 0);
+  }
+  BOOST_TEST(std::abs(static_cast<double>(Granted) / Entries - Row.Retries) <
+             0.03);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
