Tell with the refusal that a call was shed with a free slot

The refusal of such a call now reports shedding by itself. That is enough for the entry's decision about this call: whether the retries go to nested calls and returning callers, and when the caller is told to return. The share that balancing uses still needs ten calls.

ShedCallIsReportedWithoutOthers failed before.

--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -329,6 +329,8 @@
     std::string BufferedBody;
     bool HaveAnswerHead = false;
     ResponseHead AnswerHead;
+    // The upstream refused it without running it although it had a free slot.
+    bool ShedWithFreeSlot = false;
     // The calls that the run had caused when its answer began.
     ServiceCalls NestedCalls;
     SendStream AnswerBody;
@@ -420,7 +422,8 @@
   bool handleUpstreamRefusal(const CallId &Id, CallRecord &Call,
                              const ResponseHead &Head, TimePoint Now);
   bool isMarkedNotRun(const ResponseHead &Head) const;
-  void recordShedding(const ResponseHead &Head, TimePoint Now);
+  void recordShedding(CallRecord &Call, const ResponseHead &Head,
+                      TimePoint Now);
   void noteShedding(TimePoint Now);
   void configureAdmission(TimePoint Now);
   void sendHead(const CallId &Id, const CallRecord &Call, TimePoint Now);
--- a/src/calls/GateLinks.cpp
+++ b/src/calls/GateLinks.cpp
@@ -99,6 +99,10 @@
       toMillis(this->AdmissionControl.timeUntilCapacity(Now)).count());
   Failed.load = std::make_unique<wire::Load>(this->load(Now));
   Failed.shed_percent = this->shedPercent(Now);
+  // In a large fleet a gate has too few calls for a share, but this one was
+  // shed, and the entry decides about it.
+  if (Call.ShedWithFreeSlot)
+    Failed.shed_percent = std::max<uint32_t>(1, Failed.shed_percent);
   Failed.slowdown_percent = this->reportSlowdown(Call.Link, Now);
   this->Hook.Send(Call.Link, makeCallFrame(std::move(Failed)));
 }
--- a/src/calls/GateSheddingTest.cpp
+++ b/src/calls/GateSheddingTest.cpp
@@ -109,6 +109,20 @@
   BOOST_TEST((Head->shed_percent > 0) == (Row.Percent > 0));
 }
 
+// Guards against entries that do not learn why a call was refused where gates
+// see too few calls to measure a share.
+BOOST_DATA_TEST_CASE(ShedCallIsReportedWithoutOthers, data::make({true, false}),
+                     Full) {
+  SheddingFixture Test(/*Enabled=*/true);
+  Test.listStart("up-1");
+  for (uint64_t Seq = 101; Seq <= (Full ? 109 : 100); ++Seq)
+    Test.sendOpen(Test.makeOpen(Seq));
+  Test.answerCall(1, 503, /*Marked=*/true);
+  BOOST_TEST(Test.percentOfLastRefusal() == (Full ? 0u : 1u));
+  BOOST_TEST(Test.TestGate->shedPercent(Test.Now) == 0u);
+  BOOST_TEST(Test.Changes.empty());
+}
+
 // The share must not outlive the shedding or the upstream, and operators learn
 // once of its begin and once of its end.
 BOOST_DATA_TEST_CASE(SheddingEnds, data::make({true, false}), Restarts) {
--- a/src/calls/GateUpstream.cpp
+++ b/src/calls/GateUpstream.cpp
@@ -48,7 +48,7 @@
   if (!Call || Call->Phase != State::Running)
     return;
   this->noteStatement(Head, Now);
-  this->recordShedding(Head, Now);
+  this->recordShedding(*Call, Head, Now);
   if (this->handleUpstreamRefusal(Id, *Call, Head, Now))
     return this->advanceQueue(Now);
   Call->HaveAnswerHead = true;
@@ -71,14 +71,15 @@
 // lowers the number of slots. A refusal is not counted as shed if the upstream
 // was full, or ran as many calls as its warm-up, its cold start or its stated
 // rate allows.
-void Gate::recordShedding(const ResponseHead &Head, TimePoint Now) {
+void Gate::recordShedding(CallRecord &Call, const ResponseHead &Head,
+                          TimePoint Now) {
   if (!this->Opts.ShedDetectorOpts.Enabled)
     return;
   bool WasShed = (Head.Status == ShedStatus || Head.Status == TooManyStatus ||
                   Head.Status == TimeoutStatus) &&
                  this->isMarkedNotRun(Head);
-  this->Shedding.recordCall(WasShed && this->AdmissionControl.hasFreeSlot(Now),
-                            Now);
+  Call.ShedWithFreeSlot = WasShed && this->AdmissionControl.hasFreeSlot(Now);
+  this->Shedding.recordCall(Call.ShedWithFreeSlot, Now);
   this->noteShedding(Now);
 }
 
