Keep starts and planned stops of a large fleet off the platform

The list of a starting fleet is filled entry by entry, and one of up to 30 entries made every node read. Most others came from children of nodes that stopped in order: two failed dials to the parent took longer than the 300 ms after which a node without parent reads, and each child then read for four more seconds.

A node now concludes that the fleet is small only when it has had a list for two seconds. After a goodbye its children link to the next ancestor at once, and do not suspect that one of being slow.

FillingListDoesNotMakeAllNodesRead and ChildrenOfStoppedParentDoNotRead failed before.

--- a/src/control/ControlLinks.cpp
+++ b/src/control/ControlLinks.cpp
@@ -250,6 +250,16 @@
     this->Hook.Send(Link, encodeFrame(*Records));
 }
 
+// The peer's process stops. If it is the parent, waiting for failed dials would
+// leave this node without a parent for long enough to read the platform.
+void ControlPlane::onGoodbye(LinkId Link, TimePoint Now) {
+  std::string DialledName = this->Peers.at(Link).DialledName;
+  this->ParentLeft |= this->parentLink() == Link;
+  this->closeLink(Link, Now);
+  if (this->Targets.count(DialledName))
+    this->avoid(DialledName, Now);
+}
+
 void ControlPlane::closeLink(LinkId Link, TimePoint Now) {
   this->Hook.Close(Link);
   this->linkClosed(Link, Now);
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -217,8 +217,16 @@
   return Situation;
 }
 
-// An expired list makes a fleet look small.
+// An expired list makes a fleet look small. So does the list of a fleet that
+// starts, which is filled entry by entry: if its nodes followed that list,
+// hundreds of them would read the platform in the first second.
 bool ControlPlane::everyNodeReads(TimePoint Now) {
+  if (this->Fleet.size() > 0 && !this->ListedSince)
+    this->ListedSince = Now;
+  bool ListMayGrow =
+      !this->ListedSince || Now - *this->ListedSince < this->Opts.ListFillTime;
+  if (ListMayGrow && !this->EveryNodeReads)
+    return false;
   bool FollowsList = !this->keepsLinks(Now);
   if (FollowsList && this->Fleet.find(this->Opts.Self))
     this->EveryNodeReads = this->Fleet.everyNodeReads();
@@ -274,10 +282,11 @@
 // reads the platform, and the nodes below it receive what it reads.
 //
 // A node that has not had a parent link yet has just received everything from a
-// seed, so it waits for its parent as long as for other peers, and does not
-// suspect the parent of being slow once it is linked. Otherwise each start
-// would cost the platform some calls, and a fleet in which 2,500 nodes restart
-// in a day would make most of its calls for them.
+// seed, so it waits for its parent as long as for other peers. Neither such a
+// parent nor the successor of one that has stopped is suspected of being slow
+// once it is linked. Otherwise each start and stop would cost the platform some
+// calls for each child, and a fleet in which 2,500 nodes restart in a day would
+// make most of its calls for them.
 bool ControlPlane::hasLostParent(TimePoint Now) {
   if (this->Opts.LostParentReadDelay.count() == 0)
     return false;
@@ -287,6 +296,7 @@
   bool Linked = ParentLinked || this->hasSeedLink() || FormerParentValid ||
                 this->keepsLinks(Now);
   this->HadParentLink |= ParentLinked;
+  this->ParentLeft &= !ParentLinked;
   if (!this->ParentLastLinkedAt || Linked)
     this->ParentLastLinkedAt = Now;
   Millis ReadDelay =
@@ -294,7 +304,7 @@
           ? this->Opts.LostParentReadDelay
           : std::max(this->Opts.LostParentReadDelay, this->Opts.PeerWaitTime);
   bool Lost = Now - *this->ParentLastLinkedAt >= ReadDelay;
-  if (Lost && this->HadParentLink)
+  if (Lost && this->HadParentLink && !this->ParentLeft)
     this->KeepReadingUntil = Now + this->Opts.RegainedParentReadTime;
   return Lost;
 }
@@ -349,7 +359,7 @@
   if (!Found->second.HelloReceived)
     return;
   if (Frame->payload.AsGoodbye())
-    return this->closeLink(Link, Now);
+    return this->onGoodbye(Link, Now);
   if (const auto *Exchange = Frame->payload.AsFleetExchange())
     return this->View.recordExchange(*Exchange, Now);
   if (const auto *Records = Frame->payload.AsQuarantine())
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -100,6 +100,10 @@
     /// that was cut off from the platform expire together, and are written
     /// again one after the other within a heartbeat interval of the upstreams.
     Millis RelistSettleTime{2000};
+    /// For this long after its first list with entries, a node does not
+    /// conclude from the list that the fleet is small. The entries of a fleet
+    /// that starts are written within this time.
+    Millis ListFillTime{2000};
     /// Once this many links are open, further links that peers dial are closed
     /// at the handshake, and the peer redials later. Links that this node dials
     /// are counted, but never refused.
@@ -232,6 +236,7 @@
                TimePoint Now);
   void onSeedRequest(TimePoint Now);
   void onReport(LinkId Link, const wire::FleetReportT &Report, TimePoint Now);
+  void onGoodbye(LinkId Link, TimePoint Now);
   void closeLink(LinkId Link, TimePoint Now);
   bool accept(const Spreader::ReceivedDocument &Received, TimePoint Now);
   bool acceptConfig(const Spreader::ReceivedDocument &Received, TimePoint Now);
@@ -285,6 +290,8 @@
   // has ever had one.
   std::optional<TimePoint> ParentLastLinkedAt;
   bool HadParentLink = false;
+  // The last parent announced that it stops, and there is no other one yet.
+  bool ParentLeft = false;
   // The node reads the platform until this time although it has a parent link
   // again.
   std::optional<TimePoint> KeepReadingUntil;
@@ -300,6 +307,8 @@
   std::optional<TimePoint> LastUnlistedAt;
   // Whether every node reads, according to the last list that named this node.
   bool EveryNodeReads = false;
+  // When the node received its first list with entries.
+  std::optional<TimePoint> ListedSince;
   // A node that has no list opened a link to this node as its seed.
   bool UsedAsSeed = false;
   ReadDuty LastDuty = ReadDuty::None;
--- a/src/control/ControlPlaneTest.cpp
+++ b/src/control/ControlPlaneTest.cpp
@@ -226,6 +226,61 @@
   BOOST_TEST((Test.Duty == ReadDuty::Watch));
 }
 
+/// A node with this many instances on its list in each second after its start,
+/// of a fleet in which every node reads if there are up to five.
+struct FillRow {
+  const char *Name;
+  std::vector<size_t> Listed;
+  bool Reads;
+};
+std::ostream &operator<<(std::ostream &To, const FillRow &Row) {
+  return To << Row.Name;
+}
+
+const FillRow FillRows[] = {
+    {"list of a large fleet fills", {3, 12, 12, 12}, false},
+    {"small fleet", {3, 3, 3, 3}, true},
+};
+
+// Guards against a large fleet whose nodes all read the platform in the first
+// second, because a list that is still being filled looks like a small one.
+BOOST_DATA_TEST_CASE(FillingListDoesNotMakeAllNodesRead, data::make(FillRows),
+                     Row) {
+  ReadDuty Duty = ReadDuty::None;
+  std::function<void(const std::string &, DocumentPtr, TimePoint)> Publish;
+  ControlPlane::Options Opts;
+  // Ranks behind the readers of each list.
+  Opts.Self = "not-listed";
+  Opts.DataCentre = "north";
+  Opts.DataCentres = {"north"};
+  Opts.Members = membershipOptions(Opts.Self, /*SpareReaders=*/1);
+  Opts.Members.AllReadUpTo = 5;
+  Opts.PeerWaitTime = Millis(0);
+  ControlPlane::Hooks Hooks;
+  Hooks.Dial = [](const std::string &, const std::string &) {};
+  ControlPlane Node(
+      Opts,
+      [&](const SourceHooks &Given) {
+        Publish = Given.Publish;
+        return std::make_unique<UnresponsiveSource>(&Duty);
+      },
+      Hooks);
+  TimePoint Now(std::chrono::hours(1));
+  Publish(ConfigTopic, makeVersion(1), Now);
+  bool HasRead = false;
+  for (size_t Second = 0; Second < Row.Listed.size(); ++Second) {
+    std::vector<std::string> Names;
+    for (size_t I = 0; I < Row.Listed[Second]; ++I)
+      Names.push_back("n-" + std::to_string(I));
+    Publish(listTopic("north"), makeInstanceList(Names, Second + 1), Now);
+    for (int Tick = 0; Tick < 10; ++Tick, Now += Millis(100)) {
+      Node.tick(Now);
+      HasRead |= Duty == ReadDuty::Watch;
+    }
+  }
+  BOOST_TEST(HasRead == Row.Reads);
+}
+
 // Each new version is unconfirmed for a moment. Guards against a node next in
 // the order of readers that treats a new version as an old one: it would read
 // the platform at each version although the readers work.
--- a/src/control/ParentChangeTest.cpp
+++ b/src/control/ParentChangeTest.cpp
@@ -273,6 +273,21 @@
 
 BOOST_AUTO_TEST_SUITE(UnresponsiveParents)
 
+// Guards against reads of the platform by all children of a parent that stops
+// in order: they link to another ancestor at once, which is not suspected of
+// being slow.
+BOOST_FIXTURE_TEST_CASE(ChildrenOfStoppedParentDoNotRead, ParentChangeFixture) {
+  this->Nodes[1]->sendGoodbye();
+  this->run(Millis(200));
+  BOOST_TEST(this->Dialled.count(this->Grandparent) == 1u);
+  this->link(GrandparentLink, 3, this->Grandparent);
+  for (int I = 0; I < 50; ++I) {
+    this->run(Millis(100));
+    BOOST_TEST((this->Duties[0] == ReadDuty::None));
+  }
+  BOOST_TEST(this->lastParentEvent() == this->Grandparent + " link linked");
+}
+
 // Guards against waiting for failed dials to an unresponsive parent before
 // another ancestor is dialled.
 BOOST_FIXTURE_TEST_CASE(AncestorIsDialledOnceTheLinkIsDeclaredDead,
--- a/src/routing/RetryBudget.cpp
+++ b/src/routing/RetryBudget.cpp
@@ -7,9 +7,10 @@
 
 // Within any window W of the deployment, the entries of a service with R first
 // tries a second spend at most
-//   Percent * R * (W + 0.36 * W) + 2 * Reserve
-// retries, because with a half-life of W / 4 at most 0.36 * W seconds' earnings
-// are saved, and the reserve comes back once in W.
+//   Percent * R * (W + 0.09 * W) + 2 * Reserve
+// retries, because with a half-life of W / 16 at most 0.09 * W seconds'
+// earnings are saved, and the reserve comes back once in W. An entry need not
+// save for a whole retry, so this is enough.
 //
 // Fractions are granted by dithering: what is spent is added up from a random
 // start, and each time the sum reaches a whole retry, one is granted. At one
@@ -20,7 +21,7 @@
 
 namespace {
 
-constexpr double HalfLivesPerWindow = 4;
+constexpr double HalfLivesPerWindow = 16;
 
 /// A number between 0 and 1 that is evenly distributed over the seeds.
 double fractionOf(uint64_t Seed) {
