Pull the own data centre's list first, and the others from neighbours

A node now pulls its own list first, which names its neighbours, and the lists of other data centres from a seed only if no neighbour has announced them for 0.3 s.

SeedsSendTheOwnListFirst failed before.

--- a/src/control/ControlLinks.cpp
+++ b/src/control/ControlLinks.cpp
@@ -244,7 +244,10 @@
     if (!this->AvoidUnresponsiveUntil.count(From.DialledName))
       this->stopAvoiding(From.DialledName);
   }
-  this->Spread.linkUp(Link, From.Name, From.Kind == LinkKind::Tree, Now);
+  // Kind is Seed at both ends, but only the dialling one uses the other.
+  bool IsSeed = From.Kind == LinkKind::Seed && !From.DialledName.empty();
+  this->Spread.linkUp(Link, From.Name, From.Kind == LinkKind::Tree, Now,
+                      IsSeed);
   if (std::optional<wire::SpreadFrameT> Records =
           this->RequestQuarantine.snapshot(Now))
     this->Hook.Send(Link, encodeFrame(*Records));
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -19,11 +19,19 @@
 // Maximum number of requests named in one audit event about a crash.
 constexpr size_t MaxNamedRequests = 16;
 
+/// The list of its own data centre names a node's neighbours, which can send it
+/// the other lists.
+ControlPlane::Options withListTopics(ControlPlane::Options Opts) {
+  Opts.Spread.FirstTopic = listTopic(Opts.DataCentre);
+  Opts.Spread.DeferredTopicPrefix = listTopic("");
+  return Opts;
+}
+
 } // namespace
 
 ControlPlane::ControlPlane(Options GivenOpts, const SourceFactory &MakeRead,
                            Hooks GivenHooks)
-    : Opts(std::move(GivenOpts)), Hook(std::move(GivenHooks)),
+    : Opts(withListTopics(std::move(GivenOpts))), Hook(std::move(GivenHooks)),
       Trail(this->Opts.AuditCapacity, this->Hook.Audit),
       Fleet(this->Opts.Members),
       View(this->Opts.DataCentre, this->Opts.Self, this->Opts.Build,
--- a/src/spread/Repair.cpp
+++ b/src/spread/Repair.cpp
@@ -18,13 +18,8 @@
   if (!this->Opts.Guards.RepairByStamps)
     return;
   if (Reported > Ours) {
-    // Without a version there is no delay. Neighbours push a document only when
-    // they store it. One that they stored before this node was linked, as
-    // usual for a node that has just started, is never pushed, so there is
-    // nothing to wait for. One that is stored after that is pushed as a
-    // snapshot over eager links, and may arrive twice because of the pull.
-    Millis Delay = State.Stored ? this->Opts.GraftDelay : Millis(0);
-    this->schedulePull(From, Name, Now + Delay);
+    this->schedulePull(From, Name,
+                       Now + this->pullDelay(this->Links[From], Name, State));
     if (!State.Stored)
       this->advancePull(Name, State, Now);
     return;
@@ -41,6 +36,22 @@
   }
 }
 
+// How long a pull waits for the document to arrive without it, or for another
+// neighbour to announce it. Without a version there is nothing to wait for:
+// neighbours push a document only when they store it, and one that they stored
+// before this node was linked, as usual for a node that has just started, is
+// never pushed. One that is stored after that is pushed as a snapshot over
+// eager links, and may arrive twice because of the pull.
+Millis Spreader::pullDelay(const Link &From, const std::string &Name,
+                           const TopicState &State) const {
+  const std::string &Prefix = this->Opts.DeferredTopicPrefix;
+  bool Deferred = From.IsSeed && !Prefix.empty() &&
+                  Name.rfind(Prefix, 0) == 0 && Name != this->Opts.FirstTopic;
+  if (Deferred)
+    return this->Opts.SeedPullDelay;
+  return State.Stored ? this->Opts.GraftDelay : Millis(0);
+}
+
 void Spreader::schedulePull(LinkId From, const std::string &Name,
                             TimePoint At) {
   TopicState &State = this->Topics[Name];
--- a/src/spread/SpreadTest.cpp
+++ b/src/spread/SpreadTest.cpp
@@ -75,10 +75,84 @@
   TimePoint Now = TimePoint(std::chrono::hours(1));
 };
 
+/// A node that has just started, and the pulls that it sends.
+struct StartingNode {
+  static constexpr LinkId SeedLink = 1;
+  static constexpr LinkId NeighbourLink = 2;
+
+  StartingNode() {
+    Spreader::Options Opts;
+    Opts.FirstTopic = "lists/m";
+    Opts.DeferredTopicPrefix = "lists/";
+    Opts.SeedPullDelay = Millis(300);
+    Spreader::Hooks Hooks;
+    Hooks.Send = [this](LinkId To, const wire::SpreadFrameT &Frame) {
+      if (const auto *Pull = Frame.payload.AsPull())
+        this->Pulls.push_back(Pull->topic + (To == SeedLink ? "" : "*"));
+    };
+    Hooks.Accept = [](const Spreader::ReceivedDocument &, TimePoint) {
+      return true;
+    };
+    Hooks.CloseDeadLink = [](LinkId, const Error &) {};
+    this->Node = std::make_unique<Spreader>(Opts, Hooks, 1);
+  }
+
+  void link(LinkId Link) {
+    this->Node->linkUp(Link, "peer", /*Eager=*/Link == NeighbourLink, this->Now,
+                       /*IsSeed=*/Link == SeedLink);
+    wire::HeartbeatT Beat;
+    for (const char *Topic : {"config", "lists/a", "lists/m", "lists/z"}) {
+      auto Item = std::make_unique<wire::TopicStateT>();
+      Item->topic = Topic;
+      Item->held = std::make_unique<wire::Stamp>(1, 1, 1);
+      Beat.topics.push_back(std::move(Item));
+    }
+    Beat.seq = 1;
+    wire::SpreadFrameT Frame;
+    Frame.payload.Set(std::move(Beat));
+    this->Node->receive(Link, Frame, this->Now);
+  }
+
+  void run(Millis Length) {
+    for (TimePoint End = this->Now + Length; this->Now < End;) {
+      this->Now += Millis(50);
+      this->Node->tick(this->Now);
+    }
+  }
+
+  std::unique_ptr<Spreader> Node;
+  std::vector<std::string> Pulls;
+  TimePoint Now = TimePoint(std::chrono::hours(1));
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(SpreaderTests)
 
+// Guards against a herd of starting nodes that all pull the lists of all data
+// centres from a few seeds: their own list, and the version behind it, would
+// wait until the seeds' network links have carried the others to every node.
+BOOST_AUTO_TEST_CASE(SeedsSendTheOwnListFirst) {
+  StartingNode Test;
+  Test.link(StartingNode::SeedLink);
+  std::vector<std::string> Expected{"lists/m", "config"};
+  BOOST_TEST(Test.Pulls == Expected, boost::test_tools::per_element());
+  Test.run(Millis(100));
+  Test.link(StartingNode::NeighbourLink);
+  Test.run(Millis(250));
+  Expected.insert(Expected.end(), {"lists/z*", "lists/a*"});
+  BOOST_TEST(Test.Pulls == Expected, boost::test_tools::per_element());
+}
+
+// Guards against a node without neighbours that never gets the other lists.
+BOOST_AUTO_TEST_CASE(SeedsSendTheOtherListsIfNoNeighbourDoes) {
+  StartingNode Test;
+  Test.link(StartingNode::SeedLink);
+  Test.run(Millis(350));
+  std::vector<std::string> Expected{"lists/m", "config", "lists/a", "lists/z"};
+  BOOST_TEST(Test.Pulls == Expected, boost::test_tools::per_element());
+}
+
 // Guards against sending a whole document again to a neighbour that has the
 // previous version.
 BOOST_AUTO_TEST_CASE(DeltaIsSentAfterTheFirstSnapshot) {
--- a/src/spread/Spreader.cpp
+++ b/src/spread/Spreader.cpp
@@ -122,11 +122,12 @@
 }
 
 void Spreader::linkUp(LinkId Id, const std::string &Peer, bool Eager,
-                      TimePoint Now) {
+                      TimePoint Now, bool IsSeed) {
   Link &LinkState = this->Links[Id];
   LinkState = Link();
   LinkState.Peer = Peer;
   LinkState.Eager = Eager;
+  LinkState.IsSeed = IsSeed;
   LinkState.LastReceivedAt = Now;
   LinkState.NextHeartbeatAt = Now;
   this->sendHeartbeat(Id, LinkState, Now);
@@ -465,6 +466,10 @@
   // Documents arrive in the order in which they are pulled. Go backwards, so
   // that the lists, whose names sort last, arrive before a version, which may
   // be half a megabyte.
+  for (const auto &Item : Beat.topics)
+    if (Item->topic == this->Opts.FirstTopic)
+      this->onNeighbourStamp(From, Item->topic, fromWire(Item->held.get()),
+                             Now);
   for (auto Item = Beat.topics.rbegin(); Item != Beat.topics.rend(); ++Item)
     this->onNeighbourStamp(From, (*Item)->topic, fromWire((*Item)->held.get()),
                            Now);
--- a/src/spread/Spreader.h
+++ b/src/spread/Spreader.h
@@ -67,6 +67,15 @@
     /// ask any other node, so the list must not wait behind versions sent to
     /// other nodes.
     size_t UnmeteredSnapshotBytes = 64 * 1024;
+    /// The topic that a node without documents needs first, because it names
+    /// the node's neighbours. It is pulled before all others.
+    std::string FirstTopic;
+    /// Once the node has FirstTopic, it pulls a topic of DeferredTopicPrefix
+    /// from a seed only if no other neighbour has announced it for this long.
+    /// All nodes that start share a few seeds, and the lists of all data
+    /// centres for each of them would fill the seeds' network links.
+    Millis SeedPullDelay{300};
+    std::string DeferredTopicPrefix;
     /// A gap between two ticks longer than this counts as a process pause.
     Millis PauseThreshold{1500};
     Safeguards Guards;
@@ -132,8 +141,10 @@
   std::optional<uint64_t> earliestEra() const { return this->EarliestEra; }
 
   /// Adds a link. Documents are pushed at once over an eager link; over a lazy
-  /// one only their stamps are announced.
-  void linkUp(LinkId Link, const std::string &Peer, bool Eager, TimePoint Now);
+  /// one only their stamps are announced. IsSeed: the peer is a seed of this
+  /// node, which other starting nodes use as well.
+  void linkUp(LinkId Link, const std::string &Peer, bool Eager, TimePoint Now,
+              bool IsSeed = false);
   void linkDown(LinkId Link);
   void receive(LinkId Link, const wire::SpreadFrameT &Frame, TimePoint Now);
   void tick(TimePoint Now);
@@ -195,6 +206,7 @@
   struct Link {
     std::string Peer;
     bool Eager = false;
+    bool IsSeed = false;
     TimePoint LastReceivedAt;
     TimePoint NextHeartbeatAt;
     uint64_t LastSentDigest = 0;
@@ -240,6 +252,8 @@
   void sendHeartbeat(LinkId To, Link &LinkState, TimePoint Now);
   void onNeighbourStamp(LinkId From, const std::string &Name,
                         const Stamp &Reported, TimePoint Now);
+  Millis pullDelay(const Link &From, const std::string &Name,
+                   const TopicState &State) const;
   void schedulePull(LinkId From, const std::string &Name, TimePoint At);
   void advancePull(const std::string &Name, TopicState &State, TimePoint Now);
   void sendPull(LinkId To, const std::string &Name, const TopicState &State);
