Apply the settings' percentage to routes without a retry policy

max_retry_percent could only lower the 10 in 100 that a route without a policy had, so a deployment whose routes name none could not use what it allows. calls.default_retry_percent states it. The reserve comes back within half a window, and a quarter of the allowance is in it.

--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -125,11 +125,13 @@
     Millis StartRetryJitter{300};
     /// Retries in reserve for one service, summed over all nodes; each node
     /// uses its part of them, which may be a fraction of a retry. Spent ones
-    /// come back within RetryWindow. Zero for ten at each node, however many
-    /// nodes there are.
+    /// come back within half of RetryWindow. Zero for ten at each node, however
+    /// many nodes there are.
     double FleetRetryReserve = 0;
     /// The time over which the deployment counts retries.
     Millis RetryWindow{10000};
+    /// Retries for each hundred first tries of a route without a retry policy.
+    double DefaultRetryPercent = 10;
     /// Retries for each hundred first tries, if that is less than the retry
     /// policy allows.
     double MaxRetryPercent = 100;
--- a/src/calls/EntryNested.cpp
+++ b/src/calls/EntryNested.cpp
@@ -36,9 +36,10 @@
 void Entry::recordFirstTry(const PendingCall &Call) {
   if (Call.ParentRun)
     return;
+  double Percent = Call.MatchedRoute->Retry->BudgetPercent.value_or(
+      this->Opts.DefaultRetryPercent);
   this->retryBudget(Call.TargetService->Name)
-      .recordFirstTry(std::min(Call.MatchedRoute->Retry->BudgetPercent,
-                               this->Opts.MaxRetryPercent),
+      .recordFirstTry(std::min(Percent, this->Opts.MaxRetryPercent),
                       Call.ReceivedAt);
 }
 
--- a/src/config/Config.cpp
+++ b/src/config/Config.cpp
@@ -200,7 +200,8 @@
       One.IdempotentMethods = this->readMethods(Top, "idempotent_methods");
     One.Attempts =
         static_cast<uint32_t>(Top.integer("attempts", One.Attempts, 1, 10));
-    One.BudgetPercent = Top.number("budget_percent", One.BudgetPercent, 0, 100);
+    constexpr double UsualPercent = 10;
+    One.BudgetPercent = Top.number("budget_percent", UsualPercent, 0, 100);
     return One;
   }
 
--- a/src/config/Config.h
+++ b/src/config/Config.h
@@ -49,8 +49,9 @@
   std::set<std::string> IdempotentMethods{"GET", "HEAD", "OPTIONS"};
   /// Tries in all, the first included.
   uint32_t Attempts = 3;
-  /// Retries for each hundred first tries.
-  double BudgetPercent = 10;
+  /// Retries for each hundred first tries; none for what the node's settings
+  /// say, if a route names no policy.
+  std::optional<double> BudgetPercent;
 };
 
 struct Service {
--- a/src/routing/RetryBudget.cpp
+++ b/src/routing/RetryBudget.cpp
@@ -7,9 +7,9 @@
 
 // Within any window W of the deployment, the entries of a service with R first
 // tries a second spend at most
-//   Percent * R * (W + 0.09 * W) + 2 * Reserve
+//   Percent * R * (W + 0.09 * W) + 3 * Reserve
 // retries, because with a half-life of W / 16 at most 0.09 * W seconds'
-// earnings are saved, and the reserve comes back once in W. An entry need not
+// earnings are saved, and the reserve comes back twice in W. An entry need not
 // save for a whole retry, so this is enough.
 //
 // Fractions are granted by dithering: what is spent is added up from a random
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr double HalfLivesPerWindow = 16;
+constexpr double ReservesPerWindow = 2;
 
 /// A number between 0 and 1 that is evenly distributed over the seeds.
 double fractionOf(uint64_t Seed) {
@@ -47,7 +48,7 @@
   double Remaining = std::exp2(-HalfLivesPerWindow * Windows);
   this->EarnedInAll *= Remaining;
   this->Earned *= Remaining;
-  this->refillReserve(Windows * this->Opts.Reserve);
+  this->refillReserve(ReservesPerWindow * Windows * this->Opts.Reserve);
 }
 
 // Returns what the reserve has no room for.
--- a/src/routing/RetryBudget.h
+++ b/src/routing/RetryBudget.h
@@ -33,7 +33,7 @@
 public:
   struct Options {
     /// Retries in reserve at this entry; may be a fraction. A new process has
-    /// all of them, and spent ones come back evenly over Window.
+    /// all of them, and spent ones come back evenly over half of Window.
     double Reserve = 10;
     /// The time over which the deployment counts retries. A retry that a first
     /// try has earned loses half of its value in a sixteenth of it, so that an
--- a/src/routing/RetryBudgetTest.cpp
+++ b/src/routing/RetryBudgetTest.cpp
@@ -19,10 +19,10 @@
 const TimePoint Start = TimePoint(std::chrono::hours(1));
 constexpr Millis Window{10000};
 constexpr Millis Step{10};
-constexpr double Percent = 10;
+constexpr double Percent = 17;
 // First tries a second for one service, and its reserve, over all entries.
 constexpr double FirstTriesPerSecond = 500;
-constexpr double FleetReserve = 100;
+constexpr double FleetReserve = 50;
 // What the deployment allows in a window: a share of the first tries, and this
 // many besides.
 constexpr double AllowedPercent = 20;
@@ -181,7 +181,7 @@
     BOOST_TEST(Budget.spendRetry(Start));
   BOOST_TEST(!Budget.spendRetry(Start));
   for (int I = 0; I < 4; ++I)
-    BOOST_TEST(Budget.spendRetry(Start + Window));
+    BOOST_TEST(Budget.spendRetry(Start + Window / 2));
 }
 
 /// The reserves of a service and of another one that its runs call, and the
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -231,9 +231,9 @@
         Calls.millis("come_back_ms", To.RetryAfter.count(), 1, MaxMs);
     To.FleetRetryReserve =
         Calls.number("retry_reserve", To.FleetRetryReserve, 0, 1e6);
-    // The reserve can be spent at once, comes back once in a window, and is
+    // The reserve can be spent at once, comes back twice in a window, and is
     // there again at a node that restarts.
-    constexpr double MostReservesInWindow = 3;
+    constexpr double MostReservesInWindow = 4;
     double Allowance = Calls.number("retry_allowance", 0, 0, 1e6);
     if (Allowance > 0 && To.FleetRetryReserve > 0)
       Calls.fault("retry_allowance", "expected without retry_reserve");
@@ -241,6 +241,8 @@
       To.FleetRetryReserve = Allowance / MostReservesInWindow;
     To.RetryWindow =
         Calls.millis("retry_window_ms", To.RetryWindow.count(), 100, MaxMs);
+    To.DefaultRetryPercent =
+        Calls.number("default_retry_percent", To.DefaultRetryPercent, 0, 100);
     To.MaxRetryPercent =
         Calls.number("max_retry_percent", To.MaxRetryPercent, 0, 100);
     To.ConnectTimeout =
