Ask again for stamps after a lost heartbeat

A heartbeat carries stamps only if they have changed since the last one.

A gap in the sequence numbers of a neighbour's heartbeats now makes a node send its own stamps, which the neighbour answers with newer ones.

--- a/src/spread/SpreadTest.cpp
+++ b/src/spread/SpreadTest.cpp
@@ -198,6 +198,21 @@
   BOOST_TEST(Pair.Nodes[1]->completeRevision() == 9u);
 }
 
+// Guards against a node that never learns of a document because the heartbeat
+// that named it was lost with the push.
+BOOST_AUTO_TEST_CASE(LostStampsAreSentAgain) {
+  NodePair Pair{Spreader::Options()};
+  Pair.Nodes[0]->publish("config", makeDocument(1, 2, 9), Pair.Now);
+  Pair.link();
+  Pair.run(Millis(5000));
+  Pair.Nodes[0]->publish("config", makeDocument(2, 2, 9), Pair.Now);
+  Pair.Nodes[0]->sendHeartbeatsBy(Pair.Now);
+  Pair.Nodes[0]->tick(Pair.Now);
+  Pair.Queue.clear();
+  Pair.run(Millis(5000));
+  BOOST_TEST(Pair.Nodes[1]->storedDocument("config")->stamp().Version == 2u);
+}
+
 // Guards against replacing a document by an older one, read from the platform
 // or received from a neighbour.
 BOOST_AUTO_TEST_CASE(OlderDocumentNeverReplacesANewerOne) {
--- a/src/spread/Spreader.cpp
+++ b/src/spread/Spreader.cpp
@@ -443,6 +443,13 @@
 
 void Spreader::onHeartbeat(LinkId From, Link &LinkState,
                            const wire::HeartbeatT &Beat, TimePoint Now) {
+  // A heartbeat was lost, and it may have been the one with the neighbour's new
+  // stamps, which are not repeated. The neighbour answers older stamps with its
+  // own.
+  if (Beat.seq > LinkState.ReceivedSeq + 1) {
+    LinkState.LastSentDigest = 0;
+    LinkState.NextHeartbeatAt = std::min(LinkState.NextHeartbeatAt, Now);
+  }
   LinkState.ReceivedSeq = std::max(LinkState.ReceivedSeq, Beat.seq);
   if (Beat.first_era)
     this->recordEra(*Beat.first_era);
