--- a/src/routing/RetryBudget.cpp
+++ b/src/routing/RetryBudget.cpp
@@ -7,10 +7,11 @@
 
 // Within any window W of the deployment, the entries of a service with R first
 // tries a second spend at most
-//   Percent * R * (W + 0.09 * W) + 3 * Reserve
-// retries, because with a half-life of W / 16 at most 0.09 * W seconds'
-// earnings are saved, and the reserve comes back twice in W. An entry need not
-// save for a whole retry, so this is enough.
+//   Percent * R * (W + 0.36 * W) + 3 * Reserve
+// retries, because with a half-life of W / 4 at most 0.36 * W seconds' earnings
+// are saved, and the reserve comes back twice in W. With a shorter half-life,
+// an entry with few calls would lose most of what it earns before it needs a
+// retry.
 //
 // Fractions are granted by dithering: what is spent is added up from a random
 // start, and each time the sum reaches a whole retry, one is granted. At one
@@ -21,7 +22,7 @@
 
 namespace {
 
-constexpr double HalfLivesPerWindow = 16;
+constexpr double HalfLivesPerWindow = 4;
 constexpr double ReservesPerWindow = 2;
 
 /// A number between 0 and 1 that is evenly distributed over the seeds.
--- a/src/routing/RetryBudget.h
+++ b/src/routing/RetryBudget.h
@@ -36,7 +36,7 @@
     /// all of them, and spent ones come back evenly over half of Window.
     double Reserve = 10;
     /// The time over which the deployment counts retries. A retry that a first
-    /// try has earned loses half of its value in a sixteenth of it, so that an
+    /// try has earned loses half of its value in a quarter of it, so that an
     /// entry cannot save retries for long and spend them all in one window.
     Millis Window{10000};
   };
--- a/src/routing/RetryBudgetTest.cpp
+++ b/src/routing/RetryBudgetTest.cpp
@@ -19,7 +19,7 @@
 const TimePoint Start = TimePoint(std::chrono::hours(1));
 constexpr Millis Window{10000};
 constexpr Millis Step{10};
-constexpr double Percent = 17;
+constexpr double Percent = 13;
 // First tries a second for one service, and its reserve, over all entries.
 constexpr double FirstTriesPerSecond = 500;
 constexpr double FleetReserve = 50;
