--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -432,7 +432,8 @@
   void findParentRun(PendingCall &Call);
   void recordFirstTry(const PendingCall &Call);
   std::vector<RetryBudget::Cost> nestedCosts(const PendingCall &Call);
-  void noteCharged(PendingCall &Call, const std::vector<RetryBudget::Cost> &);
+  void noteCharged(PendingCall &Call,
+                   const std::vector<RetryBudget::Cost> &Costs);
   void refundNestedCosts(PendingCall &Call);
   void setLineage(const PendingCall &Call, wire::OpenT &Open) const;
   bool mayRetry(PendingCall &Call, const Refusal &Cause, TimePoint Now);
--- a/src/calls/EntryNested.cpp
+++ b/src/calls/EntryNested.cpp
@@ -44,7 +44,8 @@
 }
 
 // What a retry of the call costs the services that its run calls. The retry
-// itself is spent from the budget of its own service.
+// itself is spent from the budget of its own service, and calls of a service to
+// itself are not counted.
 std::vector<RetryBudget::Cost> Entry::nestedCosts(const PendingCall &Call) {
   // Services that fewer runs call are left out.
   constexpr double MinCallsPerRun = 0.01;
--- a/src/config/Config.h
+++ b/src/config/Config.h
@@ -49,8 +49,8 @@
   std::set<std::string> IdempotentMethods{"GET", "HEAD", "OPTIONS"};
   /// Tries in all, the first included.
   uint32_t Attempts = 3;
-  /// Retries for each hundred first tries; none for what the node's settings
-  /// say, if a route names no policy.
+  /// Retries for each hundred first tries. Nothing if the route names no
+  /// policy: the node's settings apply.
   std::optional<double> BudgetPercent;
 };
 
--- a/src/routing/RetryBudget.h
+++ b/src/routing/RetryBudget.h
@@ -45,10 +45,11 @@
   struct Cost {
     std::string Service;
     RetryBudget *Budget = nullptr;
-    double Retries = 0;
+    /// Greater than zero.
+    double Retries = 1;
   };
 
-  /// Entries need different seeds.
+  /// Entries need different seeds, which decide when a fraction is granted.
   RetryBudget(Options Opts, uint64_t Seed);
 
   /// Records a first try, which earns Percent of a retry.
--- a/src/spread/Spreader.h
+++ b/src/spread/Spreader.h
@@ -70,12 +70,12 @@
     /// The topic that a node without documents needs first, because it names
     /// the node's neighbours. It is pulled before all others.
     std::string FirstTopic;
-    /// Once the node has FirstTopic, it pulls a topic of DeferredTopicPrefix
-    /// from a seed only if no other neighbour has announced it for this long.
-    /// All nodes that start share a few seeds, and the lists of all data
-    /// centres for each of them would fill the seeds' network links.
-    Millis SeedPullDelay{300};
+    /// Topics with this prefix, except FirstTopic, are pulled from a seed only
+    /// if no other neighbour has announced them for SeedPullDelay. All nodes
+    /// that start share a few seeds, and sending the lists of all data centres
+    /// to each of them would fill the seeds' network links. Empty for none.
     std::string DeferredTopicPrefix;
+    Millis SeedPullDelay{300};
     /// A gap between two ticks longer than this counts as a process pause.
     Millis PauseThreshold{1500};
     Safeguards Guards;
