--- a/src/settings/SettingsTest.cpp
+++ b/src/settings/SettingsTest.cpp
@@ -103,6 +103,10 @@
      "/calls/gather_bytes"},
     {"\"spread\": {", "\"calls\": {\"window_bytes\": 1}, \"spread\": {",
      "from 4096"},
+    {"\"spread\": {",
+     "\"calls\": {\"retry_reserve\": 30, \"retry_allowance\": 60}, "
+     "\"spread\": {",
+     "expected without retry_reserve"},
     {"\"spread\": {", "\"keys\": {\"max_list_age_ms\": 5000}, \"spread\": {",
      "expected at least platform.watch_wait_ms"},
     {"\"spread\": {", "\"keys\": {\"max_keys\": 0}, \"spread\": {",
