--- a/src/calls/EntryNestedTest.cpp
+++ b/src/calls/EntryNestedTest.cpp
@@ -255,6 +255,24 @@
   BOOST_TEST(Retried == Row.Retried);
 }
 
+// Guards against a service deep in the call chain whose retries grow with the
+// number of calls that each request causes.
+BOOST_AUTO_TEST_CASE(NestedCallsEarnNoRetries) {
+  NestedFixture Test;
+  startRuns(Test);
+  Test.request("caller");
+  BOOST_TEST(Test.refuseLast("upstream-shed"));
+  for (int I = 0; I < 100; ++I)
+    Test.request("usual.1");
+  int Retried = 0;
+  for (int I = 0; I < 5; ++I) {
+    Test.request("caller");
+    Retried += Test.refuseLast("upstream-shed");
+  }
+  // Six first tries earn 0.3 of a retry; a hundred more would earn five.
+  BOOST_TEST(Retried <= 1);
+}
+
 // Guards against counts that leave out what nested calls cause in turn.
 BOOST_AUTO_TEST_CASE(NestedCallsCountWithThoseTheyCause) {
   NestedFixture Test;
