--- a/src/spread/SpreadTest.cpp
+++ b/src/spread/SpreadTest.cpp
@@ -28,7 +28,7 @@
     wire::SpreadFrameT Frame;
   };
 
-  explicit NodePair(Spreader::Options Opts) {
+  explicit NodePair(const Spreader::Options &Opts) {
     for (int I = 0; I < 2; ++I) {
       Spreader::Hooks Hooks;
       Hooks.Send = [this, I](LinkId, wire::SpreadFrameT Frame) {
--- a/src/spread/Spreader.cpp
+++ b/src/spread/Spreader.cpp
@@ -32,9 +32,10 @@
 
 } // namespace
 
-Spreader::Spreader(Options Opts, Hooks Hooks, uint64_t Seed)
-    : Opts(Opts), Hook(std::move(Hooks)), Random(Seed),
-      SnapshotBudget(Opts.SnapshotBytesPerSecond, Opts.SnapshotBurstBytes) {}
+Spreader::Spreader(Options GivenOpts, Hooks Hooks, uint64_t Seed)
+    : Opts(std::move(GivenOpts)), Hook(std::move(Hooks)), Random(Seed),
+      SnapshotBudget(this->Opts.SnapshotBytesPerSecond,
+                     this->Opts.SnapshotBurstBytes) {}
 
 bool Spreader::publish(const std::string &Topic, const DocumentPtr &Doc,
                        TimePoint Now) {
