Audit bridges, slow transfers and pulls without an answer

A data centre that comes back from a cut has versions over links to other data centres or from its own reader, and the logs told nothing of the first and not how long the second took. The audit now names each link to another data centre that comes up, is lost or cannot be dialled (bridge), each response of the platform that took 0.3 s or longer to arrive (platform-transfer), and each pull that a neighbour left without an answer for a second (pull-unanswered). No decision changes.

--- a/src/base/HttpFetch.cpp
+++ b/src/base/HttpFetch.cpp
@@ -72,6 +72,7 @@
 HttpReply makeReply(Pending &Call) {
   HttpReply Out;
   Out.Status = soup_message_get_status(Call.Message);
+  Out.TransferTime = toMillis(Call.Now() - Call.HeadAt);
   Out.Body = std::move(Call.Body);
   soup_message_headers_foreach(soup_message_get_response_headers(Call.Message),
                                addHeader, &Out.Headers);
--- a/src/base/HttpFetch.h
+++ b/src/base/HttpFetch.h
@@ -24,6 +24,8 @@
   std::string Body;
   /// Names in lower case.
   std::map<std::string, std::string> Headers;
+  /// Time from the head of the response to its end.
+  Millis TransferTime{0};
 };
 
 class HttpFetcher {
--- a/src/control/ControlLinks.cpp
+++ b/src/control/ControlLinks.cpp
@@ -200,6 +200,9 @@
                    (1 << std::min(Failed.Failures, MaxBackoffShift)));
   if (++Failed.Failures >= this->Opts.AvoidAfterFailures)
     this->avoid(Name, Now);
+  if (Failed.Kind == LinkKind::Bridge)
+    this->Trail.add(Now, "bridge", Name, "dialled",
+                    "failed " + std::to_string(Failed.Failures) + " times");
   Failed.NextDial =
       Now + MaxDelay / 2 + Millis(this->Random() % (MaxDelay.count() / 2 + 1));
 }
@@ -244,6 +247,10 @@
     if (!this->AvoidUnresponsiveUntil.count(From.DialledName))
       this->stopAvoiding(From.DialledName);
   }
+  if (From.Kind == LinkKind::Bridge)
+    this->Trail.add(Now, "bridge", From.Name,
+                    From.DialledName.empty() ? "accepted" : "dialled",
+                    "linked");
   // Kind is Seed at both ends, but only the dialling one uses the other.
   bool IsSeed = From.Kind == LinkKind::Seed && !From.DialledName.empty();
   this->Spread.linkUp(Link, From.Name, From.Kind == LinkKind::Tree, Now,
@@ -274,6 +281,9 @@
   if (Found == this->Peers.end())
     return;
   std::string DialledName = Found->second.DialledName;
+  if (Found->second.HelloReceived && Found->second.Kind == LinkKind::Bridge)
+    this->Trail.add(Now, "bridge", Found->second.Name,
+                    DialledName.empty() ? "accepted" : "dialled", "lost");
   this->Peers.erase(Found);
   this->FormerLinks.erase(Link);
   if (this->FormerParentLink == Link)
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -59,6 +59,12 @@
         this->NowForHooks + this->Opts.AvoidUnresponsiveDuration;
     this->avoid(DialledName, this->NowForHooks);
   };
+  Hooks.PullUnanswered = [this](const std::string &Topic, LinkId Link,
+                                TimePoint Now) {
+    auto Found = this->Peers.find(Link);
+    std::string Name = Found == this->Peers.end() ? "" : Found->second.Name;
+    this->Trail.add(Now, "pull-unanswered", Topic, Name, "asking another");
+  };
   Hooks.MakeReport =
       [this](LinkId Link) -> std::unique_ptr<wire::FleetReportT> {
     if (this->parentLink() != Link)
@@ -123,6 +129,12 @@
     this->Trail.add(Now, "platform-restored", "era " + std::to_string(To),
                     "platform", "was era " + std::to_string(From));
   };
+  Hooks.SlowTransfer = [this](const std::string &Step, size_t Bytes,
+                              Millis Time, TimePoint Now) {
+    this->Trail.add(Now, "platform-transfer", Step, "platform",
+                    std::to_string(Bytes) + " bytes in " +
+                        std::to_string(Time.count()) + " ms");
+  };
   Hooks.Recovered = [this](TimePoint Now) {
     this->LastReaderError.clear();
     this->Trail.add(Now, "platform-back", "", "platform", "answers again");
--- a/src/reading/DocumentSource.h
+++ b/src/reading/DocumentSource.h
@@ -78,6 +78,10 @@
   /// copy. May be called once per reader for the same restore.
   std::function<void(uint64_t OldEra, uint64_t NewEra, TimePoint)> Restored =
       [](uint64_t, uint64_t, TimePoint) {};
+  /// The transfer of a response took longer than usual.
+  std::function<void(const std::string &Step, size_t Bytes, Millis Time,
+                     TimePoint)>
+      SlowTransfer = [](const std::string &, size_t, Millis, TimePoint) {};
   /// The platform answers again after failures.
   std::function<void(TimePoint)> Recovered = [](TimePoint) {};
 };
--- a/src/reading/KeyValueStore.h
+++ b/src/reading/KeyValueStore.h
@@ -29,6 +29,13 @@
   uint64_t CreatedRevision = 0;
 };
 
+/// How a response was transferred.
+struct Transfer {
+  size_t Bytes = 0;
+  /// Time from the head of the response to its end.
+  Millis Time{0};
+};
+
 struct ItemPage {
   std::vector<StoredItem> Items;
   /// Whether more items follow after the last key.
@@ -37,6 +44,7 @@
   uint64_t Revision = 0;
   /// The era of that revision, if the store reports one.
   std::optional<uint64_t> Era{};
+  Transfer Received{};
 };
 
 struct ItemChange {
@@ -52,6 +60,7 @@
   uint64_t Revision = 0;
   /// The era of that revision, if the store reports one.
   std::optional<uint64_t> Era{};
+  Transfer Received{};
 };
 
 class KeyValueStore {
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -234,6 +234,7 @@
   if (!Got)
     return this->fail(Got.error(), Now);
   this->succeed(Now);
+  this->noteTransfer("store-range", Got->Received, Now);
   bool IsFirst = this->PageItems.empty();
   EraCheck Check = this->checkEra(Got->Era, Now);
   if (Check == EraCheck::Earlier || (Check == EraCheck::Later && !IsFirst))
@@ -276,6 +277,7 @@
   if (!Got)
     return this->fail(Got.error(), Now);
   this->succeed(Now);
+  this->noteTransfer("store-watch", Got->Received, Now);
   if (this->checkEra(Got->Era, Now) != EraCheck::Same)
     return;
   this->CopyRevision = std::max(this->CopyRevision, Got->Revision);
@@ -363,6 +365,12 @@
   this->Hook.Recovered(Now);
 }
 
+void StoreReader::noteTransfer(const std::string &Step,
+                               const Transfer &Received, TimePoint Now) {
+  if (Received.Time >= this->Opts.SlowTransferTime)
+    this->Hook.SlowTransfer(Step, Received.Bytes, Received.Time, Now);
+}
+
 void StoreReader::fail(const Error &Why, TimePoint Now) {
   this->Busy = false;
   this->PageItems.clear();
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -48,6 +48,9 @@
     /// again: their entries expired because they could not be renewed during
     /// the outage, and may be written again.
     Millis MissingEntryGrace{2200};
+    /// A response whose transfer takes this long is reported as slow: it delays
+    /// everything else on the node's network link.
+    Millis SlowTransferTime{300};
     /// Rate and burst of calls.
     double ReadsPerSecond = 20;
     double ReadBurst = 20;
@@ -97,6 +100,8 @@
   void beginEra(uint64_t NewEra, TimePoint Now);
   uint64_t globalRevision(uint64_t Revision) const;
   void succeed(TimePoint Now);
+  void noteTransfer(const std::string &Step, const Transfer &Received,
+                    TimePoint Now);
   void fail(const Error &Why, TimePoint Now);
   void applyItem(const StoredItem &Item, TimePoint Now);
   void applyInstance(const StoredItem &Item, TimePoint Now);
--- a/src/spread/Repair.cpp
+++ b/src/spread/Repair.cpp
@@ -118,6 +118,8 @@
   }
   // The pull was not answered or its link was closed: ask another neighbour
   // that has the document.
+  if (State.PullSent)
+    this->Hook.PullUnanswered(Name, State.PullFrom, Now);
   auto Next = this->chooseLinkWithNewer(State, Name, State.PullFrom);
   State.NextPullAt.reset();
   if (Next)
--- a/src/spread/Spreader.h
+++ b/src/spread/Spreader.h
@@ -96,6 +96,9 @@
     std::function<bool(const ReceivedDocument &, TimePoint)> Accept;
     /// Closes a link that was declared dead.
     std::function<void(LinkId, const Error &)> CloseDeadLink;
+    /// A neighbour did not answer a pull within PullTimeout.
+    std::function<void(const std::string &Topic, LinkId, TimePoint)>
+        PullUnanswered = [](const std::string &, LinkId, TimePoint) {};
     /// Returns the report on this node's subtree for the link's heartbeat, or
     /// null to send none.
     std::function<std::unique_ptr<wire::FleetReportT>(LinkId)> MakeReport =
