--- a/src/control/ParentChangeTest.cpp
+++ b/src/control/ParentChangeTest.cpp
@@ -336,4 +336,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(UnansweredDials)
+
+// Guards against two dial timeouts, of 2 s each, for every ancestor whose
+// machine is down as well.
+BOOST_FIXTURE_TEST_CASE(AncestorThatDoesNotAnswerIsPassedOver,
+                        ParentChangeFixture) {
+  this->UnresponsiveLinks.insert(OldLink);
+  this->run(Millis(1600));
+  BOOST_REQUIRE(this->Dialled.count(this->Grandparent) == 1u);
+  std::set<std::string> Before = this->Dialled;
+  this->run(Millis(700));
+  BOOST_TEST(this->Dialled.size() > Before.size());
+}
+
+// Guards against leaving a parent for good because it was slow to answer once.
+BOOST_FIXTURE_TEST_CASE(ParentIsUsedOnceItAnswers, ParentChangeFixture) {
+  this->UnresponsiveLinks.insert(OldLink);
+  this->run(Millis(2300));
+  this->link(GrandparentLink, 3, this->Grandparent);
+  this->run(Millis(200));
+  std::string Last = this->lastParentEvent();
+  BOOST_TEST(Last.substr(0, Last.find(' ')) == this->Grandparent);
+  BOOST_TEST(Last.find("not linked") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace hickorylift
