Keep the topology of the last complete list while entries return

While a data centre is cut off from the platform its entries expire, and after that they are written again one after the other. Only the link to a parent outlived such lists.

Readers, parents and bridges are now derived from the last complete list. A list is incomplete if it lacks the node itself, which was listed before, or more than half of the instances; it is followed 2 s after it is complete, or after 10 s if it is not empty. This replaces the exceptions for the link to the parent, for reading and for the size of the fleet. Upstreams are looked up in the newest list as before.

Where nodes are lost at the end of the cut it stays as it was: that is the next fault.

--- a/src/control/ControlLinks.cpp
+++ b/src/control/ControlLinks.cpp
@@ -90,7 +90,7 @@
   // A node that knows no neighbour and is alone in its data centre's list stays
   // linked to its seeds, as they may have a newer list. So does a node without
   // a version, as its ancestors in the tree may not have one either.
-  bool Alone = this->Fleet.size(this->Opts.DataCentre) < 2;
+  bool Alone = this->Fleet.topologySize(this->Opts.DataCentre) < 2;
   if ((Wanted.empty() && Alone) || !this->ActiveConfig)
     this->addSeedTargets(Wanted, Now);
   for (auto &[Name, Old] : this->Targets) {
@@ -106,31 +106,40 @@
     this->closeOrKeepLink(Link, Now);
 }
 
-void ControlPlane::noteOwnEntry(TimePoint Now) {
-  bool Listed = this->Fleet.find(this->Opts.Self) != nullptr;
-  this->WasListed |= Listed;
-  if (this->WasListed && !Listed)
-    this->LastUnlistedAt = Now;
+bool ControlPlane::isListIncomplete(const std::string &DataCentre) const {
+  bool OwnEntryExpired = DataCentre == this->Opts.DataCentre &&
+                         this->WasListed && !this->Fleet.find(this->Opts.Self);
+  return OwnEntryExpired || 2 * this->Fleet.size(DataCentre) <
+                                this->Fleet.topologySize(DataCentre);
 }
 
-// Whether the tree of the current list is not to be followed. After a data
-// centre was cut off from the platform, its list is empty and then grows entry
-// by entry. Each of these lists gives most nodes another parent, or none. Nodes
-// that followed them closed working links, and each read the platform instead,
-// so that the link to the next parent had to wait for a large configuration on
-// a slow network link. The parent of the last complete list serves until its
-// link fails.
-bool ControlPlane::keepsLinks(TimePoint Now) const {
-  if (!this->LastUnlistedAt ||
-      Now - *this->LastUnlistedAt >= this->Opts.RelistSettleTime)
-    return false;
-  return std::any_of(this->Targets.begin(), this->Targets.end(),
-                     [this](const auto &Named) {
-                       const Target &Kept = Named.second;
-                       return Kept.Kind == LinkKind::Tree && Kept.Link &&
-                              !this->Avoided.count(Named.first) &&
-                              this->Peers.at(*Kept.Link).HelloReceived;
-                     });
+// Lets links and read duties follow the lists, except incomplete ones. While a
+// data centre is cut off from the platform, its entries expire; after that its
+// list is empty and grows entry by entry. Nodes that followed it closed working
+// links, to their parents and to other data centres, for others that were not
+// up yet, and the root stopped reading until it was listed again. The topology
+// of the last complete list serves meanwhile, and nodes that have gone since
+// are avoided as their links fail.
+void ControlPlane::updateTopology(TimePoint Now) {
+  this->WasListed |= this->Fleet.find(this->Opts.Self) != nullptr;
+  for (const std::string &DataCentre : this->Fleet.dataCentres()) {
+    auto Found = this->IncompleteLists.find(DataCentre);
+    if (this->isListIncomplete(DataCentre)) {
+      if (Found == this->IncompleteLists.end())
+        Found = this->IncompleteLists.insert({DataCentre, {Now, Now}}).first;
+      Found->second.LastFound = Now;
+    }
+    if (Found != this->IncompleteLists.end()) {
+      const IncompleteList &List = Found->second;
+      bool Settled = Now - List.LastFound >= this->Opts.RelistSettleTime;
+      bool IsFinal = Now - List.Since >= this->Opts.MaxIncompleteTime &&
+                     this->Fleet.size(DataCentre) != 0;
+      if (!Settled && !IsFinal)
+        continue;
+      this->IncompleteLists.erase(Found);
+    }
+    this->NeedsRetarget |= this->Fleet.adoptTopology(DataCentre);
+  }
 }
 
 bool ControlPlane::isAwaitingParentLink() const {
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -184,8 +184,8 @@
   // Links are retargeted here and not on the arrival of a list, because the
   // arrival is handled within a link that retargeting may close.
   this->expireAvoided(Now);
-  this->noteOwnEntry(Now);
-  if (this->NeedsRetarget && !this->keepsLinks(Now)) {
+  this->updateTopology(Now);
+  if (this->NeedsRetarget) {
     this->NeedsRetarget = false;
     this->retarget(Now);
   }
@@ -222,8 +222,7 @@
   // In a small fleet every node reads the platform itself instead of relying on
   // the other nodes.
   bool AllNodesRead = this->everyNodeReads(Now);
-  Situation.IsReader = AllNodesRead || (!this->keepsLinks(Now) &&
-                                        this->Fleet.isReader(this->Avoided));
+  Situation.IsReader = AllNodesRead || this->Fleet.isReader(this->Avoided);
   Situation.IsFirstReader =
       AllNodesRead || this->Fleet.readerRank(this->Avoided) == 0;
   // Without a list no node can have a parent.
@@ -237,20 +236,16 @@
   return Situation;
 }
 
-// An expired list makes a fleet look small. So does the list of a fleet that
-// starts, which is filled entry by entry: if its nodes followed that list,
-// hundreds of them would read the platform in the first second.
+// The list of a fleet that starts is filled entry by entry: if its nodes
+// followed that list, hundreds of them would read the platform in the first
+// second.
 bool ControlPlane::everyNodeReads(TimePoint Now) {
   if (this->Fleet.size() > 0 && !this->ListedSince)
     this->ListedSince = Now;
   bool ListMayGrow =
       !this->ListedSince || Now - *this->ListedSince < this->Opts.ListFillTime;
-  if (ListMayGrow && !this->EveryNodeReads)
-    return false;
-  bool FollowsList = !this->keepsLinks(Now);
-  if (FollowsList && this->Fleet.find(this->Opts.Self))
-    this->EveryNodeReads = this->Fleet.everyNodeReads();
-  return FollowsList ? this->Fleet.everyNodeReads() : this->EveryNodeReads;
+  this->EveryNodeReads = !ListMayGrow && this->Fleet.everyNodeReads();
+  return this->EveryNodeReads;
 }
 
 void ControlPlane::updateReadDuty(TimePoint Now) {
@@ -313,8 +308,7 @@
   bool FormerParentValid =
       this->FormerParentLink && Now < this->FormerParentValidUntil;
   bool ParentLinked = this->hasParentLink();
-  bool Linked = ParentLinked || this->hasSeedLink() || FormerParentValid ||
-                this->keepsLinks(Now);
+  bool Linked = ParentLinked || this->hasSeedLink() || FormerParentValid;
   this->HadParentLink |= ParentLinked;
   this->ParentLeft &= !ParentLinked;
   if (!this->ParentLastLinkedAt || Linked)
@@ -485,13 +479,12 @@
 void ControlPlane::acceptList(const Spreader::ReceivedDocument &Received,
                               TimePoint Now) {
   uint64_t Before = this->Fleet.generation();
-  this->Fleet.update(dataCentreOfListTopic(Received.Topic), *Received.Doc);
+  this->Fleet.updateList(dataCentreOfListTopic(Received.Topic), *Received.Doc);
   if (this->Fleet.generation() == Before)
     return;
   this->Trail.add(Now, "list",
                   Received.Topic + " " + Received.Doc->stamp().text(),
                   Received.Source, "taken");
-  this->NeedsRetarget = true;
   this->Hook.MembersChanged(Now);
 }
 
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -95,11 +95,14 @@
     /// which a version must arrive, as the former parent may be disconnected as
     /// well.
     Millis FormerParentTimeout{700};
-    /// A node whose own entry has expired keeps its links and its parent until
-    /// it has been listed again for this long. The entries of a data centre
-    /// that was cut off from the platform expire together, and are written
-    /// again one after the other within a heartbeat interval of the upstreams.
+    /// Links and read duties follow the list of a data centre only once it has
+    /// been complete for this long. The entries of a data centre that was cut
+    /// off from the platform expire together, and are written again one after
+    /// the other within a heartbeat interval of the upstreams.
     Millis RelistSettleTime{2000};
+    /// They follow a list that stays incomplete after this time, unless it is
+    /// empty. A node whose upstream is gone for good is never listed again.
+    Millis MaxIncompleteTime{10000};
     /// For this long after its first list with entries, a node does not
     /// conclude from the list that the fleet is small. The entries of a fleet
     /// that starts are written within this time.
@@ -223,9 +226,9 @@
   bool hasParentLink() const;
   void auditParentChange(TimePoint Now);
   bool isAwaitingParentLink() const;
-  void noteOwnEntry(TimePoint Now);
+  bool isListIncomplete(const std::string &DataCentre) const;
+  void updateTopology(TimePoint Now);
   bool everyNodeReads(TimePoint Now);
-  bool keepsLinks(TimePoint Now) const;
   void closeOrKeepLink(LinkId Link, TimePoint Now);
   void closeFormerLinks(TimePoint Now);
   bool hasLostParent(TimePoint Now);
@@ -301,11 +304,15 @@
   std::optional<LinkId> FormerParentLink;
   TimePoint FormerParentValidUntil;
   bool NeedsRetarget = true;
-  // Whether this node has ever been listed, and when it last was found missing
-  // after that.
+  // Whether this node has ever been listed.
   bool WasListed = false;
-  std::optional<TimePoint> LastUnlistedAt;
-  // Whether every node reads, according to the last list that named this node.
+  // Since when the list of a data centre has been incomplete, and when it last
+  // was found to be.
+  struct IncompleteList {
+    TimePoint Since;
+    TimePoint LastFound;
+  };
+  std::map<std::string, IncompleteList> IncompleteLists;
   bool EveryNodeReads = false;
   // When the node received its first list with entries.
   std::optional<TimePoint> ListedSince;
--- a/src/control/ParentChangeTest.cpp
+++ b/src/control/ParentChangeTest.cpp
@@ -244,7 +244,7 @@
   BOOST_TEST(this->activeVersion() == 2u);
   this->run(Millis(4000));
   BOOST_TEST(this->Closed.count(OldLink) == 0u);
-  BOOST_TEST(this->lastParentEvent() == this->OldParent + " tree linked");
+  BOOST_TEST(this->lastParentEvent() == this->OldParent + " link linked");
 }
 
 // Guards against a node that waits for a former parent that is gone, because
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -125,10 +125,39 @@
   return Document::make(Revision, Revision, std::move(Entries));
 }
 
+void Membership::update(const std::string &DataCentre, const Document &List) {
+  this->updateList(DataCentre, List);
+  this->adoptTopology(DataCentre);
+}
+
+bool Membership::adoptTopology(const std::string &DataCentre) {
+  if (this->NotAdopted.erase(DataCentre) == 0)
+    return false;
+  std::vector<std::shared_ptr<const Instance>> &Adopted =
+      this->Topology[DataCentre];
+  Adopted.clear();
+  for (const auto &[Name, Listed] : this->Lists[DataCentre])
+    Adopted.push_back(Listed.Value);
+  return true;
+}
+
+size_t Membership::topologySize(const std::string &DataCentre) const {
+  auto Found = this->Topology.find(DataCentre);
+  return Found == this->Topology.end() ? 0 : Found->second.size();
+}
+
+bool Membership::everyNodeReads() const {
+  size_t Size = 0;
+  for (const auto &[DataCentre, Members] : this->Topology)
+    Size += Members.size();
+  return Size <= this->Opts.AllReadUpTo;
+}
+
 // Parsing JSON is most of the cost, and usually one instance in a list of
 // hundreds has changed. Instances whose entry has the same hash as before are
 // kept instead of parsed again.
-void Membership::update(const std::string &DataCentre, const Document &List) {
+void Membership::updateList(const std::string &DataCentre,
+                            const Document &List) {
   std::map<std::string, ListedInstance> &Old = this->Lists[DataCentre];
   std::map<std::string, ListedInstance> New;
   bool Changed = false;
@@ -147,8 +176,10 @@
   }
   Changed |= New.size() != Old.size();
   Old = std::move(New);
-  if (Changed)
-    this->rebuild();
+  if (!Changed)
+    return;
+  this->NotAdopted.insert(DataCentre);
+  this->rebuild();
 }
 
 void Membership::rebuild() {
@@ -216,12 +247,12 @@
 std::vector<const Instance *>
 Membership::treeOrder(const std::string &DataCentre,
                       const std::string &Salt) const {
-  auto Found = this->Lists.find(DataCentre);
-  if (Found == this->Lists.end())
+  auto Found = this->Topology.find(DataCentre);
+  if (Found == this->Topology.end())
     return {};
   std::vector<std::pair<uint64_t, const Instance *>> Ranked;
-  for (const auto &[Name, Listed] : Found->second)
-    Ranked.emplace_back(rendezvousScore(Salt, Name), Listed.Value.get());
+  for (const auto &Member : Found->second)
+    Ranked.emplace_back(rendezvousScore(Salt, Member->Name), Member.get());
   std::sort(Ranked.begin(), Ranked.end(), [](const auto &A, const auto &B) {
     return A.first != B.first ? A.first < B.first
                               : A.second->Name < B.second->Name;
@@ -245,8 +276,8 @@
 }
 
 bool Membership::isReader(const AvoidSet &Avoid) const {
-  return this->size(this->Opts.DataCentre) == 0 || this->everyNodeReads() ||
-         this->readerRank(Avoid) < this->Opts.Readers;
+  return this->topologySize(this->Opts.DataCentre) == 0 ||
+         this->everyNodeReads() || this->readerRank(Avoid) < this->Opts.Readers;
 }
 
 size_t Membership::indexIn(const std::vector<const Instance *> &Order,
@@ -345,7 +376,7 @@
   for (size_t I = 0; I < LocalOrder.size() && I < this->Opts.Bridges; ++I) {
     if (LocalOrder[I]->Name != this->Opts.Self)
       continue;
-    for (const auto &[Other, List] : this->Lists) {
+    for (const auto &[Other, Members] : this->Topology) {
       if (Other <= this->Opts.DataCentre)
         continue;
       auto RemoteOrder = Reachable(Other);
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -119,8 +119,17 @@
 
   explicit Membership(Options Opts) : Opts(std::move(Opts)) {}
 
-  /// Replaces the list of one data centre.
+  /// Replaces the list of one data centre, and lets the topology follow it.
   void update(const std::string &DataCentre, const Document &List);
+  /// Replaces the list of one data centre. Upstreams are looked up in it at
+  /// once; the topology (readers, parents and bridges) stays as it is until
+  /// adoptTopology().
+  void updateList(const std::string &DataCentre, const Document &List);
+  /// Lets the topology follow the data centre's list. Returns false if it does
+  /// already.
+  bool adoptTopology(const std::string &DataCentre);
+  /// Number of instances of a data centre from which the topology is derived.
+  size_t topologySize(const std::string &DataCentre) const;
 
   /// Sets which data centres are evacuated. Returns false if nothing changes.
   bool setEvacuated(const std::set<std::string> &DataCentres);
@@ -134,7 +143,7 @@
   /// platform itself.
   bool isReader(const AvoidSet &Avoid = {}) const;
   /// Whether the fleet is so small that every node reads the platform.
-  bool everyNodeReads() const { return this->size() <= this->Opts.AllReadUpTo; }
+  bool everyNodeReads() const;
   /// The number of nodes that would have to fail before this node becomes the
   /// first reader.
   size_t readerRank(const AvoidSet &Avoid = {}) const;
@@ -183,6 +192,10 @@
 
   Options Opts;
   std::map<std::string, std::map<std::string, ListedInstance>> Lists;
+  // The instances of each data centre from which the topology is derived, and
+  // the data centres whose list has changed since.
+  std::map<std::string, std::vector<std::shared_ptr<const Instance>>> Topology;
+  std::set<std::string> NotAdopted;
   std::map<std::string, const Instance *> ByName;
   using ServiceMap = std::map<std::string, std::vector<const Instance *>>;
   static const std::vector<const Instance *> &
