Pull missed documents at once over a link that has just come up

A node that hears of a newer document waits 60 ms, and until its next tick, for another neighbour to push it. Neighbours push a document when they store it, so what they stored before the link came up is never pushed: a node that had lost its parent waited in vain after it had another.

A document that the first heartbeat of a link announces is pulled at once. It may arrive twice if it is stored by a neighbour at that very moment.

MissedVersionIsPulledAtOnceOverANewLink failed before and passes.

--- a/src/spread/Repair.cpp
+++ b/src/spread/Repair.cpp
@@ -18,9 +18,9 @@
   if (!this->Opts.Guards.RepairByStamps)
     return;
   if (Reported > Ours) {
-    this->schedulePull(From, Name,
-                       Now + this->pullDelay(this->Links[From], Name, State));
-    if (!State.Stored)
+    Millis Delay = this->pullDelay(this->Links[From], Name, State);
+    this->schedulePull(From, Name, Now + Delay);
+    if (Delay == Millis(0))
       this->advancePull(Name, State, Now);
     return;
   }
@@ -37,11 +37,11 @@
 }
 
 // How long a pull waits for the document to arrive without it, or for another
-// neighbour to announce it. Without a version there is nothing to wait for:
-// neighbours push a document only when they store it, and one that they stored
-// before this node was linked, as usual for a node that has just started, is
-// never pushed. One that is stored after that is pushed as a snapshot over
-// eager links, and may arrive twice because of the pull.
+// neighbour to announce it. Without a version, or on a link that has just come
+// up, there is nothing to wait for: neighbours push a document only when they
+// store it, and one that they stored before this node was linked is never
+// pushed. One that is stored after that is pushed as well, and may arrive twice
+// because of the pull.
 Millis Spreader::pullDelay(const Link &From, const std::string &Name,
                            const TopicState &State) const {
   const std::string &Prefix = this->Opts.DeferredTopicPrefix;
@@ -49,7 +49,8 @@
                   Name.rfind(Prefix, 0) == 0 && Name != this->Opts.FirstTopic;
   if (Deferred)
     return this->Opts.SeedPullDelay;
-  return State.Stored ? this->Opts.GraftDelay : Millis(0);
+  bool MayBePushed = State.Stored && From.ReceivedSeq > 1;
+  return MayBePushed ? this->Opts.GraftDelay : Millis(0);
 }
 
 void Spreader::schedulePull(LinkId From, const std::string &Name,
--- a/src/spread/SpreadTest.cpp
+++ b/src/spread/SpreadTest.cpp
@@ -172,6 +172,17 @@
   BOOST_TEST(Pair.Nodes[0]->counters().Snapshots == Before);
 }
 
+// Guards against waiting, on a link that has just come up, for the push of a
+// version that the neighbour stored before.
+BOOST_AUTO_TEST_CASE(MissedVersionIsPulledAtOnceOverANewLink) {
+  NodePair Pair{Spreader::Options()};
+  Pair.Nodes[0]->publish("config", makeDocument(2, 2, 9), Pair.Now);
+  Pair.Nodes[1]->publish("config", makeDocument(1, 2, 9), Pair.Now);
+  Pair.link();
+  Pair.deliverFrames();
+  BOOST_TEST(Pair.Nodes[1]->storedDocument("config")->stamp().Version == 2u);
+}
+
 // A node that takes over reading continues from the complete revision of its
 // neighbours. Guards against adopting it while one of their documents has not
 // arrived: that change would never be read, and calls would be sent to an
