--- a/src/control/ControlLinks.cpp
+++ b/src/control/ControlLinks.cpp
@@ -71,7 +71,9 @@
 
 // Where several machines lose power together, a node whose parents are among
 // them may find the next ancestors dead as well. Waiting for the dial timeout
-// of each would leave it without versions for seconds.
+// of each would leave it without versions for seconds. Nodes of other data
+// centres are not passed over: while a data centre is cut off none of them
+// answers, and links to all of them would have been given up when that ends.
 void ControlPlane::updatePassedOver(TimePoint Now) {
   Millis Patience = this->HadParentLink ? this->Opts.DialPatience
                                         : std::max(this->Opts.DialPatience,
@@ -232,7 +234,13 @@
   auto Found = this->Targets.find(Name);
   if (Found == this->Targets.end())
     return;
-  Target &Failed = Found->second;
+  if (Found->second.Kind == LinkKind::Bridge)
+    this->Trail.add(Now, "bridge", Name, "dialled", "failed");
+  this->scheduleRedial(Name, Found->second, Now);
+}
+
+void ControlPlane::scheduleRedial(const std::string &Name, Target &Failed,
+                                  TimePoint Now) {
   Failed.Dialling = false;
   Millis MaxDelay =
       std::min(this->Opts.MaxRedialDelay,
@@ -241,9 +249,6 @@
   bool TimedOut = this->PassedOver.count(Name) != 0;
   if (++Failed.Failures >= this->Opts.AvoidAfterFailures || TimedOut)
     this->avoid(Name, Now);
-  if (Failed.Kind == LinkKind::Bridge)
-    this->Trail.add(Now, "bridge", Name, "dialled",
-                    "failed " + std::to_string(Failed.Failures) + " times");
   Failed.NextDial =
       Now + MaxDelay / 2 + Millis(this->Random() % (MaxDelay.count() / 2 + 1));
 }
@@ -334,7 +339,7 @@
   auto Dialled = this->Targets.find(DialledName);
   if (Dialled != this->Targets.end() && Dialled->second.Link == Link) {
     Dialled->second.Link.reset();
-    this->dialFailed(DialledName, Now);
+    this->scheduleRedial(DialledName, Dialled->second, Now);
   }
 }
 
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -248,6 +248,7 @@
   bool hasLostParent(TimePoint Now);
   bool parentMayBeSlow(TimePoint Now) const;
   void dialTargets(TimePoint Now);
+  void scheduleRedial(const std::string &Name, Target &Failed, TimePoint Now);
   void sendHello(LinkId Link, const Peer &To);
   void onHello(LinkId Link, Peer &From, const wire::HelloT &Hello,
                TimePoint Now);
--- a/src/control/CutOffTest.cpp
+++ b/src/control/CutOffTest.cpp
@@ -180,7 +180,7 @@
   Fleet.run(Millis(2300));
   Fleet.losePower(Case.LostAtEnd, "east");
   Fleet.publish(3);
-  Fleet.mend("east");
+  Fleet.heal("east");
   Millis Delay = Fleet.timeUntilInForce(3, "east", 2 * MaxVersionDelay);
   BOOST_TEST(Delay.count() <= MaxVersionDelay.count());
   for (uint64_t Version = 4; Version < 12; ++Version) {
--- a/src/control/FleetFixture.h
+++ b/src/control/FleetFixture.h
@@ -1,7 +1,6 @@
 #ifndef HICKORYLIFT_CONTROL_FLEETFIXTURE_H
 #define HICKORYLIFT_CONTROL_FLEETFIXTURE_H
 
-#include "base/Hash.h"
 #include "config/RecordFile.h"
 #include "control/ControlPlane.h"
 #include "reading/SplitReader.h"
@@ -9,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,7 +22,7 @@
 //   Fleet.run(Millis(8000));
 //   Fleet.cut("east");
 //   Fleet.run(Millis(5000));
-//   Fleet.mend("east");
+//   Fleet.heal("east");
 //   Fleet.run(Millis(2500));
 //   BOOST_TEST(Fleet.nodesWithout(2, "east").empty());
 
@@ -65,9 +65,9 @@
 
   /// Cuts a data centre off from the others and from the store.
   void cut(const std::string &DataCentre) { this->CutOff.insert(DataCentre); }
-  void mend(const std::string &DataCentre) { this->CutOff.erase(DataCentre); }
+  void heal(const std::string &DataCentre) { this->CutOff.erase(DataCentre); }
 
-  /// The node and its machine stop without a word. Its entry expires.
+  /// A machine stops without closing its connections. Its entry expires.
   void losePower(const std::string &Name) {
     Member &Of = this->Members.at(Name);
     Of.Node.reset();
@@ -144,35 +144,6 @@
     return Names;
   }
 
-  std::vector<std::string> namesOf(const std::string &DataCentre) const {
-    std::vector<std::string> Names;
-    for (const auto &[Name, Of] : this->Members)
-      if (Of.DataCentre == DataCentre)
-        Names.push_back(Name);
-    return Names;
-  }
-
-  /// Nodes in the order of their data centre's tree: the first is its root.
-  std::vector<std::string> treeOf(const std::string &DataCentre) const {
-    std::vector<std::string> Names = this->namesOf(DataCentre);
-    std::sort(Names.begin(), Names.end(),
-              [](const std::string &A, const std::string &B) {
-                return rendezvousScore("tree", A) < rendezvousScore("tree", B);
-              });
-    return Names;
-  }
-
-  bool alive(const std::string &Name) const {
-    return this->Members.at(Name).Node != nullptr;
-  }
-  const ControlPlane &node(const std::string &Name) const {
-    return *this->Members.at(Name).Node;
-  }
-  uint64_t random() { return this->Random(); }
-  TimePoint now() const { return this->Now; }
-  /// Requests that nodes sent to the store.
-  uint64_t reads() const { return this->Reads; }
-
 private:
   struct Member;
 
@@ -468,7 +439,6 @@
 
   void range(Member &Of, const std::string &Prefix,
              KeyValueStore::PageCallback Done) {
-    ++this->Reads;
     uint64_t Boot = Of.Boot;
     this->at(this->latency(), [this, &Of, Boot, Prefix, Done] {
       this->connect(Of, Boot, Millis(1500),
@@ -489,7 +459,6 @@
 
   void watch(Member &Of, const std::string &Prefix, uint64_t After, Millis Wait,
              KeyValueStore::ChangesCallback Done) {
-    ++this->Reads;
     uint64_t Boot = Of.Boot;
     uint64_t Id = ++this->LastWatch;
     Millis Limit = std::max(Wait + Millis(600), Millis(1500));
@@ -560,7 +529,6 @@
   std::set<std::string> CutOff;
   LinkId LastLink = 0;
   uint64_t LastWatch = 0;
-  uint64_t Reads = 0;
   uint64_t Revision = 0;
   std::map<std::string, StoredItem> Items;
   std::vector<ItemChange> History;
--- a/src/control/ParentChangeTest.cpp
+++ b/src/control/ParentChangeTest.cpp
@@ -274,6 +274,20 @@
   BOOST_TEST(this->Dialled.count(this->NewParent) == 1u);
 }
 
+// Guards against a node that follows no list any more because its upstream is
+// gone for good.
+BOOST_FIXTURE_TEST_CASE(NodeThatIsNeverListedAgainFollowsTheList,
+                        ParentChangeFixture) {
+  std::vector<std::string> Others = this->Names;
+  std::erase(Others, this->Self);
+  Others.push_back(this->NewParent);
+  this->listOnly(Others);
+  this->run(Millis(8000));
+  BOOST_TEST(this->Dialled.count(this->NewParent) == 0u);
+  this->run(Millis(3000));
+  BOOST_TEST(this->Dialled.count(this->NewParent) == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(UnresponsiveParents)
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -315,6 +315,8 @@
 const Instance *Membership::parentInTree(const std::string &Salt,
                                          const AvoidSet &Avoid,
                                          const AvoidSet &PassedOver) const {
+  if (PassedOver.empty())
+    return this->parentInTree(Salt, Avoid);
   AvoidSet Both = Avoid;
   Both.insert(PassedOver.begin(), PassedOver.end());
   const Instance *Parent = this->parentInTree(Salt, Both);
