--- a/src/control/FleetFixture.h
+++ b/src/control/FleetFixture.h
@@ -48,7 +48,7 @@
     Millis EntryLifetime{4500};
   };
 
-  FleetFixture(Options Opts, uint64_t Seed) : Opts(Opts), Random(Seed) {
+  FleetFixture(const Options &Opts, uint64_t Seed) : Opts(Opts), Random(Seed) {
     for (const std::string &DataCentre : Opts.DataCentres)
       for (size_t I = 0; I < Opts.PerDataCentre; ++I)
         this->addMember(DataCentre + "-" + std::to_string(I), DataCentre);
@@ -182,11 +182,11 @@
     StoreOfNode(FleetFixture &Fleet, Member &Of) : Fleet(Fleet), Of(Of) {}
     void range(const std::string &Prefix, const std::string &, TimePoint,
                PageCallback Done) override {
-      this->Fleet.range(this->Of, Prefix, std::move(Done));
+      this->Fleet.range(this->Of, Prefix, Done);
     }
     void watch(const std::string &Prefix, uint64_t After, Millis Wait,
                TimePoint, ChangesCallback Done) override {
-      this->Fleet.watch(this->Of, Prefix, After, Wait, std::move(Done));
+      this->Fleet.watch(this->Of, Prefix, After, Wait, Done);
     }
 
   private:
@@ -438,7 +438,7 @@
   }
 
   void range(Member &Of, const std::string &Prefix,
-             KeyValueStore::PageCallback Done) {
+             const KeyValueStore::PageCallback &Done) {
     uint64_t Boot = Of.Boot;
     this->at(this->latency(), [this, &Of, Boot, Prefix, Done] {
       this->connect(Of, Boot, Millis(1500),
@@ -458,7 +458,7 @@
   }
 
   void watch(Member &Of, const std::string &Prefix, uint64_t After, Millis Wait,
-             KeyValueStore::ChangesCallback Done) {
+             const KeyValueStore::ChangesCallback &Done) {
     uint64_t Boot = Of.Boot;
     uint64_t Id = ++this->LastWatch;
     Millis Limit = std::max(Wait + Millis(600), Millis(1500));
