Log lists that contain entries missing in the store

The logs show the gate of such an upstream open again ("own-entry live", "gate-open"), but not which list did it: an entry that was renewed, a list of a neighbour that is behind, or one with entries that its reader kept although the store lacks them.

The audit event entries-kept names the list, its stamp and the number of kept entries, once for each list that is published so. The lists of other data centres, in which nothing is kept, now get the store's own stamp in that time.

--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -135,6 +135,11 @@
                     std::to_string(Bytes) + " bytes in " +
                         std::to_string(Time.count()) + " ms");
   };
+  Hooks.EntriesKept = [this](const std::string &Topic, size_t Count,
+                             const Stamp &Of, TimePoint Now) {
+    this->Trail.add(Now, "entries-kept", Topic + " " + Of.text(), "platform",
+                    std::to_string(Count) + " missing, may be written again");
+  };
   Hooks.Recovered = [this](TimePoint Now) {
     this->LastReaderError.clear();
     this->Trail.add(Now, "platform-back", "", "platform", "answers again");
--- a/src/reading/DocumentSource.h
+++ b/src/reading/DocumentSource.h
@@ -82,6 +82,13 @@
   std::function<void(const std::string &Step, size_t Bytes, Millis Time,
                      TimePoint)>
       SlowTransfer = [](const std::string &, size_t, Millis, TimePoint) {};
+  /// A list that is about to be published under Topic with stamp Of contains
+  /// this many entries that the platform lacks, because they may be written
+  /// again.
+  std::function<void(const std::string &Topic, size_t Count, const Stamp &Of,
+                     TimePoint)>
+      EntriesKept =
+          [](const std::string &, size_t, const Stamp &, TimePoint) {};
   /// The platform answers again after failures.
   std::function<void(TimePoint)> Recovered = [](TimePoint) {};
 };
--- a/src/reading/StorePublishing.cpp
+++ b/src/reading/StorePublishing.cpp
@@ -148,33 +148,40 @@
   return Lists;
 }
 
-// Adds instances that are in the node's lists and missing in the store, and
-// after a restore also missing drains. Uses the node's lists whatever their
-// source: a process that started while the store was unreachable has read
-// nothing itself and received its lists from other nodes. Returns whether
-// anything was kept.
-bool StoreReader::keepMissingEntries(EntriesByDataCentre &Lists,
-                                     TimePoint Now) const {
-  std::set<std::string> ReadNames;
-  for (const auto &[Key, Listed] : this->Instances)
-    ReadNames.insert(Listed.Details.Name);
-  bool Kept = false;
-  for (auto &[DataCentre, Entries] : Lists) {
-    DocumentPtr Current = this->Hook.CurrentDocument(listTopic(DataCentre));
-    if (!Current)
-      continue;
-    for (const auto &[Name, Entry] : Current->entries()) {
-      if (!ReadNames.count(Name)) {
-        Entries[Name] = Entry;
-        Kept = true;
-      } else if (Now < this->RestoreGraceEnd) {
-        Kept |= this->keepMissingDrain(Entries, Name, Entry);
-      }
+// Adds the instances of the node's list for Topic that are missing in the store
+// to Entries, and after a restore also missing drains. Uses the node's list
+// whatever its source: a process that started while the store was unreachable
+// has read nothing itself and received its lists from other nodes. Returns how
+// many entries were kept.
+size_t StoreReader::keepMissingEntries(const std::string &Topic,
+                                       EntryMap &Entries,
+                                       const std::set<std::string> &ReadNames,
+                                       TimePoint Now) const {
+  DocumentPtr Current = this->Hook.CurrentDocument(Topic);
+  if (!Current)
+    return 0;
+  size_t Kept = 0;
+  for (const auto &[Name, Entry] : Current->entries()) {
+    if (!ReadNames.count(Name)) {
+      Entries[Name] = Entry;
+      ++Kept;
+    } else if (Now < this->RestoreGraceEnd &&
+               this->keepMissingDrain(Entries, Name, Entry)) {
+      ++Kept;
     }
   }
   return Kept;
 }
 
+// The names of all instances in the copy, of whatever data centre: one that
+// moved to another data centre is not missing.
+std::set<std::string> StoreReader::readNames() const {
+  std::set<std::string> Names;
+  for (const auto &[Key, Listed] : this->Instances)
+    Names.insert(Listed.Details.Name);
+  return Names;
+}
+
 // Keeps an instance marked as leaving if the node's list, in Previous, has the
 // same start of it as leaving: a restored store may have lost the drain.
 // Returns whether the mark was kept.
@@ -194,17 +201,23 @@
 }
 
 void StoreReader::publishLists(TimePoint Now) {
-  EntriesByDataCentre Lists = this->listEntries();
-  this->ListsIncludeKept =
-      Now < this->InstanceGraceEnd && this->keepMissingEntries(Lists, Now);
-  for (auto &[DataCentre, Entries] : Lists) {
-    DocumentPtr New =
-        this->makeDocument(std::move(Entries), this->ListsIncludeKept);
-    bool IsCurrent = this->nodeHas(listTopic(DataCentre), New);
+  bool InGrace = Now < this->InstanceGraceEnd;
+  std::set<std::string> ReadNames = this->readNames();
+  this->ListsIncludeKept = false;
+  for (auto &[DataCentre, Entries] : this->listEntries()) {
+    std::string Topic = listTopic(DataCentre);
+    size_t Kept =
+        InGrace ? this->keepMissingEntries(Topic, Entries, ReadNames, Now) : 0;
+    this->ListsIncludeKept |= Kept > 0;
+    DocumentPtr New = this->makeDocument(std::move(Entries), Kept > 0);
+    bool IsCurrent = this->nodeHas(Topic, New);
     this->ListDocs[DataCentre] =
-        IsCurrent ? this->Hook.CurrentDocument(listTopic(DataCentre)) : New;
-    if (!IsCurrent)
-      this->Hook.Publish(listTopic(DataCentre), New, Now);
+        IsCurrent ? this->Hook.CurrentDocument(Topic) : New;
+    if (IsCurrent)
+      continue;
+    if (Kept > 0)
+      this->Hook.EntriesKept(Topic, Kept, New->stamp(), Now);
+    this->Hook.Publish(Topic, New, Now);
   }
 }
 
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -118,7 +118,10 @@
   bool lacksConfig() const;
   bool nodeHas(const std::string &Topic, const DocumentPtr &Doc) const;
   using EntriesByDataCentre = std::map<std::string, EntryMap>;
-  bool keepMissingEntries(EntriesByDataCentre &Lists, TimePoint Now) const;
+  size_t keepMissingEntries(const std::string &Topic, EntryMap &Entries,
+                            const std::set<std::string> &ReadNames,
+                            TimePoint Now) const;
+  std::set<std::string> readNames() const;
   bool keepMissingDrain(EntryMap &Entries, const std::string &Name,
                         const DocumentEntry &Previous) const;
   EntriesByDataCentre listEntries() const;
