Order lists with kept entries after the list they come from

Cause: after any failed read a reader keeps entries that the store lacks for 2.2 s, since they may have expired in an outage. A node that was cut off by itself cannot tell that from an outage, and the others have seen the entry end. Its list was ordered just before the store's content at the revision that it had just read, hence after the others' lists.

Ruled out: an entry written again (the record of the store shows none), and an older list of a neighbour, which would be refused.

A document with kept entries is now ordered directly after the document that they come from. Whatever any node has read since then is newer and stands; in an outage of the store nothing is, and entries are kept as before. If a newer document arrives, the reader merges its copy with it at the next tick, since a drain that it has read itself would otherwise wait for the next answer.

The same cause, mended by the same order: drains and evacuations kept after a restore, and spares that went on from lists with kept entries.

--- a/src/reading/StoreFixture.h
+++ b/src/reading/StoreFixture.h
@@ -17,6 +17,11 @@
 //   Store.put("c", "2");
 //   Store.restore();       // back to version 1, in the next era
 //   Store.answer(Now);     // completes pending requests
+//
+// Each node can have its own access to the store, which can be lost:
+//
+//   StoreAccess Access(Store);
+//   Access.Reachable = false;
 
 namespace hickorylift {
 
@@ -176,6 +181,60 @@
   std::vector<PendingWatch> PendingWatches;
 };
 
+/// The access of one node to a store. Requests fail while the store is not
+/// reachable, also those that were sent before.
+class StoreAccess : public KeyValueStore {
+public:
+  explicit StoreAccess(KeyValueStore &Store) : Store(Store) {}
+
+  bool Reachable = true;
+
+  void range(const std::string &Prefix, const std::string &After, TimePoint Now,
+             PageCallback Done) override {
+    if (!this->Reachable)
+      return this->failLater<ItemPage>("store-range", std::move(Done));
+    this->Store.range(Prefix, After, Now,
+                      this->failIfLost<ItemPage>(std::move(Done)));
+  }
+
+  void watch(const std::string &Prefix, uint64_t After, Millis Wait,
+             TimePoint Now, ChangesCallback Done) override {
+    if (!this->Reachable)
+      return this->failLater<ItemChanges>("store-watch", std::move(Done));
+    this->Store.watch(Prefix, After, Wait, Now,
+                      this->failIfLost<ItemChanges>(std::move(Done)));
+  }
+
+  /// Fails the requests that were sent while the store was not reachable.
+  void answer(TimePoint Now) {
+    for (const auto &Fail : std::exchange(this->Failures, {}))
+      Fail(Now);
+  }
+
+private:
+  template <typename T>
+  using Callback = std::function<void(Result<T>, TimePoint)>;
+
+  static Error unreachable(const char *Step) {
+    return Error{Errc::Unreachable, Step, "store", "cut off"};
+  }
+
+  template <typename T> void failLater(const char *Step, Callback<T> Done) {
+    this->Failures.push_back([Step, Done = std::move(Done)](TimePoint Now) {
+      Done(unreachable(Step), Now);
+    });
+  }
+
+  template <typename T> Callback<T> failIfLost(Callback<T> Done) {
+    return [this, Done = std::move(Done)](const Result<T> &Got, TimePoint Now) {
+      Done(this->Reachable ? Got : Result<T>(unreachable("store-watch")), Now);
+    };
+  }
+
+  KeyValueStore &Store;
+  std::vector<std::function<void(TimePoint)>> Failures;
+};
+
 } // namespace hickorylift
 
 #endif
--- a/src/reading/StorePublishing.cpp
+++ b/src/reading/StorePublishing.cpp
@@ -8,6 +8,13 @@
 // publishes those that the node does not have. A document is published again if
 // the spreader refused it. Entries missing after an outage or a restore of the
 // store are kept until InstanceGraceEnd or RestoreGraceEnd.
+//
+// A reader that could not reach the store cannot tell an outage of the store
+// from a network partition of its own, in which the others have seen entries
+// end. So kept entries count only where nothing newer is known: a document with
+// kept entries is ordered directly after the node's document that they come
+// from, and before everything that any node has read since then. If such a
+// newer document arrives, the copy is merged with it instead.
 
 namespace hickorylift {
 
@@ -35,11 +42,12 @@
   std::set<std::string> DataCentres;
   for (const std::string &Key : this->EvacuationKeys)
     DataCentres.insert(Key.substr(this->Layout.EvacuationPrefix.size()));
-  this->EvacuationsIncludeKept =
-      Now < this->RestoreGraceEnd && this->keepMissingEvacuations(DataCentres);
-  DocumentPtr New =
-      this->makeDocument(makeEvacuationDocument(0, DataCentres)->entries(),
-                         this->EvacuationsIncludeKept);
+  DocumentPtr KeptFrom;
+  if (Now < this->RestoreGraceEnd && this->keepMissingEvacuations(DataCentres))
+    KeptFrom = this->Hook.CurrentDocument(EvacuationTopic);
+  this->EvacuationsIncludeKept = KeptFrom != nullptr;
+  DocumentPtr New = this->makeDocument(
+      makeEvacuationDocument(0, DataCentres)->entries(), KeptFrom);
   bool IsCurrent = this->nodeHas(EvacuationTopic, New);
   this->EvacuationDoc =
       IsCurrent ? this->Hook.CurrentDocument(EvacuationTopic) : New;
@@ -63,13 +71,31 @@
   return Kept;
 }
 
-// Makes a document at the copy's revision. One with kept entries is ordered
-// just before the store's content at that revision, which then supersedes it.
-DocumentPtr StoreReader::makeDocument(EntryMap Entries, bool HasKept) const {
+// Makes a document at the copy's revision. KeptFrom is the node's document from
+// which some of the entries were kept, or null if none were.
+DocumentPtr StoreReader::makeDocument(EntryMap Entries,
+                                      const DocumentPtr &KeptFrom) const {
   uint64_t Revision = this->globalRevision(this->CopyRevision);
-  return Document::make(Revision,
-                        HasKept && Revision > 0 ? Revision - 1 : Revision,
-                        std::move(Entries));
+  uint64_t Version = KeptFrom ? KeptFrom->stamp().Version : Revision;
+  return Document::make(Version, Revision, std::move(Entries));
+}
+
+// Whether a document of another node has replaced Published, which contains
+// kept entries, and the copy is newer than that document.
+bool StoreReader::isSuperseded(const std::string &Topic,
+                               const DocumentPtr &Published) const {
+  DocumentPtr Current = this->Hook.CurrentDocument(Topic);
+  return !this->FullReadNeeded && Published && Current &&
+         Current->stamp() > Published->stamp() &&
+         Current->stamp().Version < this->globalRevision(this->CopyRevision);
+}
+
+bool StoreReader::hasSupersededList() const {
+  return std::any_of(this->ListDocs.begin(), this->ListDocs.end(),
+                     [this](const auto &Published) {
+                       return this->isSuperseded(listTopic(Published.first),
+                                                 Published.second);
+                     });
 }
 
 // Whether the node's document for Topic has the same content as Doc.
@@ -209,7 +235,9 @@
     size_t Kept =
         InGrace ? this->keepMissingEntries(Topic, Entries, ReadNames, Now) : 0;
     this->ListsIncludeKept |= Kept > 0;
-    DocumentPtr New = this->makeDocument(std::move(Entries), Kept > 0);
+    DocumentPtr KeptFrom =
+        Kept > 0 ? this->Hook.CurrentDocument(Topic) : nullptr;
+    DocumentPtr New = this->makeDocument(std::move(Entries), KeptFrom);
     bool IsCurrent = this->nodeHas(Topic, New);
     this->ListDocs[DataCentre] =
         IsCurrent ? this->Hook.CurrentDocument(Topic) : New;
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -33,6 +33,7 @@
 // would leave callers without upstreams. Those still missing then are removed.
 // A restored store may also lack drains and evacuations until they are written
 // again, so these are kept for the same time. Versions are never held back.
+// StorePublishing.cpp says how documents with kept entries are ordered.
 
 namespace hickorylift {
 
@@ -67,9 +68,12 @@
         HasDuty && this->Hook.CompleteRevision() >
                        this->globalRevision(this->CopyRevision);
   }
-  if (this->EvacuationsIncludeKept && Now >= this->RestoreGraceEnd)
+  if (this->EvacuationsIncludeKept &&
+      (Now >= this->RestoreGraceEnd ||
+       this->isSuperseded(EvacuationTopic, this->EvacuationDoc)))
     this->publishEvacuations(Now);
-  if (this->ListsIncludeKept && Now >= this->InstanceGraceEnd)
+  if (this->ListsIncludeKept &&
+      (Now >= this->InstanceGraceEnd || this->hasSupersededList()))
     this->publishLists(Now);
   if (HasDuty && !this->Busy && Now >= this->NotBefore &&
       !this->isServedByOthers(Now))
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -112,7 +112,10 @@
   bool readsEvacuations() const;
   void publishEvacuations(TimePoint Now);
   bool keepMissingEvacuations(std::set<std::string> &DataCentres) const;
-  DocumentPtr makeDocument(EntryMap Entries, bool HasKept) const;
+  DocumentPtr makeDocument(EntryMap Entries, const DocumentPtr &KeptFrom) const;
+  bool isSuperseded(const std::string &Topic,
+                    const DocumentPtr &Published) const;
+  bool hasSupersededList() const;
   void publishLists(TimePoint Now);
   bool hasRefusedDocument() const;
   bool lacksConfig() const;
--- a/src/reading/StoreRestoreTest.cpp
+++ b/src/reading/StoreRestoreTest.cpp
@@ -22,12 +22,12 @@
 /// A node with a reader of the store and a spreader.
 struct ReadingNode {
   ReadingNode(RestorableStore &Store, Spreader::Hooks Hooks)
-      : Spread(Spreader::Options(), std::move(Hooks), 7) {
+      : Access(Store), Spread(Spreader::Options(), std::move(Hooks), 7) {
     StoreReader::Options Opts;
     Opts.StartJitter = Millis(0);
     Opts.WatchWait = Millis(2500);
     this->Read = std::make_unique<StoreReader>(
-        Opts, Store, testLayout(), this->sourceHooks(),
+        Opts, this->Access, testLayout(), this->sourceHooks(),
         std::vector<std::string>{"north"}, 7);
   }
 
@@ -76,6 +76,7 @@
         .count(DataCentre);
   }
 
+  StoreAccess Access;
   Spreader Spread;
   std::unique_ptr<StoreReader> Read;
   ReadDuty Duty = ReadDuty::Watch;
@@ -130,6 +131,7 @@
       for (auto &Node : this->Nodes) {
         if (!Node)
           continue;
+        Node->Access.answer(this->Now);
         Node->Read->tick(this->Now, Node->Duty);
         Node->Spread.tick(this->Now);
       }
@@ -510,4 +512,150 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(CutOffReaders)
+
+using StoreAction = void (*)(RestorableStore &);
+
+/// What happens in the store before and while node 1 is cut off from it and
+/// from node 0, and what node 0 must go on to know when node 1 returns.
+struct ReturnCase {
+  const char *Name;
+  StoreAction Before;
+  StoreAction During;
+  bool (*IsCurrent)(const ReadingNode &);
+  ReadDuty Duty;
+};
+std::ostream &operator<<(std::ostream &Out, const ReturnCase &Row) {
+  return Out << Row.Name;
+}
+
+void doNothing(RestorableStore &) {}
+
+void removeY(RestorableStore &Store) {
+  Store.put("i/z", "live");
+  Store.remove("i/y");
+}
+
+bool knowsThatYLeft(const ReadingNode &Node) {
+  return Node.stateOf("y") == "none" && Node.stateOf("z") == "live";
+}
+
+const ReturnCase ReturnCases[] = {
+    {"an upstream left", doNothing, removeY, knowsThatYLeft, ReadDuty::Watch},
+    {"an upstream left, and the node that returns is a spare", doNothing,
+     removeY, knowsThatYLeft, ReadDuty::Spare},
+    {"an upstream left after a restore", doNothing,
+     [](RestorableStore &Store) {
+       Store.restore();
+       removeY(Store);
+     },
+     knowsThatYLeft, ReadDuty::Watch},
+    {"an evacuation ended after a restore",
+     [](RestorableStore &Store) {
+       Store.put("c-e/south", "{}");
+       Store.saveCopy();
+     },
+     [](RestorableStore &Store) {
+       Store.restore();
+       Store.remove("c-e/south");
+       Store.put("c-e/west", "{}");
+     },
+     [](const ReadingNode &Node) {
+       return !Node.evacuates("south") && Node.evacuates("west");
+     },
+     ReadDuty::Watch},
+    {"a restore lost a drain that was cancelled",
+     [](RestorableStore &Store) { Store.put("i/y", "leaving"); },
+     [](RestorableStore &Store) {
+       Store.restore();
+       Store.put("i/z", "live");
+     },
+     [](const ReadingNode &Node) {
+       return Node.stateOf("y") == "live" && Node.stateOf("z") == "live";
+     },
+     ReadDuty::Watch},
+};
+
+/// Two linked nodes, of which each can lose the store.
+struct CutOffFixture : RestoreFixture {
+  CutOffFixture() {
+    this->start(1);
+    this->link();
+    this->run(Millis(3000));
+    this->Store.saveCopy();
+  }
+
+  void cutNode1() {
+    this->node(1).Access.Reachable = false;
+    this->cut();
+  }
+};
+
+// Guards against a node that was cut off bringing back, on all nodes, what the
+// others have seen to end: calls then reach upstreams that have left.
+BOOST_DATA_TEST_CASE(DoNotBringBackWhatEnded, data::make(ReturnCases), Row) {
+  CutOffFixture Test;
+  Row.Before(Test.Store);
+  Test.run(Millis(1000));
+  Test.node(1).Duty = Row.Duty;
+  Test.cutNode1();
+  Test.run(Millis(500));
+  Row.During(Test.Store);
+  Test.run(Millis(4000));
+  BOOST_REQUIRE(Row.IsCurrent(Test.node(0)));
+  Test.advanceRevision(3);
+  Test.node(1).Access.Reachable = true;
+  Test.run(Millis(1200));
+  BOOST_REQUIRE(!Row.IsCurrent(Test.node(1)));
+  Test.link();
+  for (int I = 0; I < 100; ++I) {
+    Test.run(Step);
+    BOOST_TEST(Row.IsCurrent(Test.node(0)));
+    BOOST_TEST((I < 10 || Row.IsCurrent(Test.node(1))));
+  }
+}
+
+// Guards against losing what a returning node has read when a list of another
+// node replaces its own: the drain below would wait for the next answer.
+BOOST_FIXTURE_TEST_CASE(MergeWhatTheyReadIntoNewerLists, CutOffFixture) {
+  this->cutNode1();
+  this->run(Millis(500));
+  removeY(this->Store);
+  this->run(Millis(1000));
+  this->node(0).Access.Reachable = false;
+  this->Store.put("i/x", "leaving");
+  this->node(1).Access.Reachable = true;
+  this->run(Millis(1200));
+  BOOST_REQUIRE(this->node(0).stateOf("x") == "live");
+  this->link();
+  this->run(Millis(500));
+  for (auto &Node : this->Nodes) {
+    BOOST_TEST(Node->stateOf("x") == "leaving");
+    BOOST_TEST(Node->stateOf("y") == "none");
+  }
+}
+
+// Guards against dropping an upstream that could not renew its entry while no
+// node could reach the store, if the nodes reach it again one by one.
+BOOST_FIXTURE_TEST_CASE(KeepEntriesThatExpiredForAll, CutOffFixture) {
+  for (auto &Node : this->Nodes)
+    Node->Access.Reachable = false;
+  this->Store.put("i/x", "live");
+  this->run(Millis(4000));
+  this->Store.remove("i/y");
+  this->Store.put("i/z", "live");
+  this->node(1).Access.Reachable = true;
+  this->run(Millis(500));
+  this->node(0).Access.Reachable = true;
+  for (int I = 0; I < 60; ++I) {
+    if (I == 30)
+      this->Store.put("i/y", "live");
+    this->run(Step);
+    for (auto &Node : this->Nodes)
+      BOOST_TEST(Node->stateOf("y") == "live");
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace hickorylift
