Keep expired entries also at readers that missed an outage

Callers: after an outage of the store a node that begins to read, because it has just started or has lost its parent, takes living upstreams whose entries expired off the lists of the whole fleet, until they renew them.

Cause: only a reader with a failed read of its own keeps missing entries. One without published the store's content as it was, and that is newer than the lists in which the others keep them.

A reader whose last answer is older than a watch takes now keeps missing entries too if, as far as it knows, no other node had an answer in that time, or if the list that it holds has kept entries, which its stamp shows. Where this is wrong, as after a pause of the process, it harms no other node: documents with kept entries are ordered before all that others have read.

--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -45,6 +45,12 @@
 constexpr unsigned EraShift = 40;
 constexpr uint64_t RevisionMask = (uint64_t(1) << EraShift) - 1;
 
+// Lists that contain only what the store held have equal version and revision,
+// see StoreReader::makeDocument.
+bool hasKeptEntries(const Document &List) {
+  return List.stamp().Version != List.stamp().Revision;
+}
+
 } // namespace
 
 StoreReader::StoreReader(Options Opts, KeyValueStore &Store, StoreLayout Layout,
@@ -87,6 +93,12 @@
 bool StoreReader::isServedByOthers(TimePoint Now) {
   if (this->CurrentDuty != ReadDuty::Spare)
     return false;
+  this->updateLastAskedByAny();
+  return this->LastAskedByAny &&
+         Now - *this->LastAskedByAny < this->Opts.SpareWatchInterval;
+}
+
+void StoreReader::updateLastAskedByAny() {
   std::vector<std::string> Topics;
   for (const std::string &Name : this->DataCentres)
     Topics.push_back(listTopic(Name));
@@ -95,8 +107,6 @@
   for (const std::string &Topic : Topics)
     this->LastAskedByAny =
         std::max(this->LastAskedByAny, this->Hook.ConfirmedAt(Topic));
-  return this->LastAskedByAny &&
-         Now - *this->LastAskedByAny < this->Opts.SpareWatchInterval;
 }
 
 // A spare's copy is as old as its last request. Continuing from there would
@@ -363,10 +373,31 @@
 void StoreReader::succeed(TimePoint Now) {
   this->Busy = false;
   this->Failures = 0;
-  if (!std::exchange(this->Failing, false))
-    return;
-  this->InstanceGraceEnd = Now + this->Opts.MissingEntryGrace;
-  this->Hook.Recovered(Now);
+  bool HasFailed = std::exchange(this->Failing, false);
+  if (HasFailed || this->missedAnOutage(Now))
+    this->InstanceGraceEnd = Now + this->Opts.MissingEntryGrace;
+  this->LastAnswerAt = Now;
+  if (HasFailed)
+    this->Hook.Recovered(Now);
+}
+
+// Whether the store may have been unreachable for all nodes while this reader
+// did not ask it. A reader without a failure of its own would otherwise remove
+// entries that expired in the outage, on all nodes: its list is newer than
+// those in which the other readers keep them.
+bool StoreReader::missedAnOutage(TimePoint Now) {
+  Millis MaxGap = this->Opts.WatchWait + this->Opts.MaxAnswerDelay;
+  if (this->LastAnswerAt && Now - *this->LastAnswerAt <= MaxGap)
+    return false;
+  this->updateLastAskedByAny();
+  if (this->LastAskedByAny && Now - *this->LastAskedByAny > MaxGap)
+    return true;
+  return std::any_of(this->DataCentres.begin(), this->DataCentres.end(),
+                     [this](const std::string &Name) {
+                       DocumentPtr List =
+                           this->Hook.CurrentDocument(listTopic(Name));
+                       return List && hasKeptEntries(*List);
+                     });
 }
 
 void StoreReader::noteTransfer(const std::string &Step,
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -48,6 +48,9 @@
     /// again: their entries expired because they could not be renewed during
     /// the outage, and may be written again.
     Millis MissingEntryGrace{2200};
+    /// If no node had an answer from the store for longer than WatchWait and
+    /// this, the store is taken to have been unreachable.
+    Millis MaxAnswerDelay{1000};
     /// A response whose transfer takes this long is reported as slow: it delays
     /// everything else on the node's network link.
     Millis SlowTransferTime{300};
@@ -84,6 +87,7 @@
 
   void startNextRequest(TimePoint Now);
   bool isServedByOthers(TimePoint Now);
+  void updateLastAskedByAny();
   void catchUpWithNode();
   bool resume();
   bool resumeAt(uint64_t Position);
@@ -100,6 +104,7 @@
   void beginEra(uint64_t NewEra, TimePoint Now);
   uint64_t globalRevision(uint64_t Revision) const;
   void succeed(TimePoint Now);
+  bool missedAnOutage(TimePoint Now);
   void noteTransfer(const std::string &Step, const Transfer &Received,
                     TimePoint Now);
   void fail(const Error &Why, TimePoint Now);
@@ -176,6 +181,8 @@
   std::map<std::string, DocumentPtr> ListDocs;
   // The latest time at which any node is known to have asked the platform.
   std::optional<TimePoint> LastAskedByAny;
+  // When the store last answered this reader.
+  std::optional<TimePoint> LastAnswerAt;
   bool Failing = false;
   unsigned Failures = 0;
   // Until then missing instances are kept, as their entries may have expired
--- a/src/reading/StoreRestoreTest.cpp
+++ b/src/reading/StoreRestoreTest.cpp
@@ -41,6 +41,9 @@
                            uint64_t Revision, TimePoint AskedAt) {
       this->Spread.confirm(Topic, Version, Revision, AskedAt);
     };
+    Hooks.ConfirmedAt = [this](const std::string &Topic) {
+      return this->Spread.confirmedAt(Topic);
+    };
     Hooks.CurrentDocument = [this](const std::string &Topic) {
       return this->Spread.storedDocument(Topic);
     };
@@ -635,23 +638,56 @@
   }
 }
 
+/// What node 1 does while no node can reach the store.
+struct OutageCase {
+  const char *Name;
+  ReadDuty Duty;
+  bool Restarts;
+  /// How long after node 1 can node 0 reach the store again; negative if
+  /// before.
+  int Node0AfterMs;
+};
+std::ostream &operator<<(std::ostream &Out, const OutageCase &Row) {
+  return Out << Row.Name;
+}
+
+const OutageCase OutageCases[] = {
+    {"it reads and fails", ReadDuty::Watch, false, 500},
+    {"it does not read", ReadDuty::None, false, 500},
+    {"it starts and reads after the other one", ReadDuty::None, true, -1500},
+};
+
 // Guards against dropping an upstream that could not renew its entry while no
-// node could reach the store, if the nodes reach it again one by one.
-BOOST_FIXTURE_TEST_CASE(KeepEntriesThatExpiredForAll, CutOffFixture) {
-  for (auto &Node : this->Nodes)
+// node could reach the store, by a node that reads it again before or after
+// another one, or that has not seen the outage.
+BOOST_DATA_TEST_CASE(KeepEntriesThatExpiredForAll, data::make(OutageCases),
+                     Row) {
+  CutOffFixture Test;
+  Test.node(1).Duty = Row.Duty;
+  Test.run(Millis(1000));
+  for (auto &Node : Test.Nodes)
     Node->Access.Reachable = false;
-  this->Store.put("i/x", "live");
-  this->run(Millis(4000));
-  this->Store.remove("i/y");
-  this->Store.put("i/z", "live");
-  this->node(1).Access.Reachable = true;
-  this->run(Millis(500));
-  this->node(0).Access.Reachable = true;
-  for (int I = 0; I < 60; ++I) {
-    if (I == 30)
-      this->Store.put("i/y", "live");
-    this->run(Step);
-    for (auto &Node : this->Nodes)
+  Test.Store.put("i/x", "live");
+  Test.run(Millis(5000));
+  Test.Store.remove("i/y");
+  Test.Store.put("i/z", "live");
+  if (Row.Restarts) {
+    Test.cut();
+    Test.start(1);
+    Test.node(1).Duty = Row.Duty;
+    Test.link();
+  }
+  Test.node(0).Access.Reachable = Row.Node0AfterMs < 0;
+  Test.run(Millis(std::max(0, -Row.Node0AfterMs)));
+  Test.node(1).Access.Reachable = true;
+  Test.node(1).Duty = ReadDuty::Watch;
+  bool Renewed = false;
+  for (int Ms = 0; Ms < 6000; Ms += Step.count()) {
+    Test.node(0).Access.Reachable |= Ms >= Row.Node0AfterMs;
+    if (Ms >= 500 && !std::exchange(Renewed, true))
+      Test.Store.put("i/y", "live");
+    Test.run(Step);
+    for (auto &Node : Test.Nodes)
       BOOST_TEST(Node->stateOf("y") == "live");
   }
 }
