Close callers' connections only after their answers are sent

Callers: one that reads slowly loses answers that are ready.

Cause: CallerServer counted what it had handed to the stream as sent. The second in which it reads on after the last answer began at the hand-over, and at its end the socket was closed whatever still waited. Ruled out: the time to stop (3.6 s of it were left) and a deadline at the entry (no call was refused). The same happens without a stop, which the test shows.

The second now begins once the kernel has taken everything. A connection of which the kernel takes nothing for the idle timeout is closed, which bounds what a caller that does not read holds; a stop still ends at stop.within_ms.

The same cause on related paths, one row each: a kept connection closed as idle, an answer that breaks off behind whole ones, a request that is not understood behind answered ones, a close that the caller asked for.

--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -15,6 +15,12 @@
 // A connection is read all the time, up to a bound, so that a caller which goes
 // away is noticed while its call runs, and also when the bytes of a further
 // request wait.
+//
+// An answer that was handed to the stream may wait there for a slow caller long
+// after its exchange has ended. Closing the socket then would cut it off, so a
+// connection is only closed once the kernel has taken all of it, or after the
+// caller has read nothing for the idle timeout, which bounds the memory that
+// such a caller uses.
 
 namespace hickorylift {
 
@@ -120,9 +126,16 @@
   bool Parsing = false;
   std::string Unparsed;
   std::deque<std::unique_ptr<Exchange>> Queue;
+  // When the kernel last took bytes of the connection, or the last exchange on
+  // it ended.
   TimePoint IdleSince;
   std::optional<TimePoint> HeadSince;
+  // The last answer is in the stream; the connection ends behind it.
+  bool Closing = false;
+  // Set once the kernel has taken everything of a closing connection.
   std::optional<TimePoint> LingerUntil;
+  // Bytes that the kernel had not taken at the last tick.
+  size_t PendingAtTick = 0;
 };
 
 CallerServer::CallerServer(Options Opts, Hooks Hooks,
@@ -161,7 +174,7 @@
   };
   Hooks.Drained = [this, Weak](TimePoint At) {
     if (ConnectionPtr On = Weak.lock())
-      this->consumed(*On, At);
+      this->drained(*On, At);
   };
   New->Stream = TcpStream::adopt(Fd, Hooks, this->Now);
   this->Connections[New->Id] = New;
@@ -275,7 +288,7 @@
     On->Unparsed = std::move(Bytes);
     On->Unparsed.erase(0, Used);
     if (On->Parser->failed()) {
-      this->drop(On, At);
+      this->closeWhenWritten(On, At);
       return false;
     }
   }
@@ -424,7 +437,7 @@
       On->Stream->write(std::exchange(First.Waiting, ""));
     if (First.Broken) {
       On->Stream->flush();
-      return this->drop(On, At);
+      return this->closeWhenWritten(On, At);
     }
     this->consumed(*On, At);
     if (!First.Ended)
@@ -456,12 +469,31 @@
   On.Reading = nullptr;
   On.Unparsed.clear();
   On.HeadSince.reset();
-  On.LingerUntil = At + this->Opts.Linger;
+  On.Closing = true;
+  On.IdleSince = At;
+  if (On.Stream->pending() == 0)
+    On.LingerUntil = At + this->Opts.Linger;
   On.Stream->pauseReading(false);
   On.Stream->finishWriting();
   this->letGo(On, At);
 }
 
+// Ends a connection on which nothing more is answered, after the answers that
+// the kernel has not taken yet.
+void CallerServer::closeWhenWritten(const ConnectionPtr &On, TimePoint At) {
+  if (On->Stream->pending() != 0)
+    this->lingerClose(*On, At);
+  else
+    this->drop(On, At);
+}
+
+void CallerServer::drained(Connection &On, TimePoint At) {
+  On.IdleSince = At;
+  if (On.Closing)
+    On.LingerUntil = At + this->Opts.Linger;
+  this->consumed(On, At);
+}
+
 // All are forgotten before the first hook is called: what a hook does may come
 // back for any of them.
 void CallerServer::letGo(Connection &On, TimePoint At) {
@@ -540,15 +572,10 @@
 void CallerServer::closeIdle() {
   std::vector<ConnectionPtr> Idle;
   for (const auto &[Id, On] : this->Connections)
-    if (On->Queue.empty() && On->Unparsed.empty() && !On->LingerUntil)
+    if (On->Queue.empty() && On->Unparsed.empty() && !On->Closing)
       Idle.push_back(On);
-  for (const ConnectionPtr &On : Idle) {
-    // The last answer may still be on its way to the kernel.
-    if (On->Stream->pending() != 0)
-      this->lingerClose(*On, this->Now());
-    else
-      this->drop(On, this->Now());
-  }
+  for (const ConnectionPtr &On : Idle)
+    this->closeWhenWritten(On, this->Now());
 }
 
 bool CallerServer::allWritten() const {
@@ -564,6 +591,9 @@
       On->HeadSince && At - *On->HeadSince > this->Bounds.HeaderTimeout;
   if (HeadLate)
     return this->refuseUnread(On, RequestTimeout, "header-timeout", At);
+  size_t Pending = On->Stream->pending();
+  if (std::exchange(On->PendingAtTick, Pending) != Pending)
+    On->IdleSince = At;
   bool Idle = On->Queue.empty() && !On->HeadSince && !On->LingerUntil &&
               At - On->IdleSince > this->Bounds.IdleTimeout;
   bool Lingered = On->LingerUntil && At > *On->LingerUntil;
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -42,9 +42,9 @@
     /// Bytes of an answer between two reports of Consumed; a short answer needs
     /// none.
     uint64_t TellEvery = 64 * 1024;
-    /// How long the rest of a request is read and thrown away after its
-    /// refusal. A socket closed with unread bytes is reset, and the caller
-    /// would lose the refusal.
+    /// How long a connection is still read, and what comes is thrown away,
+    /// after the kernel has taken its last answer. A socket closed with unread
+    /// bytes is reset, and the caller would lose the end of the answer.
     Millis Linger{1000};
   };
 
@@ -107,6 +107,8 @@
   void consumed(Connection &On, TimePoint At);
   void advance(const ConnectionPtr &On);
   void lingerClose(Connection &On, TimePoint At);
+  void closeWhenWritten(const ConnectionPtr &On, TimePoint At);
+  void drained(Connection &On, TimePoint At);
   void drop(const ConnectionPtr &On, TimePoint At);
   void letGo(Connection &On, TimePoint At);
   void judgeTime(const ConnectionPtr &On, TimePoint Now);
--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -54,8 +54,13 @@
   RawPeer &operator=(RawPeer &&) = delete;
   ~RawPeer() { this->close(); }
 
-  static RawPeer dial(uint16_t Port) {
+  /// ReceiveBuffer is the size of the socket's buffer in bytes; 0 for the
+  /// system's own.
+  static RawPeer dial(uint16_t Port, int ReceiveBuffer = 0) {
     int Fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (ReceiveBuffer > 0)
+      setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &ReceiveBuffer,
+                 sizeof(ReceiveBuffer));
     sockaddr_in To{};
     To.sin_family = AF_INET;
     To.sin_port = htons(Port);
@@ -264,6 +269,8 @@
   std::map<CallerServer::CallerId, std::string> Paths;
   std::vector<std::string> Gone;
   std::vector<std::string> Whole;
+  /// How far the server's clock is ahead of the real one.
+  Millis Ahead{0};
 
   ServerFixture() {
     ::close(listenAnywhere(this->Port));
@@ -290,11 +297,20 @@
     CallerServer::Options Opts;
     Opts.Names.FractionalRetryAfter = true;
     this->Http = std::make_unique<CallerServer>(Opts, Hooks,
-                                                [] { return Clock::now(); });
+                                                [this] { return this->now(); });
     BOOST_REQUIRE(static_cast<bool>(this->Http->listen(
         *parseAddress("127.0.0.1:" + std::to_string(this->Port)))));
   }
 
+  TimePoint now() const { return Clock::now() + this->Ahead; }
+  /// Lets this much time pass for the server, in steps of a tick.
+  void pass(Millis Time) {
+    constexpr Millis Tick{100};
+    for (Millis Passed{0}; Passed < Time; Passed += Tick) {
+      this->Ahead += Tick;
+      this->Http->tick(this->now());
+    }
+  }
   bool came(const std::string &Path) {
     return turnUntil([&] { return this->Open.count(Path) != 0; });
   }
@@ -316,6 +332,49 @@
   return "GET " + Path + " HTTP/1.1\r\nHost: x\r\n\r\n";
 }
 
+// More than the kernel takes for a caller that does not read.
+constexpr size_t LongAnswer = 16 << 20;
+constexpr int SmallBuffer = 4096;
+
+/// What ends a connection while its caller still reads the answer to /a.
+struct SlowReaderCase {
+  const char *Name;
+  /// Sent behind the request for /a.
+  std::string Behind;
+  void (*BeforeAnswer)(ServerFixture &);
+  void (*AfterAnswer)(ServerFixture &);
+};
+std::ostream &operator<<(std::ostream &To, const SlowReaderCase &Of) {
+  return To << Of.Name;
+}
+
+void doNothing(ServerFixture &) {}
+
+void breakOffB(ServerFixture &Of) {
+  ResponseHead Head;
+  Head.Status = 200;
+  Head.Length = 100;
+  Of.Http->head(Of.Open.at("/b"), Head);
+  Of.Http->body(Of.Open.at("/b"), "part");
+  Of.Http->abort(Of.Open.at("/b"));
+}
+
+const SlowReaderCase SlowReaderCases[] = {
+    {"the process stops", "",
+     [](ServerFixture &Of) { Of.Http->closeAfterAnswers(); }, doNothing},
+    {"idle connections are closed", "", doNothing,
+     [](ServerFixture &Of) { Of.Http->closeIdle(); }},
+    {"the caller asked for the close", "", doNothing, doNothing},
+    {"the connection is kept and idle", "", doNothing, doNothing},
+    {"the next answer breaks off", get("/b"), doNothing, breakOffB},
+    {"the next head is not understood", "rubbish\r\n\r\n", doNothing,
+     doNothing},
+    {"the next body is not understood",
+     "POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "rubbish\r\n",
+     doNothing, doNothing},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(HttpSockets)
@@ -569,6 +628,68 @@
   BOOST_TEST(Caller.waitForEnd());
 }
 
+// Guards against closing a connection while a slow caller still reads an answer
+// that is ready: the rest of the answer would be lost.
+BOOST_DATA_TEST_CASE(SlowReadersGetWholeAnswers, data::make(SlowReaderCases),
+                     Row) {
+  ServerFixture Of;
+  CallerBounds Bounds;
+  Bounds.IdleTimeout = Millis(5000);
+  Of.Http->setBounds(Bounds);
+  RawPeer Caller = RawPeer::dial(Of.Port, SmallBuffer);
+  bool AsksForClose = std::string(Row.Name) == "the caller asked for the close";
+  Caller.send(AsksForClose
+                  ? "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                  : get("/a") + Row.Behind);
+  BOOST_REQUIRE(Of.came("/a"));
+  BOOST_REQUIRE((Row.Behind != get("/b") || Of.came("/b")));
+  Row.BeforeAnswer(Of);
+  std::string Body(LongAnswer, 'x');
+  Of.answer("/a", Body);
+  Row.AfterAnswer(Of);
+  for (int I = 0; I < 3; ++I) {
+    turnUntil([] { return !g_main_context_pending(nullptr); });
+    Of.pass(Millis(4000));
+    BOOST_REQUIRE(!Of.Http->allWritten());
+    size_t Before = Caller.Got.size();
+    BOOST_REQUIRE(turnUntil([&] {
+      Caller.read();
+      return Caller.Got.size() > Before + LongAnswer / 8;
+    }));
+  }
+  turnUntil([&] {
+    Caller.read();
+    return Caller.Got.size() > LongAnswer || Caller.Ended;
+  });
+  size_t BodyAt = Caller.Got.find("\r\n\r\n") + 4;
+  BOOST_TEST((Caller.Got.compare(BodyAt, LongAnswer, Body) == 0));
+  Of.pass(Millis(6000));
+  BOOST_TEST(Caller.waitForEnd());
+  BOOST_TEST(Of.holds(0));
+}
+
+// Guards against keeping the bytes of callers that have stopped reading.
+BOOST_DATA_TEST_CASE(CallersThatDoNotReadAreDropped, data::make({false, true}),
+                     Closes) {
+  ServerFixture Of;
+  CallerBounds Bounds;
+  Bounds.IdleTimeout = Millis(5000);
+  Of.Http->setBounds(Bounds);
+  RawPeer Caller = RawPeer::dial(Of.Port, SmallBuffer);
+  Caller.send(get("/a"));
+  BOOST_REQUIRE(Of.came("/a"));
+  if (Closes)
+    Of.Http->closeAfterAnswers();
+  Of.answer("/a", std::string(LongAnswer, 'x'));
+  turnUntil([] { return !g_main_context_pending(nullptr); });
+  Of.pass(Millis(4000));
+  BOOST_TEST(Of.Http->connections() == 1u);
+  BOOST_TEST(!Of.Http->allWritten());
+  Of.pass(Millis(2000));
+  BOOST_TEST(Of.Http->connections() == 0u);
+  BOOST_TEST(Of.Http->allWritten());
+}
+
 BOOST_FIXTURE_TEST_CASE(SlowHeadsAndIdleConnectionsEnd, ServerFixture) {
   CallerBounds Bounds;
   Bounds.HeaderTimeout = Millis(100);
