Wait at a stop until entries have confirmed empty answers

Callers: an answer without a body can be lost if the gate's node stops right after it was sent; the entry sees its link end and has nothing to pass on.

A gate that stops waits for the entry's credit of the whole body, but took a body without bytes for confirmed once its end was handed to the link. What the link has not transferred when the process ends is lost, as its sockets hold unread pings and are reset.

An entry credits the end of each answer already, also of an empty one. The body is now complete only with that credit.

Test, failing before for the answer without a body: GateDraining/AnswersAreAwaitedUntilConfirmed (3 rows).

--- a/src/calls/Body.h
+++ b/src/calls/Body.h
@@ -61,6 +61,7 @@
   /// Records that the receiver has consumed all bytes below offset Consumed.
   /// The value comes from another process; an impossible one is ignored.
   void credit(uint64_t Consumed) {
+    this->EndCredited |= this->EndSent && Consumed == this->Sent;
     if (Consumed <= this->Credited || Consumed > this->Sent)
       return;
     this->Credited = Consumed;
@@ -78,6 +79,7 @@
     this->Sent = Received;
     this->Credited = Received;
     this->EndSent = false;
+    this->EndCredited = false;
     return true;
   }
 
@@ -87,10 +89,9 @@
   bool replayable() const { return this->Base == 0; }
   /// Bytes in memory; the source should pause when this exceeds its limit.
   size_t bufferedSize() const { return this->Buffer.size(); }
-  /// Whether everything was sent and consumed.
-  bool isComplete() const {
-    return this->EndSent && this->Credited == this->Sent;
-  }
+  /// Whether everything was sent and the receiver has confirmed it. An empty
+  /// body is confirmed by a credit too.
+  bool isComplete() const { return this->EndCredited; }
   bool endSent() const { return this->EndSent; }
 
 private:
@@ -104,6 +105,7 @@
   uint64_t Sent = 0;
   bool Finished = false;
   bool EndSent = false;
+  bool EndCredited = false;
 };
 
 class ReceiveStream {
--- a/src/calls/GateCallsTest.cpp
+++ b/src/calls/GateCallsTest.cpp
@@ -396,6 +396,34 @@
   BOOST_TEST(!this->TestGate->idle());
 }
 
+// Guards against a stop that ends the process before the entry has an answer:
+// what the link has not transferred by then is lost. An answer without a body
+// must be confirmed too.
+BOOST_DATA_TEST_CASE(AnswersAreAwaitedUntilConfirmed,
+                     data::make({0, 1, 100000}), BodyBytes) {
+  Fixture Test;
+  Test.sendOpen(Test.makeOpen(1));
+  ResponseHead Head;
+  Head.Status = 200;
+  Head.Length = BodyBytes;
+  Test.TestGate->upstreamHead({7, 1}, Head, Test.Now);
+  Test.TestGate->upstreamData({7, 1}, std::string(BodyBytes, 'x'), Test.Now);
+  Test.TestGate->upstreamEnd({7, 1}, Test.Now);
+  Test.TestGate->drain("stop", Test.Now);
+  BOOST_TEST(!Test.TestGate->idle());
+  // The entry confirms what it has received, the last time with the end.
+  for (size_t I = 0; I < Test.SentFrames.size(); ++I) {
+    const auto *Data = Test.SentFrames[I].payload.AsData();
+    if (!Data)
+      continue;
+    wire::CreditT Credit;
+    Credit.seq = 1;
+    Credit.consumed = Data->offset + Data->bytes.size();
+    Test.TestGate->handleFrame(Test.Link, makeCallFrame(Credit), Test.Now);
+  }
+  BOOST_TEST(Test.TestGate->idle());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
