Let a stop wait for connections that are still read

Callers: if a node stops right after the last answer of a connection, and the caller has sent a further request meanwhile, the connection is reset and a slow caller loses what its kernel has not received yet. A refusal is lost as well.

Cause: connections are read for a second after their last answer so that no reset follows it, but the end of the process cut that second short: it waited only for the kernel to take the bytes.

CallerServer::answersDelivered (allWritten before) now counts such connections. A caller that closes its end, as it is asked to, ends the wait at once; another one prolongs the stop by a second at most, within stop.within_ms.

Tests: HttpSockets/StopWaitsForLingeringConnections failed before. NodeParts/StopWaitsForCallersUntilItsTimeIsOver (2 rows) held before: it shows the bound.

--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -578,11 +578,12 @@
     this->closeWhenWritten(On, this->Now());
 }
 
-bool CallerServer::allWritten() const {
+bool CallerServer::answersDelivered() const {
   return this->Exchanges.empty() &&
          std::all_of(this->Connections.begin(), this->Connections.end(),
                      [](const auto &One) {
-                       return One.second->Stream->pending() == 0;
+                       const Connection &On = *One.second;
+                       return On.Stream->pending() == 0 && !On.Closing;
                      });
 }
 
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -82,8 +82,9 @@
   void abort(CallerId Caller);
   void refuse(CallerId Caller, const Refusal &Why);
   void pauseRequest(CallerId Caller, bool Paused);
-  /// Whether every answer has gone to the kernel whole.
-  bool allWritten() const;
+  /// Whether every answer has gone to the kernel whole and no connection is
+  /// still read after its last answer. Until then the process must not end.
+  bool answersDelivered() const;
   size_t active() const { return this->Exchanges.size(); }
   size_t connections() const { return this->Connections.size(); }
 
--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -650,7 +650,7 @@
   for (int I = 0; I < 3; ++I) {
     turnUntil([] { return !g_main_context_pending(nullptr); });
     Of.pass(Millis(4000));
-    BOOST_REQUIRE(!Of.Http->allWritten());
+    BOOST_REQUIRE(!Of.Http->answersDelivered());
     size_t Before = Caller.Got.size();
     BOOST_REQUIRE(turnUntil([&] {
       Caller.read();
@@ -668,6 +668,27 @@
   BOOST_TEST(Of.holds(0));
 }
 
+// Guards against a process that ends right behind a last answer: what its
+// caller has sent meanwhile would reset the connection, and the answer with it.
+BOOST_FIXTURE_TEST_CASE(StopWaitsForLingeringConnections, ServerFixture) {
+  RawPeer Leaving = RawPeer::dial(this->Port);
+  RawPeer Staying = RawPeer::dial(this->Port);
+  Leaving.send(get("/a"));
+  Staying.send(get("/b"));
+  BOOST_REQUIRE((this->came("/a") && this->came("/b")));
+  this->Http->closeAfterAnswers();
+  this->answer("/a", "whole");
+  this->answer("/b", "whole");
+  this->Http->closeIdle();
+  BOOST_REQUIRE((Leaving.waitForEnd() && Staying.waitForEnd()));
+  Leaving.close();
+  BOOST_REQUIRE(this->holds(1));
+  this->pass(Millis(500));
+  BOOST_TEST(!this->Http->answersDelivered());
+  this->pass(Millis(1000));
+  BOOST_TEST(this->Http->answersDelivered());
+}
+
 // Guards against keeping the bytes of callers that have stopped reading.
 BOOST_DATA_TEST_CASE(CallersThatDoNotReadAreDropped, data::make({false, true}),
                      Closes) {
@@ -684,10 +705,10 @@
   turnUntil([] { return !g_main_context_pending(nullptr); });
   Of.pass(Millis(4000));
   BOOST_TEST(Of.Http->connections() == 1u);
-  BOOST_TEST(!Of.Http->allWritten());
+  BOOST_TEST(!Of.Http->answersDelivered());
   Of.pass(Millis(2000));
   BOOST_TEST(Of.Http->connections() == 0u);
-  BOOST_TEST(Of.Http->allWritten());
+  BOOST_TEST(Of.Http->answersDelivered());
 }
 
 BOOST_FIXTURE_TEST_CASE(SlowHeadsAndIdleConnectionsEnd, ServerFixture) {
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -143,7 +143,7 @@
     this->Http->stopListening();
     this->Http->closeIdle();
   };
-  Hooks.CallersServed = [this] { return this->Http->allWritten(); };
+  Hooks.CallersServed = [this] { return this->Http->answersDelivered(); };
   Hooks.ConfigChanged = [this](const ConfigPtr &New) {
     this->Http->setBounds(New->callerBounds());
   };
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -76,7 +76,7 @@
     std::function<void()> Leaving = [] {};
     /// Take no more connections from callers.
     std::function<void()> StopListening = [] {};
-    /// Whether all answers were written to the callers.
+    /// Whether no caller would lose an answer if the process ended now.
     std::function<bool()> CallersServed = [] { return true; };
     /// A planned stop is complete.
     std::function<void()> Stopped = [] {};
--- a/src/node/NodeCoreTest.cpp
+++ b/src/node/NodeCoreTest.cpp
@@ -23,6 +23,8 @@
   std::unique_ptr<NodeCore> Core;
   /// Whether each refused call was nested.
   std::vector<bool> RefusedNested;
+  bool CallersServed = true;
+  bool Stopped = false;
   TimePoint Now = TimePoint(std::chrono::hours(1));
 
   explicit NodeCoreFixture(const std::string &Separator) {
@@ -31,11 +33,14 @@
     Opts.CallEntry.HeaderNames.RequestId = "Request-Id";
     Opts.CallGate.HeaderNames.RequestId = "Request-Id";
     Opts.NestedCalls.IdSeparator = Separator;
+    Opts.StopWithin = Millis(5500);
     NodeCore::Hooks Hooks;
     Hooks.Send = [](LinkId, const std::string &) {};
     Hooks.Callers.LogEvent = [this](const Entry::CallEvent &Event, TimePoint) {
       this->RefusedNested.push_back(Event.Nested);
     };
+    Hooks.CallersServed = [this] { return this->CallersServed; };
+    Hooks.Stopped = [this] { this->Stopped = true; };
     Hooks.Callers.Refuse = [](Entry::CallerId, const Refusal &) {};
     Hooks.Upstream.Start = [](const CallId &, const RequestHead &, bool) {};
     Hooks.Upstream.BodyEnd = [](const CallId &) {};
@@ -103,6 +108,26 @@
   BOOST_TEST(!Test.isNested("run.1"));
 }
 
+// Guards against a stop that a caller holds up for ever by not reading its
+// answer, and against one that does not wait for it.
+BOOST_DATA_TEST_CASE(StopWaitsForCallersUntilItsTimeIsOver,
+                     data::make({true, false}), Reads) {
+  constexpr Millis Tick{100};
+  NodeCoreFixture Test("");
+  Test.CallersServed = false;
+  Test.Core->stop("signal", Test.Now);
+  TimePoint Start = Test.Now;
+  while (!Test.Stopped && Test.Now < Start + Millis(10000)) {
+    Test.Now += Tick;
+    Test.CallersServed = Reads && Test.Now >= Start + Millis(3000);
+    Test.Core->callTick(Test.Now);
+  }
+  Millis Expected(Reads ? 3000 : 5500);
+  BOOST_TEST(toMillis(Test.Now - Start).count() >= Expected.count());
+  BOOST_TEST(toMillis(Test.Now - Start).count() <=
+             (Expected + 2 * Tick).count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
