Refuse splits that name a service by an invalid name

Callers: none seen. A version with a split to a service whose name is not a name of ours was compiled with a part that has no service, and the first call that falls on it would read through a null pointer.

Cause: the reference check relies on the name's own check for invalid names, and the keys of a split had none.

Test, failing before: Configuration/BadRecordsAreRefused, the new row.

--- a/src/config/Config.cpp
+++ b/src/config/Config.cpp
@@ -227,9 +227,12 @@
     std::optional<JsonObject> Split = Top.object("split", true);
     if (!Split)
       return Out;
-    for (const std::string &Name : Split->keys())
+    for (const std::string &Name : Split->keys()) {
+      if (!isName(Name))
+        Split->fault(Name, "expected a name of a service");
       Out.emplace_back(Name, static_cast<uint32_t>(Split->integer(
                                  Name, std::nullopt, 0, MaxWeight)));
+    }
     bool AllZero = std::all_of(Out.begin(), Out.end(), [](const auto &Part) {
       return Part.second == 0;
     });
--- a/src/config/ConfigTest.cpp
+++ b/src/config/ConfigTest.cpp
@@ -125,6 +125,7 @@
      "/service: stands beside split"},
     {withRoute3(MatchA + ",\"split\":{}"), "weight above 0"},
     {withRoute3(MatchA + ",\"split\":{\"a\":0}"), "weight above 0"},
+    {withRoute3(MatchA + ",\"split\":{\"A B\":1}"), "expected a name"},
     {withRoute3(MatchA + ",\"split\":{\"a\":-1}"), "from 0 to 1000000"},
     {withRoute3(MatchA + ",\"split\":{\"a\":1,\"b\":1}"),
      "no usable service named b"},
