--- a/src/base/Json.cpp
+++ b/src/base/Json.cpp
@@ -195,31 +195,35 @@
   return Text;
 }
 
+// The texts of faults are built only where there is one: a configuration has
+// thousands of numbers.
 int64_t JsonObject::integer(const std::string &Key,
                             std::optional<int64_t> Default, int64_t Low,
                             int64_t High) {
-  std::string Expected = "a whole number from " + std::to_string(Low) + " to " +
-                         std::to_string(High);
-  const Json::Value *At = this->member(Key, !Default, Expected);
-  if (!At)
-    return Default.value_or(Low);
-  if (At->type() != Json::realValue && At->isInt64() && At->asInt64() >= Low &&
-      At->asInt64() <= High)
+  const Json::Value *At = this->member(Key, false, "");
+  if (At && At->type() != Json::realValue && At->isInt64() &&
+      At->asInt64() >= Low && At->asInt64() <= High)
     return At->asInt64();
-  this->fault(Key, "expected " + Expected);
+  if (At || !Default) {
+    std::string Expected = "a whole number from " + std::to_string(Low) +
+                           " to " + std::to_string(High);
+    if (this->member(Key, !Default, Expected))
+      this->fault(Key, "expected " + Expected);
+  }
   return Default.value_or(Low);
 }
 
 double JsonObject::number(const std::string &Key, std::optional<double> Default,
                           double Low, double High) {
-  std::string Expected =
-      "a number from " + std::to_string(Low) + " to " + std::to_string(High);
-  const Json::Value *At = this->member(Key, !Default, Expected);
-  if (!At)
-    return Default.value_or(Low);
-  if (At->isNumeric() && At->asDouble() >= Low && At->asDouble() <= High)
+  const Json::Value *At = this->member(Key, false, "");
+  if (At && At->isNumeric() && At->asDouble() >= Low && At->asDouble() <= High)
     return At->asDouble();
-  this->fault(Key, "expected " + Expected);
+  if (At || !Default) {
+    std::string Expected =
+        "a number from " + std::to_string(Low) + " to " + std::to_string(High);
+    if (this->member(Key, !Default, Expected))
+      this->fault(Key, "expected " + Expected);
+  }
   return Default.value_or(Low);
 }
 
