Serve every version that the store has accepted

Cause: our records have bounds, and a fault in one refuses the whole version. That is right for our own format, which operators check before they publish it. The store's operators have no such check; what the store accepts is valid. The adapter copied their values into our records without regard to the bounds, but for priority.

Evidence: the audit names the field (version-refused ... /attempts: expected a whole number from 0 to 10), and with 10 the version is in force. Ruled out: a version that is not read, and any other value in it.

src/config/RecordImport.cpp now makes records of what another system holds and decides for every field in one place: used as given, brought to the nearest number with the same meaning, or the record is left out and the others are in force. Whatever it does not know of is found by the compiler's own check of the record, so no bound can refuse a version, also one that is added later. Bounds for which the nearest number would mean something else are wider: time-outs and targets 30 days, heads 16 MiB, bodies 1 PiB. The audit tells what was changed (record-changed) or left out (record-left-out), once for each issue. A version in our own format with a fault is refused whole as before.

The same cause on related paths is in the rows of the tests: every number of a route, service, split and of the bounds, values past 64 bits and of other types, at which the JSON library threw, fractions as weights, names, duplicates and missing services.

Two rows of PlatformAdapter/InvalidConfigsAreRejected asked for the fault: one resource with a name that is an object, or metadata that is text, had to refuse the whole version. They are rows of the new tables now, which ask that the rest is in force and that the record is named.

New besides: StoreReading/ RecordIssuesAreReportedOnce.

--- a/src/config/Config.cpp
+++ b/src/config/Config.cpp
@@ -19,11 +19,6 @@
 
 namespace {
 
-constexpr int64_t MaxDurationMs = 3600 * 1000;
-constexpr int64_t MaxPriority = 9;
-constexpr int64_t MaxWeight = 1000000;
-constexpr int64_t MaxAttempts = 10;
-constexpr double MaxPerSecond = 1e7;
 const std::vector<std::string> KnownMethods = {
     "GET", "HEAD", "OPTIONS", "PUT", "POST", "PATCH", "DELETE"};
 
@@ -151,25 +146,28 @@
     One.RatePerSecond = From.number("rate_per_s", 0, 0, MaxPerSecond);
     One.Burst =
         From.number("burst", std::max(1.0, One.RatePerSecond), 1, MaxPerSecond);
-    One.Concurrency =
-        static_cast<uint32_t>(From.integer("concurrency", 0, 0, 1000000));
+    One.Concurrency = static_cast<uint32_t>(From.integer(
+        "concurrency", 0, ConcurrencyRange.Low, ConcurrencyRange.High));
     return One;
   }
 
   Service readService(JsonObject &Top, int64_t Schema) {
     Service One;
-    One.Slots =
-        static_cast<uint32_t>(Top.integer("slots", One.Slots, 1, 100000));
+    One.Slots = static_cast<uint32_t>(
+        Top.integer("slots", One.Slots, SlotsRange.Low, SlotsRange.High));
     One.Connections = static_cast<uint32_t>(
-        Top.integer("connections", One.Connections, 1, 100000));
-    One.QueueLimit =
-        static_cast<uint32_t>(Top.integer("queue", One.QueueLimit, 0, 100000));
-    One.QueueWait =
-        Top.millis("queue_wait_ms", One.QueueWait.count(), 0, MaxDurationMs);
-    One.Warmup = Top.millis("warmup_ms", One.Warmup.count(), 0, MaxDurationMs);
-    One.Drain = Top.millis("drain_ms", One.Drain.count(), 0, MaxDurationMs);
-    One.KeyWindow =
-        Top.millis("key_window_ms", One.KeyWindow.count(), 1000, MaxDurationMs);
+        Top.integer("connections", One.Connections, ConnectionsRange.Low,
+                    ConnectionsRange.High));
+    One.QueueLimit = static_cast<uint32_t>(
+        Top.integer("queue", One.QueueLimit, QueueRange.Low, QueueRange.High));
+    One.QueueWait = Top.millis("queue_wait_ms", One.QueueWait.count(),
+                               DurationMsRange.Low, DurationMsRange.High);
+    One.Warmup = Top.millis("warmup_ms", One.Warmup.count(),
+                            DurationMsRange.Low, DurationMsRange.High);
+    One.Drain = Top.millis("drain_ms", One.Drain.count(), DurationMsRange.Low,
+                           DurationMsRange.High);
+    One.KeyWindow = Top.millis("key_window_ms", One.KeyWindow.count(),
+                               KeyWindowMsRange.Low, KeyWindowMsRange.High);
     if (Schema >= 2)
       this->readServiceV2(Top, One);
     if (One.Connections < One.Slots)
@@ -198,8 +196,8 @@
     RetryPolicy One;
     if (Top.has("idempotent_methods"))
       One.IdempotentMethods = this->readMethods(Top, "idempotent_methods");
-    One.Attempts =
-        static_cast<uint32_t>(Top.integer("attempts", One.Attempts, 1, 10));
+    One.Attempts = static_cast<uint32_t>(Top.integer(
+        "attempts", One.Attempts, AttemptsRange.Low, AttemptsRange.High));
     constexpr double UsualPercent = 10;
     One.BudgetPercent = Top.number("budget_percent", UsualPercent, 0, 100);
     return One;
@@ -208,13 +206,15 @@
   CallerBounds readBounds(JsonObject &Top) {
     CallerBounds One;
     One.HeaderBytes = static_cast<size_t>(
-        Top.integer("header_bytes", One.HeaderBytes, 256, 1 << 20));
-    One.BodyBytes = static_cast<uint64_t>(
-        Top.integer("body_bytes", One.BodyBytes, 0, int64_t(1) << 40));
-    One.HeaderTimeout = Top.millis("header_timeout_ms",
-                                   One.HeaderTimeout.count(), 1, MaxDurationMs);
-    One.IdleTimeout = Top.millis("idle_timeout_ms", One.IdleTimeout.count(), 1,
-                                 MaxDurationMs);
+        Top.integer("header_bytes", One.HeaderBytes, HeaderBytesRange.Low,
+                    HeaderBytesRange.High));
+    One.BodyBytes = static_cast<uint64_t>(Top.integer(
+        "body_bytes", One.BodyBytes, BodyBytesRange.Low, BodyBytesRange.High));
+    One.HeaderTimeout =
+        Top.millis("header_timeout_ms", One.HeaderTimeout.count(),
+                   TimeoutMsRange.Low, TimeoutMsRange.High);
+    One.IdleTimeout = Top.millis("idle_timeout_ms", One.IdleTimeout.count(),
+                                 TimeoutMsRange.Low, TimeoutMsRange.High);
     return One;
   }
 
@@ -230,8 +230,9 @@
     for (const std::string &Name : Split->keys()) {
       if (!isName(Name))
         Split->fault(Name, "expected a name of a service");
-      Out.emplace_back(Name, static_cast<uint32_t>(Split->integer(
-                                 Name, std::nullopt, 0, MaxWeight)));
+      Out.emplace_back(
+          Name, static_cast<uint32_t>(Split->integer(
+                    Name, std::nullopt, WeightRange.Low, WeightRange.High)));
     }
     bool AllZero = std::all_of(Out.begin(), Out.end(), [](const auto &Part) {
       return Part.second == 0;
@@ -246,10 +247,10 @@
   Route readRoute(JsonObject &Top, int64_t Schema) {
     Route One;
     this->readMatch(Top, One, Schema);
-    One.Timeout =
-        Top.millis("timeout_ms", One.Timeout.count(), 1, MaxDurationMs);
-    One.Priority = static_cast<uint32_t>(
-        Top.integer("priority", One.Priority, 0, MaxPriority));
+    One.Timeout = Top.millis("timeout_ms", One.Timeout.count(),
+                             TimeoutMsRange.Low, TimeoutMsRange.High);
+    One.Priority = static_cast<uint32_t>(Top.integer(
+        "priority", One.Priority, PriorityRange.Low, PriorityRange.High));
     if (Schema >= 2)
       this->readRouteV2(Top, One);
     if (Schema >= 3)
@@ -297,8 +298,8 @@
   void readRouteV2(JsonObject &Top, Route &One) {
     if (std::optional<JsonObject> Classes = Top.object("class_priority", false))
       for (const std::string &Class : Classes->keys())
-        One.ClassPriority[Class] = static_cast<uint32_t>(
-            Classes->integer(Class, std::nullopt, 0, MaxPriority));
+        One.ClassPriority[Class] = static_cast<uint32_t>(Classes->integer(
+            Class, std::nullopt, PriorityRange.Low, PriorityRange.High));
     if (Top.oneOf("idempotency_key", "optional", {"optional", "required"}) ==
         "required")
       One.Key = KeyRule::Required;
@@ -309,9 +310,10 @@
   void readRouteV3(JsonObject &Top, Route &One) {
     if (Top.has("idempotent"))
       One.Repeatable = Top.boolean("idempotent", false);
-    One.Attempts =
-        static_cast<uint32_t>(Top.integer("attempts", 0, 0, MaxAttempts));
-    One.TargetLatency = Top.millis("target_ms", 0, 0, MaxDurationMs);
+    One.Attempts = static_cast<uint32_t>(Top.integer(
+        "attempts", 0, RouteAttemptsRange.Low, RouteAttemptsRange.High));
+    One.TargetLatency =
+        Top.millis("target_ms", 0, TargetMsRange.Low, TargetMsRange.High);
   }
 
   JsonSource Source;
@@ -409,13 +411,21 @@
     }
     std::optional<Json::Value> Root =
         parseJson(Text, Out.EntryName, Out.Faults);
-    if (!Root)
-      return;
-    JsonObject Top({Out.EntryName, Text, &Out.Faults}, *Root, "");
+    if (Root)
+      readValue(*Root, Text, this->Of.Options, Out);
+  }
+
+public:
+  /// Reads a record by itself. Out has its entry's name; Text, which may be
+  /// empty, gives the places of faults.
+  static void readValue(const Json::Value &Root, const std::string &Text,
+                        const CompileOptions &Options, ReadRecord &Out) {
+    JsonObject Top({Out.EntryName, Text, &Out.Faults}, Root, "");
     std::string Kind = Top.oneOf(
         "kind", std::nullopt, {"route", "service", "limit", "retry", "bounds"});
     std::string Name = Top.name("name");
-    int64_t Schema = Top.integer("schema", std::nullopt, 1, 1000000);
+    int64_t Schema =
+        Top.integer("schema", std::nullopt, SchemaRange.Low, SchemaRange.High);
     if (!Out.Faults.empty())
       return;
     std::string Expected = recordEntryName(Kind, Name, Schema);
@@ -427,11 +437,13 @@
     Out.Kind = Kind;
     Out.Name = Name;
     Out.Schema = Schema;
-    if (Schema <= this->Of.Options.NewestSchema.at(Kind))
-      this->readFields(Text, Top, Out);
+    if (Schema <= Options.NewestSchema.at(Kind))
+      readFields(Text, Top, Out);
   }
 
-  void readFields(const std::string &Text, JsonObject &Top, ReadRecord &Out) {
+private:
+  static void readFields(const std::string &Text, JsonObject &Top,
+                         ReadRecord &Out) {
     RecordReader Fields(Out.EntryName, Text, Out.Faults);
     if (Out.Kind == "service")
       Out.AsService = named(Fields.readService(Top, Out.Schema), Out.Name);
@@ -586,6 +598,15 @@
   return Pass(*this, Doc).run();
 }
 
+FaultList Compiler::checkRecord(const std::string &EntryName,
+                                const Json::Value &Record) {
+  static const CompileOptions Defaults;
+  ReadRecord Read;
+  Read.EntryName = EntryName;
+  Pass::readValue(Record, "", Defaults, Read);
+  return std::move(Read.Faults);
+}
+
 CompileResult compileConfig(const Document &Doc,
                             const CompileOptions &Options) {
   return Compiler(Options).compile(Doc);
--- a/src/config/Config.h
+++ b/src/config/Config.h
@@ -4,6 +4,7 @@
 #include "base/Json.h"
 #include "base/Time.h"
 #include "config/Document.h"
+#include "config/RecordLimits.h"
 
 #include <map>
 #include <memory>
@@ -184,7 +185,7 @@
   /// Records in one version.
   size_t MaxRecords = 50000;
   /// Bytes of one record: what the platform holds in one value.
-  size_t MaxRecordBytes = 1u << 20;
+  size_t MaxRecordBytes = hickorylift::MaxRecordBytes;
   /// Faults after which the search ends.
   size_t MaxFaults = 100;
   Safeguards Guards;
@@ -213,6 +214,10 @@
 
   CompileResult compile(const Document &Doc);
 
+  /// The faults of one record by itself. What it refers to is not looked at.
+  static FaultList checkRecord(const std::string &EntryName,
+                               const Json::Value &Record);
+
 private:
   class Pass;
   struct ReadRecord;
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -118,6 +118,15 @@
       this->Trail.add(Now, "item-unreadable", Reason.Detail, Reason.Peer,
                       "names no upstream");
   };
+  Hooks.RecordChanged = [this](uint64_t Version, const RecordIssue &Issue,
+                               TimePoint Now) {
+    this->UnreadableItems += Issue.LeftOut ? 1 : 0;
+    if (this->RecordIssueLog.take(Now))
+      this->Trail.add(Now, Issue.LeftOut ? "record-left-out" : "record-changed",
+                      Issue.Record, "platform",
+                      "version " + std::to_string(Version) + " " +
+                          Issue.Detail);
+  };
   Hooks.EraObserved = [this](uint64_t Era) { this->Spread.recordEra(Era); };
   Hooks.EarliestEra = [this] { return this->Spread.earliestEra(); };
   // A source may have several readers, each of which reports the same restore.
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -282,6 +282,7 @@
   // Limits audit events about unreadable items, as a faulty writer may write
   // them often.
   TokenBucket UnreadableLog{/*Rate=*/1, /*Burst=*/10};
+  TokenBucket RecordIssueLog{/*Rate=*/1, /*Burst=*/20};
   Membership Fleet;
   FleetView View;
   Spreader Spread;
--- a/src/reading/DocumentSource.h
+++ b/src/reading/DocumentSource.h
@@ -4,6 +4,7 @@
 #include "base/Error.h"
 #include "base/Time.h"
 #include "config/Document.h"
+#include "config/RecordImport.h"
 
 #include <functional>
 #include <memory>
@@ -63,6 +64,10 @@
   /// The platform answers, but one item can't be parsed.
   std::function<void(const Error &, TimePoint)> Unreadable = [](const Error &,
                                                                 TimePoint) {};
+  /// A record of this version was changed, or left out of it. Not called again
+  /// for the same issue of the next version.
+  std::function<void(uint64_t Version, const RecordIssue &, TimePoint)>
+      RecordChanged = [](uint64_t, const RecordIssue &, TimePoint) {};
   /// Everything that the platform holds up to this revision was published.
   std::function<void(uint64_t Revision)> ReportComplete = [](uint64_t) {};
   /// The revision up to which the node's documents are complete, whichever node
--- a/src/reading/KeyValueStore.h
+++ b/src/reading/KeyValueStore.h
@@ -4,6 +4,7 @@
 #include "base/Error.h"
 #include "base/Time.h"
 #include "config/Document.h"
+#include "config/RecordImport.h"
 #include "membership/Membership.h"
 
 #include <functional>
@@ -84,6 +85,8 @@
 struct ParsedConfig {
   uint64_t Version = 0;
   EntryMap Records;
+  /// The records that were changed or left out.
+  std::vector<RecordIssue> Issues{};
 };
 
 /// Where a store keeps its items, and how to parse them.
--- a/src/reading/StoreFixture.h
+++ b/src/reading/StoreFixture.h
@@ -30,7 +30,8 @@
 }
 
 /// Layout of the test store: the version under "c", instances under "i/" and
-/// evacuations under "c-e/". The value of an instance is its state.
+/// evacuations under "c-e/". The value of an instance is its state. Text after
+/// the number of a version is an issue of the record route/r@3.
 inline StoreLayout testLayout() {
   StoreLayout Layout;
   Layout.ConfigKey = "c";
@@ -39,7 +40,10 @@
   Layout.ReadConfig = [](const StoredItem &Item) -> Result<ParsedConfig> {
     if (Item.Value == "bad")
       return Error{Errc::Invalid, "read-item", "store", "bad"};
-    return ParsedConfig{std::stoull(Item.Value), {}};
+    ParsedConfig Parsed{std::stoull(Item.Value), {}};
+    if (size_t At = Item.Value.find(' '); At != std::string::npos)
+      Parsed.Issues.push_back({"route/r@3", Item.Value.substr(At + 1)});
+    return Parsed;
   };
   Layout.ReadInstance = [](const StoredItem &Item) -> Result<Instance> {
     Instance Parsed;
--- a/src/reading/StorePublishing.cpp
+++ b/src/reading/StorePublishing.cpp
@@ -138,6 +138,7 @@
     this->Hook.Failed(Read.error(), Now);
     return false;
   }
+  this->reportIssues(*Read, Now);
   DocumentPtr New =
       Document::make(Read->Version, this->globalRevision(Item.Revision),
                      std::move((*Read).Records));
@@ -147,6 +148,14 @@
   return true;
 }
 
+void StoreReader::reportIssues(const ParsedConfig &Read, TimePoint Now) {
+  std::set<RecordIssue> Issues(Read.Issues.begin(), Read.Issues.end());
+  for (const RecordIssue &One : Issues)
+    if (!this->ReportedIssues.count(One))
+      this->Hook.RecordChanged(Read.Version, One, Now);
+  this->ReportedIssues = std::move(Issues);
+}
+
 void StoreReader::publishConfig(TimePoint Now) {
   bool IsNew = this->decodeConfig(Now);
   if (IsNew || (this->ConfigDoc && this->lacksConfig()))
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -112,6 +112,7 @@
   void applyInstance(const StoredItem &Item, TimePoint Now);
   void updateColdSpell(ListedInstance &New, const std::string &Key) const;
   bool decodeConfig(TimePoint Now);
+  void reportIssues(const ParsedConfig &Read, TimePoint Now);
   void publishConfig(TimePoint Now);
   bool readsConfig() const;
   bool readsEvacuations() const;
@@ -177,6 +178,8 @@
   uint64_t ConfigRevision = 0;
   std::optional<StoredItem> PendingConfig;
   DocumentPtr ConfigDoc;
+  // Issues of the records of the newest version.
+  std::set<RecordIssue> ReportedIssues;
   // The list of each data centre as it was published last.
   std::map<std::string, DocumentPtr> ListDocs;
   // The latest time at which any node is known to have asked the platform.
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -73,6 +73,8 @@
   std::map<std::string, DocumentPtr> Documents;
   std::vector<std::string> Failures;
   std::vector<std::string> Unreadable;
+  /// The versions and issues of changed records.
+  std::vector<std::string> RecordIssues;
   /// The old and the new era of each reported restore, in order.
   std::vector<uint64_t> ReportedEras;
   std::unique_ptr<StoreReader> Read;
@@ -106,6 +108,11 @@
     Hooks.Unreadable = [this](const Error &Why, TimePoint) {
       this->Unreadable.push_back(Why.Detail);
     };
+    Hooks.RecordChanged = [this](uint64_t Version, const RecordIssue &Issue,
+                                 TimePoint) {
+      this->RecordIssues.push_back(std::to_string(Version) + " " +
+                                   Issue.Detail);
+    };
     Hooks.Restored = [this](uint64_t From, uint64_t To, TimePoint) {
       this->ReportedEras.insert(this->ReportedEras.end(), {From, To});
     };
@@ -291,6 +298,22 @@
   BOOST_TEST(this->Failures == std::vector<std::string>{"bad"});
 }
 
+// Guards against changing a record without a word, and against repeating that
+// at each later version.
+BOOST_FIXTURE_TEST_CASE(RecordIssuesAreReportedOnce, Fixture) {
+  this->startWith({{"c", "1 high", 1, 1}}, 1);
+  uint64_t At = 1;
+  for (const char *Value : {"2 high", "3 low", "4", "5 low"}) {
+    ++At;
+    this->runUntilRequest();
+    this->Store.answerWatch(
+        ItemChanges{{{"c", At, StoredItem{"c", Value, At, 1}}}, At}, this->Now);
+  }
+  BOOST_TEST(this->RecordIssues ==
+                 (std::vector<std::string>{"1 high", "3 low", "5 low"}),
+             boost::test_tools::per_element());
+}
+
 // Guards against listing an upstream that was removed while the store no longer
 // had the history. Only reading everything again shows that it is gone.
 BOOST_FIXTURE_TEST_CASE(EverythingIsReadAfterHistoryLoss, Fixture) {
