--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -103,6 +103,14 @@
     this->Spread.markComplete(Revision);
   };
   Hooks.CompleteRevision = [this] { return this->Spread.completeRevision(); };
+  Hooks.EraObserved = [this](uint64_t Era) { this->Spread.recordEra(Era); };
+  Hooks.EarliestEra = [this] { return this->Spread.earliestEra(); };
+  this->addReportHooks(Hooks);
+  return Hooks;
+}
+
+// What a source reports for operators only.
+void ControlPlane::addReportHooks(SourceHooks &Hooks) {
   Hooks.Failed = [this](const Error &Reason, TimePoint Now) {
     // Failures with the same error are recorded once, so that a long outage is
     // one event instead of one per attempt.
@@ -127,8 +135,6 @@
                       "version " + std::to_string(Version) + " " +
                           Issue.Detail);
   };
-  Hooks.EraObserved = [this](uint64_t Era) { this->Spread.recordEra(Era); };
-  Hooks.EarliestEra = [this] { return this->Spread.earliestEra(); };
   // A source may have several readers, each of which reports the same restore.
   Hooks.Restored = [this](uint64_t From, uint64_t To, TimePoint Now) {
     if (this->PlatformEra && To <= *this->PlatformEra)
@@ -153,7 +159,6 @@
     this->LastReaderError.clear();
     this->Trail.add(Now, "platform-back", "", "platform", "answers again");
   };
-  return Hooks;
 }
 
 // Records of requests that crash upstreams are sent at once along every link,
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -270,6 +270,7 @@
   std::optional<LinkId> parentLink() const;
   Spreader::Hooks spreadHooks();
   SourceHooks sourceHooks();
+  void addReportHooks(SourceHooks &Hooks);
   Quarantine::Hooks quarantineHooks();
 
   Options Opts;
