Test cut-off readers also with a whole data centre

A data centre that was cut off returns with several readers, each of which keeps entries. The rows of CutOffReaders/DoNotBringBackWhatEnded now run with one and with two nodes that were cut off; the fixture takes any number of nodes.

--- a/src/reading/CutOffReaderTest.cpp
+++ b/src/reading/CutOffReaderTest.cpp
@@ -12,8 +12,8 @@
 
 using StoreAction = void (*)(RestorableStore &);
 
-/// What happens in the store before and while node 1 is cut off from it and
-/// from node 0, and what node 0 must go on to know when node 1 returns.
+/// What happens in the store before and while a data centre is cut off from it
+/// and from node 0, and what node 0 must go on to know when it returns.
 struct ReturnCase {
   const char *Name;
   StoreAction Before;
@@ -72,19 +72,27 @@
      ReadDuty::Watch},
 };
 
-/// Two linked nodes, of which each can lose the store.
+/// Linked nodes, of which each can lose the store. All but node 0 are of one
+/// data centre, which can be cut off as a whole.
 struct CutOffFixture : RestoreFixture {
-  CutOffFixture() {
-    this->start(1);
-    this->link();
+  explicit CutOffFixture(int CutOff = 1) : CutOff(CutOff) {
+    for (int I = 1; I <= CutOff; ++I) {
+      this->start(I);
+      for (int J = 0; J < I; ++J)
+        this->link(J, I);
+    }
     this->run(Millis(3000));
     this->Store.saveCopy();
   }
 
-  void cutNode1() {
-    this->node(1).Access.Reachable = false;
-    this->cut();
+  void cutDataCentre() {
+    for (int I = 1; I <= this->CutOff; ++I) {
+      this->node(I).Access.Reachable = false;
+      this->cut(0, I);
+    }
   }
+
+  int CutOff;
 };
 
 /// What node 1 does while no node can reach the store.
@@ -110,34 +118,39 @@
 
 BOOST_AUTO_TEST_SUITE(CutOffReaders)
 
-// Guards against a node that was cut off bringing back, on all nodes, what the
+// Guards against nodes that were cut off bringing back, on all nodes, what the
 // others have seen to end: calls then reach upstreams that have left.
-BOOST_DATA_TEST_CASE(DoNotBringBackWhatEnded, data::make(ReturnCases), Row) {
-  CutOffFixture Test;
+BOOST_DATA_TEST_CASE(DoNotBringBackWhatEnded,
+                     data::make(ReturnCases) * data::make({1, 2}), Row,
+                     CutOff) {
+  CutOffFixture Test(CutOff);
   Row.Before(Test.Store);
   Test.run(Millis(1000));
   Test.node(1).Duty = Row.Duty;
-  Test.cutNode1();
+  Test.cutDataCentre();
   Test.run(Millis(500));
   Row.During(Test.Store);
   Test.run(Millis(4000));
   BOOST_REQUIRE(Row.IsCurrent(Test.node(0)));
   Test.advanceRevision(3);
-  Test.node(1).Access.Reachable = true;
+  for (int I = 1; I <= CutOff; ++I)
+    Test.node(I).Access.Reachable = true;
   Test.run(Millis(1200));
   BOOST_REQUIRE(!Row.IsCurrent(Test.node(1)));
-  Test.link();
+  for (int I = 1; I <= CutOff; ++I)
+    Test.link(0, I);
   for (int I = 0; I < 100; ++I) {
     Test.run(Step);
     BOOST_TEST(Row.IsCurrent(Test.node(0)));
     BOOST_TEST((I < 10 || Row.IsCurrent(Test.node(1))));
+    BOOST_TEST((I < 10 || Row.IsCurrent(Test.node(CutOff))));
   }
 }
 
 // Guards against losing what a returning node has read when a list of another
 // node replaces its own: the drain below would wait for the next answer.
 BOOST_FIXTURE_TEST_CASE(MergeWhatTheyReadIntoNewerLists, CutOffFixture) {
-  this->cutNode1();
+  this->cutDataCentre();
   this->run(Millis(500));
   removeY(this->Store);
   this->run(Millis(1000));
--- a/src/reading/RestoreFixture.h
+++ b/src/reading/RestoreFixture.h
@@ -7,14 +7,18 @@
 #include "spread/Frames.h"
 #include "spread/Spreader.h"
 
+#include <algorithm>
+#include <deque>
 #include <memory>
+#include <set>
+#include <vector>
 
-// One store and two nodes that read it and that can be linked, for tests of
-// what nodes know after the store or their access to it was lost.
+// A store and nodes that read it and that can be linked, for tests of what
+// nodes know after the store or their access to it was lost.
 //
 //   RestoreFixture Test;
 //   Test.start(1);
-//   Test.link();
+//   Test.link(0, 1);
 //   Test.Store.put("i/y", "leaving");
 //   Test.run(Millis(1000));
 //   Test.node(1).stateOf("y");     // "leaving"
@@ -23,8 +27,6 @@
 
 constexpr char North[] = "instances/north";
 constexpr Millis Step{50};
-constexpr LinkId PeerLink = 1;
-
 /// A node with a reader of the store and a spreader.
 struct ReadingNode {
   ReadingNode(RestorableStore &Store, Spreader::Hooks Hooks)
@@ -92,12 +94,19 @@
   unsigned RestoreReports = 0;
 };
 
-/// A store and two nodes that can be linked.
+/// A store and nodes that can be linked. Only node 0 is started.
 struct RestoreFixture {
+  struct SentFrame {
+    int From;
+    int To;
+    wire::SpreadFrameT Frame;
+  };
+
   RestorableStore Store;
-  std::unique_ptr<ReadingNode> Nodes[2];
-  std::vector<std::pair<int, wire::SpreadFrameT>> Frames;
-  bool Linked = false;
+  std::vector<std::unique_ptr<ReadingNode>> Nodes;
+  std::deque<SentFrame> Frames;
+  /// Pairs of nodes, the lower index first.
+  std::set<std::pair<int, int>> Linked;
   TimePoint Now = TimePoint(std::chrono::hours(1));
 
   RestoreFixture() {
@@ -110,27 +119,30 @@
 
   void start(int Index) {
     Spreader::Hooks Hooks;
-    Hooks.Send = [this, Index](LinkId, const wire::SpreadFrameT &Frame) {
-      this->Frames.emplace_back(1 - Index, Frame);
+    Hooks.Send = [this, Index](LinkId Link, const wire::SpreadFrameT &Frame) {
+      this->Frames.push_back({Index, static_cast<int>(Link) - 1, Frame});
     };
     Hooks.Accept = [](const Spreader::ReceivedDocument &, TimePoint) {
       return true;
     };
     Hooks.CloseDeadLink = [](LinkId, const Error &) {};
+    this->Nodes.resize(std::max<size_t>(this->Nodes.size(), Index + 1));
     this->Nodes[Index] = std::make_unique<ReadingNode>(this->Store, Hooks);
   }
 
-  void link() {
-    this->Linked = true;
-    for (auto &Node : this->Nodes)
-      Node->Spread.linkUp(PeerLink, "peer", /*Eager=*/true, this->Now);
+  /// The link of any node to this one.
+  static LinkId linkTo(int Index) { return static_cast<LinkId>(Index) + 1; }
+
+  void link(int A = 0, int B = 1) {
+    this->Linked.insert(std::minmax(A, B));
+    this->node(A).Spread.linkUp(linkTo(B), "peer", /*Eager=*/true, this->Now);
+    this->node(B).Spread.linkUp(linkTo(A), "peer", /*Eager=*/true, this->Now);
   }
 
-  void cut() {
-    this->Linked = false;
-    this->Frames.clear();
-    for (auto &Node : this->Nodes)
-      Node->Spread.linkDown(PeerLink);
+  void cut(int A = 0, int B = 1) {
+    this->Linked.erase(std::minmax(A, B));
+    this->node(A).Spread.linkDown(linkTo(B));
+    this->node(B).Spread.linkDown(linkTo(A));
   }
 
   void run(Millis Duration) {
@@ -138,8 +150,6 @@
          this->Now += Step) {
       this->Store.answer(this->Now);
       for (auto &Node : this->Nodes) {
-        if (!Node)
-          continue;
         Node->Access.answer(this->Now);
         Node->Read->tick(this->Now, Node->Duty);
         Node->Spread.tick(this->Now);
@@ -150,10 +160,11 @@
 
   void deliver() {
     while (!this->Frames.empty()) {
-      auto [To, Frame] = this->Frames.front();
-      this->Frames.erase(this->Frames.begin());
-      if (this->Linked)
-        this->Nodes[To]->Spread.receive(PeerLink, Frame, this->Now);
+      SentFrame Next = std::move(this->Frames.front());
+      this->Frames.pop_front();
+      if (this->Linked.count(std::minmax(Next.From, Next.To)))
+        this->node(Next.To).Spread.receive(linkTo(Next.From), Next.Frame,
+                                           this->Now);
     }
   }
 
--- a/src/reading/StoreRestoreTest.cpp
+++ b/src/reading/StoreRestoreTest.cpp
@@ -255,6 +255,8 @@
 
 BOOST_AUTO_TEST_SUITE(RefusedDocuments)
 
+constexpr LinkId PeerLink = 1;
+
 /// A neighbour that announces documents and disconnects before sending them.
 struct DisconnectedNeighbour : RestoreFixture {
   void announce(const std::string &Topic) {
