Allow capitals and 200 characters in names

A route of an accepted version was left out if it names a service in capitals or with more than 80 characters, and the entries of such a service named no upstream: limits of ours that the store does not have. Its keys have at most 200 bytes. Names with other characters are still refused.

--- a/src/base/Json.cpp
+++ b/src/base/Json.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr int MaxNesting = 64;
-constexpr size_t MaxNameLength = 80;
+constexpr size_t MaxNameLength = 200;
 
 std::string escapePointer(const std::string &Key) {
   std::string Out;
@@ -180,8 +180,8 @@
 
 bool isName(std::string_view Text) {
   auto Fits = [](char C) {
-    return (C >= 'a' && C <= 'z') || (C >= '0' && C <= '9') || C == '-' ||
-           C == '_' || C == '.';
+    return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+           (C >= '0' && C <= '9') || C == '-' || C == '_' || C == '.';
   };
   return !Text.empty() && Text.size() <= MaxNameLength &&
          std::all_of(Text.begin(), Text.end(), Fits);
@@ -191,7 +191,7 @@
                              const std::optional<std::string> &Default) {
   std::string Text = this->string(Key, Default);
   if (this->has(Key) && (*this->Value)[Key].isString() && !isName(Text))
-    this->fault(Key, "expected a name: 1 to 80 of a-z 0-9 - _ .");
+    this->fault(Key, "expected a name: 1 to 200 of a-z A-Z 0-9 - _ .");
   return Text;
 }
 
--- a/src/base/Json.h
+++ b/src/base/Json.h
@@ -66,7 +66,7 @@
   /// Required where Default is nullopt.
   std::string string(const std::string &Key,
                      const std::optional<std::string> &Default);
-  /// A name: 1 to 80 of a-z, 0-9, '-', '_' and '.'.
+  /// A name: 1 to 200 of a-z, A-Z, 0-9, '-', '_' and '.'.
   std::string name(const std::string &Key,
                    const std::optional<std::string> &Default = std::nullopt);
   int64_t integer(const std::string &Key, std::optional<int64_t> Default,
