Merge kept entries again only with a copy that is newer

A reader whose list with kept entries was replaced by another reader's, which keeps them too and has read further, published its own again at each tick, only to have it refused, until its next answer from the store: a few lines in the audit in each outage. Found by reading. It now waits for that answer.

--- a/src/reading/StorePublishing.cpp
+++ b/src/reading/StorePublishing.cpp
@@ -81,13 +81,13 @@
 }
 
 // Whether a document of another node has replaced Published, which contains
-// kept entries, and the copy is newer than that document.
+// kept entries, and that node has not read the store as far as this one.
 bool StoreReader::isSuperseded(const std::string &Topic,
                                const DocumentPtr &Published) const {
   DocumentPtr Current = this->Hook.CurrentDocument(Topic);
   return !this->FullReadNeeded && Published && Current &&
          Current->stamp() > Published->stamp() &&
-         Current->stamp().Version < this->globalRevision(this->CopyRevision);
+         Current->stamp().Revision < this->globalRevision(this->CopyRevision);
 }
 
 bool StoreReader::hasSupersededList() const {
