Add review case 6: a fleet keeps the old version while its readers are turned away

The store turns away the two machines of each zone that read it, 6 of 33, for 9 s and serves all others. The other 27 machines run requests of a moved route at the old service until the readers are let in again (rule CONFIG).

--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -225,9 +225,28 @@
     int Fd = listenOn(Ip, Port);
     if (Fd < 0)
       return false;
-    acceptAll(Fd, [this](int New) { this->serve(New); });
+    acceptAll(Fd, [this, Ip](int New) { this->serve(New, Ip); });
     return true;
   }
+  // Turns away all callers at these addresses of the store with 429.
+  void turnAway(const std::set<std::string> &Ips) {
+    std::lock_guard<std::mutex> Hold(Lock);
+    TurnedAway = Ips;
+    Changed.notify_all();
+  }
+  // The addresses at which the store was called since then.
+  std::map<std::string, double> calledSince(double Since) {
+    std::lock_guard<std::mutex> Hold(Lock);
+    std::map<std::string, double> Out;
+    for (const auto &[Ip, At] : LastCall)
+      if (At >= Since)
+        Out[Ip] = At;
+    return Out;
+  }
+  std::map<std::string, int> refusals() {
+    std::lock_guard<std::mutex> Hold(Lock);
+    return Refused;
+  }
   void put(const std::string &Key, const std::string &Value) {
     std::lock_guard<std::mutex> Hold(Lock);
     ++Revision;
@@ -277,10 +296,26 @@
         Out += Raw[I];
     return Out;
   }
-  void serve(int Fd) {
+  bool turnsAway(const std::string &Ip) {
+    std::lock_guard<std::mutex> Hold(Lock);
+    LastCall[Ip] = now();
+    if (!TurnedAway.count(Ip))
+      return false;
+    ++Refused[Ip];
+    return true;
+  }
+  void serve(int Fd, const std::string &Ip) {
+    const std::string Refusal =
+        "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n";
     std::string Buffer;
     Message Asked;
     while (readMessage(Fd, Buffer, Asked, now() + 3600) == 1) {
+      if (this->turnsAway(Ip)) {
+        if (!sendAll(Fd, Refusal))
+          break;
+        continue;
+      }
+      bool Refuses = false;
       std::string Path = Asked.First.substr(4, Asked.First.rfind(' ') - 4);
       std::string Prefix = query(Path, "prefix"), Body;
       if (Path.find("kv-range") != std::string::npos) {
@@ -309,10 +344,21 @@
             close(Fd);
             return;
           }
+          if (TurnedAway.count(Ip)) {
+            ++Refused[Ip];
+            Refuses = true;
+            break;
+          }
           Changed.wait_until(Hold, Until);
+          LastCall[Ip] = now();
         }
         Body = "{\"events\":[" + Body + "],\"at\":" + std::to_string(Revision) + "}";
       }
+      if (Refuses) {
+        if (!sendAll(Fd, Refusal))
+          break;
+        continue;
+      }
       if (!sendAll(Fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                        "Content-Length: " +
                            std::to_string(Body.size()) + "\r\n\r\n" + Body))
@@ -325,6 +371,9 @@
   uint64_t Revision = 100, Cuts = 0;
   std::map<std::string, std::pair<uint64_t, std::string>> Items;
   std::vector<Event> Events;
+  std::set<std::string> TurnedAway;
+  std::map<std::string, double> LastCall;
+  std::map<std::string, int> Refused;
 };
 
 // ---- a backend --------------------------------------------------------------
@@ -627,6 +676,11 @@
   std::vector<std::unique_ptr<Node>> Nodes;
   std::vector<std::string> Zones{"north", "south"};
   std::vector<Route> Routes;
+  // The store has an address for each node, so that it can tell them apart.
+  bool StoreForEach = false;
+  std::string storeIp(size_t Number) const {
+    return Net + std::to_string(StoreForEach ? 101 + Number : 250);
+  }
   std::atomic<bool> Beating{true};
   std::set<std::string> Unlisted; // ids that report no more
   std::mutex BeatLock;
@@ -701,8 +755,9 @@
       record("no free ports", true);
       this->leave(2);
     }
-    if (!Platform.start(Net + "250", At.Store))
-      this->leave(2);
+    for (size_t I = 0; I < (StoreForEach ? Backends.size() : 1); ++I)
+      if (!Platform.start(storeIp(I), At.Store))
+        this->leave(2);
     std::vector<std::string> Seeds;
     for (const auto &One : Backends) {
       One->Port = At.App;
@@ -718,7 +773,8 @@
       New->Zone = One->Zone;
       New->Service = One->Service;
       New->At = At;
-      if (!New->writeSettings(Root, Folder, Zones, Seeds, Net + "250")) {
+      if (!New->writeSettings(Root, Folder, Zones, Seeds,
+                              storeIp(StoreForEach ? Nodes.size() : 0))) {
         record("the settings template is not as this script knows it", true);
         this->leave(2);
       }
@@ -755,9 +811,9 @@
     for (int Try = 0; Try < 50; ++Try) {
       int Base = 20000 + static_cast<int>(Random() % 12000);
       bool Free = true;
-      for (size_t Host = 1; Host <= Backends.size() + 1 && Free; ++Host)
+      for (size_t Host = 0; Host <= Backends.size() && Free; ++Host)
         for (int Port = Base; Port < Base + 6 && Free; ++Port) {
-          int Fd = listenOn(Net + std::to_string(Host > Backends.size() ? 250 : Host), Port);
+          int Fd = listenOn(Host == 0 ? storeIp(0) : Net + std::to_string(Host), Port);
           Free = Fd >= 0;
           if (Fd >= 0)
             close(Fd);
