--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/lab"
 mkdir -p ../build
-for name in pipelined_stop foreign_entries readers_turned_away; do
+for name in pipelined_stop foreign_entries readers_turned_away cold_again; do
   g++ -std=c++20 -O1 -Wall -pthread -I. -o "../build/$name" "$name.cc"
 done
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -409,13 +409,34 @@
     for (int Fd : Open)
       shutdown(Fd, SHUT_RDWR);
   }
+  // Until then the backend is cold.
+  std::atomic<double> ColdUntil{0};
+  int coldMs() const {
+    return std::max(0, static_cast<int>((ColdUntil - now()) * 1000));
+  }
+  // Called as a request arrives; false if the backend crashes at it.
+  std::function<bool()> Arrived = [] { return true; };
+  // The process ends at once and is there again after so long.
+  void crash(double Seconds) {
+    {
+      std::lock_guard<std::mutex> Hold(Lock);
+      shutdown(ListenFd, SHUT_RDWR);
+      close(ListenFd);
+      for (int Fd : Open)
+        shutdown(Fd, SHUT_RDWR);
+    }
+    std::thread([this, Seconds] {
+      sleepFor(Seconds);
+      this->start();
+    }).detach();
+  }
   std::string entry(const std::string &State, int Sequence) const {
     return "{\"address\":\"" + Ip + ":" + std::to_string(Port) +
            "\",\"info\":{\"service\":\"" + Service +
            "\",\"version\":\"v1\",\"zone\":\"" + Zone +
            "\",\"slots\":9},\"status\":{\"state\":\"" + State +
            "\",\"sequence\":" + std::to_string(Sequence) +
-           ",\"cold_left\":\"0ms\"}}";
+           ",\"cold_left\":\"" + std::to_string(this->coldMs()) + "ms\"}}";
   }
 
 private:
@@ -444,6 +465,7 @@
     std::string Common = "Hickorylift-Attempt-Id: " + RequestId + "\r\n";
     if (Path == "/health")
       return sendAll(Fd, "HTTP/1.1 200 OK\r\nHickorylift-Instance-Id: " + Id +
+                             "\r\nHickorylift-Cold-Ms: " + std::to_string(this->coldMs()) +
                              "\r\nContent-Length: 0\r\n\r\n");
     std::string Expected = Asked.field("hickorylift-expect-instance");
     if (!Expected.empty() && Expected != Id) {
@@ -452,6 +474,8 @@
                              "Hickorylift-Instance-Id: " + Id +
                              "\r\nContent-Length: 0\r\n\r\n");
     }
+    if (!this->Arrived())
+      return false;
     if (Running.fetch_add(1) >= 9 + 9) {
       --Running;
       return sendAll(Fd, "HTTP/1.1 503 Service Unavailable\r\n" + Common +
@@ -527,6 +551,8 @@
 public:
   std::string Ip, Zone, Service, SettingsPath, LogPath;
   Ports At;
+  // The deployment has the bounds cold_overrun, 1.5, and cold_slack, 8.
+  bool LimitsCold = false;
   std::atomic<pid_t> Pid{0};
 
   // Fills in deploy/node.jsonc.in as DEPLOY.md says. False if it has changed so
@@ -544,10 +570,18 @@
     };
     replaceAll(Text, "{{#zones}}\"{{@}}\"{{,}}{{/zones}}", List(Zones));
     replaceAll(Text, "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", List(Seeds));
-    size_t Section = Text.find("{{#bounds.cold_overrun}}");
-    const std::string End = "{{/bounds.cold_overrun}}";
-    if (Section != std::string::npos)
+    const std::string Begin = "{{#bounds.cold_overrun}}", End = "{{/bounds.cold_overrun}}";
+    size_t Section = Text.find(Begin);
+    if (Section == std::string::npos)
+      return false;
+    if (LimitsCold) {
+      replaceAll(Text, Begin, "");
+      replaceAll(Text, End, "");
+      replaceAll(Text, "{{bounds.cold_overrun}}", "1.5");
+      replaceAll(Text, "{{bounds.cold_slack}}", "8.0");
+    } else {
       Text.erase(Section, Text.find(End) + End.size() - Section);
+    }
     auto Place = [&](int Port) { return Ip + ":" + std::to_string(Port); };
     const std::map<std::string, std::string> Values = {
         {"ip", Ip},
@@ -678,6 +712,7 @@
   std::vector<Route> Routes;
   // The store has an address for each node, so that it can tell them apart.
   bool StoreForEach = false;
+  bool LimitsCold = false;
   std::string storeIp(size_t Number) const {
     return Net + std::to_string(StoreForEach ? 101 + Number : 250);
   }
@@ -743,7 +778,8 @@
              One.Service + "\",\"max_attempts\":2}},";
     for (const std::string &One : Services)
       Out += "{\"resource_kind\":\"services\",\"metadata\":{\"name\":\"" + One +
-             "\"},\"spec\":{\"health_path\":\"/health\",\"max_conns\":130}},";
+             "\"},\"spec\":{\"health_path\":\"/health\",\"max_conns\":130" +
+             (LimitsCold ? ",\"cold_per_s\":11,\"warmup\":\"3000ms\"" : "") + "}},";
     return Out +
            "{\"resource_kind\":\"limits\",\"metadata\":{},\"spec\":{"
            "\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
@@ -773,6 +809,7 @@
       New->Zone = One->Zone;
       New->Service = One->Service;
       New->At = At;
+      New->LimitsCold = LimitsCold;
       if (!New->writeSettings(Root, Folder, Zones, Seeds,
                               storeIp(StoreForEach ? Nodes.size() : 0))) {
         record("the settings template is not as this script knows it", true);
@@ -783,15 +820,15 @@
     }
     for (const auto &One : Backends)
       Platform.put("servers/" + One->Id, One->entry("ready", 1));
-    // A backend reports about every heartbeat, 1500 ms.
+    // A backend reports about every heartbeat, 1500 ms, each at its own time.
     std::thread([this] {
-      for (int Sequence = 2; Beating; ++Sequence) {
-        sleepFor(1.5);
-        std::lock_guard<std::mutex> Hold(BeatLock);
-        for (const auto &One : Backends)
+      for (int Sequence = 2; Beating; ++Sequence)
+        for (const auto &One : Backends) {
+          sleepFor(1.5 / static_cast<double>(Backends.size()));
+          std::lock_guard<std::mutex> Hold(BeatLock);
           if (!Unlisted.count(One->Id))
             Platform.put("servers/" + One->Id, One->entry("ready", Sequence));
-      }
+        }
     }).detach();
     double Until = now() + 20;
     for (const auto &One : Nodes)
