--- a/review/lab/readers_turned_away.cc
+++ b/review/lab/readers_turned_away.cc
@@ -29,20 +29,23 @@
                   {"r-2", "/stays/", "safe", "green", "1200ms"}};
   Fleet.start();
   sleepFor(15);
-  // Those that the store served lately are the readers.
-  double Since = now() - 3;
-  std::map<std::string, double> Called = Fleet.Platform.calledSince(Since);
+  // The machines whose nodes have the duty to read, as their logs say: the store
+  // throttles its readers, and they are less than the allowed share.
   std::set<std::string> Away;
   std::set<const Node *> AwayNodes;
   size_t Most = static_cast<size_t>(MostShare * static_cast<double>(Fleet.Nodes.size()));
-  for (size_t I = 0; I < Fleet.Nodes.size() && Away.size() < Most; ++I)
-    if (Called.count(Fleet.storeIp(I))) {
-      Away.insert(Fleet.storeIp(I));
-      AwayNodes.insert(Fleet.Nodes[I].get());
-      record("reads the store: node " + Fleet.Nodes[I]->Ip + " in " + Fleet.Nodes[I]->Zone);
-    }
-  record(std::to_string(Called.size()) + " of " + std::to_string(Fleet.Nodes.size()) +
-             " machines have read the store in the last 3 s; " + std::to_string(Away.size()) + " are turned away", true);
+  for (size_t I = 0; I < Fleet.Nodes.size() && Away.size() < Most; ++I) {
+    std::string Log = readFile(Fleet.Nodes[I]->LogPath);
+    size_t Last = Log.rfind("event=reading subject=");
+    if (Last == std::string::npos || Log.compare(Last + 22, 4, "none") == 0)
+      continue;
+    Away.insert(Fleet.storeIp(I));
+    AwayNodes.insert(Fleet.Nodes[I].get());
+    record("to be turned away: node " + Fleet.Nodes[I]->Ip + " in " + Fleet.Nodes[I]->Zone +
+           ", " + Log.substr(Last, Log.find('\n', Last) - Last));
+  }
+  record(std::to_string(Away.size()) + " of " + std::to_string(Fleet.Nodes.size()) +
+             " machines read the store" + (trouble() ? " and are turned away from now on" : ""), true);
   double AwayAt = now();
   if (trouble())
     Fleet.Platform.turnAway(Away);
