--- a/review/lab/cold_again.cc
+++ b/review/lab/cold_again.cc
@@ -7,9 +7,9 @@
 
 namespace {
 
-constexpr double ColdPerSecond = 11;                   // of the services
-constexpr double Bound = ColdPerSecond * 1.5 + 8;      // cold_overrun, cold_slack
-constexpr double CrashAt = 2 * Bound;                  // "well above that"
+constexpr double ColdPerSecond = 11;              // of the services
+constexpr double Bound = ColdPerSecond * 1.5 + 8; // cold_overrun, cold_slack
+constexpr double CrashAt = 2 * Bound;             // "well above that"
 constexpr double Warmup = 3.0;
 constexpr int DeadlineMs = 1500;
 
@@ -19,7 +19,9 @@
   Deployment Fleet(Argv[1]);
   Fleet.LimitsCold = true;
   for (const char *Zone : {"north", "south"})
-    Fleet.addBackend("vault", Zone).WorkMs = [](const std::string &) { return 40; };
+    Fleet.addBackend("vault", Zone).WorkMs = [](const std::string &) {
+      return 40;
+    };
   for (const char *Zone : {"north", "south", "north"})
     Fleet.addBackend("portal", Zone);
   for (auto &One : Fleet.Backends)
@@ -59,7 +61,8 @@
       Clients.emplace_back([&, Here = At.get()] {
         while (Calling) {
           std::string Id = newId();
-          int Status = call(*Here, "POST", "/file/new", Id, DeadlineMs, "decision");
+          int Status =
+              call(*Here, "POST", "/file/new", Id, DeadlineMs, "decision");
           std::lock_guard<std::mutex> Hold(Lock);
           ++Statuses[Status];
           if (Status != 200 && Status != 503)
@@ -75,17 +78,24 @@
   sleepFor(2);
   {
     std::lock_guard<std::mutex> Hold(Cold.Lock);
-    record("backend " + Cold.Id + " is warm and gets " + std::to_string((Cold.Runs.size() - Before) / 2) + " requests a second", true);
+    record("backend " + Cold.Id + " is warm and gets " +
+               std::to_string((Cold.Runs.size() - Before) / 2) +
+               " requests a second",
+           true);
   }
   // At no particular moment of the backends' reports.
-  sleepFor(std::uniform_real_distribution<>(0, 1.5)(*std::make_unique<std::mt19937>(std::random_device{}())));
+  sleepFor(std::uniform_real_distribution<>(0, 1.5)(
+      *std::make_unique<std::mt19937>(std::random_device{}())));
   double ColdAt = now();
   if (trouble()) {
     std::lock_guard<std::mutex> Hold(Fleet.BeatLock);
     Cold.ColdUntil = ColdAt + Warmup;
     Fleet.Platform.put("servers/" + Cold.Id, Cold.entry("ready", 1000));
     ColdAt = now();
-    record("backend " + Cold.Id + " is cold again, and the store has acknowledged its entry with cold_left", true);
+    record("backend " + Cold.Id +
+               " is cold again, and the store has acknowledged its entry with "
+               "cold_left",
+           true);
   }
   sleepFor(Warmup + 2);
   Calling = false;
@@ -93,7 +103,9 @@
     One.join();
   for (double At : Arrivals) {
     char Text[100];
-    std::snprintf(Text, sizeof(Text), "a request reaches %s %.3f s after it became cold", Cold.Id.c_str(), At - ColdAt);
+    std::snprintf(Text, sizeof(Text),
+                  "a request reaches %s %.3f s after it became cold",
+                  Cold.Id.c_str(), At - ColdAt);
     record(Text);
   }
   for (const std::string &One : Failed)
@@ -102,7 +114,11 @@
   for (const auto &[Status, Count] : Statuses)
     Counts += " " + std::to_string(Status) + ":" + std::to_string(Count);
   record("answers to clients by status:" + Counts, true);
-  record("most requests within one second while cold: " + std::to_string(Most) + "; the bound is 24.5" +
-             (Crashed ? "; the backend crashed under them" : ""), true);
-  Fleet.leave(static_cast<double>(Most) > Bound ? 1 : Statuses[200] > 100 ? 0 : 2);
+  record("most requests within one second while cold: " + std::to_string(Most) +
+             "; the bound is 24.5" +
+             (Crashed ? "; the backend crashed under them" : ""),
+         true);
+  Fleet.leave(static_cast<double>(Most) > Bound ? 1
+              : Statuses[200] > 100             ? 0
+                                                : 2);
 }
--- a/review/lab/foreign_entries.cc
+++ b/review/lab/foreign_entries.cc
@@ -12,8 +12,10 @@
 
 std::string agentEntry(const Backend &Beside, int Sequence) {
   return "{\"address\":\"" + Beside.Ip + ":" + std::to_string(AgentPort) +
-         "\",\"info\":{\"service\":\"machine-metrics\",\"version\":\"v1\",\"zone\":\"" +
-         Beside.Zone + "\",\"slots\":1},\"status\":{\"state\":\"ready\","
+         "\",\"info\":{\"service\":\"machine-metrics\",\"version\":\"v1\","
+         "\"zone\":\"" +
+         Beside.Zone +
+         "\",\"slots\":1},\"status\":{\"state\":\"ready\","
          "\"sequence\":" +
          std::to_string(Sequence) + ",\"cold_left\":\"0ms\"}}";
 }
@@ -34,7 +36,8 @@
   std::thread Writer([&] {
     for (int Sequence = 1; Writing; ++Sequence) {
       for (const auto &One : Fleet.Backends) {
-        std::string Key = "servers/agent-" + One->Id, Value = agentEntry(*One, Sequence);
+        std::string Key = "servers/agent-" + One->Id,
+                    Value = agentEntry(*One, Sequence);
         Fleet.Platform.put(Key, Value);
         if (Sequence == 1)
           record("another writer puts " + Key + ": " + Value);
@@ -53,9 +56,12 @@
       Clients.emplace_back([&, Here = At.get(), Order] {
         while (now() < Until) {
           std::string Id = newId();
-          int Status = Order ? call(*Here, "POST", "/orders/new", Id, DeadlineMs, "order")
+          int Status = Order ? call(*Here, "POST", "/orders/new", Id,
+                                    DeadlineMs, "order")
                              : call(*Here, "GET", "/status/17", Id, DeadlineMs);
-          record("at " + Here->Ip + (Order ? " POST /orders/new " : " GET /status/17 ") + Id + ": " + std::to_string(Status));
+          record("at " + Here->Ip +
+                 (Order ? " POST /orders/new " : " GET /status/17 ") + Id +
+                 ": " + std::to_string(Status));
           std::lock_guard<std::mutex> Hold(Lock);
           ++Statuses[Order ? "orders" : "status"][Status];
           sleepFor(0.1);
@@ -75,7 +81,9 @@
     }
     record(Line, true);
   }
-  record(std::to_string(Served) + " of " + std::to_string(All) + " requests served; all " +
-             std::to_string(Fleet.Backends.size()) + " backends are well", true);
+  record(std::to_string(Served) + " of " + std::to_string(All) +
+             " requests served; all " + std::to_string(Fleet.Backends.size()) +
+             " backends are well",
+         true);
   Fleet.leave(Served == 0 ? 1 : Served > All * 9 / 10 ? 0 : 2);
 }
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -82,7 +82,8 @@
 inline int dial(const std::string &Ip, int Port, int ReceiveBuffer = 0) {
   int Fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), On = 1;
   if (ReceiveBuffer)
-    setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &ReceiveBuffer, sizeof(ReceiveBuffer));
+    setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &ReceiveBuffer,
+               sizeof(ReceiveBuffer));
   sockaddr_in To = address(Ip, Port);
   if (connect(Fd, reinterpret_cast<sockaddr *>(&To), sizeof(To)) != 0) {
     close(Fd);
@@ -180,7 +181,8 @@
         return 1;
     }
   }
-  size_t Length = std::strtoul(Out.field("content-length").c_str(), nullptr, 10);
+  size_t Length =
+      std::strtoul(Out.field("content-length").c_str(), nullptr, 10);
   Length = std::min(Length, MostBody);
   while (Buffer.size() < Length)
     if (int Got = readMore(Fd, Buffer, Until); Got <= 0)
@@ -197,7 +199,8 @@
   for (size_t I = 0; I < In.size(); I += 3) {
     unsigned V = 0;
     for (size_t K = 0; K < 3; ++K)
-      V = V << 8 | (I + K < In.size() ? static_cast<unsigned char>(In[I + K]) : 0);
+      V = V << 8 |
+          (I + K < In.size() ? static_cast<unsigned char>(In[I + K]) : 0);
     for (size_t K = 0; K < 4; ++K)
       Out += I + K <= In.size() ? Set[V >> (18 - 6 * K) & 63] : '=';
   }
@@ -264,9 +267,8 @@
     ++Revision;
     Items.erase(Key);
     Events.push_back({Revision, Key,
-                      "{\"key\":\"" + Key +
-                          "\",\"revision\":" + std::to_string(Revision) +
-                          ",\"deleted\":true}"});
+                      "{\"key\":\"" + Key + "\",\"revision\":" +
+                          std::to_string(Revision) + ",\"deleted\":true}"});
     Changed.notify_all();
   }
   // Closes the connections of all watches that wait at this moment.
@@ -324,10 +326,11 @@
         for (const auto &[Key, Item] : Items)
           if (Key.rfind(Prefix, 0) == 0 && Key > After)
             Body += (Body.empty() ? "" : ",") + Item.second;
-        Body = "{\"items\":[" + Body + "],\"has_more\":false,\"at\":" +
-               std::to_string(Revision) + "}";
+        Body = "{\"items\":[" + Body +
+               "],\"has_more\":false,\"at\":" + std::to_string(Revision) + "}";
       } else {
-        uint64_t After = std::strtoull(query(Path, "after").c_str(), nullptr, 10);
+        uint64_t After =
+            std::strtoull(query(Path, "after").c_str(), nullptr, 10);
         auto Until = Clock::now() + std::chrono::milliseconds(std::atoi(
                                         query(Path, "wait_ms").c_str()));
         std::unique_lock<std::mutex> Hold(Lock);
@@ -352,7 +355,8 @@
           Changed.wait_until(Hold, Until);
           LastCall[Ip] = now();
         }
-        Body = "{\"events\":[" + Body + "],\"at\":" + std::to_string(Revision) + "}";
+        Body = "{\"events\":[" + Body + "],\"at\":" + std::to_string(Revision) +
+               "}";
       }
       if (Refuses) {
         if (!sendAll(Fd, Refusal))
@@ -435,8 +439,8 @@
            "\",\"info\":{\"service\":\"" + Service +
            "\",\"version\":\"v1\",\"zone\":\"" + Zone +
            "\",\"slots\":9},\"status\":{\"state\":\"" + State +
-           "\",\"sequence\":" + std::to_string(Sequence) +
-           ",\"cold_left\":\"" + std::to_string(this->coldMs()) + "ms\"}}";
+           "\",\"sequence\":" + std::to_string(Sequence) + ",\"cold_left\":\"" +
+           std::to_string(this->coldMs()) + "ms\"}}";
   }
 
 private:
@@ -451,7 +455,8 @@
     }
     std::string Buffer;
     Message Asked;
-    while (readMessage(Fd, Buffer, Asked, now() + 3600) == 1 && this->answer(Fd, Asked))
+    while (readMessage(Fd, Buffer, Asked, now() + 3600) == 1 &&
+           this->answer(Fd, Asked))
       ;
     std::lock_guard<std::mutex> Hold(Lock);
     Open.erase(Fd);
@@ -464,9 +469,10 @@
     std::string RequestId = Asked.field("hickorylift-attempt-id");
     std::string Common = "Hickorylift-Attempt-Id: " + RequestId + "\r\n";
     if (Path == "/health")
-      return sendAll(Fd, "HTTP/1.1 200 OK\r\nHickorylift-Instance-Id: " + Id +
-                             "\r\nHickorylift-Cold-Ms: " + std::to_string(this->coldMs()) +
-                             "\r\nContent-Length: 0\r\n\r\n");
+      return sendAll(
+          Fd, "HTTP/1.1 200 OK\r\nHickorylift-Instance-Id: " + Id +
+                  "\r\nHickorylift-Cold-Ms: " + std::to_string(this->coldMs()) +
+                  "\r\nContent-Length: 0\r\n\r\n");
     std::string Expected = Asked.field("hickorylift-expect-instance");
     if (!Expected.empty() && Expected != Id) {
       record("backend " + Id + " answers 421 to " + RequestId);
@@ -497,13 +503,12 @@
       sleepFor(std::max(0.001, std::min(0.01, Until - now())));
       Cut = ended(Fd);
     }
-    bool Whole = !Cut && sendAll(Fd, "HTTP/1.1 200 OK\r\n" + Common +
-                                         "Hickorylift-Server-Stamp: " + Id + "." +
-                                         std::to_string(Mine) +
-                                         "\r\nContent-Length: " +
-                                         std::to_string(AnswerBytes(Path)) +
-                                         "\r\n\r\n" +
-                                         std::string(AnswerBytes(Path), 'x'));
+    bool Whole =
+        !Cut && sendAll(Fd, "HTTP/1.1 200 OK\r\n" + Common +
+                                "Hickorylift-Server-Stamp: " + Id + "." +
+                                std::to_string(Mine) + "\r\nContent-Length: " +
+                                std::to_string(AnswerBytes(Path)) + "\r\n\r\n" +
+                                std::string(AnswerBytes(Path), 'x'));
     --Running;
     {
       std::lock_guard<std::mutex> Hold(Lock);
@@ -511,8 +516,8 @@
       Runs[Mine].End = Whole ? "answered" : "cut";
     }
     if (Verbose)
-      record("backend " + Id + " " + (Whole ? "has answered " : "was cut off at ") +
-             RequestId);
+      record("backend " + Id + " " +
+             (Whole ? "has answered " : "was cut off at ") + RequestId);
     return Whole;
   }
   std::atomic<int> Running{0};
@@ -536,7 +541,8 @@
   return Text.str();
 }
 
-inline bool replaceAll(std::string &In, const std::string &What, const std::string &By) {
+inline bool replaceAll(std::string &In, const std::string &What,
+                       const std::string &By) {
   size_t At = 0;
   bool Found = false;
   while ((At = In.find(What, At)) != std::string::npos) {
@@ -570,7 +576,8 @@
     };
     replaceAll(Text, "{{#zones}}\"{{@}}\"{{,}}{{/zones}}", List(Zones));
     replaceAll(Text, "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", List(Seeds));
-    const std::string Begin = "{{#bounds.cold_overrun}}", End = "{{/bounds.cold_overrun}}";
+    const std::string Begin = "{{#bounds.cold_overrun}}",
+                      End = "{{/bounds.cold_overrun}}";
     size_t Section = Text.find(Begin);
     if (Section == std::string::npos)
       return false;
@@ -653,8 +660,10 @@
       return false;
     std::string Buffer;
     Message Got;
-    sendAll(Fd, "GET /hickorylift/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-    bool Is = readMessage(Fd, Buffer, Got, now() + 1) == 1 && Got.status() == 200;
+    sendAll(Fd, "GET /hickorylift/ready HTTP/1.1\r\nHost: x\r\nConnection: "
+                "close\r\n\r\n");
+    bool Is =
+        readMessage(Fd, Buffer, Got, now() + 1) == 1 && Got.status() == 200;
     close(Fd);
     return Is;
   }
@@ -670,20 +679,22 @@
                 static_cast<unsigned long long>(Random()));
   return Text;
 }
-inline std::string requestText(const std::string &Method, const std::string &Path,
+inline std::string requestText(const std::string &Method,
+                               const std::string &Path,
                                const std::string &RequestId, int DeadlineMs,
                                const std::string &Body = "") {
-  std::string Out = Method + " " + Path + " HTTP/1.1\r\nHost: shop.example\r\n" +
-                    "Hickorylift-Attempt-Id: " + RequestId +
-                    "\r\nHickorylift-Deadline-Ms: " + std::to_string(DeadlineMs) + "\r\n";
+  std::string Out =
+      Method + " " + Path + " HTTP/1.1\r\nHost: shop.example\r\n" +
+      "Hickorylift-Attempt-Id: " + RequestId +
+      "\r\nHickorylift-Deadline-Ms: " + std::to_string(DeadlineMs) + "\r\n";
   if (Method != "GET")
     Out += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
   return Out + "\r\n" + Body;
 }
 // The status; 0 if the connection ended without an answer, -1 if it is late.
-inline int call(const Node &To, const std::string &Method, const std::string &Path,
-                const std::string &RequestId, int DeadlineMs,
-                const std::string &Body = "") {
+inline int call(const Node &To, const std::string &Method,
+                const std::string &Path, const std::string &RequestId,
+                int DeadlineMs, const std::string &Body = "") {
   int Fd = dial(To.Ip, To.At.Callers);
   if (Fd < 0)
     return 0;
@@ -696,7 +707,8 @@
   return How == 1 ? Got.status() : How;
 }
 
-// ---- a small deployment -------------------------------------------------------
+// ---- a small deployment
+// -------------------------------------------------------
 struct Route {
   std::string Name, Prefix, Kind, Service, Timeout;
 };
@@ -736,7 +748,8 @@
     for (auto &One : Nodes)
       One->stop();
     if (!Folder.empty()) {
-      std::string Kept = std::getenv("KEEP_LOGS") ? "" : "rm -rf '" + Folder + "'";
+      std::string Kept =
+          std::getenv("KEEP_LOGS") ? "" : "rm -rf '" + Folder + "'";
       if (!Kept.empty() && std::system(Kept.c_str()) != 0)
         std::cerr << "the temporary folder is left\n";
       Folder.clear();
@@ -744,7 +757,10 @@
   }
   [[noreturn]] void leave(int Code) {
     this->end();
-    record(Code == 0 ? "the rule held" : Code == 1 ? "the rule was broken" : "could not run", true);
+    record(Code == 0   ? "the rule held"
+           : Code == 1 ? "the rule was broken"
+                       : "could not run",
+           true);
     std::cout.flush();
     _exit(Code);
   }
@@ -771,15 +787,17 @@
     for (const auto &One : Backends)
       Services.insert(One->Service);
     for (const Route &One : Routes)
-      Out += "{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"" + One.Name +
-             "\"},\"spec\":{\"host\":\"shop.example\",\"prefix\":\"" + One.Prefix +
-             "\",\"kind\":\"" + One.Kind + "\",\"timeout\":\"" + One.Timeout +
-             "\",\"target_latency\":\"300ms\",\"priority\":1,\"service\":\"" +
-             One.Service + "\",\"max_attempts\":2}},";
+      Out +=
+          "{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"" + One.Name +
+          "\"},\"spec\":{\"host\":\"shop.example\",\"prefix\":\"" + One.Prefix +
+          "\",\"kind\":\"" + One.Kind + "\",\"timeout\":\"" + One.Timeout +
+          "\",\"target_latency\":\"300ms\",\"priority\":1,\"service\":\"" +
+          One.Service + "\",\"max_attempts\":2}},";
     for (const std::string &One : Services)
       Out += "{\"resource_kind\":\"services\",\"metadata\":{\"name\":\"" + One +
              "\"},\"spec\":{\"health_path\":\"/health\",\"max_conns\":130" +
-             (LimitsCold ? ",\"cold_per_s\":11,\"warmup\":\"3000ms\"" : "") + "}},";
+             (LimitsCold ? ",\"cold_per_s\":11,\"warmup\":\"3000ms\"" : "") +
+             "}},";
     return Out +
            "{\"resource_kind\":\"limits\",\"metadata\":{},\"spec\":{"
            "\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
@@ -850,7 +868,8 @@
       bool Free = true;
       for (size_t Host = 0; Host <= Backends.size() && Free; ++Host)
         for (int Port = Base; Port < Base + 6 && Free; ++Port) {
-          int Fd = listenOn(Host == 0 ? storeIp(0) : Net + std::to_string(Host), Port);
+          int Fd = listenOn(Host == 0 ? storeIp(0) : Net + std::to_string(Host),
+                            Port);
           Free = Fd >= 0;
           if (Fd >= 0)
             close(Fd);
--- a/review/lab/pipelined_stop.cc
+++ b/review/lab/pipelined_stop.cc
@@ -26,8 +26,8 @@
     Out.push_back({newId(), now()});
     record("client " + std::to_string(Number) + " sends GET /status/" +
            std::to_string(I) + " as " + Out.back().Id);
-    sendAll(Fd, requestText("GET", "/status/" + std::to_string(I), Out.back().Id,
-                            DeadlineMs));
+    sendAll(Fd, requestText("GET", "/status/" + std::to_string(I),
+                            Out.back().Id, DeadlineMs));
     sleepFor(0.05);
   }
   std::string Buffer;
@@ -43,7 +43,10 @@
     }
     One.End = std::to_string(Got.status());
     record("client " + std::to_string(Number) + " gets " + One.End + " for " +
-           One.Id + (Got.field("connection").empty() ? "" : ", Connection: " + Got.field("connection")));
+           One.Id +
+           (Got.field("connection").empty()
+                ? ""
+                : ", Connection: " + Got.field("connection")));
   }
   close(Fd);
   return Out;
@@ -54,7 +57,9 @@
 int main(int, char **Argv) {
   Deployment Fleet(Argv[1]);
   for (const char *Zone : {"north", "south", "north"})
-    Fleet.addBackend("status", Zone).WorkMs = [](const std::string &) { return RunMs; };
+    Fleet.addBackend("status", Zone).WorkMs = [](const std::string &) {
+      return RunMs;
+    };
   Fleet.addBackend("orders", "south");
   Fleet.Routes = {{"r-status", "/status/", "safe", "status", "1200ms"},
                   {"r-orders", "/orders/", "unsafe", "orders", "1500ms"}};
@@ -64,7 +69,8 @@
   std::vector<std::vector<Sent>> All(4);
   std::vector<std::thread> Clients;
   for (int I = 0; I < 4; ++I)
-    Clients.emplace_back([&, I] { All[static_cast<size_t>(I)] = pipeline(Stopped, I); });
+    Clients.emplace_back(
+        [&, I] { All[static_cast<size_t>(I)] = pipeline(Stopped, I); });
   sleepFor(0.2);
   double StoppedAt = now();
   if (trouble()) {
@@ -88,13 +94,17 @@
             ++Lost;
             char Text[200];
             std::snprintf(Text, sizeof(Text),
-                          "lost: %s, sent %.3f s before the SIGTERM, ran at %s from %.3f to %.3f (%s)",
-                          One.Id.c_str(), StoppedAt - One.At, At->Id.c_str(), Run.At, Run.EndedAt, Run.End.c_str());
+                          "lost: %s, sent %.3f s before the SIGTERM, ran at %s "
+                          "from %.3f to %.3f (%s)",
+                          One.Id.c_str(), StoppedAt - One.At, At->Id.c_str(),
+                          Run.At, Run.EndedAt, Run.End.c_str());
             record(Text, true);
           }
       }
     }
-  record(std::to_string(Answered) + " of 12 requests answered, " + std::to_string(Lost) +
-             " were passed on to a backend and have no answer", true);
+  record(std::to_string(Answered) + " of 12 requests answered, " +
+             std::to_string(Lost) +
+             " were passed on to a backend and have no answer",
+         true);
   Fleet.leave(Lost > 0 ? 1 : Answered == 12 ? 0 : 2);
 }
--- a/review/lab/readers_turned_away.cc
+++ b/review/lab/readers_turned_away.cc
@@ -1,5 +1,6 @@
 // The store turns away the machines that read it, a third of all at most, and
-// serves the others and the operator. Meanwhile a route moves to another service.
+// serves the others and the operator. Meanwhile a route moves to another
+// service.
 #include "lab.h"
 
 using namespace lab;
@@ -29,11 +30,12 @@
                   {"r-2", "/stays/", "safe", "green", "1200ms"}};
   Fleet.start();
   sleepFor(15);
-  // The machines whose nodes have the duty to read, as their logs say: the store
-  // throttles its readers, and they are less than the allowed share.
+  // The machines whose nodes have the duty to read, as their logs say: the
+  // store throttles its readers, and they are less than the allowed share.
   std::set<std::string> Away;
   std::set<const Node *> AwayNodes;
-  size_t Most = static_cast<size_t>(MostShare * static_cast<double>(Fleet.Nodes.size()));
+  size_t Most =
+      static_cast<size_t>(MostShare * static_cast<double>(Fleet.Nodes.size()));
   for (size_t I = 0; I < Fleet.Nodes.size() && Away.size() < Most; ++I) {
     std::string Log = readFile(Fleet.Nodes[I]->LogPath);
     size_t Last = Log.rfind("event=reading subject=");
@@ -41,11 +43,14 @@
       continue;
     Away.insert(Fleet.storeIp(I));
     AwayNodes.insert(Fleet.Nodes[I].get());
-    record("to be turned away: node " + Fleet.Nodes[I]->Ip + " in " + Fleet.Nodes[I]->Zone +
-           ", " + Log.substr(Last, Log.find('\n', Last) - Last));
+    record("to be turned away: node " + Fleet.Nodes[I]->Ip + " in " +
+           Fleet.Nodes[I]->Zone + ", " +
+           Log.substr(Last, Log.find('\n', Last) - Last));
   }
-  record(std::to_string(Away.size()) + " of " + std::to_string(Fleet.Nodes.size()) +
-             " machines read the store" + (trouble() ? " and are turned away from now on" : ""), true);
+  record(std::to_string(Away.size()) + " of " +
+             std::to_string(Fleet.Nodes.size()) + " machines read the store" +
+             (trouble() ? " and are turned away from now on" : ""),
+         true);
   double AwayAt = now();
   if (trouble())
     Fleet.Platform.turnAway(Away);
@@ -70,8 +75,10 @@
           std::string Id = newId(), Buffer, Service = "none";
           int Fd = dial(Here->Ip, Here->At.Callers);
           Message Got;
-          if (Fd >= 0 && sendAll(Fd, requestText("GET", "/moved/7", Id, DeadlineMs)) &&
-              readMessage(Fd, Buffer, Got, now() + 2) == 1 && Got.status() == 200) {
+          if (Fd >= 0 &&
+              sendAll(Fd, requestText("GET", "/moved/7", Id, DeadlineMs)) &&
+              readMessage(Fd, Buffer, Got, now() + 2) == 1 &&
+              Got.status() == 200) {
             std::string Stamp = Got.field("hickorylift-server-stamp");
             Service = ServiceOf[Stamp.substr(0, Stamp.find('.'))];
           }
@@ -95,7 +102,10 @@
   std::set<std::string> LateNodes;
   for (const Seen &One : All) {
     char Text[160];
-    std::snprintf(Text, sizeof(Text), "sent %6.3f s after the acknowledgement at node %s: run by %s", One.Sent, One.Node.c_str(), One.Service.c_str());
+    std::snprintf(
+        Text, sizeof(Text),
+        "sent %6.3f s after the acknowledgement at node %s: run by %s",
+        One.Sent, One.Node.c_str(), One.Service.c_str());
     record(Text);
     Answered += One.Service != "none";
     if (One.Service != "blue")
@@ -112,10 +122,13 @@
     Refusals += Count;
   record("calls turned away: " + std::to_string(Refusals), true);
   char Text[240];
-  std::snprintf(Text, sizeof(Text),
-                "of %zu requests at machines that were never turned away, the old service ran %d sent later than 2.5 s after the acknowledgement, "
-                "%d of them later than 7.5 s (at %zu nodes); the last was sent %.2f s after it",
-                All.size(), Late, Stretched, LateNodes.size(), Last);
+  std::snprintf(
+      Text, sizeof(Text),
+      "of %zu requests at machines that were never turned away, the old "
+      "service ran %d sent later than 2.5 s after the acknowledgement, "
+      "%d of them later than 7.5 s (at %zu nodes); the last was sent %.2f s "
+      "after it",
+      All.size(), Late, Stretched, LateNodes.size(), Last);
   record(Text, true);
   Fleet.leave(Stretched > 0 ? 1 : Answered > 500 ? 0 : 2);
 }
