Let other nodes read while the platform turns the readers away

Callers saw: a version moves a route to another service, and all calls of the route go on to the old one for 8.6 s after the acknowledgement, where 2.5 s are allowed (7.5 s while the platform does not serve every node).

Cause: a reader whose requests are refused told nobody. The others took it for well because the link to it was, and would have read only after 9 s without a confirmation and 5 s more for each node before them in the order.

Change: a reader reports with its heartbeats, at once, that its requests fail (two in a row, or one that timed out). The first eight nodes in the order of readers pass such reports on, and as many as are missing read as spares: only while nobody in the fleet has had an answer for 1.5 s.

Why it works: the knowledge is where it arises and reaches the next in line within a tick. If these are refused too, the next ones follow in the same way; the limit of eight keeps an outage of the platform from making the whole fleet call it. Reports carry their age, so they expire also if nodes send them in a circle. Nothing is sent while no reader fails, and nothing depends on the size of the fleet.

--- a/src/control/ControlFixture.h
+++ b/src/control/ControlFixture.h
@@ -30,6 +30,7 @@
       *this->LastDuty = Duty;
   }
   uint64_t reads() const override { return 0; }
+  bool isFailing() const override { return false; }
 
 private:
   ReadDuty *LastDuty;
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -39,7 +39,9 @@
       Spread(this->Opts.Spread, this->spreadHooks(), this->Opts.Seed),
       RequestQuarantine(this->Opts.QuarantineOpts, this->quarantineHooks()),
       Source(MakeRead(this->sourceHooks())), ConfigCompiler(this->Opts.Compile),
-      Random(this->Opts.Seed + 2) {}
+      Random(this->Opts.Seed + 2),
+      Failing({this->Opts.FailingReaderHeartbeats *
+               this->Opts.Spread.HeartbeatInterval}) {}
 
 Spreader::Hooks ControlPlane::spreadHooks() {
   Spreader::Hooks Hooks;
@@ -65,12 +67,15 @@
     std::string Name = Found == this->Peers.end() ? "" : Found->second.Name;
     this->Trail.add(Now, "pull-unanswered", Topic, Name, "asking another");
   };
-  Hooks.MakeReport =
-      [this](LinkId Link) -> std::unique_ptr<wire::FleetReportT> {
-    if (this->parentLink() != Link)
-      return nullptr;
-    return std::make_unique<wire::FleetReportT>(
-        this->View.report(this->NowForHooks));
+  Hooks.CompleteHeartbeat = [this](LinkId Link, wire::HeartbeatT &Beat,
+                                   TimePoint Now) {
+    if (this->parentLink() == Link)
+      Beat.report =
+          std::make_unique<wire::FleetReportT>(this->View.report(Now));
+    auto To = this->Peers.find(Link);
+    if (!this->Failing.empty() && To != this->Peers.end() &&
+        this->readerCandidates().count(To->second.Name))
+      Beat.failing_readers = this->Failing.toWire(Now);
   };
   return Hooks;
 }
@@ -222,6 +227,7 @@
     this->Source->tick(Now, ReadDuty::None);
   }
   this->LastTick = Now;
+  this->updateFailingReaders(Now);
   this->updateReadDuty(Now);
   this->Spread.tick(Now);
   this->RequestQuarantine.tick(Now);
@@ -245,6 +251,7 @@
   Situation.IsReader = AllNodesRead || this->Fleet.isReader(this->Avoided);
   Situation.IsFirstReader =
       AllNodesRead || this->Fleet.readerRank(this->Avoided) == 0;
+  Situation.ReplacesReader = this->replacesReader();
   // Without a list no node can have a parent.
   Situation.LostParent = Situation.HasList && this->hasLostParent(Now);
   Situation.ParentMayBeSlow = this->parentMayBeSlow(Now);
@@ -367,6 +374,64 @@
   return Rank < this->Opts.MaxTakeoverNodes && Unconfirmed > Limit;
 }
 
+// The nodes among which reports about failing readers are exchanged. The first
+// nodes in the order are the top of the spreading tree, so links of the tree
+// connect them.
+std::set<std::string> ControlPlane::readerCandidates() const {
+  return this->Fleet.firstInReaderOrder(this->Opts.MaxTakeoverNodes,
+                                        this->Avoided);
+}
+
+// Whether the readers before this node that can read are too few. During an
+// outage of the platform all readers fail, and the others in turn once they
+// read; the limit on the rank keeps the whole fleet from reading at once.
+bool ControlPlane::replacesReader() const {
+  return !this->Failing.empty() &&
+         this->Fleet.readerRank(this->Avoided) < this->Opts.MaxTakeoverNodes &&
+         this->Fleet.isReader(this->Failing.addedTo(this->Avoided));
+}
+
+bool ControlPlane::isReader() const {
+  return this->Fleet.isReader(this->Avoided) || this->replacesReader();
+}
+
+// The platform may serve all nodes but the readers, for example if it limits
+// the nodes that call it most. The others have working links to the readers and
+// would not read themselves, and no new version would reach any of them.
+void ControlPlane::updateFailingReaders(TimePoint Now) {
+  if (this->Source->isFailing() && !this->EveryNodeReads)
+    this->reportFailingReader(this->Opts.Self, Now, "platform", Now);
+  else if (this->Failing.forget(this->Opts.Self))
+    this->Trail.add(Now, "reader", this->Opts.Self, "platform", "reads again");
+  for (const std::string &Name : this->Failing.expire(Now))
+    this->Trail.add(Now, "reader", Name, "peers", "no longer fails");
+}
+
+void ControlPlane::reportFailingReader(const std::string &Name,
+                                       TimePoint ReportedAt,
+                                       const std::string &Source,
+                                       TimePoint Now) {
+  if (!this->Failing.record(Name, ReportedAt, Now))
+    return;
+  this->Trail.add(Now, "reader", Name, Source, "fails");
+  std::set<std::string> Candidates = this->readerCandidates();
+  for (const auto &[Link, To] : this->Peers)
+    if (To.HelloReceived && Candidates.count(To.Name))
+      this->Spread.sendHeartbeatBy(Link, Now);
+}
+
+void ControlPlane::onFailingReaders(LinkId Link, const wire::HeartbeatT &Beat,
+                                    TimePoint Now) {
+  if (Beat.failing_readers.empty())
+    return;
+  std::set<std::string> Candidates = this->readerCandidates();
+  std::string Source = this->Peers.at(Link).Name;
+  for (const auto &Report : Beat.failing_readers)
+    if (Report->name != this->Opts.Self && Candidates.count(Report->name))
+      this->reportFailingReader(Report->name, Now - Millis(Report->age_ms),
+                                Source, Now);
+}
+
 // Called if another node uses this node as its seed. If this node has no list
 // either, it starts reading at once, as the other node waits for the list.
 void ControlPlane::onSeedRequest(TimePoint Now) {
@@ -398,8 +463,11 @@
     return this->View.recordExchange(*Exchange, Now);
   if (const auto *Records = Frame->payload.AsQuarantine())
     return this->RequestQuarantine.receive(Link, *Records, Now);
-  if (const auto *Beat = Frame->payload.AsHeartbeat(); Beat && Beat->report)
-    this->onReport(Link, *Beat->report, Now);
+  if (const auto *Beat = Frame->payload.AsHeartbeat()) {
+    if (Beat->report)
+      this->onReport(Link, *Beat->report, Now);
+    this->onFailingReaders(Link, *Beat, Now);
+  }
   this->Spread.receive(Link, *Frame, Now);
 }
 
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -3,6 +3,7 @@
 
 #include "audit/AuditTrail.h"
 #include "config/Config.h"
+#include "control/FailingReaders.h"
 #include "control/ReadPlan.h"
 #include "membership/Membership.h"
 #include "quarantine/Quarantine.h"
@@ -87,6 +88,11 @@
     int64_t TakeoverHeartbeats = 10;
     Millis TakeoverDelayPerRank{5000};
     size_t MaxTakeoverNodes = 8;
+    /// A reader whose requests to the platform fail reports it with its
+    /// heartbeats, and the next of the first MaxTakeoverNodes nodes in the
+    /// order of readers reads in its place. Such a report counts for this many
+    /// heartbeats.
+    int64_t FailingReaderHeartbeats = 5;
     /// A node that has had no link to its parent for this long reads the
     /// platform until it has a parent link again; 0 means never. It may receive
     /// none of its neighbours' versions, while it can reach the platform as
@@ -199,7 +205,9 @@
   const Instance *root() const {
     return this->Fleet.root(this->Opts.DataCentre, this->Avoided);
   }
-  bool isReader() const { return this->Fleet.isReader(this->Avoided); }
+  bool isReader() const;
+  /// Number of readers of this data centre that are known to fail.
+  size_t failingReaders() const { return this->Failing.size(); }
 
 private:
   // A peer that this node keeps dialling until it is linked.
@@ -237,6 +245,13 @@
     return this->Fleet.parent(this->Avoided, this->PassedOver);
   }
   bool shouldTakeOverReading(TimePoint Now) const;
+  bool replacesReader() const;
+  void updateFailingReaders(TimePoint Now);
+  void reportFailingReader(const std::string &Name, TimePoint ReportedAt,
+                           const std::string &Source, TimePoint Now);
+  void onFailingReaders(LinkId Link, const wire::HeartbeatT &Beat,
+                        TimePoint Now);
+  std::set<std::string> readerCandidates() const;
   bool hasParentLink() const;
   void auditParentChange(TimePoint Now);
   bool isAwaitingParentLink() const;
@@ -341,6 +356,7 @@
   TimePoint NextExchange;
   TimePoint NowForHooks;
   std::string LastReaderError;
+  FailingReaders Failing;
 };
 
 } // namespace hickorylift
--- /dev/null
+++ b/src/control/FailingReadersTest.cpp
@@ -0,0 +1,130 @@
+#include "control/FleetFixture.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace hickorylift {
+
+namespace {
+
+namespace bdata = boost::unit_test::data;
+
+/// Within which time a version must be in force at all nodes: while the store
+/// refuses the requests of some nodes, and while it does not answer these.
+constexpr Millis MaxVersionDelay{2500};
+constexpr Millis MaxUnansweredDelay{7500};
+/// When the readers are served again: their last request times out, the backoff
+/// passes, and their last reports expire at nodes some heartbeats away.
+constexpr Millis MaxStepDownTime =
+    Millis(3100) + Millis(1000) + Millis(2000) + 3 * Millis(400);
+
+struct TurnedAwayCase {
+  const char *Name;
+  uint64_t Seed;
+  /// How many nodes of each data centre are turned away, the first in the order
+  /// of readers.
+  size_t Count;
+  bool Answers;
+  /// Whether one data centre is cut off from the others, and its nodes alone
+  /// are turned away.
+  bool Isolated;
+};
+
+std::ostream &operator<<(std::ostream &Out, const TurnedAwayCase &Case) {
+  return Out << Case.Name << ", seed " << Case.Seed;
+}
+
+const TurnedAwayCase TurnedAwayCases[] = {
+    {"both readers of each data centre are refused", 1, 2, true, false},
+    {"both readers of each data centre are refused", 2, 2, true, false},
+    {"the readers and the next two are refused", 3, 4, true, false},
+    {"the first seven are refused", 4, 7, true, false},
+    {"both readers of a data centre that is cut off are refused", 5, 2, true,
+     true},
+    {"the first seven of a data centre that is cut off are refused", 6, 7, true,
+     true},
+    {"both readers of each data centre are not answered", 7, 2, false, false},
+    {"the readers and the next one are not answered", 8, 3, false, false},
+    {"both readers of a data centre that is cut off are not answered", 9, 2,
+     false, true},
+};
+
+struct TurnedAwayFixture {
+  explicit TurnedAwayFixture(const TurnedAwayCase &Case)
+      : Fleet({.PerDataCentre = 24}, Case.Seed) {
+    this->Fleet.publish(1);
+    this->Fleet.run(Millis(8000));
+    std::vector<std::string> DataCentres = {"east"};
+    if (Case.Isolated)
+      this->Fleet.isolate("east");
+    else
+      DataCentres = {"east", "north", "south"};
+    for (const std::string &DataCentre : DataCentres)
+      this->Fleet.turnAway(this->Fleet.firstReaders(Case.Count, DataCentre),
+                           {Case.Answers});
+  }
+
+  FleetFixture Fleet;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FailingReaderTests)
+
+// Guards against a fleet that keeps an old version because the platform turns
+// away the nodes that read it, although it serves all others.
+BOOST_DATA_TEST_CASE(OthersReadWhileReadersAreTurnedAway,
+                     bdata::make(TurnedAwayCases), Case) {
+  TurnedAwayFixture Test(Case);
+  Millis Bound = Case.Answers ? MaxVersionDelay : MaxUnansweredDelay;
+  Test.Fleet.run(Millis(500));
+  for (uint64_t Version = 2; Version < 6; ++Version) {
+    Test.Fleet.publish(Version);
+    for (const char *DataCentre : {"east", "north", "south"}) {
+      Millis Delay =
+          Test.Fleet.timeUntilInForce(Version, DataCentre, 2 * Bound);
+      BOOST_TEST(Delay.count() <= Bound.count());
+    }
+    Test.Fleet.run(Millis(300));
+  }
+}
+
+// Guards against nodes that go on reading after the readers are served again:
+// all nodes share the platform's request rate.
+BOOST_DATA_TEST_CASE(OthersStopOnceReadersAreServedAgain,
+                     bdata::make(TurnedAwayCases), Case) {
+  TurnedAwayFixture Test(Case);
+  Test.Fleet.run(Millis(9000));
+  Test.Fleet.admitAll();
+  Test.Fleet.run(MaxStepDownTime);
+  for (const char *DataCentre : {"east", "north", "south"})
+    BOOST_TEST(Test.Fleet.countReading(DataCentre) == 2u);
+}
+
+// Guards against reports that nodes send each other in a circle and that never
+// expire: others would read in place of a reader that has long been served.
+BOOST_AUTO_TEST_CASE(ReportsPassedInACircleExpire) {
+  constexpr Millis HeartbeatInterval{400};
+  constexpr Millis Latency{50};
+  TimePoint Now = TimePoint(std::chrono::hours(1));
+  FailingReaders Nodes[] = {FailingReaders({Millis(2000)}),
+                            FailingReaders({Millis(2000)})};
+  Nodes[0].record("portal-2", Now, Now);
+  for (int I = 0; I < 20; ++I) {
+    auto Sent = Nodes[I % 2].toWire(Now);
+    Now += Latency;
+    for (const auto &Report : Sent)
+      Nodes[(I + 1) % 2].record(Report->name, Now - Millis(Report->age_ms),
+                                Now);
+    Now += HeartbeatInterval;
+    for (FailingReaders &Node : Nodes)
+      Node.expire(Now);
+  }
+  BOOST_TEST(Nodes[0].empty());
+  BOOST_TEST(Nodes[1].empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace hickorylift
--- a/src/control/FleetFixture.h
+++ b/src/control/FleetFixture.h
@@ -25,6 +25,10 @@
 //   Fleet.heal("east");
 //   Fleet.run(Millis(2500));
 //   BOOST_TEST(Fleet.nodesWithout(2, "east").empty());
+//
+// The store can also turn single nodes away:
+//
+//   Fleet.turnAway(Fleet.firstReaders(2, "east"), {.Answers = true});
 
 namespace hickorylift {
 
@@ -38,7 +42,7 @@
     Millis LatencyJitter{20};
     /// How long the transfer of the configuration takes over the network link
     /// of a node, by its data centre.
-    std::map<std::string, Millis> TransferTime;
+    std::map<std::string, Millis> TransferTime{};
     /// How long a packet waits for the rest of the queue while a node receives
     /// the configuration.
     Millis QueueTime{150};
@@ -48,6 +52,12 @@
     Millis EntryLifetime{4500};
   };
 
+  /// How the store treats the requests of a node that it turns away.
+  struct Refusal {
+    /// Whether it answers them, with an error; if not, they time out.
+    bool Answers = true;
+  };
+
   FleetFixture(const Options &Opts, uint64_t Seed) : Opts(Opts), Random(Seed) {
     for (const std::string &DataCentre : Opts.DataCentres)
       for (size_t I = 0; I < Opts.PerDataCentre; ++I)
@@ -67,6 +77,44 @@
   void cut(const std::string &DataCentre) { this->CutOff.insert(DataCentre); }
   void heal(const std::string &DataCentre) { this->CutOff.erase(DataCentre); }
 
+  /// Cuts a data centre off from the others alone.
+  void isolate(const std::string &DataCentre) {
+    this->Isolated.insert(DataCentre);
+  }
+
+  /// The first Count nodes of a data centre in the order of readers.
+  std::vector<std::string> firstReaders(size_t Count,
+                                        const std::string &DataCentre) const {
+    std::vector<std::string> Names;
+    for (const auto &[Name, Of] : this->Members)
+      if (Of.DataCentre == DataCentre &&
+          Of.Node->members().readerRank() < Count)
+        Names.push_back(Name);
+    return Names;
+  }
+
+  /// The store serves these nodes no longer. It ends their waiting watches if
+  /// it answers at all.
+  void turnAway(const std::vector<std::string> &Names, const Refusal &How) {
+    for (const std::string &Name : Names) {
+      this->TurnedAway[Name] = How;
+      if (!How.Answers)
+        continue;
+      for (auto &[Id, Pending] :
+           std::exchange(this->Members.at(Name).Watches, {}))
+        this->refuse(this->Members.at(Name), "store-watch", Pending.Done);
+    }
+  }
+  void admitAll() { this->TurnedAway.clear(); }
+
+  /// Number of nodes of a data centre with the duty to read.
+  size_t countReading(const std::string &DataCentre) const {
+    size_t Count = 0;
+    for (const auto &[Name, Of] : this->Members)
+      Count += Of.Node && Of.DataCentre == DataCentre && Of.Node->isReader();
+    return Count;
+  }
+
   /// A machine stops without closing its connections. Its entry expires.
   void losePower(const std::string &Name) {
     Member &Of = this->Members.at(Name);
@@ -147,6 +195,8 @@
 private:
   struct Member;
 
+  static constexpr Millis RangeTimeout{1500};
+
   struct LinkEnd {
     Member *Peer = nullptr;
     LinkId PeerLink = 0;
@@ -287,9 +337,11 @@
   }
 
   bool reaches(const Member &From, const Member &To) const {
-    return From.DataCentre == To.DataCentre ||
-           (!this->CutOff.count(From.DataCentre) &&
-            !this->CutOff.count(To.DataCentre));
+    auto IsCut = [this](const Member &Of) {
+      return this->CutOff.count(Of.DataCentre) ||
+             this->Isolated.count(Of.DataCentre);
+    };
+    return From.DataCentre == To.DataCentre || (!IsCut(From) && !IsCut(To));
   }
   bool reachesStore(const Member &From) const {
     return !this->CutOff.count(From.DataCentre);
@@ -419,6 +471,22 @@
     return Key.rfind(Prefix, 0) == 0;
   }
 
+  bool answersRefusal(const Member &Of) const {
+    auto Found = this->TurnedAway.find(Of.Name);
+    return Found != this->TurnedAway.end() && Found->second.Answers;
+  }
+  bool isTurnedAway(const Member &Of) const {
+    return this->TurnedAway.count(Of.Name) != 0;
+  }
+
+  template <typename CallbackT>
+  void refuse(Member &Of, const std::string &Step, const CallbackT &Done) {
+    this->at(this->latency(), [this, &Of, Boot = Of.Boot, Step, Done] {
+      if (Of.Boot == Boot && Of.Node)
+        Done(Error{Errc::Busy, Step, "store", "status 429"}, this->Now);
+    });
+  }
+
   Error timeout(const std::string &Step) const {
     return Error{Errc::Timeout, Step, "store", "no answer"};
   }
@@ -441,10 +509,17 @@
              const KeyValueStore::PageCallback &Done) {
     uint64_t Boot = Of.Boot;
     this->at(this->latency(), [this, &Of, Boot, Prefix, Done] {
-      this->connect(Of, Boot, Millis(1500),
+      this->connect(Of, Boot, RangeTimeout,
                     [this, &Of, Boot, Prefix, Done](bool Connected) {
                       if (!Connected)
                         return Done(this->timeout("store-range"), this->Now);
+                      if (this->answersRefusal(Of))
+                        return this->refuse(Of, "store-range", Done);
+                      if (this->isTurnedAway(Of))
+                        return this->at(RangeTimeout, [this, &Of, Boot, Done] {
+                          if (Of.Boot == Boot && Of.Node)
+                            Done(this->timeout("store-range"), this->Now);
+                        });
                       ItemPage Page;
                       Page.Revision = this->Revision;
                       for (const auto &[Key, Item] : this->Items)
@@ -469,6 +544,8 @@
                      Done](bool Connected) {
                       if (!Connected)
                         return Done(this->timeout("store-watch"), this->Now);
+                      if (this->answersRefusal(Of))
+                        return this->refuse(Of, "store-watch", Done);
                       Of.Watches[Id] = {Prefix, After, Done};
                       this->at(Wait, [this, &Of, Boot, Id] {
                         if (Of.Boot == Boot && this->reachesStore(Of))
@@ -489,7 +566,7 @@
 
   void answer(Member &Of, uint64_t Id, bool Final) {
     auto Found = Of.Watches.find(Id);
-    if (Found == Of.Watches.end())
+    if (Found == Of.Watches.end() || this->isTurnedAway(Of))
       return;
     ItemChanges Answer;
     Answer.Revision = this->Revision;
@@ -527,6 +604,8 @@
   std::multimap<TimePoint, std::function<void()>> Events;
   std::map<std::string, Member> Members;
   std::set<std::string> CutOff;
+  std::set<std::string> Isolated;
+  std::map<std::string, Refusal> TurnedAway;
   LinkId LastLink = 0;
   uint64_t LastWatch = 0;
   uint64_t Revision = 0;
--- a/src/control/ReadPlan.cpp
+++ b/src/control/ReadPlan.cpp
@@ -44,6 +44,9 @@
     return {ReadDuty::Watch, "readers fell behind"};
   if (PeersHadTime && Reads)
     return {ReadDuty::Spare, "spare reader"};
+  // As a spare, for the readers of other data centres may be served.
+  if (PeersHadTime && Situation.ReplacesReader)
+    return {ReadDuty::Spare, "readers fail"};
   if (PeersHadTime && Situation.ParentMayBeSlow)
     return {ReadDuty::Spare, "parent was lost"};
   if (!Situation.HasVersion &&
--- a/src/control/ReadPlan.h
+++ b/src/control/ReadPlan.h
@@ -32,6 +32,8 @@
   bool IsReader = false;
   /// The node is the first reader of its data centre, or all nodes read.
   bool IsFirstReader = false;
+  /// Readers are known to fail, and the node is the next in order.
+  bool ReplacesReader = false;
   /// The node has had no link to its parent for some time.
   bool LostParent = false;
   /// The node recently regained a parent link, and that parent may be slow.
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -275,6 +275,19 @@
   return Rank;
 }
 
+std::set<std::string>
+Membership::firstInReaderOrder(size_t Count, const AvoidSet &Avoid) const {
+  std::set<std::string> Names;
+  for (const Instance *Member :
+       this->treeOrder(this->Opts.DataCentre, TreeSalt)) {
+    if (Names.size() >= Count)
+      break;
+    if (!Member->Leaving && !Avoid.count(Member->Name))
+      Names.insert(Member->Name);
+  }
+  return Names;
+}
+
 bool Membership::isReader(const AvoidSet &Avoid) const {
   return this->topologySize(this->Opts.DataCentre) == 0 ||
          this->everyNodeReads() || this->readerRank(Avoid) < this->Opts.Readers;
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -147,6 +147,10 @@
   /// The number of nodes that would have to fail before this node becomes the
   /// first reader.
   size_t readerRank(const AvoidSet &Avoid = {}) const;
+  /// The names of the first Count nodes in the order in which the nodes of this
+  /// data centre become readers.
+  std::set<std::string> firstInReaderOrder(size_t Count,
+                                           const AvoidSet &Avoid = {}) const;
   /// The nodes that this node dials. Only one end dials a link: the child in a
   /// tree; between data centres, the node of the data centre whose name sorts
   /// first.
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -225,6 +225,10 @@
       Of.core().control().spreader().linkCount());
   Set("hickorylift_platform_reads", "Calls to the platform",
       Of.core().control().documentSource().reads());
+  Set("hickorylift_failing_readers",
+      "Readers of the data centre that the platform does not serve, as far as "
+      "this node is told",
+      Of.core().control().failingReaders());
   Set("hickorylift_platform_unreadable",
       "Items of the platform that could not be used",
       Of.core().control().unreadableItems());
--- a/src/reading/DocumentSource.h
+++ b/src/reading/DocumentSource.h
@@ -105,6 +105,10 @@
   virtual void tick(TimePoint Now, ReadDuty Duty) = 0;
   /// Number of requests sent to the platform so far.
   virtual uint64_t reads() const = 0;
+  /// Whether there is a duty that cannot be carried out at present, as the last
+  /// requests to the platform failed. A single request that failed at once is
+  /// repeated before it counts; one that timed out has taken long enough.
+  virtual bool isFailing() const = 0;
 };
 
 /// Creates the source of one node.
--- a/src/reading/PlatformReader.cpp
+++ b/src/reading/PlatformReader.cpp
@@ -166,6 +166,7 @@
     this->CurrentDuty = NewDuty;
     ++*this->Epoch;
     this->Busy = false;
+    this->CannotRead = false;
     this->InProgress.reset();
     this->ManifestPending = false;
     this->scheduleFullRead();
@@ -218,6 +219,7 @@
   Millis MaxDelay =
       std::min(this->Opts.MaxBackoff, this->Opts.InitialBackoff *
                                           (1 << std::min(this->Failures, 10u)));
+  this->CannotRead |= this->Failures > 0 || Why.Code == Errc::Timeout;
   ++this->Failures;
   this->NotBefore = Now + Millis(this->Random() % (MaxDelay.count() + 1));
   this->Hook.Failed(Why, Now);
--- a/src/reading/PlatformReader.h
+++ b/src/reading/PlatformReader.h
@@ -89,6 +89,7 @@
 
   void tick(TimePoint Now, Duty NewDuty) override;
   uint64_t reads() const override { return this->Reads; }
+  bool isFailing() const override { return this->CannotRead; }
   Duty duty() const { return this->CurrentDuty; }
 
 private:
@@ -125,7 +126,10 @@
   bool isNotYetPublished(const Error &Why) const;
   void continueReading(TimePoint Now);
   void fail(const Error &Why, TimePoint Now);
-  void succeed() { this->Failures = 0; }
+  void succeed() {
+    this->Failures = 0;
+    this->CannotRead = false;
+  }
   void trackRevision(uint64_t Revision, TimePoint Now);
   bool isRestored(TimePoint Now) const;
   DocumentPtr rebaseAfterRestore(const std::string &Key,
@@ -164,6 +168,8 @@
   RecordHashes KnownRecords;
   std::unique_ptr<VersionRead> InProgress;
   unsigned Failures = 0;
+  // What isFailing() returns.
+  bool CannotRead = false;
   TokenBucket Budget;
   uint64_t Reads = 0;
   // Incremented to drop the answers to all earlier requests. Callbacks hold a
--- a/src/reading/SplitReader.cpp
+++ b/src/reading/SplitReader.cpp
@@ -82,6 +82,11 @@
   this->ListReader.tick(Now, Duty);
 }
 
+bool SplitReader::isFailing() const {
+  return this->CombinedReader.isFailing() || this->ConfigReader.isFailing() ||
+         this->ListReader.isFailing();
+}
+
 uint64_t SplitReader::reads() const {
   return this->CombinedReader.reads() + this->ConfigReader.reads() +
          this->ListReader.reads();
--- a/src/reading/SplitReader.h
+++ b/src/reading/SplitReader.h
@@ -33,6 +33,7 @@
 
   void tick(TimePoint Now, ReadDuty Duty) override;
   uint64_t reads() const override;
+  bool isFailing() const override;
 
 private:
   bool isLarge() const;
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -68,6 +68,7 @@
     ++*this->Epoch;
     this->Busy = false;
     this->PageItems.clear();
+    this->CannotRead = false;
     this->NotBefore = Now + this->startDelay();
     // Other nodes may have read later revisions meanwhile.
     this->FullReadNeeded |=
@@ -373,6 +374,7 @@
 void StoreReader::succeed(TimePoint Now) {
   this->Busy = false;
   this->Failures = 0;
+  this->CannotRead = false;
   bool HasFailed = std::exchange(this->Failing, false);
   if (HasFailed || this->missedAnOutage(Now))
     this->InstanceGraceEnd = Now + this->Opts.MissingEntryGrace;
@@ -413,7 +415,10 @@
   this->FullReadNeeded |= HistoryGone;
   if (HistoryGone)
     this->HistoryGoneAt = std::max(this->HistoryGoneAt, this->CopyRevision);
+  bool FailedBefore = this->Failing;
   this->Failing |= !HistoryGone;
+  this->CannotRead |=
+      !HistoryGone && (FailedBefore || Why.Code == Errc::Timeout);
   // The whole delay is random (full jitter), so that nodes that failed together
   // don't retry together.
   Millis MaxDelay =
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -74,6 +74,7 @@
   /// current one, discards pending requests and reads everything again.
   void observeEra(const std::optional<uint64_t> &Reported, TimePoint Now);
   uint64_t reads() const override { return this->Reads; }
+  bool isFailing() const override { return this->CannotRead; }
 
 private:
   struct ListedInstance {
@@ -188,6 +189,8 @@
   std::optional<TimePoint> LastAnswerAt;
   bool Failing = false;
   unsigned Failures = 0;
+  // What isFailing() returns.
+  bool CannotRead = false;
   // Until then missing instances are kept, as their entries may have expired
   // during an outage.
   TimePoint InstanceGraceEnd;
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -227,6 +227,26 @@
 Error unreachable() { return Error{Errc::Unreachable, "s", "p", "away"}; }
 Error historyGone() { return Error{Errc::Stale, "s", "p", "gone"}; }
 
+/// Errors of consecutive requests, and whether the reader then fails.
+struct FailureCase {
+  const char *Name;
+  std::vector<Error> Errors;
+  bool Fails;
+};
+std::ostream &operator<<(std::ostream &Out, const FailureCase &Row) {
+  return Out << Row.Name;
+}
+
+const Error TimedOut{Errc::Timeout, "store-watch", "store", "no answer"};
+
+const FailureCase FailureCases[] = {
+    {"one request is refused", {unreachable()}, false},
+    {"two requests are refused", {unreachable(), unreachable()}, true},
+    {"one request times out", {TimedOut}, true},
+    {"the store has dropped its history", {historyGone()}, false},
+    {"a request is refused after that", {historyGone(), unreachable()}, false},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(StoreReading)
@@ -713,6 +733,41 @@
   BOOST_TEST(this->ReportedComplete == 6u);
 }
 
+// Guards against nodes that learn of a failing reader too late, or that replace
+// one which is only asked to repeat a request.
+BOOST_DATA_TEST_CASE_F(Fixture, RepeatedFailuresAreReported,
+                       boost::unit_test::data::make(FailureCases), Row) {
+  this->startWith({storedInstance("x", 1)}, 1);
+  for (const Error &Why : Row.Errors) {
+    this->runUntilRequest();
+    if (!this->Store.PendingRanges.empty())
+      this->Store.answerRange(Why, this->Now);
+    else
+      this->Store.answerWatch(Why, this->Now);
+  }
+  BOOST_TEST(this->Read->isFailing() == Row.Fails);
+  this->runUntilRequest();
+  if (!this->Store.PendingRanges.empty())
+    this->Store.answerRange(ItemPage{{}, false, 2}, this->Now);
+  else
+    this->Store.answerWatch(ItemChanges{{}, 2}, this->Now);
+  BOOST_TEST(!this->Read->isFailing());
+}
+
+// Guards against a node without the duty to read that keeps others reading in
+// its place.
+BOOST_FIXTURE_TEST_CASE(NodesWithoutADutyDoNotFail, Fixture) {
+  this->startWith({storedInstance("x", 1)}, 1);
+  for (int I = 0; I < 2; ++I) {
+    this->runUntilRequest();
+    this->Store.answerWatch(unreachable(), this->Now);
+  }
+  BOOST_REQUIRE(this->Read->isFailing());
+  this->Duty = ReadDuty::None;
+  this->step(Millis(100));
+  BOOST_TEST(!this->Read->isFailing());
+}
+
 BOOST_FIXTURE_TEST_CASE(RetryDelaysAreLimited, Fixture) {
   for (int I = 0; I < 20; ++I) {
     this->Store.answerRange(unreachable(), this->Now);
--- a/src/spread/Spread_generated.h
+++ b/src/spread/Spread_generated.h
@@ -30,6 +30,10 @@
 struct HeartbeatBuilder;
 struct HeartbeatT;
 
+struct FailingReader;
+struct FailingReaderBuilder;
+struct FailingReaderT;
+
 struct Announce;
 struct AnnounceBuilder;
 struct AnnounceT;
@@ -666,6 +670,7 @@
   uint32_t echo = 0;
   uint64_t complete_at = 0;
   flatbuffers::Optional<uint64_t> first_era = flatbuffers::nullopt;
+  std::vector<std::unique_ptr<hickorylift::wire::FailingReaderT>> failing_readers{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -683,7 +688,8 @@
     VT_SEQ = 10,
     VT_ECHO = 12,
     VT_COMPLETE_AT = 14,
-    VT_FIRST_ERA = 16
+    VT_FIRST_ERA = 16,
+    VT_FAILING_READERS = 18
   };
   const flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::TopicState>> *topics() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::TopicState>> *>(VT_TOPICS);
@@ -706,6 +712,9 @@
   flatbuffers::Optional<uint64_t> first_era() const {
     return GetOptional<uint64_t, uint64_t>(VT_FIRST_ERA);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::FailingReader>> *failing_readers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::FailingReader>> *>(VT_FAILING_READERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TOPICS) &&
@@ -719,6 +728,9 @@
            VerifyField<uint32_t>(verifier, VT_ECHO, 4) &&
            VerifyField<uint64_t>(verifier, VT_COMPLETE_AT, 8) &&
            VerifyField<uint64_t>(verifier, VT_FIRST_ERA, 8) &&
+           VerifyOffset(verifier, VT_FAILING_READERS) &&
+           verifier.VerifyVector(failing_readers()) &&
+           verifier.VerifyVectorOfTables(failing_readers()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -751,6 +763,9 @@
   void add_first_era(uint64_t first_era) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_FIRST_ERA, first_era);
   }
+  void add_failing_readers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::FailingReader>>> failing_readers) {
+    fbb_.AddOffset(Heartbeat::VT_FAILING_READERS, failing_readers);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -770,10 +785,12 @@
     uint32_t seq = 0,
     uint32_t echo = 0,
     uint64_t complete_at = 0,
-    flatbuffers::Optional<uint64_t> first_era = flatbuffers::nullopt) {
+    flatbuffers::Optional<uint64_t> first_era = flatbuffers::nullopt,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<hickorylift::wire::FailingReader>>> failing_readers = 0) {
   HeartbeatBuilder builder_(_fbb);
   if(first_era) { builder_.add_first_era(*first_era); }
   builder_.add_complete_at(complete_at);
+  builder_.add_failing_readers(failing_readers);
   builder_.add_echo(echo);
   builder_.add_seq(seq);
   builder_.add_report(report);
@@ -795,9 +812,11 @@
     uint32_t seq = 0,
     uint32_t echo = 0,
     uint64_t complete_at = 0,
-    flatbuffers::Optional<uint64_t> first_era = flatbuffers::nullopt) {
+    flatbuffers::Optional<uint64_t> first_era = flatbuffers::nullopt,
+    const std::vector<flatbuffers::Offset<hickorylift::wire::FailingReader>> *failing_readers = nullptr) {
   auto topics__ = topics ? _fbb.CreateVector<flatbuffers::Offset<hickorylift::wire::TopicState>>(*topics) : 0;
   auto ages_ms__ = ages_ms ? _fbb.CreateVector<uint32_t>(*ages_ms) : 0;
+  auto failing_readers__ = failing_readers ? _fbb.CreateVector<flatbuffers::Offset<hickorylift::wire::FailingReader>>(*failing_readers) : 0;
   return hickorylift::wire::CreateHeartbeat(
       _fbb,
       topics__,
@@ -806,11 +825,93 @@
       seq,
       echo,
       complete_at,
-      first_era);
+      first_era,
+      failing_readers__);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct FailingReaderT : public flatbuffers::NativeTable {
+  typedef FailingReader TableType;
+  std::string name{};
+  uint32_t age_ms = 0;
+};
+
+struct FailingReader FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FailingReaderT NativeTableType;
+  typedef FailingReaderBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_AGE_MS = 6
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  FailingReaderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FailingReaderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<FailingReader> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FailingReaderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FailingReaderBuilder {
+  typedef FailingReader Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(FailingReader::VT_NAME, name);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(FailingReader::VT_AGE_MS, age_ms, 0);
+  }
+  explicit FailingReaderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FailingReader> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FailingReader>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FailingReader> CreateFailingReader(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    uint32_t age_ms = 0) {
+  FailingReaderBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+struct FailingReader::Traits {
+  using type = FailingReader;
+  static auto constexpr Create = CreateFailingReader;
+};
+
+inline flatbuffers::Offset<FailingReader> CreateFailingReaderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    uint32_t age_ms = 0) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  return hickorylift::wire::CreateFailingReader(
+      _fbb,
+      name__,
+      age_ms);
+}
+
+flatbuffers::Offset<FailingReader> CreateFailingReader(flatbuffers::FlatBufferBuilder &_fbb, const FailingReaderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct AnnounceT : public flatbuffers::NativeTable {
   typedef Announce TableType;
   std::string topic{};
@@ -2297,6 +2398,8 @@
         first_era(o.first_era) {
   topics.reserve(o.topics.size());
   for (const auto &topics_ : o.topics) { topics.emplace_back((topics_) ? new hickorylift::wire::TopicStateT(*topics_) : nullptr); }
+  failing_readers.reserve(o.failing_readers.size());
+  for (const auto &failing_readers_ : o.failing_readers) { failing_readers.emplace_back((failing_readers_) ? new hickorylift::wire::FailingReaderT(*failing_readers_) : nullptr); }
 }
 
 inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
@@ -2307,6 +2410,7 @@
   std::swap(echo, o.echo);
   std::swap(complete_at, o.complete_at);
   std::swap(first_era, o.first_era);
+  std::swap(failing_readers, o.failing_readers);
   return *this;
 }
 
@@ -2326,6 +2430,7 @@
   { auto _e = echo(); _o->echo = _e; }
   { auto _e = complete_at(); _o->complete_at = _e; }
   { auto _e = first_era(); _o->first_era = _e; }
+  { auto _e = failing_readers(); if (_e) { _o->failing_readers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->failing_readers[_i] = std::unique_ptr<hickorylift::wire::FailingReaderT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2343,6 +2448,7 @@
   auto _echo = _o->echo;
   auto _complete_at = _o->complete_at;
   auto _first_era = _o->first_era;
+  auto _failing_readers = _o->failing_readers.size() ? _fbb.CreateVector<flatbuffers::Offset<hickorylift::wire::FailingReader>> (_o->failing_readers.size(), [](size_t i, _VectorArgs *__va) { return CreateFailingReader(*__va->__fbb, __va->__o->failing_readers[i].get(), __va->__rehasher); }, &_va ) : 0;
   return hickorylift::wire::CreateHeartbeat(
       _fbb,
       _topics,
@@ -2351,7 +2457,37 @@
       _seq,
       _echo,
       _complete_at,
-      _first_era);
+      _first_era,
+      _failing_readers);
+}
+
+inline FailingReaderT *FailingReader::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<FailingReaderT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void FailingReader::UnPackTo(FailingReaderT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<FailingReader> FailingReader::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FailingReaderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFailingReader(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<FailingReader> CreateFailingReader(flatbuffers::FlatBufferBuilder &_fbb, const FailingReaderT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FailingReaderT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _age_ms = _o->age_ms;
+  return hickorylift::wire::CreateFailingReader(
+      _fbb,
+      _name,
+      _age_ms);
 }
 
 inline AnnounceT::AnnounceT(const AnnounceT &o)
--- a/src/spread/Spreader.cpp
+++ b/src/spread/Spreader.cpp
@@ -347,7 +347,7 @@
     Item->age_ms = AgeMs;
     Beat.topics.push_back(std::move(Item));
   }
-  Beat.report = this->Hook.MakeReport(To);
+  this->Hook.CompleteHeartbeat(To, Beat, Now);
   Beat.seq = ++LinkState.SentSeq;
   Beat.echo = LinkState.ReceivedSeq;
   Beat.complete_at = this->CompleteRevision;
--- a/src/spread/Spreader.h
+++ b/src/spread/Spreader.h
@@ -99,10 +99,9 @@
     /// A neighbour did not answer a pull within PullTimeout.
     std::function<void(const std::string &Topic, LinkId, TimePoint)>
         PullUnanswered = [](const std::string &, LinkId, TimePoint) {};
-    /// Returns the report on this node's subtree for the link's heartbeat, or
-    /// null to send none.
-    std::function<std::unique_ptr<wire::FleetReportT>(LinkId)> MakeReport =
-        [](LinkId) { return nullptr; };
+    /// Adds what other components send with a heartbeat on this link.
+    std::function<void(LinkId, wire::HeartbeatT &, TimePoint)>
+        CompleteHeartbeat = [](LinkId, wire::HeartbeatT &, TimePoint) {};
   };
 
   /// Counts of frames and events, for the metrics.
