Abandon transfers of versions that the node already has

Cause: a watch delivers each change of the configuration in full. A reader that was turned away asks for all changes since its own last answer, and one on a thin link receives a version for seconds after another node has sent it to everybody. The next version waits behind that.

Change: a reader of the configuration continues from the documents of its node, and abandons a request once the node has a newer version and all changes before it. The request is cancelled on the network link as well, also where the duty to read ends.

Why it works: what is abandoned can only repeat what the node has, as the next request starts behind that version. Readers of lists keep their own position: their changes are small, and resuming means to parse every list.

StoreReading/RedundantTransfersAreAbandoned and /ConfigReadersContinueFromTheNodesDocuments test what was missing; they were not run on the code as found, which has no way to cancel a request.

--- a/src/base/HttpFetch.cpp
+++ b/src/base/HttpFetch.cpp
@@ -16,7 +16,11 @@
 constexpr int MsInSecond = 1000;
 constexpr size_t PieceBytes = 64 * 1024;
 
+using RunningMap = std::map<HttpFetcher::RequestId, GCancellable *>;
+
 struct Pending {
+  HttpFetcher::RequestId Id = 0;
+  std::shared_ptr<RunningMap> Running;
   HttpFetcher::GotReply Done;
   std::function<TimePoint()> Now;
   std::string Step;
@@ -82,6 +86,7 @@
 void finish(std::unique_ptr<Pending> Call, Result<HttpReply> Reply) {
   if (Call->Timer)
     g_source_remove(Call->Timer);
+  Call->Running->erase(Call->Id);
   // A response that wasn't read to its end must not be waited for.
   if (!Reply)
     g_cancellable_cancel(Call->Stop);
@@ -175,10 +180,19 @@
   setsockopt(Fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &LimitMs, sizeof(LimitMs));
 }
 
-void HttpFetcher::fetch(const std::string &Path, const std::string &Step,
-                        Millis HeadLimit, GotReply Done) {
+void HttpFetcher::cancel(RequestId Request) {
+  auto Found = this->Running->find(Request);
+  if (Found != this->Running->end())
+    g_cancellable_cancel(Found->second);
+}
+
+HttpFetcher::RequestId HttpFetcher::fetch(const std::string &Path,
+                                          const std::string &Step,
+                                          Millis HeadLimit, GotReply Done) {
   std::string Url = "http://" + this->Opts.Address + Path;
   auto Call = std::make_unique<Pending>();
+  Call->Id = ++this->LastRequest;
+  Call->Running = this->Running;
   Call->Done = std::move(Done);
   Call->Now = this->Now;
   Call->Step = Step;
@@ -193,8 +207,11 @@
     g_signal_connect(Call->Message, "network-event", G_CALLBACK(onNetworkEvent),
                      this);
   Pending *Raw = Call.release();
+  this->Running->emplace(Raw->Id, Raw->Stop);
+  RequestId Id = Raw->Id;
   soup_session_send_async(this->Session, Raw->Message, G_PRIORITY_DEFAULT,
                           Raw->Stop, onHead, Raw);
+  return Id;
 }
 
 } // namespace hickorylift
--- a/src/base/HttpFetch.h
+++ b/src/base/HttpFetch.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 // An HttpFetcher reads from one HTTP server with limits of time and bytes on
@@ -56,11 +57,17 @@
   HttpFetcher(const HttpFetcher &) = delete;
   HttpFetcher &operator=(const HttpFetcher &) = delete;
 
+  /// Identifies a request of this fetcher. Never reused.
+  using RequestId = uint64_t;
+
   /// Done is called once, never from within. Step is for errors; a reply of
   /// any status is a result. HeadLimit is the time until the head of the
   /// response; its body is bounded by Options::StallLimit.
-  void fetch(const std::string &Path, const std::string &Step, Millis HeadLimit,
-             GotReply Done);
+  RequestId fetch(const std::string &Path, const std::string &Step,
+                  Millis HeadLimit, GotReply Done);
+  /// Ends a request, and closes its connection if a response is being received.
+  /// Done gets an error. Ignored if the request has ended.
+  void cancel(RequestId Request);
   const std::string &address() const { return this->Opts.Address; }
 
 private:
@@ -70,6 +77,10 @@
   Options Opts;
   std::function<TimePoint()> Now;
   SoupSession *Session;
+  // Requests in progress. Shared with them, as they may outlive the fetcher.
+  std::shared_ptr<std::map<RequestId, GCancellable *>> Running =
+      std::make_shared<std::map<RequestId, GCancellable *>>();
+  RequestId LastRequest = 0;
 };
 
 } // namespace hickorylift
--- a/src/control/FleetFixture.h
+++ b/src/control/FleetFixture.h
@@ -238,6 +238,11 @@
                TimePoint, ChangesCallback Done) override {
       this->Fleet.watch(this->Of, Prefix, After, Wait, Done);
     }
+    void cancel(const std::string &Prefix) override {
+      std::erase_if(this->Of.Watches, [&](const auto &Pending) {
+        return Pending.second.Prefix == Prefix;
+      });
+    }
 
   private:
     FleetFixture &Fleet;
--- a/src/reading/KeyValueStore.h
+++ b/src/reading/KeyValueStore.h
@@ -79,6 +79,9 @@
   /// the store no longer has the history after that revision.
   virtual void watch(const std::string &Prefix, uint64_t After, Millis Wait,
                      TimePoint Now, ChangesCallback Done) = 0;
+  /// Ends the transfer of the responses to all requests for Prefix. Their Done
+  /// may still be called, with an error.
+  virtual void cancel(const std::string &Prefix) = 0;
 };
 
 /// A configuration version parsed from an item.
--- a/src/reading/StoreFixture.h
+++ b/src/reading/StoreFixture.h
@@ -123,6 +123,14 @@
         {Prefix, After, AskedAt + Wait, std::move(Done)});
   }
 
+  void cancel(const std::string &Prefix) override {
+    std::erase_if(this->PendingRanges,
+                  [&](const auto &Pending) { return Pending.first == Prefix; });
+    std::erase_if(this->PendingWatches, [&](const PendingWatch &Pending) {
+      return Pending.Prefix == Prefix;
+    });
+  }
+
   void answer(TimePoint Now) {
     for (auto &[Prefix, Done] : std::exchange(this->PendingRanges, {}))
       Done(this->page(Prefix), Now);
@@ -209,6 +217,9 @@
                       this->failIfLost<ItemChanges>(std::move(Done)));
   }
 
+  // The store is shared by several nodes: the answers are only dropped.
+  void cancel(const std::string &) override {}
+
   /// Fails the requests that were sent while the store was not reachable.
   void answer(TimePoint Now) {
     for (const auto &Fail : std::exchange(this->Failures, {}))
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -65,15 +65,11 @@
   bool HadDuty = this->CurrentDuty != ReadDuty::None;
   this->CurrentDuty = Duty;
   if (HasDuty != HadDuty) {
-    ++*this->Epoch;
-    this->Busy = false;
-    this->PageItems.clear();
+    this->abandonRequest();
     this->CannotRead = false;
     this->NotBefore = Now + this->startDelay();
     // Other nodes may have read later revisions meanwhile.
-    this->FullReadNeeded |=
-        HasDuty && this->Hook.CompleteRevision() >
-                       this->globalRevision(this->CopyRevision);
+    this->FullReadNeeded |= HasDuty && this->isBehindNode();
   }
   if (this->EvacuationsIncludeKept &&
       (Now >= this->RestoreGraceEnd ||
@@ -82,6 +78,8 @@
   if (this->ListsIncludeKept &&
       (Now >= this->InstanceGraceEnd || this->hasSupersededList()))
     this->publishLists(Now);
+  if (this->Busy)
+    this->abandonRedundantTransfer(Now);
   if (HasDuty && !this->Busy && Now >= this->NotBefore &&
       !this->isServedByOthers(Now))
     this->startNextRequest(Now);
@@ -110,16 +108,50 @@
         std::max(this->LastAskedByAny, this->Hook.ConfirmedAt(Topic));
 }
 
-// A spare's copy is as old as its last request. Continuing from there would
-// transfer again what other nodes have sent since, or would fail because the
-// store has discarded that history.
+bool StoreReader::isBehindNode() const {
+  return this->Hook.CompleteRevision() >
+         this->globalRevision(this->CopyRevision);
+}
+
+// A spare's copy is as old as its last request, and that of a reader that has
+// failed as old as its last answer. Continuing from there would transfer again
+// what other nodes have sent since, each version of the configuration in full,
+// or would fail because the store has discarded that history. Resuming lists
+// means to parse them all, so a reader of lists that is not a spare reads their
+// changes again, which are small.
 void StoreReader::catchUpWithNode() {
-  bool Behind =
-      this->Hook.CompleteRevision() > this->globalRevision(this->CopyRevision);
-  if (this->CurrentDuty == ReadDuty::Spare && Behind)
+  bool IsCheaper =
+      this->CurrentDuty == ReadDuty::Spare || this->readsConfigOnly();
+  if (IsCheaper && this->isBehindNode())
     this->resume();
 }
 
+// While a reader on a thin network link receives a large configuration, another
+// node may send the same version or a later one. The rest of the transfer then
+// only delays what else the link carries, and the next version, for seconds.
+void StoreReader::abandonRedundantTransfer(TimePoint Now) {
+  if (!this->readsConfigOnly() || !this->readsConfig())
+    return;
+  DocumentPtr Current = this->Hook.CurrentDocument(ConfigTopic);
+  bool HasNewer = Current && Current->stamp().Revision >
+                                 this->globalRevision(this->CopyRevision);
+  // The answer may also hold evacuations, so all that came before that version
+  // must be known.
+  if (!HasNewer || this->Hook.CompleteRevision() < Current->stamp().Revision ||
+      !this->resume())
+    return;
+  this->abandonRequest();
+  this->FullReadNeeded = false;
+  this->NotBefore = Now;
+}
+
+void StoreReader::abandonRequest() {
+  ++*this->Epoch;
+  if (std::exchange(this->Busy, false))
+    this->Store.cancel(this->Layout.Prefix);
+  this->PageItems.clear();
+}
+
 Millis StoreReader::startDelay() {
   if (this->CurrentDuty == ReadDuty::ListForOthers)
     return Millis(0);
@@ -341,8 +373,7 @@
                              TimePoint Now) {
   if (!this->Era || !Reported || *Reported <= *this->Era)
     return;
-  ++*this->Epoch;
-  this->Busy = false;
+  this->abandonRequest();
   this->beginEra(*Reported, Now);
 }
 
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -90,6 +90,10 @@
   bool isServedByOthers(TimePoint Now);
   void updateLastAskedByAny();
   void catchUpWithNode();
+  bool isBehindNode() const;
+  bool readsConfigOnly() const { return this->DataCentres.empty(); }
+  void abandonRedundantTransfer(TimePoint Now);
+  void abandonRequest();
   bool resume();
   bool resumeAt(uint64_t Position);
   bool resumeLists();
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -33,6 +33,10 @@
     this->PendingWatches.push_back(std::move(Done));
   }
 
+  void cancel(const std::string &Prefix) override {
+    this->Cancelled.push_back(Prefix);
+  }
+
   void answerRange(const Result<ItemPage> &Answer, TimePoint Now) {
     BOOST_REQUIRE(!this->PendingRanges.empty());
     PageCallback Done = std::move(this->PendingRanges.front());
@@ -47,6 +51,8 @@
   }
 
   std::vector<std::string> Requests;
+  /// The prefixes whose requests were cancelled.
+  std::vector<std::string> Cancelled;
   std::string LastRangeAfter;
   uint64_t LastWatchAfter = 0;
   /// The wait of the last watch of each prefix.
@@ -247,6 +253,26 @@
     {"a request is refused after that", {historyGone(), unreachable()}, false},
 };
 
+/// What a node receives from others while its request for changes after
+/// revision 40 is answered.
+struct RedundantCase {
+  const char *Name;
+  uint64_t ReceivedRevision;
+  uint64_t CompleteRevision;
+  bool ReadsLists;
+  bool IsAbandoned;
+};
+std::ostream &operator<<(std::ostream &Out, const RedundantCase &Row) {
+  return Out << Row.Name;
+}
+
+const RedundantCase RedundantCases[] = {
+    {"a version, and all changes before it", 50, 52, false, true},
+    {"a version, but perhaps not all changes before it", 50, 45, false, false},
+    {"changes, but no version", 30, 45, false, false},
+    {"a version, and the reader reads lists as well", 50, 52, true, false},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(StoreReading)
@@ -768,6 +794,55 @@
   BOOST_TEST(!this->Read->isFailing());
 }
 
+// Guards against a reader on a thin network link that receives a version which
+// its node already has, for seconds, while the next one waits behind it.
+BOOST_DATA_TEST_CASE(RedundantTransfersAreAbandoned,
+                     boost::unit_test::data::make(RedundantCases), Row) {
+  Fixture Test;
+  FakeStore OtherStore;
+  Test.Documents[ConfigTopic] = Document::make(3, 30, {});
+  Test.Documents[EvacuationTopic] = makeEvacuationDocument(20, {});
+  Test.CompleteRevision = 40;
+  StoreReader::Options Opts;
+  Opts.StartJitter = Millis(0);
+  StoreReader Read(Opts, OtherStore, testLayout(), Test.hooks(),
+                   Row.ReadsLists ? std::vector<std::string>{"north"}
+                                  : std::vector<std::string>{},
+                   7);
+  if (Row.ReadsLists)
+    Test.Documents["instances/north"] = receivedList({"x"}, 35);
+  Read.tick(Test.Now, ReadDuty::Watch);
+  BOOST_REQUIRE(OtherStore.LastWatchAfter == 40u);
+  Test.Documents[ConfigTopic] =
+      Document::make(4, Row.ReceivedRevision, EntryMap());
+  Test.CompleteRevision = Row.CompleteRevision;
+  Read.tick(Test.Now + Millis(100), ReadDuty::Watch);
+  BOOST_TEST(OtherStore.Cancelled.size() == (Row.IsAbandoned ? 1u : 0u));
+  BOOST_TEST(OtherStore.LastWatchAfter ==
+             (Row.IsAbandoned ? Row.CompleteRevision : 40u));
+  // The next one is not abandoned for the same version.
+  Read.tick(Test.Now + Millis(200), ReadDuty::Watch);
+  BOOST_TEST(OtherStore.Cancelled.size() == (Row.IsAbandoned ? 1u : 0u));
+}
+
+// Guards against transferring versions that the node has received since its
+// last request: each change of a watch holds a whole version.
+BOOST_FIXTURE_TEST_CASE(ConfigReadersContinueFromTheNodesDocuments, Fixture) {
+  FakeStore OtherStore;
+  this->Documents[ConfigTopic] = Document::make(3, 30, {});
+  this->Documents[EvacuationTopic] = makeEvacuationDocument(20, {});
+  this->CompleteRevision = 40;
+  StoreReader::Options Opts;
+  Opts.StartJitter = Millis(0);
+  StoreReader Read(Opts, OtherStore, testLayout(), this->hooks(), {}, 7);
+  Read.tick(this->Now, ReadDuty::Watch);
+  OtherStore.answerWatch(unreachable(), this->Now);
+  this->Documents[ConfigTopic] = Document::make(6, 60, {});
+  this->CompleteRevision = 61;
+  Read.tick(this->Now + Millis(1000), ReadDuty::Watch);
+  BOOST_TEST(OtherStore.LastWatchAfter == 61u);
+}
+
 BOOST_FIXTURE_TEST_CASE(RetryDelaysAreLimited, Fixture) {
   for (int I = 0; I < 20; ++I) {
     this->Store.answerRange(unreachable(), this->Now);
