Close a connection at a stop with its last running request, not its first

Callers saw: three safe requests of one connection are under way at three upstreams when the node gets SIGTERM.

Cause: after SIGTERM every answer was the last of its connection, and closing lets go of what stands behind. That was right while what stood behind had not been started; safe requests are started early.

Evidence: the log says "caller-gone" for the others in the millisecond in which the first answer is written, and their upstreams see the close 1 ms later, while the caller's record shows that it waits. The stop's own end comes seconds later. The log could not tell a caller that leaves from a connection that the node ends, so requests of the latter kind are counted in a metric now.

Change: only the last request of a connection may close it. During a stop nothing starts behind others, and nothing ever starts behind a request whose answer will close. A body that is not understood, and an answer that breaks off before its turn, are answered in their turn instead of ending the connection at once.

Why it works: closing now finds nothing behind, since each way to set the close is one of the last request. A caller that goes on sending does not keep a connection open through a stop, as what it sends is not started; it has to send that again by the protocol.

Tests in HttpSockets that failed before: StopAnswersAllRequestsUnderWay (5 rows), StopStartsNothingBehindOthers, RequestsOutliveWhatFollowsThem (2 of 3 rows), BrokenAnswerIsReplacedBeforeItsTurn.

--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -12,6 +12,11 @@
 // request starts while others are ahead of it only if it may run twice, for the
 // caller sends again whatever stands behind an answer that closes.
 //
+// Only the last exchange of a connection may close it: those behind the closing
+// answer would be cut off while their upstreams work on them. So no request
+// starts behind one whose answer will close, and a stop closes a connection
+// with the last answer of what has started on it.
+//
 // A connection is read all the time, up to a bound, so that a caller which goes
 // away is noticed while its call runs, and also when the bytes of a further
 // request wait.
@@ -26,8 +31,10 @@
 
 namespace {
 
+constexpr unsigned BadRequest = 400;
 constexpr unsigned RequestTimeout = 408;
 constexpr unsigned BodyTooLarge = 413;
+constexpr unsigned BadGateway = 502;
 // A turn of a busy loop may take tens of milliseconds, and callers that are
 // refused come back on new connections: one a turn would keep them waiting
 // longer than their call takes.
@@ -234,7 +241,7 @@
 // Returns whether to go on parsing. Called again for a head that waits.
 bool CallerServer::startRequest(const ConnectionPtr &On, TimePoint At) {
   const RequestHead &Head = On->Parser->head();
-  On->HeadWaits = !On->Queue.empty() && !this->Hook.MayOverlap(Head);
+  On->HeadWaits = !this->mayStart(*On, Head);
   if (On->HeadWaits)
     return false;
   if (Head.Length > static_cast<int64_t>(this->Bounds.BodyBytes)) {
@@ -260,6 +267,17 @@
   return true;
 }
 
+// During a stop a caller that goes on sending would keep its connection open
+// until the time to stop is over. What is not started here it sends to another
+// node.
+bool CallerServer::mayStart(const Connection &On,
+                            const RequestHead &Head) const {
+  if (On.Queue.empty())
+    return true;
+  return !this->Leaving && !On.Queue.back()->CloseAfter &&
+         this->Hook.MayOverlap(Head);
+}
+
 // While this node is busy, a request lies in its socket, and its caller may
 // give up meanwhile; the close then lies behind the request. Started all the
 // same, the call would come to an upstream long after its caller has gone.
@@ -288,7 +306,7 @@
     On->Unparsed = std::move(Bytes);
     On->Unparsed.erase(0, Used);
     if (On->Parser->failed()) {
-      this->closeWhenWritten(On, At);
+      this->refuseBroken(On, At);
       return false;
     }
   }
@@ -345,6 +363,31 @@
   this->refuse(Of.Id, Why);
 }
 
+// The body being read is not understood, so nothing after it can be told apart.
+// If requests are under way ahead of it, it is refused in its turn.
+void CallerServer::refuseBroken(const ConnectionPtr &On, TimePoint At) {
+  Exchange &Of = *On->Reading;
+  if (On->Queue.front().get() == &Of)
+    return this->closeWhenWritten(On, At);
+  CallerId Id = Of.Id;
+  On->NoMore = true;
+  On->Unparsed.clear();
+  Of.Answering = false;
+  Of.Waiting.clear();
+  if (!Of.Released)
+    this->Hook.Gone(Id, At);
+  Refusal Why;
+  Why.Reason = "request-not-understood";
+  Why.Step = "http";
+  Why.Status = BadRequest;
+  this->refuse(Id, Why);
+}
+
+// Whether the answer that is being written is the last of its connection.
+bool CallerServer::endsConnection(const Exchange &Of) const {
+  return this->Leaving && Of.On->Queue.back().get() == &Of;
+}
+
 void CallerServer::updateReading(Connection &On) {
   bool BodyStopped =
       On.Reading && On.Reading->WindowFull && !On.Reading->Released;
@@ -375,7 +418,7 @@
   Of->NoBody = hasNoBody(Of->Method, Head.Status);
   Of->Chunked = Head.Length < 0 && !Of->NoBody && !Of->Http10;
   // The rest of a body that the upstream did not wait for is not read on.
-  Of->CloseAfter |= this->Leaving || !Of->RequestRead;
+  Of->CloseAfter |= this->endsConnection(*Of) || !Of->RequestRead;
   std::string Out =
       "HTTP/1.1 " + std::to_string(Head.Status) + " " + Head.Reason + "\r\n";
   for (const HeaderField &One : Head.Headers)
@@ -460,7 +503,7 @@
   this->parse(On, At);
 }
 
-// What waits behind the answer that closes is not read by us, and the caller
+// What waits behind the answer that closes has not been started, and the caller
 // sends it again.
 void CallerServer::lingerClose(Connection &On, TimePoint At) {
   On.NoMore = true;
@@ -471,6 +514,7 @@
   On.HeadSince.reset();
   On.Closing = true;
   On.IdleSince = At;
+  this->CutOff += On.Queue.size();
   if (On.Stream->pending() == 0)
     On.LingerUntil = At + this->Opts.Linger;
   On.Stream->pauseReading(false);
@@ -482,9 +526,9 @@
 // the kernel has not taken yet.
 void CallerServer::closeWhenWritten(const ConnectionPtr &On, TimePoint At) {
   if (On->Stream->pending() != 0)
-    this->lingerClose(*On, At);
-  else
-    this->drop(On, At);
+    return this->lingerClose(*On, At);
+  this->CutOff += On->Queue.size();
+  this->drop(On, At);
 }
 
 void CallerServer::drained(Connection &On, TimePoint At) {
@@ -514,10 +558,18 @@
   this->letGo(*On, At);
 }
 
-void CallerServer::abort(CallerId Caller) {
+void CallerServer::abort(CallerId Caller, const Refusal &Why) {
   Exchange *Of = this->find(Caller);
   if (!Of)
     return;
+  if (Of->On->Queue.front().get() != Of) {
+    Of->Answering = false;
+    Of->Waiting.clear();
+    Refusal Whole = Why;
+    Whole.CallOutcome = Outcome::Unknown;
+    Whole.Status = BadGateway;
+    return this->refuse(Caller, Whole);
+  }
   Of->Released = true;
   Of->Broken = true;
   ConnectionPtr On = this->Connections.at(Of->On->Id);
@@ -563,7 +615,7 @@
   Of->Ended = true;
   bool Unread = !Of->RequestRead && (Of->On->Reading != Of || !Of->On->Parser ||
                                      !Of->On->Parser->done());
-  Of->CloseAfter |= this->Leaving || Unread;
+  Of->CloseAfter |= this->endsConnection(*Of) || Unread;
   this->write(*Of, this->refusalText(*Of, Why));
   ConnectionPtr On = this->Connections.at(Of->On->Id);
   this->advance(On);
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -56,8 +56,9 @@
     std::function<void(CallerId, uint64_t, TimePoint)> Consumed;
     std::function<void(CallerId, TimePoint)> Gone;
     /// Whether a request may start before those ahead of it on its connection
-    /// are answered. Only where it may run twice: if an earlier answer closes
-    /// the connection, the caller sends all that is behind it again.
+    /// are answered. Only where it may run twice: if an earlier answer breaks
+    /// off, the connection ends and the caller sends all that is behind it
+    /// again.
     std::function<bool(const RequestHead &)> MayOverlap =
         [](const RequestHead &) { return false; };
   };
@@ -69,7 +70,8 @@
   void stopListening();
   /// What callers may send, of the version in force.
   void setBounds(const CallerBounds &Of) { this->Bounds = Of; }
-  /// From now on each answer is the last of its connection.
+  /// From now on no request starts behind others on its connection, and the
+  /// last answer of those under way closes it.
   void closeAfterAnswers() { this->Leaving = true; }
   /// Closes the connections on which nothing is under way.
   void closeIdle();
@@ -78,8 +80,10 @@
   void head(CallerId Caller, const ResponseHead &Head);
   void body(CallerId Caller, std::string_view Bytes);
   void bodyEnd(CallerId Caller);
-  /// Cuts the connection, so that the caller sees a broken answer.
-  void abort(CallerId Caller);
+  /// The answer breaks off. Cuts the connection, so that the caller does not
+  /// take the answer for whole; if nothing of it has been written yet, sends
+  /// Why in its place.
+  void abort(CallerId Caller, const Refusal &Why);
   void refuse(CallerId Caller, const Refusal &Why);
   void pauseRequest(CallerId Caller, bool Paused);
   /// Whether every answer has gone to the kernel whole and no connection is
@@ -87,6 +91,8 @@
   bool answersDelivered() const;
   size_t active() const { return this->Exchanges.size(); }
   size_t connections() const { return this->Connections.size(); }
+  /// Number of requests under way whose connection this server has ended.
+  uint64_t requestsCutOff() const { return this->CutOff; }
 
 private:
   struct Exchange;
@@ -98,11 +104,14 @@
   void parse(const ConnectionPtr &On, TimePoint At);
   bool parseHead(const ConnectionPtr &On, TimePoint At);
   bool startRequest(const ConnectionPtr &On, TimePoint At);
+  bool mayStart(const Connection &On, const RequestHead &Head) const;
   bool dropIfLeft(const ConnectionPtr &On, TimePoint At);
   bool parseBody(const ConnectionPtr &On, TimePoint At);
   void takeBody(Exchange &Of, std::string_view Piece, TimePoint At);
   void refuseUnread(const ConnectionPtr &On, unsigned Status,
                     const std::string &Reason, TimePoint At);
+  void refuseBroken(const ConnectionPtr &On, TimePoint At);
+  bool endsConnection(const Exchange &Of) const;
   void updateReading(Connection &On);
   void write(Exchange &Of, std::string_view Bytes);
   void consumed(Connection &On, TimePoint At);
@@ -126,6 +135,7 @@
   std::map<CallerId, Exchange *> Exchanges;
   uint64_t LastConnection = 0;
   CallerId LastId = 0;
+  uint64_t CutOff = 0;
 };
 
 } // namespace hickorylift
--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -356,7 +356,7 @@
   Head.Length = 100;
   Of.Http->head(Of.Open.at("/b"), Head);
   Of.Http->body(Of.Open.at("/b"), "part");
-  Of.Http->abort(Of.Open.at("/b"));
+  Of.Http->abort(Of.Open.at("/b"), Refusal());
 }
 
 const SlowReaderCase SlowReaderCases[] = {
@@ -378,6 +378,89 @@
      doNothing, doNothing},
 };
 
+size_t countOf(const std::string &Text, const std::string &In) {
+  size_t Count = 0;
+  for (size_t At = In.find(Text); At != std::string::npos;
+       At = In.find(Text, At + 1))
+    ++Count;
+  return Count;
+}
+
+void refuse(ServerFixture &Of, const std::string &Path) {
+  Refusal Why;
+  Why.Reason = "overload";
+  Of.Http->refuse(Of.Open.at(Path), Why);
+}
+
+/// How the requests /a, /b and /c of one connection, which are under way when
+/// the process is told to stop, are answered.
+struct StopCase {
+  const char *Name;
+  void (*BeforeStop)(ServerFixture &);
+  void (*AfterStop)(ServerFixture &);
+};
+std::ostream &operator<<(std::ostream &To, const StopCase &Of) {
+  return To << Of.Name;
+}
+
+const StopCase StopCases[] = {
+    {"in their order", doNothing,
+     [](ServerFixture &Of) {
+       Of.answer("/a", "a-end");
+       Of.answer("/b", "b-end");
+       Of.answer("/c", "c-end");
+     }},
+    {"the last first", doNothing,
+     [](ServerFixture &Of) {
+       Of.answer("/c", "c-end");
+       Of.answer("/b", "b-end");
+       Of.answer("/a", "a-end");
+     }},
+    {"the first is refused", doNothing,
+     [](ServerFixture &Of) {
+       refuse(Of, "/a");
+       Of.answer("/b", "b-end");
+       Of.answer("/c", "c-end");
+     }},
+    {"the last is ready before the stop",
+     [](ServerFixture &Of) { Of.answer("/c", "c-end"); },
+     [](ServerFixture &Of) {
+       Of.answer("/a", "a-end");
+       Of.answer("/b", "b-end");
+     }},
+    {"the first is answered before the stop",
+     [](ServerFixture &Of) { Of.answer("/a", "a-end"); },
+     [](ServerFixture &Of) {
+       refuse(Of, "/b");
+       Of.answer("/c", "c-end");
+     }},
+};
+
+/// What a caller sends behind the request /a, whether a request /b is started
+/// from it, and what the caller then finds behind the answer to /a or in it.
+struct BehindCase {
+  const char *Name;
+  std::string Requests;
+  bool StartsB;
+  const char *Expected;
+};
+std::ostream &operator<<(std::ostream &To, const BehindCase &Of) {
+  return To << Of.Name;
+}
+
+const BehindCase BehindCases[] = {
+    {"a body that is not understood",
+     get("/a") +
+         "GET /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "rubbish\r\n",
+     true, "HTTP/1.1 400"},
+    {"a head that is not understood", get("/a") + "rubbish\r\n\r\n", false,
+     "HTTP/1.1 400"},
+    {"a request after one that asks for the close",
+     "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" + get("/b"),
+     false, "Connection: close"},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(HttpSockets)
@@ -689,6 +772,77 @@
   BOOST_TEST(this->Http->answersDelivered());
 }
 
+// Guards against a stop that closes a connection with its first answer: the
+// requests behind it are cut off while their upstreams work on them.
+BOOST_DATA_TEST_CASE(StopAnswersAllRequestsUnderWay, data::make(StopCases),
+                     Row) {
+  ServerFixture Of;
+  RawPeer Caller = RawPeer::dial(Of.Port);
+  Caller.send(get("/a") + get("/b") + get("/c"));
+  BOOST_REQUIRE((Of.came("/a") && Of.came("/b") && Of.came("/c")));
+  Row.BeforeStop(Of);
+  Of.Http->closeAfterAnswers();
+  Row.AfterStop(Of);
+  Of.Http->closeIdle();
+  BOOST_TEST(Caller.waitForEnd());
+  BOOST_TEST(countOf("HTTP/1.1 ", Caller.Got) == 3u);
+  BOOST_TEST(Of.Gone.empty());
+  BOOST_TEST(Of.Http->requestsCutOff() == 0u);
+  BOOST_TEST(Caller.Got.find("c-end") == Caller.Got.size() - 5);
+}
+
+// Guards against connections that stay open through a stop because their caller
+// goes on sending, and against starting what the caller sends again.
+BOOST_FIXTURE_TEST_CASE(StopStartsNothingBehindOthers, ServerFixture) {
+  RawPeer Caller = RawPeer::dial(this->Port);
+  Caller.send(get("/a") + get("/b"));
+  BOOST_REQUIRE(this->came("/b"));
+  this->Http->closeAfterAnswers();
+  Caller.send(get("/c"));
+  turnUntil([] { return !g_main_context_pending(nullptr); });
+  this->answer("/a", "a-end");
+  BOOST_REQUIRE(Caller.waitFor("a-end"));
+  BOOST_TEST(countOf("Connection: close", Caller.Got) == 0u);
+  this->answer("/b", "b-end");
+  BOOST_TEST(Caller.waitForEnd());
+  BOOST_TEST(countOf("Connection: close", Caller.Got) == 1u);
+  BOOST_TEST(this->Open.count("/c") == 0u);
+  BOOST_TEST(this->Gone.empty());
+}
+
+// Guards against a request under way that is cut off because of what its caller
+// sends behind it.
+BOOST_DATA_TEST_CASE(RequestsOutliveWhatFollowsThem, data::make(BehindCases),
+                     Row) {
+  ServerFixture Of;
+  RawPeer Caller = RawPeer::dial(Of.Port);
+  Caller.send(Row.Requests);
+  BOOST_REQUIRE(Of.came("/a"));
+  turnUntil([] { return !g_main_context_pending(nullptr); });
+  BOOST_TEST((Of.Open.count("/b") != 0) == Row.StartsB);
+  Of.answer("/a", "a-end");
+  BOOST_TEST(Caller.waitForEnd());
+  BOOST_TEST(Caller.Got.find("a-end") != std::string::npos);
+  BOOST_TEST(Caller.Got.find(Row.Expected) != std::string::npos);
+  BOOST_TEST(std::count(Of.Gone.begin(), Of.Gone.end(), "/a") == 0);
+  BOOST_TEST(Of.Http->requestsCutOff() == 0u);
+}
+
+// Guards against an answer that breaks off before its turn and takes along the
+// requests behind it.
+BOOST_FIXTURE_TEST_CASE(BrokenAnswerIsReplacedBeforeItsTurn, ServerFixture) {
+  RawPeer Caller = RawPeer::dial(this->Port);
+  Caller.send(get("/a") + get("/b") + get("/c"));
+  BOOST_REQUIRE(this->came("/c"));
+  breakOffB(*this);
+  this->answer("/a", "a-end");
+  this->answer("/c", "c-end");
+  BOOST_TEST(Caller.waitFor("c-end"));
+  BOOST_TEST(Caller.Got.find("HTTP/1.1 502") != std::string::npos);
+  BOOST_TEST(Caller.Got.find("part") == std::string::npos);
+  BOOST_TEST(this->Gone.empty());
+}
+
 // Guards against keeping the bytes of callers that have stopped reading.
 BOOST_DATA_TEST_CASE(CallersThatDoNotReadAreDropped, data::make({false, true}),
                      Closes) {
@@ -754,7 +908,7 @@
   Head.Status = 200;
   this->Http->head(this->Open.at("/a"), Head);
   this->Http->body(this->Open.at("/a"), "part");
-  this->Http->abort(this->Open.at("/a"));
+  this->Http->abort(this->Open.at("/a"), Refusal());
   BOOST_TEST(Caller.waitForEnd());
   BOOST_TEST(Caller.Got.find("0\r\n\r\n") == std::string::npos);
 }
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -262,8 +262,8 @@
                                   TimePoint Now) {
     this->logSpillover(Of, Now);
   };
-  Hooks.Abort = [this](Entry::CallerId Caller, const Refusal &) {
-    this->Http->abort(Caller);
+  Hooks.Abort = [this](Entry::CallerId Caller, const Refusal &Why) {
+    this->Http->abort(Caller, Why);
   };
   Hooks.Refuse = [this](Entry::CallerId Caller, const Refusal &Why) {
     this->Http->refuse(Caller, Why);
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -40,6 +40,7 @@
   const Settings &settings() const { return this->Set; }
   uint64_t incarnation() const { return this->Incarnation; }
   uint64_t upstreamDials() const { return this->Upstream->dials(); }
+  uint64_t requestsCutOff() const { return this->Http->requestsCutOff(); }
   uint64_t controlBytesSent() const;
   uint64_t controlBytesReceived() const;
   TimePoint startedAt() const { return this->StartedAt; }
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -225,6 +225,9 @@
       Of.core().control().spreader().linkCount());
   Set("hickorylift_platform_reads", "Calls to the platform",
       Of.core().control().documentSource().reads());
+  Set("hickorylift_requests_cut_off",
+      "Requests of callers under way whose connection this node has ended",
+      Of.requestsCutOff());
   Set("hickorylift_failing_readers",
       "Readers of the data centre that the platform does not serve, as far as "
       "this node is told",
