Limit what is kept or passed over where a message has no end

A faulty upstream may send bytes that are no answer until its connection is closed.

- The parser's limit on a head does not cover the size and the extension of a chunk, nor a trailer: all bytes were kept, of upstreams and of callers.
- Interim answers, and the body of another request's answer, were passed over until the deadline of the call.
- A long health answer was handed on as if it belonged to a call.

The parser now fails once it wants more than the size of a head in one piece, at most 256 kB are passed over before an answer, and a health answer has the same limit. The call ends at once then and the connection closes.

--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -8,9 +8,12 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <linux/sockios.h>
+
 namespace hickorylift {
 
 namespace {
@@ -128,6 +131,7 @@
   std::map<CallId, std::string> Bodies;
   std::map<CallId, std::string> Ends;
   std::optional<UpstreamProbeResult> Found;
+  size_t HealthFailures = 0;
 
   ClientFixture() {
     uint16_t Port = 0;
@@ -150,7 +154,9 @@
       this->Ends[Id] = Sent ? "may have run" : "not sent";
     };
     Hooks.Consumed = [](const CallId &, uint64_t, TimePoint) {};
-    Hooks.Health = [](const Result<HealthAnswer> &, TimePoint) {};
+    Hooks.Health = [this](const Result<HealthAnswer> &Answer, TimePoint) {
+      this->HealthFailures += !Answer;
+    };
     Hooks.Probed = [this](UpstreamProbeResult Is, TimePoint) {
       this->Found = Is;
     };
@@ -260,6 +266,105 @@
      "may have run", "", false},
 };
 
+/// Bytes that are kept or passed over at most where a message goes on without
+/// end: those of its head, of the frame of a chunk, or before the answer.
+constexpr size_t MostEndlessBytes = 512 * 1024;
+
+/// Bytes that go on without end, sent after Begin.
+struct EndlessCase {
+  const char *Name;
+  std::string Begin;
+  std::string Repeated;
+};
+std::ostream &operator<<(std::ostream &To, const EndlessCase &Of) {
+  return To << Of.Name;
+}
+
+const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nProof: p\r\n"
+                                "Request-Id: id-1\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n";
+
+/// What an upstream sends that is no answer to request id-1.
+const EndlessCase EndlessAnswers[] = {
+    {"rubbish", "", "rubbish"},
+    {"empty lines", "", "\r\n"},
+    {"a status line", "HTTP/1.1 200 ", "x"},
+    {"the name of a field", "HTTP/1.1 200 OK\r\n", "x"},
+    {"the value of a field", "HTTP/1.1 200 OK\r\nA: ", "x"},
+    {"fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+    {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"the size of a chunk", ChunkedHead, "0"},
+    {"the extension of a chunk", ChunkedHead + "5;", "x"},
+    {"a trailer", ChunkedHead + "0\r\n", "A: b\r\n"},
+    {"answers of other requests", "", answer("id-0", "old")},
+    {"the body of another request's answer",
+     "HTTP/1.1 200 OK\r\nProof: p\r\nRequest-Id: id-0\r\n\r\n", "x"},
+    {"the chunks of another request's answer",
+     "HTTP/1.1 200 OK\r\nProof: p\r\nRequest-Id: id-0\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n",
+     "1\r\nx\r\n"},
+};
+
+/// What a caller sends that is no request.
+const EndlessCase EndlessRequests[] = {
+    {"a request line", "GET /", "x"},
+    {"fields", "GET /a HTTP/1.1\r\nHost: x\r\n", "A: b\r\n"},
+    {"the extension of a chunk",
+     "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+     "x"},
+    {"a trailer",
+     "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+     "A: b\r\n"},
+};
+
+/// Sends what the case says in small pieces, each of which is read before the
+/// next one is sent, until Ended or for more than MostEndlessBytes. Returns how
+/// many were sent.
+size_t sendEndlessly(const RawPeer &From, const EndlessCase &Case,
+                     const std::function<bool()> &Ended) {
+  constexpr size_t PieceBytes = 4096;
+  std::string Piece;
+  while (Piece.size() < PieceBytes)
+    Piece += Case.Repeated;
+  std::string Next = Case.Begin + Piece;
+  size_t Sent = 0;
+  while (!Ended() && Sent <= MostEndlessBytes) {
+    if (::send(From.Fd, Next.data(), Next.size(), MSG_NOSIGNAL) !=
+        static_cast<ssize_t>(Next.size()))
+      break;
+    Sent += Next.size();
+    Next = Piece;
+    int Unread = 0;
+    turnUntil([&] {
+      return Ended() || ioctl(From.Fd, SIOCOUTQ, &Unread) < 0 || Unread == 0;
+    });
+    turnUntil([] { return !g_main_context_pending(nullptr); });
+  }
+  return Sent;
+}
+
+/// Sends a piece again and again, as much at once as the kernel takes.
+struct EndlessSender {
+  const RawPeer &From;
+  std::string Piece;
+  std::string Left;
+
+  EndlessSender(const RawPeer &From, const std::string &Piece)
+      : From(From), Piece(Piece), Left(Piece) {}
+
+  /// Returns whether any byte was taken.
+  bool sendMore() {
+    ssize_t Taken = ::send(this->From.Fd, this->Left.data(), this->Left.size(),
+                           MSG_NOSIGNAL);
+    if (Taken <= 0)
+      return false;
+    this->Left.erase(0, static_cast<size_t>(Taken));
+    if (this->Left.empty())
+      this->Left = this->Piece;
+    return true;
+  }
+};
+
 /// A server for callers that the test plays, with the requests that came.
 struct ServerFixture {
   uint16_t Port = 0;
@@ -572,6 +677,63 @@
 
 // The upstream answers a long upload early and reads on. The next request on
 // that connection would be taken for the rest of the body.
+// Guards against an upstream that sends without end what is no answer: the gate
+// would keep all of it, or read on until the call's deadline.
+BOOST_DATA_TEST_CASE(EndlessNonAnswersAreGivenUp, data::make(EndlessAnswers),
+                     Row) {
+  ClientFixture Of;
+  Of.start(1);
+  RawPeer Upstream = Of.accept();
+  BOOST_REQUIRE(Upstream.waitFor("\r\n\r\n"));
+  size_t Sent = sendEndlessly(Upstream, Row, [&] {
+    return Of.Ends.count({1, 1}) != 0;
+  });
+  BOOST_TEST(Sent <= MostEndlessBytes);
+  BOOST_TEST((Of.Ends[{1, 1}]) == "may have run");
+  BOOST_TEST(Of.Heads.empty());
+  BOOST_TEST(Upstream.waitForEnd());
+}
+
+// Guards against a body without end that is read although the caller takes no
+// more of it, or that outlives its call.
+BOOST_DATA_TEST_CASE(EndlessBodiesEndWithTheirCall, data::make({false, true}),
+                     Chunked) {
+  ClientFixture Of;
+  Of.start(1);
+  RawPeer Upstream = Of.accept();
+  BOOST_REQUIRE(Upstream.waitFor("\r\n\r\n"));
+  Upstream.send("HTTP/1.1 200 OK\r\nProof: p\r\nRequest-Id: id-1\r\n");
+  Upstream.send(Chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+  EndlessSender Body(Upstream,
+                     Chunked ? "1000\r\n" + std::string(4096, 'x') + "\r\n"
+                             : std::string(4096, 'x'));
+  while (Of.Bodies[{1, 1}].empty()) {
+    Body.sendMore();
+    turnUntil([] { return !g_main_context_pending(nullptr); });
+  }
+  Of.Http->pauseAnswer({1, 1}, true);
+  size_t Passed = Of.Bodies[{1, 1}].size();
+  // Until the kernel's buffers are full.
+  while (Body.sendMore())
+    turnUntil([] { return !g_main_context_pending(nullptr); });
+  BOOST_TEST((Of.Bodies[{1, 1}].size()) == Passed);
+  Of.Http->cancel({1, 1});
+  BOOST_TEST(Upstream.waitForEnd());
+  BOOST_TEST(Of.Ends.empty());
+}
+
+// Guards against keeping a health answer that has no end.
+BOOST_FIXTURE_TEST_CASE(EndlessHealthAnswersAreGivenUp, ClientFixture) {
+  this->Http->askHealth("/health", Millis(60000));
+  RawPeer Upstream = this->accept();
+  BOOST_REQUIRE(Upstream.waitFor("\r\n\r\n"));
+  size_t Sent = sendEndlessly(Upstream, {"", "HTTP/1.1 200 OK\r\n\r\n", "x"},
+                              [this] { return this->HealthFailures != 0; });
+  BOOST_TEST(Sent <= MostEndlessBytes);
+  BOOST_TEST(this->Heads.empty());
+  BOOST_TEST(Upstream.waitForEnd());
+}
+
 BOOST_AUTO_TEST_CASE(EarlyAnswerEndsTheConnection) {
   ClientFixture Of;
   RequestHead Head = ClientFixture::head("id-1", "POST");
@@ -899,6 +1061,18 @@
   BOOST_TEST(this->Gone == std::vector<std::string>{"/b"});
 }
 
+// Guards against keeping what a caller sends without end and is no request.
+BOOST_DATA_TEST_CASE(EndlessNonRequestsAreRefused, data::make(EndlessRequests),
+                     Row) {
+  ServerFixture Of;
+  RawPeer Caller = RawPeer::dial(Of.Port);
+  size_t Sent = sendEndlessly(Caller, Row, [&] {
+    Caller.read();
+    return Caller.Ended || !Caller.Got.empty();
+  });
+  BOOST_TEST(Sent <= MostEndlessBytes);
+}
+
 // The answer breaks off after it has begun: nothing may make it look whole.
 BOOST_FIXTURE_TEST_CASE(BrokenAnswerIsCutOff, ServerFixture) {
   RawPeer Caller = RawPeer::dial(this->Port);
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -13,6 +13,11 @@
 // lengths that differ, a length beside chunks, and sizes that are no numbers.
 // What is left to check: a transfer coding that does not end in chunks, a
 // request without a host or with two, and a target that is not a path.
+//
+// Beast limits the size of a head, but not that of what frames the chunks of a
+// body (sizes, extensions and trailers), which it wants in one piece as well.
+// The same limit is applied here: without it, bytes that never complete such a
+// piece would all be kept.
 
 namespace hickorylift {
 
@@ -42,10 +47,11 @@
       [&](const HeaderField &One) { return sameWord(One.Name, Name); }));
 }
 
-/// Feeds a parser until it wants more bytes, or its head is done.
+/// Feeds a parser until it wants more bytes, or its head is done. Fails if it
+/// wants more than MaxUnused bytes in one piece.
 template <typename ParserT>
-size_t feedAll(ParserT &To, std::string_view Bytes, bool &Failed,
-               boost::beast::error_code &Why) {
+size_t feedAll(ParserT &To, std::string_view Bytes, size_t MaxUnused,
+               bool &Failed, boost::beast::error_code &Why) {
   size_t Used = 0;
   bool HadHead = To.is_header_done();
   while (!To.is_done() && Used < Bytes.size()) {
@@ -54,9 +60,12 @@
         boost::asio::const_buffer(Bytes.data() + Used, Bytes.size() - Used),
         Why);
     Used += Took;
+    bool WantsMore = Why == http::error::need_more;
+    bool Stalled = WantsMore || (Took == 0 && !To.is_done());
+    if (Stalled && Bytes.size() - Used > MaxUnused)
+      Why = http::error::buffer_overflow;
     Failed = Why && Why != http::error::need_more;
-    bool Stalled = Took == 0 && !To.is_done();
-    if (Failed || Stalled || Why == http::error::need_more)
+    if (Failed || Stalled)
       break;
     if (!HadHead && To.is_header_done())
       break;
@@ -66,7 +75,8 @@
 
 } // namespace
 
-RequestParser::RequestParser(size_t MaxHeaderBytes) {
+RequestParser::RequestParser(size_t MaxHeaderBytes)
+    : MaxUnused(MaxHeaderBytes) {
   this->header_limit(static_cast<std::uint32_t>(MaxHeaderBytes));
   this->body_limit(NoBodyLimit);
 }
@@ -76,7 +86,8 @@
   bool HadHead = this->HeadSeen;
   bool Failed = false;
   ErrorCode Why;
-  size_t Used = feedAll(static_cast<Base &>(*this), Bytes, Failed, Why);
+  size_t Used =
+      feedAll(static_cast<Base &>(*this), Bytes, this->MaxUnused, Failed, Why);
   this->Sink = nullptr;
   if (Failed)
     this->Status = Why == http::error::header_limit ? HeadTooLarge : BadRequest;
@@ -127,7 +138,8 @@
   return Piece.size();
 }
 
-ResponseParser::ResponseParser(size_t MaxHeaderBytes, bool WithoutBody) {
+ResponseParser::ResponseParser(size_t MaxHeaderBytes, bool WithoutBody)
+    : MaxUnused(MaxHeaderBytes) {
   this->header_limit(static_cast<std::uint32_t>(MaxHeaderBytes));
   this->body_limit(NoBodyLimit);
   this->skip(WithoutBody);
@@ -136,7 +148,8 @@
 size_t ResponseParser::feed(std::string_view Bytes, const BodySink &To) {
   this->Sink = &To;
   ErrorCode Why;
-  size_t Used = feedAll(static_cast<Base &>(*this), Bytes, this->Bad, Why);
+  size_t Used = feedAll(static_cast<Base &>(*this), Bytes, this->MaxUnused,
+                        this->Bad, Why);
   this->Sink = nullptr;
   bool Stated = this->HeadSeen && !this->chunked() && !this->need_eof();
   if (Stated)
--- a/src/http/MessageParser.h
+++ b/src/http/MessageParser.h
@@ -25,6 +25,8 @@
 class RequestParser
     : private boost::beast::http::basic_parser</*isRequest=*/true> {
 public:
+  /// MaxHeaderBytes also limits what frames one chunk of the body, and its
+  /// trailer.
   explicit RequestParser(size_t MaxHeaderBytes);
 
   /// Returns how many bytes were used; the rest must be given again together
@@ -63,6 +65,7 @@
   size_t on_chunk_body_impl(std::uint64_t, View Piece, ErrorCode &) override;
   void on_finish_impl(ErrorCode &) override {}
 
+  size_t MaxUnused;
   RequestHead Head;
   const BodySink *Sink = nullptr;
   bool HeadSeen = false;
@@ -73,7 +76,8 @@
 class ResponseParser
     : private boost::beast::http::basic_parser</*isRequest=*/false> {
 public:
-  /// WithoutBody: the answer to HEAD, which states a length and sends nothing.
+  /// MaxHeaderBytes as for a request. WithoutBody: the answer to HEAD, which
+  /// states a length and sends nothing.
   ResponseParser(size_t MaxHeaderBytes, bool WithoutBody);
 
   size_t feed(std::string_view Bytes, const BodySink &Sink);
@@ -108,6 +112,7 @@
   size_t on_chunk_body_impl(std::uint64_t, View Piece, ErrorCode &) override;
   void on_finish_impl(ErrorCode &) override {}
 
+  size_t MaxUnused;
   ResponseHead Head;
   const BodySink *Sink = nullptr;
   bool HeadSeen = false;
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -64,7 +64,10 @@
   bool RequestWritten = false;
   unsigned Answers = 0;
   unsigned Strays = 0;
+  // What is being read is an interim answer, or belongs to another request.
   bool Stray = false;
+  // Bytes of these since the current call's request.
+  size_t StrayBytes = 0;
   // Made to see whether it can be.
   bool Probe = false;
   TimePoint DialledAt;
@@ -120,6 +123,7 @@
   On->Current = Of;
   On->RequestWritten = false;
   On->Stray = false;
+  On->StrayBytes = 0;
   Of->On = On;
   if (On->Made)
     this->sendRequest(On);
@@ -316,12 +320,22 @@
   }
   if (!HadHead && On->Parser->headDone() && !this->headArrived(On, At))
     return false;
+  On->StrayBytes += On->Stray ? Used : 0;
+  if (On->StrayBytes > this->Opts.MaxStrayBytes) {
+    this->fail(On, Errc::BadMessage, "too much before the answer", At);
+    return false;
+  }
   if (On->Parser->done()) {
     this->finishAnswer(On, At);
     return true;
   }
-  if (!On->Stray && On->Parser->headDone() &&
-      Of->Held.size() > this->Opts.HoldBytes)
+  bool HeldFull = !On->Stray && On->Parser->headDone() &&
+                  Of->Held.size() > this->Opts.HoldBytes;
+  if (HeldFull && Of->IsHealth) {
+    this->fail(On, Errc::TooLarge, "health answer too large", At);
+    return false;
+  }
+  if (HeldFull)
     this->passOn(*Of, *On->Parser, At);
   return Used != 0;
 }
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -55,8 +55,10 @@
     /// Largest head of an answer.
     size_t MaxHeaderBytes = 64 * 1024;
     /// Answers to earlier requests that are passed over on one connection
-    /// before it is given up.
+    /// before it is given up, and how many bytes of these and of interim
+    /// answers are passed over before one answer.
     unsigned MaxStrayAnswers = 4;
+    size_t MaxStrayBytes = 256 * 1024;
   };
 
   struct Hooks {
