Play upstreams that send bytes without end with real processes

The upstream stand-in sends nine forms of them as fast as loopback takes them: what is no head, no interim answer's end, no chunk's frame, and bodies that never end.

The table of readers that are turned away has eight more rows: shares drawn from all nodes, and a spare that loses power in that moment.

--- a/harness/Fleet.cpp
+++ b/harness/Fleet.cpp
@@ -401,6 +401,17 @@
   return Resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
 }
 
+uint64_t Fleet::memoryKiB(const std::string &Name, const std::string &Field) {
+  std::ifstream In(
+      "/proc/" +
+      std::string(g_subprocess_get_identifier(this->Nodes.at(Name).Process)) +
+      "/status");
+  for (std::string Line; std::getline(In, Line);)
+    if (Line.rfind(Field + ":", 0) == 0)
+      return std::stoull(Line.substr(Field.size() + 1));
+  return 0;
+}
+
 size_t Fleet::threads(const std::string &Name) {
   std::string Path =
       "/proc/" +
--- a/harness/Fleet.h
+++ b/harness/Fleet.h
@@ -103,6 +103,9 @@
   double cpuSeconds(const std::string &Name);
   double residentMegabytes(const std::string &Name);
   size_t threads(const std::string &Name);
+  /// Resident memory of a node's process in KiB: Field is "VmRSS" for what it
+  /// has now, "VmHWM" for the most that it has had.
+  uint64_t memoryKiB(const std::string &Name, const std::string &Field);
 
   /// Runs the loop until Holds; false if Patience runs out.
   bool waitFor(const std::function<bool()> &Holds);
--- a/scenario/Live.cpp
+++ b/scenario/Live.cpp
@@ -7,6 +7,7 @@
 #include <absl/flags/parse.h>
 #include <libsoup/soup.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -31,6 +32,8 @@
   std::string End = "pending";
   std::string Reason;
   bool Whole = false;
+  TimePoint StartedAt;
+  Millis Took{0};
   SoupMessage *Message = nullptr;
   std::string Sent;
   GCancellable *Stop = nullptr;
@@ -86,6 +89,7 @@
         {"await", &LiveRun::await},
         {"expect", &LiveRun::expect},
         {"run", &LiveRun::runFor},
+        {"mark-memory", &LiveRun::markMemory},
     };
     auto Found = Table.find(Of.Command);
     if (Found == Table.end())
@@ -203,6 +207,7 @@
     GBytes *Body =
         soup_session_send_and_read_finish(SOUP_SESSION(Source), Outcome, &Why);
     Of->End = "broken";
+    Of->Took = toMillis(Clock::now() - Of->StartedAt);
     if (Body) {
       gsize Size = 0;
       const char *At = static_cast<const char *>(g_bytes_get_data(Body, &Size));
@@ -277,6 +282,7 @@
               const std::string &Node) {
     LiveCall &New = this->Calls[Label];
     New.Label = Label;
+    New.StartedAt = Clock::now();
     std::string Url =
         "http://" + this->fleet().node(Node).Callers + W.Words.at(2);
     New.Message = soup_message_new(W.Words.at(1).c_str(), Url.c_str());
@@ -334,6 +340,55 @@
                       this->fleet().readFile("exit.log");
   }
 
+  // mark-memory: what all nodes use now, for 'expect memory-growth'.
+  void markMemory(const LiveLine &) {
+    for (const std::string &Name : this->names("all"))
+      this->MarkedKiB[Name] = this->fleet().memoryKiB(Name, "VmRSS");
+  }
+
+  // expect memory-growth WHO MB: no more at any time since mark-memory.
+  void expectMemoryGrowth(const LiveLine &W) {
+    constexpr uint64_t KiBInMb = 1024;
+    for (const std::string &Name : this->names(W.Words.at(1))) {
+      uint64_t Most = this->fleet().memoryKiB(Name, "VmHWM");
+      uint64_t Limit =
+          this->MarkedKiB[Name] + KiBInMb * std::stoull(W.Words.at(2));
+      if (Most > Limit)
+        this->Failure = Name + ": " + std::to_string(Most) + " KiB, " +
+                        std::to_string(this->MarkedKiB[Name]) + " before";
+    }
+  }
+
+  // The time that 99 in 100 calls of a load took at most.
+  Millis slowest(const std::string &Load) {
+    std::vector<Millis> Times;
+    for (const auto &[Label, Of] : this->Calls)
+      if (Label.rfind(Load + "-", 0) == 0)
+        Times.push_back(Of.Took);
+    std::sort(Times.begin(), Times.end());
+    return Times.empty() ? Millis(0) : Times[Times.size() * 99 / 100];
+  }
+
+  // expect took NAME at-most=MS: the call has ended within that time.
+  void expectTook(const LiveLine &W) {
+    const LiveCall &Of = this->Calls[W.Words.at(1)];
+    if (Of.End == "pending" ||
+        Of.Took > Millis(std::stol(W.Named.at("at-most"))))
+      this->Failure = Of.Label + ": " + Of.End + ", " +
+                      std::to_string(Of.Took.count()) + " ms";
+  }
+
+  // expect slower NAME OTHER at-most=MS: the 99th percentile of one load is at
+  // most so much above that of another.
+  void expectSlower(const LiveLine &W) {
+    Millis One = this->slowest(W.Words.at(1));
+    Millis Other = this->slowest(W.Words.at(2));
+    if (One - Other > Millis(std::stol(W.Named.at("at-most"))))
+      this->Failure = W.Words.at(1) + ": " + std::to_string(One.count()) +
+                      " ms, " + W.Words.at(2) + ": " +
+                      std::to_string(Other.count()) + " ms";
+  }
+
   void runFor(const LiveLine &W) {
     this->fleet().runFor(Millis(std::stoul(W.Words.at(0))));
   }
@@ -419,6 +474,12 @@
     const std::string &Who = W.Words.at(1);
     if (What == "share") {
       this->expectShare(W);
+    } else if (What == "memory-growth") {
+      this->expectMemoryGrowth(W);
+    } else if (What == "took") {
+      this->expectTook(W);
+    } else if (What == "slower") {
+      this->expectSlower(W);
     } else if (What == "counted") {
       this->expectCounted(W);
     } else if (What == "crashes") {
@@ -440,6 +501,8 @@
         this->Failure = std::to_string(Count) + " threads";
     } else if (!this->holds(W)) {
       this->Failure = "does not hold: " + What + " " + Who;
+      if (What == "call")
+        this->Failure += ", is " + this->Calls[Who].End;
     }
   }
 
@@ -447,6 +510,7 @@
   std::unique_ptr<harness::Fleet> All;
   SoupSession *Session;
   std::map<std::string, LiveCall> Calls;
+  std::map<std::string, uint64_t> MarkedKiB;
   std::string Failure;
 };
 
--- a/src/control/FailingReadersTest.cpp
+++ b/src/control/FailingReadersTest.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace hickorylift {
 
 namespace {
@@ -29,6 +31,11 @@
   /// Whether one data centre is cut off from the others, and its nodes alone
   /// are turned away.
   bool Isolated;
+  /// A share of the nodes of each of these data centres that is turned away as
+  /// well, drawn at random.
+  int Percent = 0;
+  /// Whether the second reader loses power in that moment.
+  bool LosesSpare = false;
 };
 
 std::ostream &operator<<(std::ostream &Out, const TurnedAwayCase &Case) {
@@ -48,6 +55,20 @@
     {"the readers and the next one are not answered", 8, 3, false, false},
     {"both readers of a data centre that is cut off are not answered", 9, 2,
      false, true},
+    {"a third of all nodes is refused", 10, 0, true, false, 33},
+    {"a third of a data centre that is cut off is refused", 11, 0, true, true,
+     33},
+    {"a third of a data centre that is cut off is refused", 12, 0, true, true,
+     33},
+    {"its readers and a third of the others are refused", 13, 2, true, true,
+     33},
+    {"its readers and a third of the others are refused", 14, 2, true, true,
+     33},
+    {"a third of a data centre that is cut off is not answered", 15, 0, false,
+     true, 33},
+    {"the first reader is refused, and the second loses power", 16, 1, true,
+     false, 0, true},
+    {"the same in a data centre that is cut off", 17, 1, true, true, 0, true},
 };
 
 struct TurnedAwayFixture {
@@ -60,9 +81,18 @@
       this->Fleet.isolate("east");
     else
       DataCentres = {"east", "north", "south"};
-    for (const std::string &DataCentre : DataCentres)
-      this->Fleet.turnAway(this->Fleet.firstReaders(Case.Count, DataCentre),
-                           {Case.Answers});
+    for (const std::string &DataCentre : DataCentres) {
+      std::vector<std::string> First =
+          this->Fleet.firstReaders(Case.Count, DataCentre);
+      std::vector<std::string> Readers =
+          this->Fleet.firstReaders(2, DataCentre);
+      this->Fleet.turnAway(First, {Case.Answers});
+      this->Fleet.turnAway(Case.Percent, DataCentre, {Case.Answers});
+      for (const std::string &Name : Readers)
+        if (Case.LosesSpare &&
+            std::find(First.begin(), First.end(), Name) == First.end())
+          this->Fleet.losePower(Name);
+    }
   }
 
   FleetFixture Fleet;
--- a/src/control/FleetFixture.h
+++ b/src/control/FleetFixture.h
@@ -105,6 +105,11 @@
         this->refuse(this->Members.at(Name), "store-watch", Pending.Done);
     }
   }
+  /// The same for a share of the nodes of a data centre, drawn at random.
+  void turnAway(int Percent, const std::string &DataCentre,
+                const Refusal &How) {
+    this->turnAway(this->draw(Percent, DataCentre), How);
+  }
   void admitAll() { this->TurnedAway.clear(); }
 
   /// Number of nodes of a data centre with the duty to read.
--- a/standin/Upstream.cpp
+++ b/standin/Upstream.cpp
@@ -23,7 +23,8 @@
 
 // An upstream. The query says what a call does: ms, how long it takes; size,
 // how large its answer is; cut=1, break the answer off in the middle; drop=1,
-// close the connection without an answer; crash=MS, end all connections and
+// close the connection without an answer; endless=FORM, send bytes without end
+// in place of an answer, see endlessBytes(); crash=MS, end all connections and
 // close the port for so long, as a process does that crashes and is started
 // again. It counts
 // executions by the header X-Call-Id, so that a test can hold "not run" against
@@ -55,14 +56,52 @@
 // How long it takes calls after its first answer that states that it leaves.
 constexpr Millis LeavingDrain{2000};
 
+// A turn of an endless answer sends this much at most.
+constexpr size_t EndlessPieceBytes = 256 * 1024;
+
 class UpstreamServer;
 
+/// Bytes that go on without end, after Begin.
+struct EndlessBytes {
+  std::string Begin;
+  std::string Repeated;
+};
+
+/// What an upstream in trouble sends; nothing for an unknown form.
+std::optional<EndlessBytes> endlessBytes(const std::string &Form) {
+  static const std::string Head = "HTTP/1.1 200 OK\r\n";
+  static const std::string Chunked =
+      Head + "Transfer-Encoding: chunked\r\n\r\n";
+  static const std::map<std::string, EndlessBytes> Forms = {
+      {"line", {"HTTP/1.1 200 ", "x"}},
+      {"fields", {Head, "A: b\r\n"}},
+      {"interim", {"", "HTTP/1.1 100 Continue\r\n\r\n"}},
+      {"empty-lines", {"", "\r\n"}},
+      {"extension", {Chunked + "5;", "x"}},
+      {"trailer", {Chunked + "0\r\n", "A: b\r\n"}},
+      {"chunks", {Chunked, "1000\r\n" + std::string(4096, 'x') + "\r\n"}},
+      {"body", {Head + "\r\n", "x"}},
+      {"behind", {Head + "Content-Length: 2\r\n\r\nab", "x"}},
+  };
+  auto Found = Forms.find(Form);
+  return Found == Forms.end() ? std::nullopt : std::optional(Found->second);
+}
+
+struct Flood {
+  UpstreamServer *Owner;
+  GIOStream *Stream;
+  GSocket *Socket;
+  std::string Next;
+  std::string Piece;
+};
+
 struct Job {
   UpstreamServer *Owner;
   SoupServerMessage *Message;
   uint64_t Size;
   bool Cut;
   bool Drop;
+  std::optional<EndlessBytes> Endless;
   guint Timer;
   GSource *Watch;
 };
@@ -151,6 +190,7 @@
                        number(Query, "size", 2),
                        number(Query, "cut", 0) != 0,
                        number(Query, "drop", 0) != 0,
+                       endlessBytes(text(Query, "endless")),
                        0,
                        nullptr};
     ++Self->Running;
@@ -299,8 +339,50 @@
     delete Of;
   }
 
+  static void startFlood(UpstreamServer *Owner, SoupServerMessage *Message,
+                         const EndlessBytes &Bytes) {
+    auto *New = new Flood{Owner, nullptr, nullptr, Bytes.Begin, ""};
+    while (New->Piece.size() < EndlessPieceBytes)
+      New->Piece += Bytes.Repeated;
+    New->Socket =
+        G_SOCKET(g_object_ref(soup_server_message_get_socket(Message)));
+    New->Stream = soup_server_message_steal_connection(Message);
+    ++Owner->Floods;
+    g_socket_set_blocking(New->Socket, FALSE);
+    GSource *Writable = g_socket_create_source(New->Socket, G_IO_OUT, nullptr);
+    g_source_set_callback(Writable, G_SOURCE_FUNC(onWritable), New, nullptr);
+    g_source_attach(Writable, nullptr);
+    g_source_unref(Writable);
+  }
+
+  static gboolean onWritable(GSocket *Socket, GIOCondition, gpointer Data) {
+    auto *Of = static_cast<Flood *>(Data);
+    if (Of->Next.empty())
+      Of->Next = Of->Piece;
+    GError *Why = nullptr;
+    gssize Went =
+        g_socket_send(Socket, Of->Next.data(), Of->Next.size(), nullptr, &Why);
+    bool Full = Why && g_error_matches(Why, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+    g_clear_error(&Why);
+    if (Went > 0)
+      Of->Next.erase(0, static_cast<size_t>(Went));
+    if (Went > 0 || Full)
+      return G_SOURCE_CONTINUE;
+    --Of->Owner->Floods;
+    g_io_stream_close(Of->Stream, nullptr, nullptr);
+    g_object_unref(Of->Stream);
+    g_object_unref(Of->Socket);
+    delete Of;
+    return G_SOURCE_REMOVE;
+  }
+
   static void finish(Job *Of) {
     --Of->Owner->Running;
+    if (Of->Endless) {
+      startFlood(Of->Owner, Of->Message, *Of->Endless);
+      delete Of;
+      return;
+    }
     soup_server_message_set_status(Of->Message, 200, nullptr);
     std::string Body(Of->Size, 'x');
     for (size_t I = 0; I < Body.size(); ++I)
@@ -389,6 +471,7 @@
     Out["over_rate"] = Json::UInt64(Self->OverRate);
     Out["since_stated"] = Json::UInt64(Self->SinceStated);
     Out["running"] = Json::UInt64(Self->Running);
+    Out["floods"] = Json::UInt64(Self->Floods);
     Out["crashes"] = Json::Value(Json::arrayValue);
     for (const auto &[At, By] : Self->Crashes) {
       Json::Value One(Json::objectValue);
@@ -407,6 +490,8 @@
   std::set<GSocket *> Connections;
   // Calls that run.
   std::set<Job *> Paused;
+  // Connections on which bytes without end are sent.
+  uint64_t Floods = 0;
   // When, and under which call.
   std::vector<std::pair<Millis, std::string>> Crashes;
   // Of the process, or of the one that follows a crash.
