Test the read plan of nodes that replace failing readers

The first reader keeps its duty while it fails, so that it is served again as soon as the platform lets it; the next in order reads as a spare.

--- a/src/control/ReadPlanTest.cpp
+++ b/src/control/ReadPlanTest.cpp
@@ -60,6 +60,15 @@
     {"the readers failed without any node detecting it",
      [](ReadSituation &Situation) { Situation.ReadersFellBehind = true; },
      "watch"},
+    {"readers are known to fail, and it is the next in order",
+     [](ReadSituation &Situation) { Situation.ReplacesReader = true; },
+     "spare"},
+    {"the first reader, which is known to fail",
+     [](ReadSituation &Situation) {
+       Situation.IsReader = Situation.IsFirstReader = Situation.ReplacesReader =
+           true;
+     },
+     "watch"},
     {"its data centre has no instances yet, and its seed updates it",
      [](ReadSituation &Situation) {
        Situation.IsReader = Situation.IsFirstReader = Situation.HasSeedLink =
