Let nodes that replace readers ask less often once they fail as well

Cause: in a cut or an outage all readers fail, so all eight candidates read and fail. When it ends they ask within a second of each other, and each receives the versions that were missed over the links on which the others wait for them: the eight are the top of the spreading tree.

Change: a node that replaces a reader waits 2 to 4 s after its own requests have failed; the readers ask within a second as before. If these are still turned away, the next node in order asks at once, as it has not failed yet.

A spare that fails now asks although others are served: it went on counting as failing otherwise, and a third node kept the duty (found by OthersStopOnceReadersAreServedAgain, whose timing had hidden it).

StoreReading/FailingSparesAskAgain tests both.

--- a/src/control/ReadPlan.cpp
+++ b/src/control/ReadPlan.cpp
@@ -44,9 +44,8 @@
     return {ReadDuty::Watch, "readers fell behind"};
   if (PeersHadTime && Reads)
     return {ReadDuty::Spare, "spare reader"};
-  // As a spare, for the readers of other data centres may be served.
   if (PeersHadTime && Situation.ReplacesReader)
-    return {ReadDuty::Spare, "readers fail"};
+    return {ReadDuty::Replacement, "readers fail"};
   if (PeersHadTime && Situation.ParentMayBeSlow)
     return {ReadDuty::Spare, "parent was lost"};
   if (!Situation.HasVersion &&
@@ -66,6 +65,8 @@
     return "once";
   case ReadDuty::Spare:
     return "spare";
+  case ReadDuty::Replacement:
+    return "replacement";
   case ReadDuty::Watch:
     return "watch";
   }
--- a/src/control/ReadPlanTest.cpp
+++ b/src/control/ReadPlanTest.cpp
@@ -62,7 +62,7 @@
      "watch"},
     {"readers are known to fail, and it is the next in order",
      [](ReadSituation &Situation) { Situation.ReplacesReader = true; },
-     "spare"},
+     "replacement"},
     {"the first reader, which is known to fail",
      [](ReadSituation &Situation) {
        Situation.IsReader = Situation.IsFirstReader = Situation.ReplacesReader =
--- a/src/reading/DocumentSource.h
+++ b/src/reading/DocumentSource.h
@@ -39,6 +39,10 @@
   /// delivers them sooner. The source asks the platform only if no node has
   /// done so lately.
   Spare,
+  /// The same in place of a reader whose requests fail. If its own fail as
+  /// well, the source asks less often than a reader: many nodes may have this
+  /// duty, and in an outage of the platform all of them fail.
+  Replacement,
   /// Watch for changes.
   Watch,
 };
--- a/src/reading/PlatformReader.cpp
+++ b/src/reading/PlatformReader.cpp
@@ -158,7 +158,7 @@
 // so no duty is done less often than another: a spare reader watches like any
 // other, and ListForOthers is handled like List.
 void PlatformReader::tick(TimePoint Now, Duty NewDuty) {
-  if (NewDuty == Duty::Spare)
+  if (NewDuty == Duty::Spare || NewDuty == Duty::Replacement)
     NewDuty = Duty::Watch;
   if (NewDuty == Duty::ListForOthers)
     NewDuty = Duty::List;
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -90,7 +90,9 @@
 // share the platform's request rate, and while instances change all the time, a
 // spare that asked in any case would cost almost as much as its primary.
 bool StoreReader::isServedByOthers(TimePoint Now) {
-  if (this->CurrentDuty != ReadDuty::Spare)
+  // A spare that fails must find out when it is served again: others read in
+  // its place until then.
+  if (!this->isSpare() || this->CannotRead)
     return false;
   this->updateLastAskedByAny();
   return this->LastAskedByAny &&
@@ -120,8 +122,7 @@
 // means to parse them all, so a reader of lists that is not a spare reads their
 // changes again, which are small.
 void StoreReader::catchUpWithNode() {
-  bool IsCheaper =
-      this->CurrentDuty == ReadDuty::Spare || this->readsConfigOnly();
+  bool IsCheaper = this->isSpare() || this->readsConfigOnly();
   if (IsCheaper && this->isBehindNode())
     this->resume();
 }
@@ -344,10 +345,9 @@
   }
   this->confirmAll(AskedAt);
   this->reportComplete();
-  bool Spare = this->CurrentDuty == ReadDuty::Spare;
   this->NotBefore =
-      this->WatchStartedAt +
-      (Spare ? this->Opts.SpareWatchInterval : this->Opts.WatchInterval);
+      this->WatchStartedAt + (this->isSpare() ? this->Opts.SpareWatchInterval
+                                              : this->Opts.WatchInterval);
   if (Now >= this->NotBefore && !this->isServedByOthers(Now))
     this->startNextRequest(Now);
 }
@@ -450,15 +450,23 @@
   this->Failing |= !HistoryGone;
   this->CannotRead |=
       !HistoryGone && (FailedBefore || Why.Code == Errc::Timeout);
-  // The whole delay is random (full jitter), so that nodes that failed together
-  // don't retry together.
+  this->NotBefore = Now + this->backoff();
+  ++this->Failures;
+  this->Hook.Failed(Why, Now);
+}
+
+// The whole delay is random (full jitter), so that nodes that failed together
+// don't retry together.
+Millis StoreReader::backoff() {
+  if (this->CurrentDuty == ReadDuty::Replacement && this->CannotRead) {
+    Millis Half = this->Opts.ReplacementBackoff / 2;
+    return Half + Millis(this->Random() % (Half.count() + 1));
+  }
   Millis MaxDelay =
       std::min(this->Opts.MaxBackoff,
                this->Opts.InitialBackoff *
                    (1 << std::min(this->Failures, MaxBackoffShift)));
-  ++this->Failures;
-  this->NotBefore = Now + Millis(this->Random() % (MaxDelay.count() + 1));
-  this->Hook.Failed(Why, Now);
+  return Millis(this->Random() % (MaxDelay.count() + 1));
 }
 
 void StoreReader::applyItem(const StoredItem &Item, TimePoint Now) {
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -41,6 +41,11 @@
     /// InitialBackoff and doubles with each failure up to MaxBackoff.
     Millis InitialBackoff{100};
     Millis MaxBackoff{1000};
+    /// The longest wait of a node that replaces a reader; the shortest is half
+    /// of it. After an outage the readers ask first, and each node that asks
+    /// while they still receive a large configuration receives it as well, over
+    /// the links on which the others wait for it.
+    Millis ReplacementBackoff{4000};
     /// A new duty starts after a random delay up to this, so that nodes that
     /// start together do not read together.
     Millis StartJitter{100};
@@ -91,6 +96,11 @@
   void updateLastAskedByAny();
   void catchUpWithNode();
   bool isBehindNode() const;
+  bool isSpare() const {
+    return this->CurrentDuty == ReadDuty::Spare ||
+           this->CurrentDuty == ReadDuty::Replacement;
+  }
+  Millis backoff();
   bool readsConfigOnly() const { return this->DataCentres.empty(); }
   void abandonRedundantTransfer(TimePoint Now);
   void abandonRequest();
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -794,6 +794,34 @@
   BOOST_TEST(!this->Read->isFailing());
 }
 
+// Guards against a spare that goes on counting as failing because others are
+// served and it does not ask, and against nodes that replace readers and ask as
+// often as these in an outage.
+BOOST_DATA_TEST_CASE_F(Fixture, FailingSparesAskAgain,
+                       boost::unit_test::data::make({false, true}), Replaces) {
+  StoreReader::Options Opts;
+  this->Duty = Replaces ? ReadDuty::Replacement : ReadDuty::Spare;
+  this->step(Millis(0));
+  this->startWith({storedInstance("x", 1)}, 1);
+  this->AskedByOthers.reset();
+  for (int I = 0; I < 2; ++I) {
+    while (this->Store.PendingWatches.empty())
+      this->step(Millis(10));
+    this->Store.answerWatch(unreachable(), this->Now);
+  }
+  BOOST_REQUIRE(this->Read->isFailing());
+  TimePoint Failed = this->Now;
+  while (this->Store.PendingWatches.empty()) {
+    this->AskedByOthers = this->Now;
+    this->step(Millis(10));
+    BOOST_REQUIRE((this->Now - Failed < Opts.ReplacementBackoff + Millis(100)));
+  }
+  Millis Waited = toMillis(this->Now - Failed);
+  BOOST_TEST((Waited >= Opts.ReplacementBackoff / 2) == Replaces);
+  this->Store.answerWatch(ItemChanges{{}, 2}, this->Now);
+  BOOST_TEST(!this->Read->isFailing());
+}
+
 // Guards against a reader on a thin network link that receives a version which
 // its node already has, for seconds, while the next one waits behind it.
 BOOST_DATA_TEST_CASE(RedundantTransfersAreAbandoned,
