Give up responses of the platform that are interim without end

Cause: the HTTP library reads interim responses (1xx) in a loop that returns only when no more bytes have arrived. A platform that sends them without end, as fast as loopback takes them, kept the node in that loop for 20 s, until the test ended it: no call was served and no timer fired, so the request's own time limit did not help.

Change: the fetcher counts them and cancels the request after 32.

--- a/src/base/HttpFetch.cpp
+++ b/src/base/HttpFetch.cpp
@@ -35,6 +35,8 @@
   size_t MaxBytes = 0;
   Millis StallLimit{0};
   Millis MaxTransfer{0};
+  unsigned InterimResponses = 0;
+  unsigned MaxInterimResponses = 0;
 };
 
 gboolean onTimeout(gpointer Data) {
@@ -44,6 +46,12 @@
   return G_SOURCE_REMOVE;
 }
 
+void onInterimResponse(SoupMessage *, gpointer Data) {
+  auto *Call = static_cast<Pending *>(Data);
+  if (++Call->InterimResponses > Call->MaxInterimResponses)
+    g_cancellable_cancel(Call->Stop);
+}
+
 void addHeader(const char *Name, const char *Value, gpointer Data) {
   std::string Lower = Name;
   std::transform(Lower.begin(), Lower.end(), Lower.begin(),
@@ -60,6 +68,9 @@
 
 // Tells a server that doesn't answer from a transfer that stopped.
 Error failure(const Pending &Call, const GError *Why) {
+  if (Call.InterimResponses > Call.MaxInterimResponses)
+    return Error{Errc::BadMessage, Call.Step, Call.Peer,
+                 "too many interim responses"};
   bool TimedOut = g_cancellable_is_cancelled(Call.Stop);
   std::string Detail = Why ? Why->message : "no answer";
   if (Call.Stream)
@@ -93,6 +104,7 @@
   if (Call->Stream)
     g_input_stream_close(Call->Stream, Call->Stop, nullptr);
   g_clear_object(&Call->Stream);
+  g_signal_handlers_disconnect_by_data(Call->Message, Call.get());
   g_object_unref(Call->Message);
   g_object_unref(Call->Stop);
   Call->Done(std::move(Reply), Call->Now());
@@ -202,11 +214,14 @@
   Call->MaxBytes = this->Opts.MaxBytes;
   Call->StallLimit = this->Opts.StallLimit;
   Call->MaxTransfer = this->Opts.MaxTransfer;
+  Call->MaxInterimResponses = this->Opts.MaxInterimResponses;
   startTimer(*Call, HeadLimit);
   if (this->Opts.SilenceLimit.count() > 0)
     g_signal_connect(Call->Message, "network-event", G_CALLBACK(onNetworkEvent),
                      this);
   Pending *Raw = Call.release();
+  g_signal_connect(Raw->Message, "got-informational",
+                   G_CALLBACK(onInterimResponse), Raw);
   this->Running->emplace(Raw->Id, Raw->Stop);
   RequestId Id = Raw->Id;
   soup_session_send_async(this->Session, Raw->Message, G_PRIORITY_DEFAULT,
--- a/src/base/HttpFetch.h
+++ b/src/base/HttpFetch.h
@@ -49,6 +49,10 @@
     Millis StallLimit{1500};
     /// Longest transfer of a response, however it progresses.
     Millis MaxTransfer{30000};
+    /// Interim responses (1xx) to one request. The library reads them without
+    /// returning to the loop while they keep arriving, so no timer could end a
+    /// request that gets them without end.
+    unsigned MaxInterimResponses = 32;
   };
   using GotReply = std::function<void(Result<HttpReply>, TimePoint)>;
 
