Free the bodies of calls that have ended

Callers would see a node that is killed for its memory: a gate keeps the record of a call until 10 s after its deadline, and the buffers of its bodies with it, up to 1.2 MB each.

Evidence: answers without end on two of four upstreams, twenty calls a second. A gate grew from 13 to 32, 48 and 82 MB in 2, 4 and 8 s.

Change: the buffers are freed when a call is refused, aborted, or confirmed by its entry as whole. Nothing of them can be sent after that: a call that has failed only repeats its outcome.

GateCalls/BodiesOfEndedCallsAreFreed failed before in all four rows, and /BodiesOfRefusedCallsAreFreed.

--- a/src/calls/Body.h
+++ b/src/calls/Body.h
@@ -69,6 +69,8 @@
       return;
     this->Buffer.erase(0, Consumed - this->Base);
     this->Base = Consumed;
+    if (this->EndCredited)
+      this->Buffer.shrink_to_fit();
   }
 
   /// Continues from the offset up to which the receiver reports to have the
@@ -89,6 +91,8 @@
   bool replayable() const { return this->Base == 0; }
   /// Bytes in memory; the source should pause when this exceeds its limit.
   size_t bufferedSize() const { return this->Buffer.size(); }
+  /// Bytes of memory that the buffer takes up, used or not.
+  size_t reservedSize() const { return this->Buffer.capacity(); }
   /// Whether everything was sent and the receiver has confirmed it. An empty
   /// body is confirmed by a credit too.
   bool isComplete() const { return this->EndCredited; }
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -371,7 +371,7 @@
   Call.Phase = State::Refused;
   Call.Prefetching = false;
   Call.RefusalDetails = std::move(Details);
-  Call.BufferedBody.clear();
+  this->releaseBodies(Call);
   this->sendFailed(Id, Call, Now);
 }
 
@@ -397,9 +397,29 @@
   ++this->Counts.Unknown;
   Call.Phase = State::Refused;
   Call.RefusalDetails = Details;
+  this->releaseBodies(Call);
   this->sendFailed(Id, Call, Now);
 }
 
+// Frees the bodies of a call that has failed: no byte of them is sent any more,
+// while its record is kept for seconds. An upstream whose answers never end
+// would otherwise fill the memory call by call.
+void Gate::releaseBodies(CallRecord &Call) const {
+  // An empty string that is assigned would leave the old memory in place.
+  std::string().swap(Call.BufferedBody);
+  std::string().swap(Call.RecordedAnswer);
+  SendStream Empty(this->Opts.BodyWindowBytes);
+  std::swap(Call.AnswerBody, Empty);
+}
+
+size_t Gate::bufferedBytes() const {
+  size_t Bytes = 0;
+  for (const auto &[Id, Call] : this->Calls)
+    Bytes += Call.BufferedBody.capacity() + Call.RecordedAnswer.capacity() +
+             Call.AnswerBody.reservedSize();
+  return Bytes;
+}
+
 void Gate::advanceQueue(TimePoint Now) {
   Admission::QueueUpdate Update = this->AdmissionControl.advanceQueue(Now);
   for (Admission::DroppedCall &Dropped : Update.ToDrop) {
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -264,6 +264,9 @@
     size_t Admitted = 0;
     size_t Running = 0;
   };
+  /// Bytes of memory that the bodies of calls take up, also of those that have
+  /// ended and are still remembered.
+  size_t bufferedBytes() const;
   UnfinishedCalls unfinishedCalls() const;
 
   /// The process was paused: frames already in its sockets are of unknown age.
@@ -405,6 +408,7 @@
   void requestSlot(const CallId &Id, CallRecord &Call, TimePoint Now);
   void requestBody(const CallId &Id, const CallRecord &Call);
   void grantTransfers(TimePoint Now);
+  void releaseBodies(CallRecord &Call) const;
   void sendBodyCredit(const CallId &Id, const CallRecord &Call);
   void onBufferedBody(const CallId &Id, CallRecord &Call, bool Complete,
                       TimePoint Now);
--- a/src/calls/GateCallsTest.cpp
+++ b/src/calls/GateCallsTest.cpp
@@ -38,6 +38,48 @@
     {408, false, "upstream-unmarked-refusal", wire::Outcome::Unknown},
 };
 
+constexpr uint64_t LongAnswerBytes = 200 * 1024;
+// What the records of ended calls may take up beside their bodies.
+constexpr size_t MaxBytesOfEndedCall = 1024;
+
+/// How a call ends of whose answer the gate holds LongAnswerBytes.
+struct CallEnd {
+  const char *Name;
+  void (*Happens)(Fixture &);
+};
+std::ostream &operator<<(std::ostream &Stream, const CallEnd &Row) {
+  return Stream << Row.Name;
+}
+
+const CallEnd CallEnds[] = {
+    {"its entry cancels it",
+     [](Fixture &Test) {
+       wire::CancelT Cancel;
+       Cancel.seq = 1;
+       Test.TestGate->handleFrame(Fixture::Link, makeCallFrame(Cancel),
+                                  Test.Now);
+     }},
+    {"its deadline passes",
+     [](Fixture &Test) {
+       Test.Now += Millis(Test.makeOpen(1).budget_ms + 100);
+       Test.TestGate->tick(Test.Now);
+     }},
+    {"the upstream breaks off its answer",
+     [](Fixture &Test) {
+       Error Why{Errc::BadMessage, "upstream-call", "up-1", "not an answer"};
+       Test.TestGate->upstreamFailed({7, 1}, /*Sent=*/true, Why, Test.Now);
+     }},
+    {"its entry has the whole answer",
+     [](Fixture &Test) {
+       Test.TestGate->upstreamEnd({7, 1}, Test.Now);
+       wire::CreditT Credit;
+       Credit.seq = 1;
+       Credit.consumed = LongAnswerBytes;
+       Test.TestGate->handleFrame(Fixture::Link, makeCallFrame(Credit),
+                                  Test.Now);
+     }},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(GateCalls)
@@ -62,6 +104,32 @@
     BOOST_TEST((Failed->outcome == Row.ExpectedOutcome));
 }
 
+// Guards against a gate whose memory fills with the answers of calls that have
+// ended: their records are kept for seconds after their deadlines.
+BOOST_DATA_TEST_CASE(BodiesOfEndedCallsAreFreed, data::make(CallEnds), Row) {
+  Fixture Test;
+  Test.sendOpen(Test.makeOpen(1));
+  ResponseHead Head;
+  Head.Status = 200;
+  Head.Length = -1;
+  Test.TestGate->upstreamHead({7, 1}, Head, Test.Now);
+  Test.TestGate->upstreamData({7, 1}, std::string(LongAnswerBytes, 'x'),
+                              Test.Now);
+  BOOST_REQUIRE(Test.TestGate->bufferedBytes() >= LongAnswerBytes);
+  Row.Happens(Test);
+  BOOST_TEST(Test.TestGate->bufferedBytes() <= MaxBytesOfEndedCall);
+}
+
+// Guards against the same with the bodies of calls that are refused before they
+// start.
+BOOST_FIXTURE_TEST_CASE(BodiesOfRefusedCallsAreFreed, Fixture) {
+  this->openUpload(1);
+  this->sendBody(1, 0, 10000, /*End=*/false);
+  BOOST_REQUIRE(this->TestGate->bufferedBytes() >= 10000u);
+  this->TestGate->drain("test", this->Now);
+  BOOST_TEST(this->TestGate->bufferedBytes() <= MaxBytesOfEndedCall);
+}
+
 // An entry whose caller reads nothing must not make the gate hold the whole
 // answer: the memory of a node is bounded.
 BOOST_DATA_TEST_CASE(SlowReadersPauseTheAnswer, data::make({false, true}),
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -127,6 +127,9 @@
   for (const auto &[Reason, Count] : Gated.RefusedBy)
     this->set("hickorylift_gate_refused", "Calls refused, by cause",
               static_cast<double>(Count), {{"reason", Reason}});
+  Set("hickorylift_gate_buffered_bytes",
+      "Bytes of requests and answers that the gate holds in memory",
+      At.bufferedBytes());
   wire::Load Load = At.load(Now);
   Set("hickorylift_gate_running", "Calls at the upstream", Load.in_flight());
   Set("hickorylift_gate_waiting", "Calls that wait", Load.queued());
