Forget sent bytes of a connection that always has more to send

Cause: the buffer of unsent bytes was cleared only once it was empty. A link that carries several long answers at once is never empty, and kept all that it had sent.

Evidence: found by reading, while looking for the memory of endless answers, where it was not the cause.

Change: the sent part is dropped once it is the larger one, so that each byte is moved once on average.

TcpStreams/SentBytesAreForgottenWhileMoreIsWritten failed before.

--- a/src/net/TcpStream.cpp
+++ b/src/net/TcpStream.cpp
@@ -158,17 +158,23 @@
     }
     this->Sent += static_cast<size_t>(Went);
   }
-  if (this->pending() == 0) {
-    this->Out.clear();
-    this->Sent = 0;
-    if (this->FinishWanted)
-      shutdown(this->Fd, SHUT_WR);
-  }
+  this->dropSent();
+  if (this->pending() == 0 && this->FinishWanted)
+    shutdown(this->Fd, SHUT_WR);
   this->updateWatch();
   if (Had && this->pending() == 0)
     this->Hook.Drained(this->Now());
 }
 
+// A stream that always has more to send never has an empty buffer. Dropping the
+// sent half moves no byte more than once on average.
+void TcpStream::dropSent() {
+  if (this->Sent < this->pending())
+    return;
+  this->Out.erase(0, this->Sent);
+  this->Sent = 0;
+}
+
 void TcpStream::pauseReading(bool Paused) {
   if (this->ReadPaused == Paused)
     return;
--- a/src/net/TcpStream.h
+++ b/src/net/TcpStream.h
@@ -51,6 +51,8 @@
   void flush();
   /// Bytes that the kernel has not taken yet.
   size_t pending() const { return this->Out.size() - this->Sent; }
+  /// Bytes of memory that the unsent bytes take up.
+  size_t reserved() const { return this->Out.capacity(); }
   void pauseReading(bool Paused);
   /// Ends our direction once all is sent; the peer may go on.
   void finishWriting();
@@ -71,6 +73,7 @@
   void finishDial();
   void readOnce();
   void flushSoon();
+  void dropSent();
   void end(std::error_code Why);
 
   int Fd;
