Let any node read once all that should are turned away

Callers would see a fleet, or a data centre that is cut off, that keeps an old version although the platform serves two thirds of its nodes: the eight nodes that may replace the readers were fixed by their order. A platform that throttles the nodes that call it most reaches them one after the other. Where it does not answer, each step took 3 s, and four of them longer than a version may.

Cause: knowledge of failing readers stayed among these eight, and eight is no bound on the nodes that a platform turns away: of 8,700, thousands.

Change: once all eight fail, their reports go to all nodes of the data centre, and each draws when it reads as a spare: after t seconds 6 ln(1 + t) of them have begun, whatever its size. One that is turned away as well leaves it to the others.

Measured: six new rows of OthersReadWhileReadersAreTurnedAway failed before (the first eight or sixteen everywhere, the first eight or twelve of a data centre that is cut off, answered or not).

--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -3,6 +3,7 @@
 #include "membership/Evacuations.h"
 
 #include <algorithm>
+#include <cmath>
 
 // Connects Spreader, Membership, FleetView, Quarantine and the document source
 // of one node through their hooks. Each tick derives the node's read duty with
@@ -73,8 +74,7 @@
       Beat.report =
           std::make_unique<wire::FleetReportT>(this->View.report(Now));
     auto To = this->Peers.find(Link);
-    if (!this->Failing.empty() && To != this->Peers.end() &&
-        this->readerCandidates().count(To->second.Name))
+    if (To != this->Peers.end() && this->sendsFailingReaders(To->second))
       Beat.failing_readers = this->Failing.toWire(Now);
   };
   return Hooks;
@@ -382,19 +382,62 @@
                                         this->Avoided);
 }
 
-// Whether the readers before this node that can read are too few. During an
-// outage of the platform all readers fail, and the others in turn once they
-// read; the limit on the rank keeps the whole fleet from reading at once.
+// Whether the readers before this node that can read are too few. As many read
+// as have failed: each step takes a request's timeout if the platform does not
+// answer. During an outage of the platform all readers fail, and the others in
+// turn once they read; the limit on the rank keeps the whole fleet from reading
+// at once.
 bool ControlPlane::replacesReader() const {
+  if (this->ReadsAsFallback)
+    return true;
+  size_t Wanted = std::max(this->Opts.Members.Readers, this->Failing.size());
   return !this->Failing.empty() &&
          this->Fleet.readerRank(this->Avoided) < this->Opts.MaxTakeoverNodes &&
-         this->Fleet.isReader(this->Failing.addedTo(this->Avoided));
+         this->Fleet.readerRank(this->Failing.addedTo(this->Avoided)) < Wanted;
 }
 
 bool ControlPlane::isReader() const {
   return this->Fleet.isReader(this->Avoided) || this->replacesReader();
 }
 
+bool ControlPlane::allCandidatesFail() const {
+  return !this->Failing.empty() &&
+         this->Failing.containsAll(this->readerCandidates());
+}
+
+// Only the nodes that read in place of others need the reports, and all nodes
+// once those fail as well.
+bool ControlPlane::sendsFailingReaders(const Peer &To) const {
+  return !this->Failing.empty() &&
+         (this->readerCandidates().count(To.Name) || this->allCandidatesFail());
+}
+
+// A node that is turned away as well does not try again until a candidate has
+// been served: each node that has not tried yet is as likely to be.
+void ControlPlane::updateFallback(TimePoint Now) {
+  bool IsCandidate = this->readerCandidates().count(this->Opts.Self) != 0;
+  if (IsCandidate || !this->allCandidatesFail())
+    this->FallbackReadAt.reset();
+  else if (!this->FallbackReadAt)
+    this->FallbackReadAt = this->drawFallbackTime(Now);
+  else if (this->Source->isFailing())
+    this->FallbackReadAt = TimePoint::max();
+  this->ReadsAsFallback = this->FallbackReadAt && Now >= *this->FallbackReadAt;
+}
+
+// Drawn such that after a time t, FallbackReaders * ln(1 + t / FallbackPeriod)
+// nodes of the data centre have begun, whatever its size.
+TimePoint ControlPlane::drawFallbackTime(TimePoint Now) {
+  constexpr double MaxPeriods = 1e6;
+  auto Nodes =
+      static_cast<double>(this->Fleet.topologySize(this->Opts.DataCentre));
+  double Drawn = std::exponential_distribution<double>(1.0)(this->Random);
+  double Periods = std::expm1(Drawn * Nodes / this->Opts.FallbackReaders);
+  return Now + Millis(static_cast<int64_t>(
+                   std::min(Periods, MaxPeriods) *
+                   static_cast<double>(this->Opts.FallbackPeriod.count())));
+}
+
 // The platform may serve all nodes but the readers, for example if it limits
 // the nodes that call it most. The others have working links to the readers and
 // would not read themselves, and no new version would reach any of them.
@@ -405,6 +448,7 @@
     this->Trail.add(Now, "reader", this->Opts.Self, "platform", "reads again");
   for (const std::string &Name : this->Failing.expire(Now))
     this->Trail.add(Now, "reader", Name, "peers", "no longer fails");
+  this->updateFallback(Now);
 }
 
 void ControlPlane::reportFailingReader(const std::string &Name,
@@ -414,9 +458,8 @@
   if (!this->Failing.record(Name, ReportedAt, Now))
     return;
   this->Trail.add(Now, "reader", Name, Source, "fails");
-  std::set<std::string> Candidates = this->readerCandidates();
   for (const auto &[Link, To] : this->Peers)
-    if (To.HelloReceived && Candidates.count(To.Name))
+    if (To.HelloReceived && this->sendsFailingReaders(To))
       this->Spread.sendHeartbeatBy(Link, Now);
 }
 
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -93,6 +93,14 @@
     /// order of readers reads in its place. Such a report counts for this many
     /// heartbeats.
     int64_t FailingReaderHeartbeats = 5;
+    /// Once all of these nodes fail, others read in their place, drawn at
+    /// random: about 0.7 times this number of each data centre in the first
+    /// FallbackPeriod, as many again by its third multiple, and so on ever more
+    /// slowly. The platform may turn away any set of nodes, also all that the
+    /// order of readers names first, and an outage must not make a large fleet
+    /// call it more than a small one.
+    double FallbackReaders = 6;
+    Millis FallbackPeriod{1000};
     /// A node that has had no link to its parent for this long reads the
     /// platform until it has a parent link again; 0 means never. It may receive
     /// none of its neighbours' versions, while it can reach the platform as
@@ -246,6 +254,10 @@
   }
   bool shouldTakeOverReading(TimePoint Now) const;
   bool replacesReader() const;
+  bool sendsFailingReaders(const Peer &To) const;
+  bool allCandidatesFail() const;
+  void updateFallback(TimePoint Now);
+  TimePoint drawFallbackTime(TimePoint Now);
   void updateFailingReaders(TimePoint Now);
   void reportFailingReader(const std::string &Name, TimePoint ReportedAt,
                            const std::string &Source, TimePoint Now);
@@ -357,6 +369,10 @@
   TimePoint NowForHooks;
   std::string LastReaderError;
   FailingReaders Failing;
+  // When this node begins to read because all that should read fail. Drawn
+  // each time at which that begins.
+  std::optional<TimePoint> FallbackReadAt;
+  bool ReadsAsFallback = false;
 };
 
 } // namespace hickorylift
--- a/src/control/FailingReaders.cpp
+++ b/src/control/FailingReaders.cpp
@@ -30,6 +30,13 @@
   return Expired;
 }
 
+bool FailingReaders::containsAll(const std::set<std::string> &Names) const {
+  return std::all_of(Names.begin(), Names.end(),
+                     [this](const std::string &Name) {
+                       return this->ReportedAt.count(Name) != 0;
+                     });
+}
+
 AvoidSet FailingReaders::addedTo(AvoidSet Avoid) const {
   for (const auto &[Name, At] : this->ReportedAt)
     Avoid.insert(Name);
--- a/src/control/FailingReaders.h
+++ b/src/control/FailingReaders.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,8 @@
 
   bool empty() const { return this->ReportedAt.empty(); }
   size_t size() const { return this->ReportedAt.size(); }
+  /// Whether all of these are known to fail.
+  bool containsAll(const std::set<std::string> &Names) const;
   /// The names in Avoid, and those of all failing readers.
   AvoidSet addedTo(AvoidSet Avoid) const;
   /// The reports, for a heartbeat.
--- a/src/control/FailingReadersTest.cpp
+++ b/src/control/FailingReadersTest.cpp
@@ -66,6 +66,15 @@
      33},
     {"a third of a data centre that is cut off is not answered", 15, 0, false,
      true, 33},
+    {"the first eight are refused", 18, 8, true, false},
+    {"the first eight are refused", 19, 8, true, false},
+    {"the first sixteen are refused", 20, 16, true, false},
+    {"the first eight of a data centre that is cut off are refused", 21, 8,
+     true, true},
+    {"the first twelve of a data centre that is cut off are refused", 22, 12,
+     true, true},
+    {"the first eight of a data centre that is cut off are not answered", 23, 8,
+     false, true},
     {"the first reader is refused, and the second loses power", 16, 1, true,
      false, 0, true},
     {"the same in a data centre that is cut off", 17, 1, true, true, 0, true},
@@ -132,6 +141,32 @@
     BOOST_TEST(Test.Fleet.countReading(DataCentre) == 2u);
 }
 
+// Guards against an outage in which a large fleet calls the platform more than
+// a small one.
+BOOST_DATA_TEST_CASE(OutagesDrawNoMoreCallsOfLargeFleets,
+                     bdata::make({true, false}), Answers) {
+  constexpr size_t FleetSizes[] = {24, 72};
+  constexpr Millis OutageLength{12000};
+  // The first watch that is answered after the outage waits for changes.
+  constexpr Millis WatchWait{2500};
+  std::vector<uint64_t> Calls;
+  for (size_t Size : FleetSizes) {
+    FleetFixture Fleet({.PerDataCentre = Size}, /*Seed=*/1);
+    Fleet.publish(1);
+    Fleet.run(Millis(8000));
+    for (const char *DataCentre : {"east", "north", "south"})
+      Fleet.turnAway(/*Percent=*/100, DataCentre, {Answers});
+    uint64_t Before = Fleet.storeCalls();
+    Fleet.run(OutageLength);
+    Calls.push_back(Fleet.storeCalls() - Before);
+    Fleet.admitAll();
+    Fleet.run(MaxStepDownTime + WatchWait);
+    for (const char *DataCentre : {"east", "north", "south"})
+      BOOST_TEST(Fleet.countReading(DataCentre) == 2u);
+  }
+  BOOST_TEST(4 * Calls[1] <= 5 * Calls[0]);
+}
+
 // Guards against reports that nodes send each other in a circle and that never
 // expire: others would read in place of a reader that has long been served.
 BOOST_AUTO_TEST_CASE(ReportsPassedInACircleExpire) {
--- a/src/control/FleetFixture.h
+++ b/src/control/FleetFixture.h
@@ -112,6 +112,9 @@
   }
   void admitAll() { this->TurnedAway.clear(); }
 
+  /// Requests of all nodes to the store so far, also of those turned away.
+  uint64_t storeCalls() const { return this->StoreCalls; }
+
   /// Number of nodes of a data centre with the duty to read.
   size_t countReading(const std::string &DataCentre) const {
     size_t Count = 0;
@@ -237,10 +240,12 @@
     StoreOfNode(FleetFixture &Fleet, Member &Of) : Fleet(Fleet), Of(Of) {}
     void range(const std::string &Prefix, const std::string &, TimePoint,
                PageCallback Done) override {
+      ++this->Fleet.StoreCalls;
       this->Fleet.range(this->Of, Prefix, Done);
     }
     void watch(const std::string &Prefix, uint64_t After, Millis Wait,
                TimePoint, ChangesCallback Done) override {
+      ++this->Fleet.StoreCalls;
       this->Fleet.watch(this->Of, Prefix, After, Wait, Done);
     }
     void cancel(const std::string &Prefix) override {
@@ -616,6 +621,7 @@
   std::set<std::string> CutOff;
   std::set<std::string> Isolated;
   std::map<std::string, Refusal> TurnedAway;
+  uint64_t StoreCalls = 0;
   LinkId LastLink = 0;
   uint64_t LastWatch = 0;
   uint64_t Revision = 0;
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -67,6 +67,7 @@
   if (HasDuty != HadDuty) {
     this->abandonRequest();
     this->CannotRead = false;
+    this->WasServed = false;
     this->NotBefore = Now + this->startDelay();
     // Other nodes may have read later revisions meanwhile.
     this->FullReadNeeded |= HasDuty && this->isBehindNode();
@@ -310,8 +311,13 @@
 
 void StoreReader::startWatch(TimePoint Now) {
   this->WatchStartedAt = Now;
-  Millis Wait =
-      this->Failing ? this->Opts.WatchWaitAfterFailure : this->Opts.WatchWait;
+  // A node that replaces a reader must find out soon whether it is served: a
+  // watch that waits for changes times out later.
+  bool MayBeTurnedAway =
+      this->CurrentDuty == ReadDuty::Replacement && !this->WasServed;
+  Millis Wait = this->Failing || MayBeTurnedAway
+                    ? this->Opts.WatchWaitAfterFailure
+                    : this->Opts.WatchWait;
   this->Store.watch(
       this->Layout.Prefix, this->CopyRevision, Wait, Now,
       this->dropIfStale<ItemChanges>(
@@ -406,6 +412,7 @@
   this->Busy = false;
   this->Failures = 0;
   this->CannotRead = false;
+  this->WasServed = true;
   bool HasFailed = std::exchange(this->Failing, false);
   if (HasFailed || this->missedAnOutage(Now))
     this->InstanceGraceEnd = Now + this->Opts.MissingEntryGrace;
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -205,6 +205,8 @@
   unsigned Failures = 0;
   // What isFailing() returns.
   bool CannotRead = false;
+  // Whether a request has been answered since the duty to read began.
+  bool WasServed = false;
   // Until then missing instances are kept, as their entries may have expired
   // during an outage.
   TimePoint InstanceGraceEnd;
