--- a/standin/Upstream.cpp
+++ b/standin/Upstream.cpp
@@ -80,6 +80,7 @@
       {"extension", {Chunked + "5;", "x"}},
       {"trailer", {Chunked + "0\r\n", "A: b\r\n"}},
       {"chunks", {Chunked, "1000\r\n" + std::string(4096, 'x') + "\r\n"}},
+      {"short-chunks", {Chunked, "1\r\nx\r\n"}},
       {"body", {Head + "\r\n", "x"}},
       {"behind", {Head + "Content-Length: 2\r\n\r\nab", "x"}},
   };
