--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -415,8 +415,8 @@
 // A node that is turned away as well does not try again until a candidate has
 // been served: each node that has not tried yet is as likely to be.
 void ControlPlane::updateFallback(TimePoint Now) {
-  bool IsCandidate = this->readerCandidates().count(this->Opts.Self) != 0;
-  if (IsCandidate || !this->allCandidatesFail())
+  if (!this->allCandidatesFail() ||
+      this->readerCandidates().count(this->Opts.Self))
     this->FallbackReadAt.reset();
   else if (!this->FallbackReadAt)
     this->FallbackReadAt = this->drawFallbackTime(Now);
@@ -425,8 +425,8 @@
   this->ReadsAsFallback = this->FallbackReadAt && Now >= *this->FallbackReadAt;
 }
 
-// Drawn such that after a time t, FallbackReaders * ln(1 + t / FallbackPeriod)
-// nodes of the data centre have begun, whatever its size.
+// The nodes draw independently, so that as many are expected to have begun as
+// Options::FallbackReaders says.
 TimePoint ControlPlane::drawFallbackTime(TimePoint Now) {
   constexpr double MaxPeriods = 1e6;
   auto Nodes =
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -94,11 +94,10 @@
     /// heartbeats.
     int64_t FailingReaderHeartbeats = 5;
     /// Once all of these nodes fail, others read in their place, drawn at
-    /// random: about 0.7 times this number of each data centre in the first
-    /// FallbackPeriod, as many again by its third multiple, and so on ever more
-    /// slowly. The platform may turn away any set of nodes, also all that the
-    /// order of readers names first, and an outage must not make a large fleet
-    /// call it more than a small one.
+    /// random: after a time t, FallbackReaders * ln(1 + t / FallbackPeriod)
+    /// nodes of each data centre have begun. The platform may turn away any set
+    /// of nodes, so no order of them is enough, and in an outage a large fleet
+    /// must not call it more than a small one.
     double FallbackReaders = 6;
     Millis FallbackPeriod{1000};
     /// A node that has had no link to its parent for this long reads the
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -128,7 +128,7 @@
     this->set("hickorylift_gate_refused", "Calls refused, by cause",
               static_cast<double>(Count), {{"reason", Reason}});
   Set("hickorylift_gate_buffered_bytes",
-      "Bytes of requests and answers that the gate holds in memory",
+      "Bytes of memory that the bodies of the gate's calls take up",
       At.bufferedBytes());
   wire::Load Load = At.load(Now);
   Set("hickorylift_gate_running", "Calls at the upstream", Load.in_flight());
