Let runs go on while their entry replaces a congested link

Cause: an entry that gets no answer over a link replaces it and asks the gate about its calls over the new one. On a congested network link that took 0.74 s. The gate waits half a second for it, takes the entry for dead, and cancels the run; the entry is told an unknown outcome a moment later.

Change: an entry announces with its last frame on the old link that it will reconnect. It is queued behind what the link carries and arrives before its end. The gate then waits for 3 s, the longest that an entry searches by default. An entry that has died announces nothing, and its runs are cancelled after half a second as before. Builds that do not know the field ignore it.

GateCalls/RunsOutliveTheReconnectionOfTheirEntry, without the announcement, failed in three of four rows before; /RunsEndIfTheirEntryDoesNotReconnect, EntryDecisions/ReplacedLinkIsAnnouncedToItsGate.

--- a/src/calls/Calls_generated.h
+++ b/src/calls/Calls_generated.h
@@ -1796,6 +1796,7 @@
 struct PingT : public flatbuffers::NativeTable {
   typedef Ping TableType;
   uint64_t nonce = 0;
+  bool reconnects = false;
 };
 
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1803,12 +1804,16 @@
   typedef PingBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_NONCE = 4
+    VT_NONCE = 4,
+    VT_RECONNECTS = 6
   };
   uint64_t nonce() const { return GetField<uint64_t>(VT_NONCE, 0); }
+  bool reconnects() const { return GetField<uint8_t>(VT_RECONNECTS, 0) != 0; }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_NONCE, 8) && verifier.EndTable();
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RECONNECTS, 1) &&
+           verifier.EndTable();
   }
   PingT *
   UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1827,6 +1832,10 @@
   void add_nonce(uint64_t nonce) {
     fbb_.AddElement<uint64_t>(Ping::VT_NONCE, nonce, 0);
   }
+  void add_reconnects(bool reconnects) {
+    fbb_.AddElement<uint8_t>(Ping::VT_RECONNECTS,
+                             static_cast<uint8_t>(reconnects), 0);
+  }
   explicit PingBuilder(flatbuffers::FlatBufferBuilder &_fbb) : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
@@ -1838,9 +1847,11 @@
 };
 
 inline flatbuffers::Offset<Ping>
-CreatePing(flatbuffers::FlatBufferBuilder &_fbb, uint64_t nonce = 0) {
+CreatePing(flatbuffers::FlatBufferBuilder &_fbb, uint64_t nonce = 0,
+           bool reconnects = false) {
   PingBuilder builder_(_fbb);
   builder_.add_nonce(nonce);
+  builder_.add_reconnects(reconnects);
   return builder_.Finish();
 }
 
@@ -3125,6 +3136,10 @@
     auto _e = nonce();
     _o->nonce = _e;
   }
+  {
+    auto _e = reconnects();
+    _o->reconnects = _e;
+  }
 }
 
 inline flatbuffers::Offset<Ping>
@@ -3145,7 +3160,8 @@
   } _va = {&_fbb, _o, _rehasher};
   (void)_va;
   auto _nonce = _o->nonce;
-  return hickorylift::wire::CreatePing(_fbb, _nonce);
+  auto _reconnects = _o->reconnects;
+  return hickorylift::wire::CreatePing(_fbb, _nonce, _reconnects);
 }
 
 inline PongT::PongT(const PongT &o)
--- a/src/calls/EntryLinks.cpp
+++ b/src/calls/EntryLinks.cpp
@@ -254,8 +254,17 @@
 
 // Closes an unresponsive link. The gate itself may still work: a device between
 // the two may have lost track of this connection while a new one works.
+//
+// A link may be unresponsive because the network is congested. What is sent now
+// may still arrive, and tells the gate that this process lives, so that it does
+// not cancel runs whose callers wait.
 void Entry::declareLinkDead(const std::string &Gate, GateLink &Link,
                             TimePoint Now) {
+  if (Link.Up && !Link.Calls.empty()) {
+    wire::PingT Last;
+    Last.reconnects = true;
+    this->Hook.Send(Gate, makeCallFrame(std::move(Last)));
+  }
   this->Hook.Close(Gate);
   if (Link.ConnectingSince)
     this->Balancer.markUnreachable(Gate, Now);
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -696,6 +696,24 @@
   BOOST_TEST(this->cancels(Gate) == 1u);
 }
 
+// Guards against a gate that takes an entry for dead which only replaces an
+// unresponsive link, and cancels its runs.
+BOOST_FIXTURE_TEST_CASE(ReplacedLinkIsAnnouncedToItsGate, EntryFixture) {
+  this->request(1, "/read/1");
+  std::string Gate = this->Dialled.back();
+  this->connectGate(Gate);
+  auto Announced = [this, &Gate] {
+    return std::any_of(this->Sent.begin(), this->Sent.end(),
+                       [&](const auto &Sent) {
+                         const auto *Ping = Sent.second.payload.AsPing();
+                         return Sent.first == Gate && Ping && Ping->reconnects;
+                       });
+  };
+  BOOST_TEST(!Announced());
+  this->advanceTime(Millis(700)); // unanswered pings: the link is declared dead
+  BOOST_TEST(Announced());
+}
+
 // A machine has lost power, and connection attempts to it hang. Callers must
 // not wait for the connect timeout while another gate would answer.
 BOOST_FIXTURE_TEST_CASE(CallsDoNotWaitForHangingConnect, EntryFixture) {
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -113,8 +113,10 @@
     return this->onCredit(Link, *Credit, Now);
   if (const auto *Cancel = Frame.payload.AsCancel())
     return this->onCancel(Link, *Cancel, Now);
-  if (const auto *Ping = Frame.payload.AsPing())
+  if (const auto *Ping = Frame.payload.AsPing()) {
+    Found->second.EntryReconnects |= Ping->reconnects;
     return this->sendPong(Link, Ping->nonce, Now);
+  }
   if (const auto *Pong = Frame.payload.AsPong())
     if (Found->second.PauseBarrier == Pong->nonce)
       Found->second.PauseBarrier.reset();
@@ -340,7 +342,7 @@
   }
   Call->Link = Link;
   Call->Linked = true;
-  this->LinkLostAt.erase(Id);
+  this->AbandonAt.erase(Id);
   if (Call->Phase == State::Refused)
     return this->sendFailed(Id, *Call, Now);
   if (!Call->AnswerBody.rewind(Open.answer_received)) {
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -65,6 +65,10 @@
     /// does not resume it has died or is unreachable, and the caller has lost
     /// its connection with it.
     Millis AbandonedGrace{500};
+    /// The same if the entry has announced that it will resume its calls. At
+    /// least as long as it searches for them (Entry::Options::SearchTimeout):
+    /// over a congested network link a new connection takes a second or two.
+    Millis ReconnectGrace{3000};
     /// Retry-after hint for a call that had a slot and that the upstream shed.
     /// Another upstream, or the same one a moment later, may accept the call,
     /// so the hint is short enough for a retry to meet the call's latency
@@ -373,6 +377,8 @@
     // and when a pong was last sent because that changed.
     bool ReportedSlow = false;
     std::optional<TimePoint> SlowdownPongAt;
+    // The entry has announced that it will resume its calls over a new link.
+    bool EntryReconnects = false;
   };
 
   void onOpen(LinkId Link, const wire::OpenT &Open, TimePoint Now);
@@ -483,8 +489,9 @@
   bool HeardUpstream = false;
   // The start to which a remembered statement belongs, until an answer is read.
   std::optional<std::pair<std::string, uint64_t>> RememberedStart;
-  // Running idempotent calls whose link was lost, with the time of the loss.
-  std::map<CallId, TimePoint> LinkLostAt;
+  // Running idempotent calls whose link was lost, and when they are aborted if
+  // no entry has resumed them by then.
+  std::map<CallId, TimePoint> AbandonAt;
   std::map<CallId, CallRecord> Calls;
   // When each call is checked next: first at its deadline, then when its
   // record may be removed.
--- a/src/calls/GateCallsTest.cpp
+++ b/src/calls/GateCallsTest.cpp
@@ -130,6 +130,52 @@
   BOOST_TEST(this->TestGate->bufferedBytes() <= MaxBytesOfEndedCall);
 }
 
+// Guards against a gate that cancels a run while its entry is still connecting
+// again to ask for it: over a congested network link that takes a second.
+BOOST_DATA_TEST_CASE(RunsOutliveTheReconnectionOfTheirEntry,
+                     data::make({100, 600, 1500, 2900}), ReconnectMs) {
+  constexpr Gate::LinkId NewLink = 2;
+  Fixture Test;
+  wire::OpenT Open = Test.makeOpen(1);
+  Open.idempotent = true;
+  Open.budget_ms = 10000;
+  Test.sendOpen(Open);
+  wire::PingT Last;
+  Last.reconnects = true;
+  Test.TestGate->handleFrame(Fixture::Link, makeCallFrame(Last), Test.Now);
+  Test.TestGate->linkDown(Fixture::Link, Test.Now);
+  Test.Now += Millis(ReconnectMs);
+  Test.TestGate->tick(Test.Now);
+  BOOST_TEST(Test.CancelledCalls.empty());
+  Test.TestGate->linkUp(NewLink, Test.Now);
+  wire::CallHelloT Hello;
+  Hello.incarnation = 7;
+  Test.TestGate->handleFrame(NewLink, makeCallFrame(std::move(Hello)),
+                             Test.Now);
+  Open.resume = true;
+  Test.TestGate->handleFrame(NewLink, makeCallFrame(Open), Test.Now);
+  BOOST_TEST(Test.lastFailed() == nullptr);
+  Test.Now += Millis(5000);
+  Test.TestGate->tick(Test.Now);
+  BOOST_TEST(Test.CancelledCalls.empty());
+}
+
+// Guards against a run that goes on for an entry that has announced to resume
+// it and has died since.
+BOOST_FIXTURE_TEST_CASE(RunsEndIfTheirEntryDoesNotReconnect, Fixture) {
+  wire::OpenT Open = this->makeOpen(1);
+  Open.idempotent = true;
+  Open.budget_ms = 10000;
+  this->sendOpen(Open);
+  wire::PingT Last;
+  Last.reconnects = true;
+  this->TestGate->handleFrame(Link, makeCallFrame(Last), this->Now);
+  this->TestGate->linkDown(Link, this->Now);
+  this->Now += Gate::Options().ReconnectGrace;
+  this->TestGate->tick(this->Now);
+  BOOST_TEST(this->CancelledCalls.size() == 1u);
+}
+
 // An entry whose caller reads nothing must not make the gate hold the whole
 // answer: the memory of a node is bounded.
 BOOST_DATA_TEST_CASE(SlowReadersPauseTheAnswer, data::make({false, true}),
--- a/src/calls/GateLinks.cpp
+++ b/src/calls/GateLinks.cpp
@@ -24,6 +24,10 @@
 // a new link. Calls that have not started are refused, because the entry could
 // not be notified when they get a slot.
 void Gate::linkDown(LinkId Link, TimePoint Now) {
+  auto Found = this->Links.find(Link);
+  bool Reconnects = Found != this->Links.end() && Found->second.EntryReconnects;
+  Millis Grace =
+      Reconnects ? this->Opts.ReconnectGrace : this->Opts.AbandonedGrace;
   this->Links.erase(Link);
   this->EntryByLink.erase(Link);
   for (auto &[Id, Call] : this->Calls) {
@@ -31,7 +35,7 @@
       continue;
     Call.Linked = false;
     if (Call.Phase == State::Running && Call.Idempotent)
-      this->LinkLostAt.emplace(Id, Now);
+      this->AbandonAt.emplace(Id, Now + Grace);
     if (Call.isUnstarted())
       this->refuse(Id, Call,
                    makeRefusal(Outcome::NotRun, "link-lost", StepAdmission,
@@ -123,17 +127,17 @@
   this->Hook.Send(Link, makeCallFrame(std::move(Pong)));
 }
 
-// Aborts idempotent calls that no entry has resumed within AbandonedGrace of
-// the loss of their link. The entry's process has died or cannot be reached, so
-// the caller has lost its connection too and cannot receive the answer.
+// Aborts idempotent calls that no entry has resumed in time after the loss of
+// their link. The entry's process has died or cannot be reached, so the caller
+// has lost its connection too and cannot receive the answer.
 void Gate::abortAbandonedCalls(TimePoint Now) {
-  for (auto Lost = this->LinkLostAt.begin(); Lost != this->LinkLostAt.end();) {
-    if (Now - Lost->second < this->Opts.AbandonedGrace) {
+  for (auto Lost = this->AbandonAt.begin(); Lost != this->AbandonAt.end();) {
+    if (Now < Lost->second) {
       ++Lost;
       continue;
     }
     CallId Id = Lost->first;
-    Lost = this->LinkLostAt.erase(Lost);
+    Lost = this->AbandonAt.erase(Lost);
     CallRecord *Call = this->findCall(Id);
     if (Call && Call->Phase == State::Running && !Call->Linked)
       this->abortCall(Id, *Call,
