--- a/src/calls/EntryLinks.cpp
+++ b/src/calls/EntryLinks.cpp
@@ -263,7 +263,7 @@
   if (Link.Up && !Link.Calls.empty()) {
     wire::PingT Last;
     Last.reconnects = true;
-    this->Hook.Send(Gate, makeCallFrame(std::move(Last)));
+    this->Hook.Send(Gate, makeCallFrame(Last));
   }
   this->Hook.Close(Gate);
   if (Link.ConnectingSince)
