--- a/harness/Fleet.cpp
+++ b/harness/Fleet.cpp
@@ -16,6 +16,7 @@
 #include <iostream>
 #include <sstream>
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace hickorylift::harness {
@@ -146,6 +147,24 @@
 GSubprocess *Fleet::spawn(const std::string &Program,
                           const std::vector<std::string> &Flags,
                           const std::string &File) {
+  return this->spawn(Program, Flags, File, /*Limited=*/false);
+}
+
+// Runs in the new process before the program does.
+void Fleet::limitProcess(gpointer GivenOpts) {
+  const auto &Of = *static_cast<const Options *>(GivenOpts);
+  auto Limit = [](auto What, uint64_t Most) {
+    rlimit Wanted{Most, Most};
+    if (Most > 0 && setrlimit(What, &Wanted) != 0)
+      _exit(2);
+  };
+  Limit(RLIMIT_NOFILE, Of.MaxDescriptors);
+  Limit(RLIMIT_DATA, Of.MaxDataBytes);
+}
+
+GSubprocess *Fleet::spawn(const std::string &Program,
+                          const std::vector<std::string> &Flags,
+                          const std::string &File, bool Limited) {
   std::string Path = this->Opts.Programs + "/" + Program;
   std::vector<const char *> Arguments{Path.c_str()};
   for (const std::string &Flag : Flags)
@@ -155,6 +174,9 @@
       static_cast<GSubprocessFlags>(G_SUBPROCESS_FLAGS_STDERR_MERGE));
   g_subprocess_launcher_set_stdout_file_path(
       Launcher, (this->Folder + "/" + File).c_str());
+  if (Limited)
+    g_subprocess_launcher_set_child_setup(Launcher, limitProcess, &this->Opts,
+                                          nullptr);
   GError *Why = nullptr;
   GSubprocess *New =
       g_subprocess_launcher_spawnv(Launcher, Arguments.data(), &Why);
@@ -285,8 +307,8 @@
 void Fleet::startNode(const std::string &Name) {
   Node &Of = this->Nodes.at(Name);
   std::string Path = this->writeFile(Name + ".jsonc", this->settingsOf(Of));
-  Of.Process =
-      this->spawn("hickorylift", {"run", "--settings=" + Path}, Name + ".log");
+  Of.Process = this->spawn("hickorylift", {"run", "--settings=" + Path},
+                           Name + ".log", /*Limited=*/true);
 }
 
 void Fleet::publishLists() {
@@ -402,25 +424,30 @@
 }
 
 uint64_t Fleet::memoryKiB(const std::string &Name, const std::string &Field) {
-  std::ifstream In(
-      "/proc/" +
-      std::string(g_subprocess_get_identifier(this->Nodes.at(Name).Process)) +
-      "/status");
+  const char *Id = g_subprocess_get_identifier(this->Nodes.at(Name).Process);
+  std::ifstream In("/proc/" + std::string(Id ? Id : "ended") + "/status");
   for (std::string Line; std::getline(In, Line);)
     if (Line.rfind(Field + ":", 0) == 0)
       return std::stoull(Line.substr(Field.size() + 1));
   return 0;
 }
 
+size_t Fleet::countEntries(const std::string &Name, const std::string &Folder) {
+  const char *Id = g_subprocess_get_identifier(this->Nodes.at(Name).Process);
+  if (!Id)
+    return 0;
+  std::error_code Why;
+  std::filesystem::directory_iterator Entries(
+      "/proc/" + std::string(Id) + "/" + Folder, Why);
+  return static_cast<size_t>(std::distance(begin(Entries), end(Entries)));
+}
+
 size_t Fleet::threads(const std::string &Name) {
-  std::string Path =
-      "/proc/" +
-      std::string(g_subprocess_get_identifier(this->Nodes.at(Name).Process)) +
-      "/task";
-  size_t Count = 0;
-  for (const auto &One : std::filesystem::directory_iterator(Path))
-    Count += One.exists();
-  return Count;
+  return this->countEntries(Name, "task");
+}
+
+size_t Fleet::descriptors(const std::string &Name) {
+  return this->countEntries(Name, "fd");
 }
 
 void Fleet::runFor(Millis Length) {
--- a/harness/Fleet.h
+++ b/harness/Fleet.h
@@ -43,6 +43,12 @@
     /// Services whose nodes have no upstream process: they carry no calls.
     bool Upstreams = true;
     std::string LogLevel = "warn";
+    /// Descriptors that a node's process may have open; 0 for as many as this
+    /// process.
+    uint64_t MaxDescriptors = 0;
+    /// Bytes of data that a node's process may ask the system for; it ends if
+    /// it wants more. 0 for no limit.
+    uint64_t MaxDataBytes = 0;
   };
 
   /// What the list says of an instance.
@@ -103,6 +109,8 @@
   double cpuSeconds(const std::string &Name);
   double residentMegabytes(const std::string &Name);
   size_t threads(const std::string &Name);
+  /// Descriptors that a node's process has open.
+  size_t descriptors(const std::string &Name);
   /// Resident memory of a node's process in KiB: Field is "VmRSS" for what it
   /// has now, "VmHWM" for the most that it has had.
   uint64_t memoryKiB(const std::string &Name, const std::string &Field);
@@ -130,6 +138,11 @@
   void keepLogs(const std::string &To) const;
 
 private:
+  static void limitProcess(gpointer GivenOpts);
+  GSubprocess *spawn(const std::string &Program,
+                     const std::vector<std::string> &Flags,
+                     const std::string &File, bool Limited);
+  size_t countEntries(const std::string &Name, const std::string &Folder);
   std::string freeAddress();
   bool listening(const std::string &Address);
   std::string settingsOf(const Node &Of) const;
