Gather chunked bodies before their calls are sent

Callers saw: 503 overload from a service whose upstreams did nothing, for as long as 40 callers kept chunked bodies open that they never ended. Cause: only bodies whose length is stated were read before a gate is chosen. A chunked one was started at the upstream with its first bytes and held a slot until its deadline. Change: a body of unknown length is read up to calls.gather_bytes, and goes on with its length if it ends by then. Of a longer one the first part is read. Replaced test: ChunkedBodyIsNotInFingerprint held that a chunked body is left out of the fingerprint since the gate does not have it when the call starts. A gathered one is there now and has to count, at both tries and at the gate; a longer one must still be left out. The new table holds both, and the length that the gate is told (the row "short" fails before).

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -300,12 +300,20 @@
   }
 }
 
-void Entry::body(CallerId Caller, std::string_view Bytes, TimePoint) {
+void Entry::body(CallerId Caller, std::string_view Bytes, TimePoint Now) {
   auto Found = this->Calls.find(Caller);
   if (Found == this->Calls.end())
     return;
   PendingCall &Call = Found->second;
   Call.Request.append(Bytes);
+  bool TooLong = Call.Gate.empty() && Call.Head.Length == UnknownLength &&
+                 Call.Request.bufferedSize() >
+                     static_cast<uint64_t>(this->Opts.GatherBytes);
+  if (TooLong) {
+    this->routeCall(Caller, Now);
+    if (!this->findCall(Caller))
+      return;
+  }
   this->sendBody(Call);
   if (!Call.RequestPaused &&
       Call.Request.bufferedSize() >= this->Opts.ReadAheadBytes) {
@@ -319,9 +327,12 @@
   if (Found == this->Calls.end())
     return;
   Found->second.Request.finish();
-  if (Found->second.Offers == 0)
-    return this->routeCall(Caller, Now);
-  this->sendBody(Found->second);
+  PendingCall &Call = Found->second;
+  if (!Call.Gate.empty())
+    return this->sendBody(Call);
+  if (Call.Head.Length == UnknownLength)
+    Call.Head.Length = static_cast<int64_t>(Call.Request.bufferedSize());
+  this->routeCall(Caller, Now);
 }
 
 void Entry::callerConsumed(CallerId Caller, uint64_t Total, TimePoint) {
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -67,9 +67,10 @@
     uint64_t BodyWindowBytes = 16 * 1024;
     /// Largest piece of a body in one frame.
     size_t MaxPieceBytes = 32 * 1024;
-    /// A body of known length up to this is read completely before the call is
-    /// sent: a caller that sends slowly then occupies no slot, and the gate
-    /// gets the call in one piece.
+    /// A body up to this is read completely before the call is sent: a caller
+    /// that sends slowly then occupies no slot, and the gate gets the call in
+    /// one piece. Of a longer one whose length is not known, so much is read
+    /// first.
     int64_t GatherBytes = 32 * 1024;
     /// A body longer than this is sent only once the gate has started the call.
     /// A refused call then costs no body bytes, and a waiting call no memory at
@@ -418,6 +419,7 @@
   const Instance *trialGate(const PendingCall &Call, TimePoint Now) const;
   Quarantine::Decision checkQuarantine(PendingCall &Call, TimePoint Now) const;
   void assign(CallerId Caller, PendingCall &Call, const Instance &Gate,
+  bool gathersBody(const RequestHead &Head) const;
               TimePoint Now);
   wire::OpenT makeOpenFrame(const PendingCall &Call, const CallId &Id,
                             const std::string &Gate, TimePoint Now) const;
--- a/src/calls/EntryRequests.cpp
+++ b/src/calls/EntryRequests.cpp
@@ -114,6 +114,15 @@
   return Call;
 }
 
+// Whether the body is read before a gate is chosen. One of unknown length is
+// until it ends or proves to be too long: a caller that stops in the middle
+// would otherwise hold a slot of the upstream meanwhile.
+bool Entry::gathersBody(const RequestHead &Head) const {
+  if (Head.Length == UnknownLength)
+    return this->Opts.GatherBytes > 0;
+  return Head.Length > 0 && Head.Length <= this->Opts.GatherBytes;
+}
+
 void Entry::request(CallerId Caller, const RequestHead &Head, TimePoint Now) {
   ++this->Counts.Requests;
   if (std::optional<Refusal> Cause = this->check(Caller, Head, Now)) {
@@ -135,8 +144,7 @@
   this->Hedges.recordFirstTry(MatchedRoute->Name);
   if (Head.Length == 0)
     Call.Request.finish();
-  bool Gathers = Head.Length > 0 && Head.Length <= this->Opts.GatherBytes;
-  if (!Gathers)
+  if (!this->gathersBody(Head))
     this->routeCall(Caller, Now);
 }
 
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -625,22 +625,48 @@
     BOOST_TEST(Gate == Homes[Open->idempotency_key]);
 }
 
-// A chunked body is not part of the fingerprint at the gate, which receives it
-// while the call runs. Nor may it be at the entry, which may have the whole
-// body at the second try.
-BOOST_FIXTURE_TEST_CASE(ChunkedBodyIsNotInFingerprint, EntryFixture) {
+struct ChunkedBodyCase {
+  const char *Name;
+  size_t Bytes;
+  // Whether the body is in the fingerprint, as it is at the gate.
+  bool Counts;
+};
+std::ostream &operator<<(std::ostream &To, const ChunkedBodyCase &Of) {
+  return To << Of.Name;
+}
+
+const int64_t MostGathered = Entry::Options().GatherBytes;
+const ChunkedBodyCase ChunkedBodies[] = {
+    {"short", 5, true},
+    {"as long as what is gathered", static_cast<size_t>(MostGathered), true},
+    {"longer", static_cast<size_t>(MostGathered) + 1, false},
+};
+
+// A chunked body that is gathered is sent with its length, and the gate's
+// fingerprint covers it. The gate receives a longer one while the call runs, so
+// it may not be in the entry's either, which may have the whole body at the
+// second try.
+BOOST_DATA_TEST_CASE_F(EntryFixture, FingerprintOfChunkedBodyIsThatOfTheGate,
+                       data::make(ChunkedBodies), Case) {
   RequestHead Head;
   Head.Method = "POST";
   Head.Path = "/often/1";
   Head.Length = UnknownLength;
+  std::string Body(Case.Bytes, 'x');
   this->TestedEntry->request(1, Head, this->Now);
-  this->TestedEntry->body(1, "bytes", this->Now);
+  BOOST_TEST(this->Dialled.empty());
+  this->TestedEntry->body(1, Body, this->Now);
   this->TestedEntry->bodyEnd(1, this->Now);
   this->connectGate(this->Dialled.back());
   auto [Gate, Open] = this->opens().back();
+  BOOST_TEST(Open->length ==
+             (Case.Counts ? static_cast<int64_t>(Case.Bytes) : UnknownLength));
   this->sendFailed(Gate, Open->seq, wire::Outcome::Unknown, "upstream-crashed");
   BOOST_REQUIRE(this->Checked.size() == 2u);
-  BOOST_TEST((this->Checked[0] == computeFingerprint(Head, "", "")));
+  if (Case.Counts)
+    Head.Length = static_cast<int64_t>(Case.Bytes);
+  BOOST_TEST((this->Checked[0] ==
+              computeFingerprint(Head, "", Case.Counts ? Body : "")));
   BOOST_TEST((this->Checked[1] == this->Checked[0]));
 }
 
