Keep only short bodies for a second try at the upstream

Callers saw: nothing, until the node ran out of memory. Cause: the client of the upstream kept the whole body of a call that may run twice, so that it could be sent again if a kept connection was closed under it. A body may have 64 MiB in the users' deployments: four uploads of 56 MiB to a route marked idempotent took 244 MB at the gate. Change: a body is kept up to 256 KiB; a call with a longer one is sent once, and a connection closed under it ends it with an unknown outcome, which the entry may still repeat by the route's rules.

--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -282,6 +282,11 @@
     Of->Sent.append(Bytes);
   if (Running)
     this->writeBody(*On, Bytes);
+  if (Of->Sent.size() <= this->Opts.MaxReplayBytes)
+    return;
+  Of->MayRepeat = false;
+  if (Running)
+    std::string().swap(Of->Sent);
 }
 
 void UpstreamClient::bodyEnd(const CallId &Id) {
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -48,6 +48,9 @@
     /// An answer up to this many bytes is handed on when it is whole, so that
     /// one that breaks off is never begun towards the caller.
     size_t HoldBytes = 256 * 1024;
+    /// The body of a call that may be sent again is kept up to this many bytes.
+    /// A call with a longer one is sent once.
+    size_t MaxReplayBytes = 256 * 1024;
     /// Bytes of a request's body between two reports of Consumed. At most half
     /// of what an entry sends ahead of them, or it would wait for one that
     /// never comes.
