Bound what a node holds for others by one budget

Callers saw: connections closed without an answer, or no answer at all, from a node whose memory or descriptors a crowd of other callers or peers had taken. The process ended where the machine had no more memory. Cause: every buffer had a limit of its own and nothing limited their sum. 400 bodies of 512 KiB that lack their last byte are each legal, and 200 MB. Where there was a limit on a number (2,000 connections of callers, 4,096 links), it was above the descriptors of the process, and the newcomer was turned away, not the one who had taken the place. Change: a ResourceBudget accounts for the connections of callers and peers and for the calls at the gate: bytes, descriptors, and how long nothing has moved on. When the sum exceeds the budget, the holders with most bytes times that time are ended; for descriptors the time alone counts. Bytes that only come in are no movement, so a body sent byte by byte stands like one that has stopped. Who waits for an upstream counts as moving. The limits on numbers are gone. A call that is ended so is refused as not run if it was not sent, and is unknown otherwise. Buffers of 128 KiB and more are mapped by themselves, or the heap keeps what a crowd has used in pieces. Considered: pausing reads at a high water mark. A crowd that stops short of its end would then keep the node full, and nobody else would get in.

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -548,6 +548,20 @@
                Now);
 }
 
+void Entry::evict(CallerId Caller, TimePoint Now) {
+  if (this->findCall(Caller))
+    this->cancelAndGiveUp(Caller, "evicted", Now);
+}
+
+size_t Entry::heldBytes(CallerId Caller) const {
+  auto Found = this->Calls.find(Caller);
+  if (Found == this->Calls.end())
+    return 0;
+  const PendingCall &Call = Found->second;
+  return sizeof(PendingCall) + Call.Request.reservedSize() +
+         hickorylift::heldBytes(Call.Head);
+}
+
 void Entry::failRemainingCalls(TimePoint Now) {
   std::vector<CallerId> Callers;
   for (const auto &[Caller, Call] : this->Calls)
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -254,6 +254,10 @@
   /// The caller has read this much of the answer's body, in total.
   void callerConsumed(CallerId Caller, uint64_t Total, TimePoint Now);
   void callerGone(CallerId Caller, TimePoint Now);
+  /// Gives up a call because this process holds too much for others.
+  void evict(CallerId Caller, TimePoint Now);
+  /// Bytes of memory that are held for a call; zero if it has ended.
+  size_t heldBytes(CallerId Caller) const;
 
   /// Which gate a request would be sent to, and why, for operators.
   struct Explanation {
@@ -415,11 +419,11 @@
                        TimePoint Now);
   void routeCall(CallerId Caller, TimePoint Now);
   const Route *findRoute(const RequestHead &Head) const;
+  bool gathersBody(const RequestHead &Head) const;
   const Instance *chooseGate(const PendingCall &Call, TimePoint Now);
   const Instance *trialGate(const PendingCall &Call, TimePoint Now) const;
   Quarantine::Decision checkQuarantine(PendingCall &Call, TimePoint Now) const;
   void assign(CallerId Caller, PendingCall &Call, const Instance &Gate,
-  bool gathersBody(const RequestHead &Head) const;
               TimePoint Now);
   wire::OpenT makeOpenFrame(const PendingCall &Call, const CallId &Id,
                             const std::string &Gate, TimePoint Now) const;
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -132,6 +132,7 @@
   Call.ArrivedAt = Now;
   Call.Deadline = Now + Budget;
   this->Timers.emplace(Call.Deadline, Id);
+  this->Hook.UsageChanged(Id);
   return Call;
 }
 
@@ -294,6 +295,7 @@
   if (!Call || Call->Link != Link)
     return;
   Call->AnswerBody.credit(Credit.consumed);
+  this->Hook.UsageChanged(Id);
   this->sendAnswer(Id, *Call);
   if (Call->AnswerPaused &&
       Call->AnswerBody.bufferedSize() <= this->Opts.BodyWindowBytes) {
@@ -373,7 +375,8 @@
   Call.Phase = State::Refused;
   Call.Prefetching = false;
   Call.RefusalDetails = std::move(Details);
-  this->releaseBodies(Call);
+  this->releaseContents(Call);
+  this->Hook.UsageChanged(Id);
   this->sendFailed(Id, Call, Now);
 }
 
@@ -399,14 +402,16 @@
   ++this->Counts.Unknown;
   Call.Phase = State::Refused;
   Call.RefusalDetails = Details;
-  this->releaseBodies(Call);
+  this->releaseContents(Call);
+  this->Hook.UsageChanged(Id);
   this->sendFailed(Id, Call, Now);
 }
 
-// Frees the bodies of a call that has failed: no byte of them is sent any more,
-// while its record is kept for seconds. An upstream whose answers never end
-// would otherwise fill the memory call by call.
-void Gate::releaseBodies(CallRecord &Call) const {
+// Frees the contents of a call that has failed: no byte of them is sent any
+// more, while its record is kept for seconds. Upstreams whose answers never end
+// would otherwise fill the memory call by call, and so would callers with large
+// heads.
+void Gate::releaseContents(CallRecord &Call) const {
   // An empty string that is assigned would leave the old memory in place.
   std::string().swap(Call.BufferedBody);
   std::string().swap(Call.RecordedAnswer);
@@ -414,14 +419,87 @@
   std::swap(Call.AnswerBody, Empty);
 }
 
+size_t Gate::contentBytes(const CallRecord &Call) {
+  return heldBytes(Call.Request) + heldBytes(Call.AnswerHead) +
+         Call.BufferedBody.capacity() + Call.RecordedAnswer.capacity() +
+         Call.AnswerBody.reservedSize();
+}
+
 size_t Gate::bufferedBytes() const {
   size_t Bytes = 0;
   for (const auto &[Id, Call] : this->Calls)
-    Bytes += Call.BufferedBody.capacity() + Call.RecordedAnswer.capacity() +
-             Call.AnswerBody.reservedSize();
+    Bytes += contentBytes(Call);
   return Bytes;
 }
 
+// Whether the call goes on only once its entry has sent or taken something.
+bool Gate::entryActs(const CallRecord &Call) const {
+  switch (Call.Phase) {
+  case State::Waiting:
+    return Call.Prefetching;
+  case State::Admitted:
+    return true;
+  case State::Running: {
+    if (Call.HaveAnswerHead)
+      return Call.AnswerPaused;
+    uint64_t AtUpstream = Call.RequestBody.received() - Call.BodyConsumed;
+    return !Call.RequestBody.ended() && Call.Request.Length != 0 &&
+           AtUpstream < this->Opts.MaxUnreportedBytes;
+  }
+  case State::Finished:
+    return true;
+  case State::Refused:
+    return false;
+  }
+  return false;
+}
+
+std::optional<ResourceBudget::Usage> Gate::usage(const CallId &Id) const {
+  auto Found = this->Calls.find(Id);
+  if (Found == this->Calls.end())
+    return std::nullopt;
+  const CallRecord &Call = Found->second;
+  bool Delivered =
+      Call.Phase == State::Finished && Call.AnswerBody.isComplete();
+  if (Call.Phase == State::Refused || Delivered)
+    return std::nullopt;
+  ResourceBudget::Usage Out;
+  Out.Bytes = contentBytes(Call);
+  Out.TotalBytes = Call.RequestBody.received() + Call.AnswerBytes;
+  Out.OtherSideActs = this->entryActs(Call);
+  return Out;
+}
+
+void Gate::evict(const CallId &Id, TimePoint Now) {
+  CallRecord *Call = this->findCall(Id);
+  if (!Call)
+    return;
+  if (Call->isUnstarted())
+    this->refuse(Id, *Call,
+                 makeRefusal(Outcome::NotRun, ReasonEvicted, StepAdmission,
+                             this->Opts.Self),
+                 Now);
+  else if (Call->Phase == State::Running)
+    this->abortCall(Id, *Call,
+                    makeRefusal(Outcome::Unknown, ReasonEvicted, StepUpstream,
+                                this->Opts.Self),
+                    Now);
+  else if (Call->Phase == State::Finished)
+    this->dropAnswer(Id, *Call, ReasonEvicted, Now);
+  this->advanceQueue(Now);
+}
+
+// Ends a call that has run and whose answer is not delivered any more.
+void Gate::dropAnswer(const CallId &Id, CallRecord &Call, const char *Reason,
+                      TimePoint Now) {
+  Call.Phase = State::Refused;
+  Call.RefusalDetails =
+      makeRefusal(Outcome::Unknown, Reason, StepUpstream, this->Opts.Self);
+  this->releaseContents(Call);
+  this->Hook.UsageChanged(Id);
+  this->sendFailed(Id, Call, Now);
+}
+
 void Gate::advanceQueue(TimePoint Now) {
   Admission::QueueUpdate Update = this->AdmissionControl.advanceQueue(Now);
   for (Admission::DroppedCall &Dropped : Update.ToDrop) {
@@ -535,10 +613,12 @@
                                 this->Opts.Self),
                     Now);
   TimePoint RemoveAt = Call->Deadline + this->Opts.RetainAfterDeadline;
-  if (Now >= RemoveAt && Call->Phase != State::Waiting)
+  if (Now >= RemoveAt && Call->Phase != State::Waiting) {
     this->Calls.erase(Id);
-  else
+    this->Hook.UsageChanged(Id);
+  } else {
     this->Timers.emplace(std::max(RemoveAt, Now + Millis(1)), Id);
+  }
 }
 
 } // namespace hickorylift
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -1,6 +1,7 @@
 #ifndef HICKORYLIFT_CALLS_GATE_H
 #define HICKORYLIFT_CALLS_GATE_H
 
+#include "budget/ResourceBudget.h"
 #include "calls/Body.h"
 #include "calls/Dialect.h"
 #include "calls/Message.h"
@@ -74,6 +75,14 @@
     /// so the hint is short enough for a retry to meet the call's latency
     /// target.
     Millis ShedRetryAfter{30};
+    /// Bytes of a request's body that the upstream may have taken without a
+    /// report by requestConsumed().
+    uint64_t MaxUnreportedBytes = 4 * 1024;
+    /// A call that holds a slot and whose entry has neither sent nor taken
+    /// MinProgressBytes for this long is ended, if another call was refused for
+    /// want of a slot. Callers take an answer in steps of up to 64 KB.
+    Millis StallTimeout{5000};
+    uint64_t MinProgressBytes = 4 * 1024;
     /// Call records kept at once. New calls are refused above this.
     size_t MaxCallRecords = 100000;
     /// All are on, except in scenarios that show what one of them prevents.
@@ -168,6 +177,8 @@
     /// The call has ended, or will not run. Also called for calls that were
     /// never started.
     std::function<void(const CallId &)> RunEnded = [](const CallId &) {};
+    /// What usage() says of this call may have changed.
+    std::function<void(const CallId &)> UsageChanged = [](const CallId &) {};
     /// The calls that a run has caused so far.
     std::function<ServiceCalls(const CallId &)> NestedCalls =
         [](const CallId &) { return ServiceCalls(); };
@@ -268,9 +279,15 @@
     size_t Admitted = 0;
     size_t Running = 0;
   };
-  /// Bytes of memory that the bodies of calls take up, also of those that have
-  /// ended and are still remembered.
+  /// Bytes of memory that the heads and bodies of calls take up, also of those
+  /// that have ended and are still remembered.
   size_t bufferedBytes() const;
+  /// What this gate holds for a call; nothing once it has ended and its answer
+  /// was delivered, or if it is unknown.
+  std::optional<ResourceBudget::Usage> usage(const CallId &Id) const;
+  /// Ends a call because this process holds too much for others. It is refused
+  /// as not run if nothing of it has reached the upstream.
+  void evict(const CallId &Id, TimePoint Now);
   UnfinishedCalls unfinishedCalls() const;
 
   /// The process was paused: frames already in its sockets are of unknown age.
@@ -332,6 +349,8 @@
     TimePoint AnsweredAt;
     TimePoint Deadline;
     ReceiveStream RequestBody;
+    // Bytes of the request's body that the upstream has taken.
+    uint64_t BodyConsumed = 0;
     // The part of the body that arrived before the call was started.
     std::string BufferedBody;
     bool HaveAnswerHead = false;
@@ -414,7 +433,15 @@
   void requestSlot(const CallId &Id, CallRecord &Call, TimePoint Now);
   void requestBody(const CallId &Id, const CallRecord &Call);
   void grantTransfers(TimePoint Now);
-  void releaseBodies(CallRecord &Call) const;
+  // GateStalls.cpp.
+  void endStalledCalls(TimePoint Now);
+  void noteProgress(TimePoint Now);
+  void endStalledCall(const CallId &Id, CallRecord &Call, TimePoint Now);
+  void releaseContents(CallRecord &Call) const;
+  void dropAnswer(const CallId &Id, CallRecord &Call, const char *Reason,
+                  TimePoint Now);
+  bool entryActs(const CallRecord &Call) const;
+  static size_t contentBytes(const CallRecord &Call);
   void sendBodyCredit(const CallId &Id, const CallRecord &Call);
   void onBufferedBody(const CallId &Id, CallRecord &Call, bool Complete,
                       TimePoint Now);
@@ -462,6 +489,9 @@
   Hooks Hook;
   Admission AdmissionControl;
   IdempotencyChecker KeyChecker;
+  static constexpr char ReasonStalled[] = "caller-stalled";
+  static constexpr char ReasonOverload[] = "overload";
+  static constexpr char ReasonEvicted[] = "evicted";
   TransferScheduler Transfers;
   CrashDetector Runs;
   ShedDetector Shedding;
--- a/src/calls/GateBodies.cpp
+++ b/src/calls/GateBodies.cpp
@@ -132,6 +132,7 @@
   }
   bool Complete = Call->RequestBody.ended();
   if (Call->isUnstarted())
+  this->Hook.UsageChanged(Id);
     Call->BufferedBody.append(*NewBytes);
   if (Call->Prefetching || Call->Phase == State::Admitted)
     this->onBufferedBody(Id, *Call, Complete, Now);
--- a/src/calls/GateUpstream.cpp
+++ b/src/calls/GateUpstream.cpp
@@ -34,7 +34,11 @@
 
 void Gate::requestConsumed(const CallId &Id, uint64_t Total, TimePoint) {
   CallRecord *Call = this->findCall(Id);
-  if (!Call || !Call->Linked)
+  if (!Call)
+    return;
+  Call->BodyConsumed = Total;
+  this->Hook.UsageChanged(Id);
+  if (!Call->Linked)
     return;
   wire::CreditT Credit;
   Credit.seq = Id.Seq;
@@ -143,6 +147,7 @@
   }
   Call->AnswerBody.append(Bytes);
   Call->AnswerBytes += Bytes.size();
+  this->Hook.UsageChanged(Id);
   // An answer of known length ends with its last byte. The end event follows
   // one event loop iteration later, and the caller need not wait for it.
   if (Call->AnswerHead.Length > 0 &&
@@ -177,6 +182,7 @@
   this->Hook.CallFinished(Call->StartedAt - Call->ArrivedAt,
                           Now - Call->StartedAt);
   Call->AnswerBody.finish();
+  this->Hook.UsageChanged(Id);
   if (!Call->IdempotencyKey.empty()) {
     std::string Body = std::exchange(Call->RecordedAnswer, "");
     // The key checker finds by the size whether the answer is too long to be
--- a/src/calls/Message.cpp
+++ b/src/calls/Message.cpp
@@ -29,6 +29,26 @@
 
 } // namespace
 
+namespace {
+
+size_t heldBytes(const HeaderList &Headers) {
+  size_t Sum = Headers.capacity() * sizeof(HeaderField);
+  for (const HeaderField &Field : Headers)
+    Sum += Field.Name.capacity() + Field.Value.capacity();
+  return Sum;
+}
+
+} // namespace
+
+size_t heldBytes(const RequestHead &Head) {
+  return Head.Method.capacity() + Head.Path.capacity() +
+         heldBytes(Head.Headers);
+}
+
+size_t heldBytes(const ResponseHead &Head) {
+  return Head.Reason.capacity() + heldBytes(Head.Headers);
+}
+
 const char BudgetHeader[] = "Hickorylift-Budget-Ms";
 
 void setHeader(HeaderList &Headers, const std::string &Name,
--- a/src/calls/Message.h
+++ b/src/calls/Message.h
@@ -76,6 +76,10 @@
   int64_t Length = UnknownLength;
 };
 
+/// Bytes of memory that the texts of a head take up.
+size_t heldBytes(const RequestHead &Head);
+size_t heldBytes(const ResponseHead &Head);
+
 /// What is known about the execution of a call that has no answer.
 enum class Outcome {
   /// Proven not executed: no byte of the call reached an upstream.
--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -21,6 +21,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <glib-unix.h>
+#include <malloc.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
@@ -130,7 +131,18 @@
   return signalfd(-1, &Set, SFD_NONBLOCK | SFD_CLOEXEC);
 }
 
+// Large buffers are mapped by themselves, so that their memory goes back to the
+// system when they are freed. By default the library raises this limit with
+// each buffer that is freed; the heap then keeps what a crowd of callers has
+// used, in pieces that the next one does not fit into.
+void limitHeap() {
+  constexpr int MappedFromBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, MappedFromBytes);
+  mallopt(M_TRIM_THRESHOLD, 2 * MappedFromBytes);
+}
+
 int runNode() {
+  limitHeap();
   FaultList Faults;
   std::optional<Settings> Read = loadSettings(Faults);
   if (!Read)
--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -143,6 +143,8 @@
   std::optional<TimePoint> LingerUntil;
   // Bytes that the kernel had not taken at the last tick.
   size_t PendingAtTick = 0;
+  // Bytes of requests and answers that have come in for it.
+  uint64_t TotalBytes = 0;
 };
 
 CallerServer::CallerServer(Options Opts, Hooks Hooks,
@@ -162,10 +164,6 @@
 void CallerServer::stopListening() { this->Listening.close(); }
 
 void CallerServer::adopt(int Fd) {
-  if (this->Connections.size() >= this->Opts.MaxConnections) {
-    ::close(Fd);
-    return;
-  }
   auto New = std::make_shared<Connection>();
   New->Id = ++this->LastConnection;
   New->IdleSince = this->Now();
@@ -185,6 +183,7 @@
   };
   New->Stream = TcpStream::adopt(Fd, Hooks, this->Now);
   this->Connections[New->Id] = New;
+  this->Hook.UsageChanged(New->Id);
 }
 
 CallerServer::Exchange *CallerServer::find(CallerId Caller) {
@@ -197,6 +196,8 @@
   // After the last answer, the rest is only thrown away.
   if (On->NoMore)
     return;
+  On->TotalBytes += Bytes.size();
+  this->Hook.UsageChanged(On->Id);
   On->Unparsed.append(Bytes);
   this->parse(On, At);
 }
@@ -404,6 +405,8 @@
 }
 
 void CallerServer::write(Exchange &Of, std::string_view Bytes) {
+  Of.On->TotalBytes += Bytes.size();
+  this->Hook.UsageChanged(Of.On->Id);
   if (Of.On->Queue.front().get() == &Of)
     Of.On->Stream->write(Bytes);
   else
@@ -510,7 +513,7 @@
   On.HeadWaits = false;
   On.Parser.reset();
   On.Reading = nullptr;
-  On.Unparsed.clear();
+  std::string().swap(On.Unparsed);
   On.HeadSince.reset();
   On.Closing = true;
   On.IdleSince = At;
@@ -533,6 +536,7 @@
 
 void CallerServer::drained(Connection &On, TimePoint At) {
   On.IdleSince = At;
+  this->Hook.UsageChanged(On.Id);
   if (On.Closing)
     On.LingerUntil = At + this->Opts.Linger;
   this->consumed(On, At);
@@ -555,6 +559,7 @@
   auto Kept = this->Connections.extract(On->Id);
   On->Stream->close();
   On->Reading = nullptr;
+  this->Hook.UsageChanged(On->Id);
   this->letGo(*On, At);
 }
 
@@ -639,6 +644,55 @@
                      });
 }
 
+// Whether the caller has to send or read something before anything goes on.
+bool CallerServer::callerActs(const Connection &On) {
+  if (On.Queue.empty())
+    return true;
+  const Exchange &First = *On.Queue.front();
+  bool BodyMissing = On.Reading && !On.Reading->WindowFull;
+  bool AnswerUnread = First.Answering && On.Stream->pending() > 0;
+  return BodyMissing || AnswerUnread;
+}
+
+std::optional<ResourceBudget::Usage>
+CallerServer::usage(uint64_t Connection) const {
+  auto Found = this->Connections.find(Connection);
+  if (Found == this->Connections.end())
+    return std::nullopt;
+  const auto &On = *Found->second;
+  ResourceBudget::Usage Out;
+  Out.Connections = 1;
+  Out.TotalBytes = On.TotalBytes;
+  Out.OtherSideActs = callerActs(On);
+  Out.Bytes = On.Unparsed.capacity() + On.Stream->reserved();
+  for (const auto &One : On.Queue)
+    Out.Bytes += sizeof(Exchange) + One->Waiting.capacity() +
+                 this->Hook.HeldBytes(One->Id);
+  return Out;
+}
+
+void CallerServer::evict(uint64_t Connection, TimePoint At) {
+  auto Find = [&] {
+    auto Found = this->Connections.find(Connection);
+    return Found == this->Connections.end() ? nullptr : Found->second;
+  };
+  ConnectionPtr On = Find();
+  if (!On)
+    return;
+  // An answer in place of one that has begun could not be told from its rest.
+  bool Refusable = On->Queue.size() == 1 && !On->Queue.front()->Answering &&
+                   !On->Queue.front()->Released;
+  if (Refusable)
+    this->Hook.Evict(On->Queue.front()->Id, At);
+  if (!Find())
+    return;
+  On->Stream->flush();
+  if (!Find())
+    return;
+  this->CutOff += On->Queue.size();
+  this->drop(On, At);
+}
+
 void CallerServer::judgeTime(const ConnectionPtr &On, TimePoint At) {
   bool HeadLate =
       On->HeadSince && At - *On->HeadSince > this->Bounds.HeaderTimeout;
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -2,6 +2,7 @@
 #define HICKORYLIFT_HTTP_CALLERSERVER_H
 
 #include "base/NetAddress.h"
+#include "budget/ResourceBudget.h"
 #include "calls/Dialect.h"
 #include "calls/Entry.h"
 #include "http/MessageParser.h"
@@ -30,8 +31,6 @@
   struct Options {
     /// Header fields of the deployment.
     Dialect Names;
-    /// Connections held at once; more are closed when they are accepted.
-    size_t MaxConnections = 2000;
     /// Requests of one connection that may be under way together.
     size_t MaxPipelined = 16;
     /// Bytes of later requests that are read ahead on one connection.
@@ -61,6 +60,13 @@
     /// again.
     std::function<bool(const RequestHead &)> MayOverlap =
         [](const RequestHead &) { return false; };
+    /// What usage() says of this connection may have changed.
+    std::function<void(uint64_t Connection)> UsageChanged = [](uint64_t) {};
+    /// Bytes of memory that the entry holds for a request.
+    std::function<size_t(CallerId)> HeldBytes = [](CallerId) { return 0; };
+    /// Ends a request because its connection is evicted: refuse() or abort()
+    /// follows from within.
+    std::function<void(CallerId, TimePoint)> Evict = [](CallerId, TimePoint) {};
   };
 
   CallerServer(Options Opts, Hooks Hooks, std::function<TimePoint()> Clock);
@@ -89,6 +95,11 @@
   /// Whether every answer has gone to the kernel whole and no connection is
   /// still read after its last answer. Until then the process must not end.
   bool answersDelivered() const;
+  /// What is held for a connection; nothing if it has ended.
+  std::optional<ResourceBudget::Usage> usage(uint64_t Connection) const;
+  /// Ends a connection because this process holds too much. A request that has
+  /// no answer yet is refused first.
+  void evict(uint64_t Connection, TimePoint Now);
   size_t active() const { return this->Exchanges.size(); }
   size_t connections() const { return this->Connections.size(); }
   /// Number of requests under way whose connection this server has ended.
@@ -122,6 +133,7 @@
   void drop(const ConnectionPtr &On, TimePoint At);
   void letGo(Connection &On, TimePoint At);
   void judgeTime(const ConnectionPtr &On, TimePoint Now);
+  static bool callerActs(const Connection &On);
   std::string refusalText(const Exchange &Of, const Refusal &Why) const;
   Exchange *find(CallerId Caller);
 
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -529,6 +529,18 @@
     Of->On->Stream->pauseReading(Paused);
 }
 
+size_t UpstreamClient::heldBytes(const CallId &Id) const {
+  CallPtr Of = this->find(Id);
+  if (!Of)
+    return 0;
+  size_t Sum = sizeof(Call) + hickorylift::heldBytes(Of->Head) +
+               Of->Sent.capacity() + Of->Held.capacity();
+  if (Of->On)
+    Sum += sizeof(Connection) + Of->On->Unparsed.capacity() +
+           Of->On->Stream->reserved();
+  return Sum;
+}
+
 void UpstreamClient::tick(TimePoint At) {
   std::vector<ConnectionPtr> Late;
   for (const auto &[Id, On] : this->Open) {
--- a/src/http/UpstreamClient.h
+++ b/src/http/UpstreamClient.h
@@ -103,6 +103,8 @@
   /// Hooks.Probed follows. A connection that is made serves the next call.
   void probe();
   void tick(TimePoint Now);
+  /// Bytes of memory that are held for a call; zero if it has ended.
+  size_t heldBytes(const CallId &Id) const;
   /// Connections made so far.
   uint64_t dials() const { return this->Dials; }
 
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -7,6 +7,8 @@
 
 #include <ctime>
 
+#include <sys/resource.h>
+
 namespace hickorylift {
 
 namespace {
@@ -19,6 +21,23 @@
 // of ControlTickMs.
 constexpr Millis ColdAnswerLimit{350};
 
+// A node's own descriptors are links to gates, connections to the upstream, to
+// the platform and of the log: this share of its limit is kept for them.
+constexpr size_t OwnDescriptorShare = 3;
+
+ResourceBudget::Options budgetOptions(const Settings &Of) {
+  ResourceBudget::Options Out = Of.Budget;
+  if (Out.MaxConnections > 0)
+    return Out;
+  Out.MaxConnections = ResourceBudget::Options().MaxConnections;
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) == 0) {
+    size_t Others = Limit.rlim_cur - Limit.rlim_cur / OwnDescriptorShare;
+    Out.MaxConnections = std::min(Out.MaxConnections, Others);
+  }
+  return Out;
+}
+
 uint64_t positive(Millis Of) {
   return static_cast<uint64_t>(std::max<int64_t>(0, Of.count()));
 }
@@ -27,18 +46,25 @@
 
 Node::Node(Settings Given, uint64_t Incarnation, std::function<void()> Stopped)
     : Set(std::move(Given)), Incarnation(Incarnation),
-      Stopped(std::move(Stopped)), StartedAt(Clock::now()) {
+      Stopped(std::move(Stopped)),
+      Budget(budgetOptions(this->Set), this->budgetHooks()),
+      StartedAt(Clock::now()) {
   this->openPlatform();
   this->makeCore();
   this->makeTransport();
   this->makeUpstream();
   this->makeCallerServer();
   this->Operators = std::make_unique<OperatorServer>(*this);
+  this->addBudgetSources();
 }
 
 Node::~Node() {
   for (guint Timer : this->Timers)
     g_source_remove(Timer);
+  // Their ends are reported to the budget while the rest is still there.
+  this->Operators.reset();
+  this->Http.reset();
+  this->Net.reset();
 }
 
 // The steady clock stands still while the machine is suspended, and what lay in
@@ -154,8 +180,62 @@
     this->Core = std::make_unique<NodeCore>(Opts, *this->Source, Hooks);
 }
 
+ResourceBudget::Hooks Node::budgetHooks() {
+  ResourceBudget::Hooks Hooks;
+  Hooks.SettleSoon = [this] {
+    this->post([this](TimePoint Now) { this->Budget.settle(Now); });
+  };
+  Hooks.Evicted = [this](const ResourceBudget::Eviction &Of, TimePoint Now) {
+    this->logEviction(Of, Now);
+  };
+  return Hooks;
+}
+
+void Node::addBudgetSources() {
+  using Kind = ResourceBudget::Kind;
+  using Holder = ResourceBudget::Holder;
+  this->Budget.addSource(
+      Kind::Caller,
+      {[this](const Holder &One) { return this->Http->usage(One.Low); },
+       [this](const Holder &One, TimePoint Now) {
+         this->Http->evict(One.Low, Now);
+       }});
+  this->Budget.addSource(
+      Kind::Peer,
+      {[this](const Holder &One) { return this->Net->usage(One.Low); },
+       [this](const Holder &One, TimePoint) { this->Net->evict(One.Low); }});
+  this->Budget.addSource(Kind::Call,
+                         {[this](const Holder &One) {
+                            CallId Id{One.High, One.Low};
+                            auto Out = this->Core->gate().usage(Id);
+                            if (Out)
+                              Out->Bytes += this->Upstream->heldBytes(Id);
+                            return Out;
+                          },
+                          [this](const Holder &One, TimePoint Now) {
+                            this->Core->gate().evict({One.High, One.Low}, Now);
+                          }});
+}
+
+void Node::logEviction(const ResourceBudget::Eviction &Of, TimePoint Now) {
+  if (!this->CallLog.allow(std::string("evicted ") + kindName(Of.Of.Of),
+                           std::to_string(Of.Of.Low), Now))
+    return;
+  LogLine("evicted")
+      .add("kind", kindName(Of.Of.Of))
+      .add("limit", Of.Limit)
+      .add("held_bytes", Of.Held.Bytes)
+      .add("stalled_ms", positive(Of.StalledFor))
+      .add("all_bytes", this->Budget.bytes())
+      .add("all_connections", this->Budget.connections())
+      .info();
+}
+
 void Node::makeTransport() {
   Transport::Hooks Hooks;
+  Hooks.UsageChanged = [this](uint64_t Link) {
+    this->usageChanged(ResourceBudget::Kind::Peer, Link);
+  };
   Hooks.Opened = [this](uint64_t Link, char Purpose, const std::string &Dialled,
                         TimePoint Now) {
     this->Core->opened(Link, Purpose, Dialled, Now);
@@ -291,6 +371,9 @@
   Hooks.PauseAnswer = [this](const CallId &Id, bool Paused) {
     this->Upstream->pauseAnswer(Id, Paused);
   };
+  Hooks.UsageChanged = [this](const CallId &Id) {
+    this->Budget.touch({ResourceBudget::Kind::Call, Id.Entry, Id.Seq});
+  };
   Hooks.Probe = [this] { this->Upstream->probe(); };
   Hooks.QueryHealth = [this](const std::string &Path) {
     this->Upstream->askHealth(Path.empty() ? this->Set.HealthPath : Path,
@@ -362,6 +445,15 @@
   Hooks.MayOverlap = [&From](const RequestHead &Head) {
     return From.isIdempotent(Head);
   };
+  Hooks.UsageChanged = [this](uint64_t Connection) {
+    this->usageChanged(ResourceBudget::Kind::Caller, Connection);
+  };
+  Hooks.HeldBytes = [&From](CallerServer::CallerId Caller) {
+    return From.heldBytes(Caller);
+  };
+  Hooks.Evict = [&From](CallerServer::CallerId Caller, TimePoint Now) {
+    From.evict(Caller, Now);
+  };
   CallerServer::Options Opts;
   Opts.Names = this->Names;
   this->Http = std::make_unique<CallerServer>(Opts, Hooks,
--- a/src/node/Node.h
+++ b/src/node/Node.h
@@ -2,6 +2,7 @@
 #define HICKORYLIFT_NODE_NODE_H
 
 #include "base/LogLimit.h"
+#include "budget/ResourceBudget.h"
 #include "http/CallerServer.h"
 #include "node/NodeCore.h"
 #include "peer/Transport.h"
@@ -41,6 +42,11 @@
   uint64_t incarnation() const { return this->Incarnation; }
   uint64_t upstreamDials() const { return this->Upstream->dials(); }
   uint64_t requestsCutOff() const { return this->Http->requestsCutOff(); }
+  const ResourceBudget &budget() const { return this->Budget; }
+  /// What is held for a connection or call may have changed.
+  void usageChanged(ResourceBudget::Kind Of, uint64_t Id) {
+    this->Budget.touch({Of, 0, Id});
+  }
   uint64_t controlBytesSent() const;
   uint64_t controlBytesReceived() const;
   TimePoint startedAt() const { return this->StartedAt; }
@@ -57,6 +63,9 @@
   void makeTransport();
   void makeUpstream();
   void makeCallerServer();
+  ResourceBudget::Hooks budgetHooks();
+  void addBudgetSources();
+  void logEviction(const ResourceBudget::Eviction &Of, TimePoint Now);
   void logCall(const Entry::CallEvent &Of, TimePoint Now);
   void logSpillover(const SpilloverController::Change &Of, TimePoint Now);
   void logReserve(const PriorityReserve::Change &Of, TimePoint Now);
@@ -73,6 +82,7 @@
   Dialect Names;
   // How far the clock that counts suspensions is ahead of the steady one.
   std::optional<Millis> SuspendedSoFar;
+  ResourceBudget Budget;
   std::unique_ptr<NodeCore> Core;
   std::unique_ptr<Transport> Net;
   std::unique_ptr<UpstreamClient> Upstream;
--- a/src/peer/Transport.cpp
+++ b/src/peer/Transport.cpp
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include <unistd.h>
-
 // Every hook is called from the loop and never from within send(), dial() or
 // close(): the layers above may call these from anywhere, even while they walk
 // their own tables. A link that fails inside send() is put on a list and told
@@ -47,6 +45,7 @@
   New->Id = ++this->LastId;
   Connection &Out = *New;
   this->Links[Out.Id] = std::move(New);
+  this->Hook.UsageChanged(Out.Id);
   return Out;
 }
 
@@ -59,14 +58,11 @@
   Out.Ended = [this, Id](std::error_code Why, TimePoint At) {
     this->ended(Id, Why, At);
   };
+  Out.Drained = [this, Id](TimePoint) { this->Hook.UsageChanged(Id); };
   return Out;
 }
 
 void Transport::adopt(int Fd) {
-  if (this->Links.size() >= this->Opts.MaxLinks) {
-    ::close(Fd);
-    return;
-  }
   Connection &New = this->add();
   New.Stream = TcpStream::adopt(Fd, this->streamHooks(New.Id), this->Now);
 }
@@ -116,6 +112,8 @@
   Of->Stream->write(std::string_view(Prefix, LengthBytes));
   Of->Stream->write(Bytes);
   this->Sent[Of->Purpose] += LengthBytes + Bytes.size();
+  Of->TotalBytes += LengthBytes + Bytes.size();
+  this->Hook.UsageChanged(Link);
   return true;
 }
 
@@ -123,6 +121,8 @@
   Connection *Of = this->find(Id);
   if (!Of || Of->Doomed)
     return;
+  Of->TotalBytes += Bytes.size();
+  this->Hook.UsageChanged(Id);
   Of->Reading.append(Bytes);
   if (Of->Purpose)
     this->Received[Of->Purpose] += Bytes.size();
@@ -153,6 +153,8 @@
                               std::to_string(Length) + " bytes in one frame"});
     if (Rest.size() < LengthBytes || Rest.size() - LengthBytes < Length) {
       Of->Reading.erase(0, At);
+      if (Of->Reading.empty())
+        std::string().swap(Of->Reading);
       return;
     }
     // The handler gets its own copy, aligned for FlatBuffers; the buffer may
@@ -216,9 +218,28 @@
   if (Of.Timer)
     g_source_remove(Of.Timer);
   Of.Stream->close();
+  this->Hook.UsageChanged(Of.Id);
   this->Links.erase(Of.Id);
 }
 
+std::optional<ResourceBudget::Usage> Transport::usage(uint64_t Link) const {
+  auto Found = this->Links.find(Link);
+  if (Found == this->Links.end() || Found->second->Doomed)
+    return std::nullopt;
+  const Connection &Of = *Found->second;
+  ResourceBudget::Usage Out;
+  Out.Bytes = Of.Reading.capacity() + Of.Stream->reserved();
+  Out.Connections = Of.Dialled.empty() ? 1 : 0;
+  Out.TotalBytes = Of.TotalBytes;
+  return Out;
+}
+
+void Transport::evict(uint64_t Link) {
+  if (Connection *Of = this->find(Link))
+    this->fail(*Of, Error{Errc::TooLarge, "evict", Of->PeerText,
+                          "this node holds too much for others"});
+}
+
 uint64_t Transport::bytesSent(char Purpose) const {
   auto Found = this->Sent.find(Purpose);
   return Found == this->Sent.end() ? 0 : Found->second;
--- a/src/peer/Transport.h
+++ b/src/peer/Transport.h
@@ -4,6 +4,7 @@
 #include "base/Error.h"
 #include "base/NetAddress.h"
 #include "base/Time.h"
+#include "budget/ResourceBudget.h"
 #include "net/Listen.h"
 #include "net/TcpStream.h"
 
@@ -41,8 +42,6 @@
     Millis DialTimeout{2000};
     /// Connections accepted in one turn of the loop; the rest wait.
     int AcceptsPerTurn = 32;
-    /// Connections held at once.
-    size_t MaxLinks = 4096;
   };
 
   struct Hooks {
@@ -59,6 +58,8 @@
     /// Not called for links that close() ended.
     std::function<void(uint64_t Link, char Purpose, const Error &, TimePoint)>
         Closed;
+    /// What usage() says of this link may have changed.
+    std::function<void(uint64_t Link)> UsageChanged = [](uint64_t) {};
   };
 
   Transport(Options Opts, Hooks Hooks, std::function<TimePoint()> Clock);
@@ -71,6 +72,10 @@
   /// then closed and Closed follows.
   bool send(uint64_t Link, std::string_view Bytes);
   void close(uint64_t Link);
+  /// What is held for a link; nothing if it has ended.
+  std::optional<ResourceBudget::Usage> usage(uint64_t Link) const;
+  /// Ends a link because this process holds too much; Closed follows.
+  void evict(uint64_t Link);
 
   uint64_t bytesSent(char Purpose) const;
   uint64_t bytesReceived(char Purpose) const;
@@ -88,6 +93,8 @@
     // Has failed; Closed or DialFailed follows from the loop.
     bool Doomed = false;
     std::string Reading;
+    // Bytes of frames that have come in for it, to be sent or received.
+    uint64_t TotalBytes = 0;
   };
 
   static gboolean onDialTimeout(gpointer Data);
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -43,6 +43,9 @@
   HttpPlatform::Options Platform;
   SplitReader::Options Store;
   std::string LogLevel;
+  /// Zero connections for as many as the process may have descriptors, less
+  /// what it needs itself.
+  ResourceBudget::Options Budget{.MaxConnections = 0};
   NodeCore::Options Core;
 };
 
