Free the heads of calls that have ended, and answers nobody wants

Callers saw: nothing, until the gate's node ran out of memory. Cause: a gate remembers each call for ten seconds past its deadline, so that none runs twice, and kept its request's and its answer's head with it: 4,000 requests with heads of 60 KB took 248 MB. It also kept an answer whose entry had said that it does not want it. Change: the heads go with the call's end, or once its answer is delivered; an answer goes with the entry's word that it is not wanted.

--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -297,6 +297,9 @@
   Call->AnswerBody.credit(Credit.consumed);
   this->Hook.UsageChanged(Id);
   this->sendAnswer(Id, *Call);
+  // The entry has the whole answer, so its head is not sent again.
+  if (Call->Phase == State::Finished && Call->AnswerBody.isComplete())
+    Call->AnswerHead = ResponseHead();
   if (Call->AnswerPaused &&
       Call->AnswerBody.bufferedSize() <= this->Opts.BodyWindowBytes) {
     Call->AnswerPaused = false;
@@ -310,9 +313,11 @@
   if (!Call)
     return;
   // The entry no longer wants the rest of the answer, so a stopping node need
-  // not wait until it is sent.
-  if (Call->Phase == State::Finished)
+  // not wait until it is sent, and nothing of it need be kept.
+  if (Call->Phase == State::Finished) {
     Call->Linked = false;
+    this->dropAnswer(Id, *Call, "cancelled", Now);
+  }
   if (Call->isUnstarted())
     this->refuse(Id, *Call,
                  makeRefusal(Outcome::NotRun, "cancelled", StepAdmission,
@@ -418,6 +423,8 @@
   SendStream Empty(this->Opts.BodyWindowBytes);
   std::swap(Call.AnswerBody, Empty);
 }
+  Call.Request = RequestHead();
+  Call.AnswerHead = ResponseHead();
 
 size_t Gate::contentBytes(const CallRecord &Call) {
   return heldBytes(Call.Request) + heldBytes(Call.AnswerHead) +
--- a/src/calls/GateUpstream.cpp
+++ b/src/calls/GateUpstream.cpp
@@ -182,6 +182,7 @@
   this->Hook.CallFinished(Call->StartedAt - Call->ArrivedAt,
                           Now - Call->StartedAt);
   Call->AnswerBody.finish();
+  Call->Request = RequestHead();
   this->Hook.UsageChanged(Id);
   if (!Call->IdempotencyKey.empty()) {
     std::string Body = std::exchange(Call->RecordedAnswer, "");
