End calls that hold a slot while their callers do nothing

Callers saw: 503 overload from a service whose upstreams were idle, until the deadlines of 10 other callers were over: these had stopped in the middle of long bodies, or did not read long answers. Cause: such a call runs at the upstream and holds its slot, and nothing but its deadline ended it. Change: a gate notes for each call with a slot when its entry last sent or took 4 KiB; time in which the upstream has the next move does not count. A call that has not got on for 5 s is ended once another one is refused or waits for want of a slot, the longest first, one for each that wants a slot. Where slots are free, nothing is ended.

--- a/src/calls/Body.h
+++ b/src/calls/Body.h
@@ -93,6 +93,8 @@
   size_t bufferedSize() const { return this->Buffer.size(); }
   /// Bytes of memory that the buffer takes up, used or not.
   size_t reservedSize() const { return this->Buffer.capacity(); }
+  /// Bytes that the receiver has consumed.
+  uint64_t credited() const { return this->Credited; }
   /// Whether everything was sent and the receiver has confirmed it. An empty
   /// body is confirmed by a credit too.
   bool isComplete() const { return this->EndCredited; }
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -377,6 +377,7 @@
   this->Hook.RunEnded(Id);
   this->noteRunEnded(Id, SlowdownDetector::RunEnd::Excluded, Now);
   ++this->Counts.RefusedBy[Details.Reason];
+  this->CapacityRefusals += Details.Reason == ReasonOverload;
   Call.Phase = State::Refused;
   Call.Prefetching = false;
   Call.RefusalDetails = std::move(Details);
@@ -422,9 +423,9 @@
   std::string().swap(Call.RecordedAnswer);
   SendStream Empty(this->Opts.BodyWindowBytes);
   std::swap(Call.AnswerBody, Empty);
-}
   Call.Request = RequestHead();
   Call.AnswerHead = ResponseHead();
+}
 
 size_t Gate::contentBytes(const CallRecord &Call) {
   return heldBytes(Call.Request) + heldBytes(Call.AnswerHead) +
@@ -592,6 +593,7 @@
 void Gate::tick(TimePoint Now) {
   this->AdmissionControl.coldStart().startCounting(Now);
   this->abortAbandonedCalls(Now);
+  this->endStalledCalls(Now);
   this->reprobeIfDue(Now);
   this->noteShedding(Now);
   this->queryHealthIfNeeded(Now);
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -388,6 +388,12 @@
     }
   };
 
+  /// How far a call that holds a slot has got.
+  struct SlotProgress {
+    uint64_t Bytes = 0;
+    TimePoint Since;
+  };
+
   struct LinkState {
     // Nonce of the ping sent after a pause of this process. Until its pong
     // arrives, frames on the link may have been sent before the pause ended.
@@ -483,15 +489,15 @@
   static constexpr char StepAdmission[] = "admission";
   static constexpr char StepUpstream[] = "upstream";
   static constexpr char ReasonUpstreamGone[] = "upstream-gone";
+  static constexpr char ReasonStalled[] = "caller-stalled";
+  static constexpr char ReasonOverload[] = "overload";
+  static constexpr char ReasonEvicted[] = "evicted";
   static constexpr char ReasonHedgeRefused[] = "hedge-refused";
 
   Options Opts;
   Hooks Hook;
   Admission AdmissionControl;
   IdempotencyChecker KeyChecker;
-  static constexpr char ReasonStalled[] = "caller-stalled";
-  static constexpr char ReasonOverload[] = "overload";
-  static constexpr char ReasonEvicted[] = "evicted";
   TransferScheduler Transfers;
   CrashDetector Runs;
   ShedDetector Shedding;
@@ -523,6 +529,11 @@
   // no entry has resumed them by then.
   std::map<CallId, TimePoint> AbandonAt;
   std::map<CallId, CallRecord> Calls;
+  // Calls that have got a slot; those that have ended since are removed by the
+  // next tick.
+  std::map<CallId, SlotProgress> SlotHolders;
+  // Calls refused for want of capacity since the last tick.
+  size_t CapacityRefusals = 0;
   // When each call is checked next: first at its deadline, then when its
   // record may be removed.
   std::multimap<TimePoint, CallId> Timers;
--- a/src/calls/GateBodies.cpp
+++ b/src/calls/GateBodies.cpp
@@ -59,6 +59,7 @@
 // The call has a slot. It starts when its body is complete, if that is
 // buffered.
 void Gate::onSlotGranted(const CallId &Id, CallRecord &Call, TimePoint Now) {
+  this->SlotHolders[Id] = {0, Now};
   if (!this->canBufferBody(Call) || Call.RequestBody.ended())
     return this->startCall(Id, Call, Now);
   Call.Phase = State::Admitted;
@@ -131,8 +132,8 @@
     return;
   }
   bool Complete = Call->RequestBody.ended();
-  if (Call->isUnstarted())
   this->Hook.UsageChanged(Id);
+  if (Call->isUnstarted())
     Call->BufferedBody.append(*NewBytes);
   if (Call->Prefetching || Call->Phase == State::Admitted)
     this->onBufferedBody(Id, *Call, Complete, Now);
