Bound what the operator's port holds

Callers saw: connections closed or nothing at all, when a client of the operator's port sent a body without end or opened many connections. Cause: the HTTP library keeps the whole body of a request, and accepts connections without a limit. The port also answers whether the node is ready, so whoever may ask that could take the node's memory and descriptors. Change: bodies are thrown away as they come; nothing here takes one. The node accepts the connections itself, and they belong to its budget.

--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -204,6 +204,12 @@
       Kind::Peer,
       {[this](const Holder &One) { return this->Net->usage(One.Low); },
        [this](const Holder &One, TimePoint) { this->Net->evict(One.Low); }});
+  this->Budget.addSource(
+      Kind::Operator,
+      {[this](const Holder &One) { return this->Operators->usage(One.Low); },
+       [this](const Holder &One, TimePoint) {
+         this->Operators->evict(One.Low);
+       }});
   this->Budget.addSource(Kind::Call,
                          {[this](const Holder &One) {
                             CallId Id{One.High, One.Low};
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -1,12 +1,19 @@
 #include "operator/OperatorServer.h"
 
-#include "base/HttpListen.h"
 #include "node/Node.h"
 
+#include <unistd.h>
+
+// The library would keep the whole body of a request, and hold any number of
+// connections. No request here has a body, so bodies are thrown away as they
+// come, and connections are accepted here so that they can be counted and
+// ended.
+
 namespace hickorylift {
 
 namespace {
 
+constexpr int AcceptsPerTurn = 16;
 constexpr unsigned Ok = 200;
 constexpr unsigned BadRequest = 400;
 constexpr unsigned NotFound = 404;
@@ -63,54 +70,152 @@
 
 OperatorServer::OperatorServer(Node &Of)
     : Of(Of), Server(soup_server_new(nullptr, nullptr)) {
+  soup_server_add_early_handler(this->Server, nullptr, onHeadRead, nullptr,
+                                nullptr);
   soup_server_add_handler(this->Server, nullptr, onRequest, this, nullptr);
+  for (const char *End : {"request-finished", "request-aborted"})
+    g_signal_connect(this->Server, End, G_CALLBACK(onRequestEnded), this);
 }
 
 OperatorServer::~OperatorServer() {
+  for (auto &[Id, On] : this->Connections)
+    g_object_weak_unref(G_OBJECT(On.Stream), onStreamGone, &On);
+  g_signal_handlers_disconnect_by_data(this->Server, this);
   soup_server_disconnect(this->Server);
   g_object_unref(this->Server);
 }
 
 Result<bool> OperatorServer::listen(const NetAddress &At) {
-  return listenHttp(this->Server, At, "listen-operator");
+  this->Listeners.emplace_back();
+  return this->Listeners.back().open(At, "listen-operator", AcceptsPerTurn,
+                                     [this](int Fd) { this->adopt(Fd); });
+}
+
+void OperatorServer::adopt(int Fd) {
+  GSocket *Socket = g_socket_new_from_fd(Fd, nullptr);
+  if (!Socket) {
+    ::close(Fd);
+    return;
+  }
+  GSocketConnection *Stream =
+      g_socket_connection_factory_create_connection(Socket);
+  Connection &New = this->Connections[++this->LastConnection];
+  New.Owner = this;
+  New.Id = this->LastConnection;
+  New.Stream = Stream;
+  g_object_weak_ref(G_OBJECT(Stream), onStreamGone, &New);
+  this->Of.usageChanged(ResourceBudget::Kind::Operator, New.Id);
+  // The other end may be gone already; the library wants both addresses.
+  GSocketAddress *Local = g_socket_get_local_address(Socket, nullptr);
+  GSocketAddress *Remote = g_socket_get_remote_address(Socket, nullptr);
+  if (Local && Remote)
+    soup_server_accept_iostream(this->Server, G_IO_STREAM(Stream), Local,
+                                Remote, nullptr);
+  g_clear_object(&Local);
+  g_clear_object(&Remote);
+  g_object_unref(Stream);
+  g_object_unref(Socket);
+}
+
+void OperatorServer::onStreamGone(gpointer GivenConnection, GObject *) {
+  auto *On = static_cast<Connection *>(GivenConnection);
+  OperatorServer *Self = On->Owner;
+  uint64_t Id = On->Id;
+  Self->Connections.erase(Id);
+  Self->Of.usageChanged(ResourceBudget::Kind::Operator, Id);
+}
+
+OperatorServer::Connection *OperatorServer::find(SoupServerMessage *Message) {
+  GSocket *Socket = soup_server_message_get_socket(Message);
+  for (auto &[Id, On] : this->Connections)
+    if (g_socket_connection_get_socket(On.Stream) == Socket)
+      return &On;
+  return nullptr;
+}
+
+void OperatorServer::onHeadRead(SoupServer *, SoupServerMessage *Message,
+                                const char *, GHashTable *, gpointer) {
+  soup_message_body_set_accumulate(
+      soup_server_message_get_request_body(Message), FALSE);
+}
+
+void OperatorServer::onRequestEnded(SoupServer *, SoupServerMessage *Message,
+                                    gpointer GivenSelf) {
+  auto *Self = static_cast<OperatorServer *>(GivenSelf);
+  Connection *On = Self->find(Message);
+  if (!On)
+    return;
+  On->ResponseBytes = 0;
+  Self->Of.usageChanged(ResourceBudget::Kind::Operator, On->Id);
+}
+
+std::optional<ResourceBudget::Usage> OperatorServer::usage(uint64_t Id) const {
+  auto Found = this->Connections.find(Id);
+  if (Found == this->Connections.end())
+    return std::nullopt;
+  ResourceBudget::Usage Out;
+  Out.Bytes = Found->second.ResponseBytes;
+  Out.Connections = 1;
+  Out.TotalBytes = Found->second.TotalBytes;
+  return Out;
+}
+
+// The library sees the end and lets go of the connection, before or after this
+// returns.
+void OperatorServer::evict(uint64_t Id) {
+  auto Found = this->Connections.find(Id);
+  if (Found != this->Connections.end())
+    g_socket_shutdown(g_socket_connection_get_socket(Found->second.Stream),
+                      TRUE, TRUE, nullptr);
 }
 
 void OperatorServer::onRequest(SoupServer *, SoupServerMessage *Message,
                                const char *PathText, GHashTable *Query,
                                gpointer Data) {
   auto *Self = static_cast<OperatorServer *>(Data);
-  NodeCore &Core = Self->Of.core();
-  std::string Path = PathText;
+  Self->respond(Message, PathText, Query);
+  Connection *On = Self->find(Message);
+  if (!On)
+    return;
+  On->ResponseBytes = static_cast<size_t>(
+      soup_server_message_get_response_body(Message)->length);
+  On->TotalBytes += 1 + On->ResponseBytes;
+  Self->Of.usageChanged(ResourceBudget::Kind::Operator, On->Id);
+}
+
+void OperatorServer::respond(SoupServerMessage *Message,
+                             const std::string &Path, GHashTable *Query) {
+  NodeCore &Core = this->Of.core();
   std::string Method = soup_server_message_get_method(Message);
   bool Changes = Path == "/drain" || Path == "/undrain" || Path == "/release";
   if (Method != (Changes ? "POST" : "GET"))
     return answer(Message, NotAllowed, "text/plain",
                   Changes ? "use POST\n" : "use GET\n");
   if (Path == "/status")
-    return answerJson(Message, Self->status());
+    return answerJson(Message, this->status());
   if (Path == "/fleet")
-    return answerJson(Message, Self->fleet());
+    return answerJson(Message, this->fleet());
   if (Path == "/audit")
-    return answerJson(Message, Self->audit());
+    return answerJson(Message, this->audit());
   if (Path == "/explain")
-    return answerJson(Message, Self->explain(Query));
+    return answerJson(Message, this->explain(Query));
   if (Path == "/quarantine")
-    return answerJson(Message, Self->quarantine());
+    return answerJson(Message, this->quarantine());
   if (Path == "/release")
-    return Self->release(Message, Query);
+    return this->release(Message, Query);
   if (Path == "/metrics")
     return answer(Message, Ok, "text/plain; version=0.0.4",
-                  Self->Measured.text(Self->Of));
-  if (Path == "/ready" || Path == Self->Of.names().ReadyPath)
+                  this->Measured.text(this->Of));
+  if (Path == "/ready" || Path == this->Of.names().ReadyPath)
     return Core.ready()
                ? answer(Message, Ok, "text/plain", "ready\n")
                : answer(Message, Unavailable, "text/plain", "not ready\n");
   if (Path == "/drain") {
-    Core.drainGate(ByOperator, Self->Of.now());
+    Core.drainGate(ByOperator, this->Of.now());
     return answer(Message, Ok, "text/plain", "draining\n");
   }
   if (Path == "/undrain") {
-    Core.reopenGate(ByOperator, Self->Of.now());
+    Core.reopenGate(ByOperator, this->Of.now());
     return answer(Message, Ok, "text/plain",
                   Core.gate().draining() ? "draining\n" : "open\n");
   }
