Give back the memory of a long answer on an idle connection

Callers saw: nothing. A connection that had carried a long answer kept a buffer of its size for as long as it stayed open, up to a megabyte each. Cause: the buffer of a stream was emptied but not freed. Change: an empty buffer of more than 16 KiB is freed.

--- a/src/net/TcpStream.cpp
+++ b/src/net/TcpStream.cpp
@@ -22,6 +22,8 @@
 namespace {
 
 constexpr size_t ReadBytes = 64 * 1024;
+// Memory that an empty stream keeps for what it sends next.
+constexpr size_t KeptBytes = 16 * 1024;
 
 std::error_code systemError(int Number) {
   return {Number, std::generic_category()};
@@ -173,6 +175,10 @@
     return;
   this->Out.erase(0, this->Sent);
   this->Sent = 0;
+  // A connection that is kept idle after a long answer would otherwise keep as
+  // much memory as that answer took.
+  if (this->Out.empty() && this->Out.capacity() > KeptBytes)
+    std::string().swap(this->Out);
 }
 
 void TcpStream::pauseReading(bool Paused) {
--- a/src/net/TcpStreamTest.cpp
+++ b/src/net/TcpStreamTest.cpp
@@ -43,6 +43,12 @@
     Received += readAll(Ends[1]);
   }
   BOOST_TEST(Stream->reserved() <= 4 * Backlog);
+  // Guards against idle connections that keep what their longest answer took.
+  while (Stream->pending() > 0) {
+    readAll(Ends[1]);
+    Stream->flush();
+  }
+  BOOST_TEST(Stream->reserved() <= 16u * 1024);
   Stream->close();
   ::close(Ends[1]);
 }
