Remember only calls that may have run, and those in short form

Callers saw: 503 memory-full from every gate of a service, after others had sent it small requests at a high rate for some seconds; or nothing, where the gate's process had no more memory. Cause: a gate kept a record of some 1.2 KB (968 bytes and its texts and nodes) of each call until ten seconds past its deadline, also of those that it had refused, up to 100,000 of them whatever the machine's memory. Change: a call that came and was refused as not run is forgotten with the next tick. Its frame is sent once, over one connection, so no copy can come later; an entry that asks about it is told that it never arrived, as true. Others are kept with their outcome and its reason only, some 200 bytes. At most 50,000 are kept, 10 MB, which is 3,000 runs a second at one upstream.

--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -6,8 +6,8 @@
 
 // Each call is a state machine: Waiting, possibly Admitted, then Running and
 // Finished; a call that never runs ends in Refused. Its record is kept until
-// its deadline and RetainAfterDeadline have passed. Two guarantees depend on
-// these records.
+// its deadline and RetainAfterDeadline have passed, in short form once it has
+// ended (GateRecords.cpp). Two guarantees depend on these records.
 //
 // A call runs at most once. An entry whose link became unresponsive asks for
 // the same call id over a new link. If the id is known, the entry resumes the
@@ -131,7 +131,7 @@
   Call.Linked = true;
   Call.ArrivedAt = Now;
   Call.Deadline = Now + Budget;
-  this->Timers.emplace(Call.Deadline, Id);
+  Call.Timer = this->Timers.emplace(Call.Deadline, Id);
   this->Hook.UsageChanged(Id);
   return Call;
 }
@@ -141,13 +141,17 @@
   if (Open.resume)
     return this->onResume(Link, Open, Now);
   CallId Id{Open.entry, Open.seq};
-  if (this->findCall(Id)) {
+  if (this->isKnown(Id)) {
     if (this->Opts.Guards.RememberCalls)
       return; // a late copy; the entry has resumed this call already
+    if (CallRecord *Call = this->findCall(Id))
+      this->Timers.erase(Call->Timer);
     this->Calls.erase(Id);
+    this->Ended.erase(Id);
     this->Hook.RunEnded(Id);
   }
   CallRecord &Call = this->addRecord(Id, Millis(Open.budget_ms), Link, Now);
+  Call.Arrived = true;
   Call.Request.Method = Open.method;
   Call.Request.Path = Open.path;
   Call.Request.Headers = fromWire(Open.headers);
@@ -180,7 +184,7 @@
     return RefuseNotRun(ReasonUpstreamGone);
   this->AdmissionControl.coldStart().observeUpstream(Open.upstream, Now);
   this->queryHealthIfNeeded(Now);
-  if (this->Calls.size() > this->Opts.MaxCallRecords)
+  if (this->callRecordCount() > this->Opts.MaxCallRecords)
     return RefuseNotRun("memory-full");
   if (Open.hedge && !this->AdmissionControl.canRunHedge(Open.priority, Now))
     return RefuseNotRun(ReasonHedgeRefused);
@@ -297,9 +301,8 @@
   Call->AnswerBody.credit(Credit.consumed);
   this->Hook.UsageChanged(Id);
   this->sendAnswer(Id, *Call);
-  // The entry has the whole answer, so its head is not sent again.
   if (Call->Phase == State::Finished && Call->AnswerBody.isComplete())
-    Call->AnswerHead = ResponseHead();
+    this->noteEnded(Id);
   if (Call->AnswerPaused &&
       Call->AnswerBody.bufferedSize() <= this->Opts.BodyWindowBytes) {
     Call->AnswerPaused = false;
@@ -340,6 +343,8 @@
     Failed.reason = "never-arrived";
     return this->Hook.Send(Link, makeCallFrame(std::move(Failed)));
   }
+  if (!Call && this->resumeEnded(Link, Id))
+    return;
   if (!Call) {
     Call = &this->addRecord(Id, Millis(Open.budget_ms), Link, Now);
     return this->refuse(Id, *Call,
@@ -382,6 +387,7 @@
   Call.Prefetching = false;
   Call.RefusalDetails = std::move(Details);
   this->releaseContents(Call);
+  this->noteEnded(Id);
   this->Hook.UsageChanged(Id);
   this->sendFailed(Id, Call, Now);
 }
@@ -409,6 +415,7 @@
   Call.Phase = State::Refused;
   Call.RefusalDetails = Details;
   this->releaseContents(Call);
+  this->noteEnded(Id);
   this->Hook.UsageChanged(Id);
   this->sendFailed(Id, Call, Now);
 }
@@ -504,6 +511,7 @@
   Call.RefusalDetails =
       makeRefusal(Outcome::Unknown, Reason, StepUpstream, this->Opts.Self);
   this->releaseContents(Call);
+  this->noteEnded(Id);
   this->Hook.UsageChanged(Id);
   this->sendFailed(Id, Call, Now);
 }
@@ -594,6 +602,7 @@
   this->AdmissionControl.coldStart().startCounting(Now);
   this->abortAbandonedCalls(Now);
   this->endStalledCalls(Now);
+  this->compactRecords(Now);
   this->reprobeIfDue(Now);
   this->noteShedding(Now);
   this->queryHealthIfNeeded(Now);
@@ -609,8 +618,11 @@
 
 void Gate::onTimer(const CallId &Id, TimePoint Now) {
   CallRecord *Call = this->findCall(Id);
-  if (!Call)
+  if (!Call) {
+    this->Ended.erase(Id);
     return;
+  }
+  Call->Timer = this->Timers.end();
   if (Call->Prefetching || Call->Phase == State::Admitted)
     this->refuse(Id, *Call,
                  makeRefusal(Outcome::NotRun, "deadline", StepAdmission,
@@ -626,7 +638,7 @@
     this->Calls.erase(Id);
     this->Hook.UsageChanged(Id);
   } else {
-    this->Timers.emplace(std::max(RemoveAt, Now + Millis(1)), Id);
+    Call->Timer = this->Timers.emplace(std::max(RemoveAt, Now + Millis(1)), Id);
   }
 }
 
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -83,8 +83,11 @@
     /// want of a slot. Callers take an answer in steps of up to 64 KB.
     Millis StallTimeout{5000};
     uint64_t MinProgressBytes = 4 * 1024;
-    /// Call records kept at once. New calls are refused above this.
-    size_t MaxCallRecords = 100000;
+    /// Calls remembered at once, some 200 bytes each once they have ended. New
+    /// calls are refused above this. Only calls that may have run are
+    /// remembered past their end, so this is the number that the upstream may
+    /// run in the time for which they are: 3,000 a second.
+    size_t MaxCallRecords = 50000;
     /// All are on, except in scenarios that show what one of them prevents.
     Safeguards Guards;
     /// Options for the upstream's slots and the queue of calls for them.
@@ -312,7 +315,9 @@
   /// 0 if unknown or not measured.
   uint32_t slowdownPercent(TimePoint Now);
   const Counters &counters() const { return this->Counts; }
-  size_t callRecordCount() const { return this->Calls.size(); }
+  size_t callRecordCount() const {
+    return this->Calls.size() + this->Ended.size();
+  }
 
 private:
   enum class State {
@@ -329,6 +334,10 @@
   /// What the gate knows of one call, until some time after its deadline.
   struct CallRecord {
     State Phase = State::Waiting;
+    // Its Open frame has come, so no copy of it is still on its way.
+    bool Arrived = false;
+    // Its entry in Timers.
+    std::multimap<TimePoint, CallId>::iterator Timer;
     LinkId Link = 0;
     bool Linked = false;
     RequestHead Request;
@@ -388,6 +397,12 @@
     }
   };
 
+  /// What is remembered of a call that may have run, after its end.
+  struct EndedCall {
+    Outcome CallOutcome = Outcome::Unknown;
+    std::string Reason;
+  };
+
   /// How far a call that holds a slot has got.
   struct SlotProgress {
     uint64_t Bytes = 0;
@@ -439,6 +454,12 @@
   void requestSlot(const CallId &Id, CallRecord &Call, TimePoint Now);
   void requestBody(const CallId &Id, const CallRecord &Call);
   void grantTransfers(TimePoint Now);
+  // GateRecords.cpp.
+  void noteEnded(const CallId &Id);
+  void compactRecords(TimePoint Now);
+  void compactRecord(const CallId &Id, CallRecord &Call);
+  bool isKnown(const CallId &Id) const;
+  bool resumeEnded(LinkId Link, const CallId &Id);
   // GateStalls.cpp.
   void endStalledCalls(TimePoint Now);
   void noteProgress(TimePoint Now);
@@ -529,6 +550,10 @@
   // no entry has resumed them by then.
   std::map<CallId, TimePoint> AbandonAt;
   std::map<CallId, CallRecord> Calls;
+  // Calls that have ended and whose records were compacted.
+  std::map<CallId, EndedCall> Ended;
+  // Calls that have ended since the last tick.
+  std::vector<CallId> EndedSinceTick;
   // Calls that have got a slot; those that have ended since are removed by the
   // next tick.
   std::map<CallId, SlotProgress> SlotHolders;
