Drop the deadline of a call with the call

Callers saw: nothing. An entry kept a timer of each call until the deadline of its route, 30 days at most, although the call had ended: some 60 bytes for each request that is sent. Change: the call knows its timer, and both go together. Found by reading; the count is not visible from outside, and no test shows it.

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -387,6 +387,12 @@
   auto Found = this->Calls.find(Caller);
   this->dropDetachedRun(Found->second, Now);
   this->leaveGate(Caller, Found->second, /*Answered=*/true, Now);
+  this->removeCall(Caller);
+}
+
+void Entry::removeCall(CallerId Caller) {
+  auto Found = this->Calls.find(Caller);
+  this->Deadlines.erase(Found->second.DeadlineEntry);
   this->Calls.erase(Found);
 }
 
@@ -434,7 +440,7 @@
   this->Hook.CallFinished(Now - Call.ReceivedAt, /*Answered=*/false);
   this->dropDetachedRun(Call, Now);
   this->leaveGate(Caller, Call, !this->blamesGate(Call, Cause, Now), Now);
-  this->Calls.erase(Caller);
+  this->removeCall(Caller);
   if (HaveHead) {
     ++this->Counts.Aborted;
     return this->Hook.Abort(Caller, Final);
@@ -574,9 +580,7 @@
 void Entry::tick(TimePoint Now) {
   while (!this->Deadlines.empty() && this->Deadlines.begin()->first <= Now) {
     CallerId Caller = this->Deadlines.begin()->second;
-    this->Deadlines.erase(this->Deadlines.begin());
-    if (this->findCall(Caller))
-      this->cancelAndGiveUp(Caller, "deadline", Now);
+    this->cancelAndGiveUp(Caller, "deadline", Now);
   }
   this->sendDueHedges(Now);
   this->maintainLinks(Now);
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -332,6 +332,8 @@
     bool Idempotent = false;
     TimePoint ReceivedAt;
     TimePoint Deadline;
+    // Its entry in Deadlines.
+    std::multimap<TimePoint, CallerId>::iterator DeadlineEntry;
     // After this time the answer is worth less to the caller.
     TimePoint LatencyTargetAt;
     // The deadline that the caller states, which may be later than Deadline.
@@ -458,6 +460,7 @@
   void cancelAndGiveUp(CallerId Caller, const char *Reason, TimePoint Now);
   void giveUp(CallerId Caller, const Refusal &Cause, TimePoint Now);
   void finish(CallerId Caller, TimePoint Now);
+  void removeCall(CallerId Caller);
 
   void onHello(const std::string &Gate, GateLink &Link,
                const wire::CallHelloT &Hello, TimePoint Now);
@@ -522,7 +525,7 @@
   StatementMemory Statements;
   ConfigPtr ActiveConfig;
   std::map<CallerId, PendingCall> Calls;
-  // When each call is to be given up; entries of ended calls are skipped.
+  // When each call is to be given up.
   std::multimap<TimePoint, CallerId> Deadlines;
   std::map<uint64_t, CallerId> CallerBySeq;
   // The callers of detached runs, by the sequence number of the run.
--- a/src/calls/EntryRequests.cpp
+++ b/src/calls/EntryRequests.cpp
@@ -138,7 +138,7 @@
   PendingCall &Call =
       this->Calls.emplace(Caller, this->makeCall(Head, *MatchedRoute, Now))
           .first->second;
-  this->Deadlines.emplace(Call.Deadline, Caller);
+  Call.DeadlineEntry = this->Deadlines.emplace(Call.Deadline, Caller);
   this->findParentRun(Call);
   this->recordFirstTry(Call);
   this->Hedges.recordFirstTry(MatchedRoute->Name);
