Pass on in one piece what comes of a body in many

Callers saw: no answer, or one after seconds, while 60 others sent bodies in chunks of one byte. Cause: each chunk of a body became a piece of its own, with a frame, a copy and a call of every layer. Change: the pieces of one read are joined. Test: crowd/chunks-of-one-byte, new.

--- a/scenario/Crowd.cpp
+++ b/scenario/Crowd.cpp
@@ -84,6 +84,8 @@
   Millis TurnPause{0};
   /// Whether it reads what it is sent.
   bool Reads = true;
+  /// How often the whole crowd leaves and comes back.
+  unsigned Waves = 0;
   /// How often it connects again after its connection was ended.
   unsigned Returns = 0;
   /// Largest head of a request, in bytes.
@@ -157,6 +159,12 @@
 }
 
 const std::string TrailerField = "A: " + std::string(KiB - 5, 'b') + "\r\n";
+const std::string SmallestChunks = [] {
+  std::string Out;
+  for (size_t I = 0; I < KiB; ++I)
+    Out += "1\r\nx\r\n";
+  return Out;
+}();
 const std::string LargeField = "A: " + std::string(60000, 'b') + "\r\n";
 
 // The sizes are legal by the records that the nodes hold: a body may have
@@ -187,6 +195,25 @@
      .Piece = std::string(KiB, 'x'),
      .Repeats = 511,
      .TurnBytes = KiB},
+    {.Name = "crowds-one-after-the-other",
+     .Guards = "memory that a crowd has left behind is missing for the next",
+     .Clients = 250,
+     .Begin = post("/p/1", 512 * KiB),
+     .Piece = std::string(KiB, 'x'),
+     .Repeats = 511,
+     .Waves = 3},
+    {.Name = "chunks-of-one-byte",
+     .Guards = "bodies in the smallest pieces keep the node busy",
+     .Clients = 60,
+     .Begin = chunkedPost("/p/1"),
+     .Piece = SmallestChunks,
+     .Repeats = 400,
+     .Returns = 20},
+    {.Name = "small-requests-without-end",
+     .Guards = "records of refused calls fill the gate, and shut it for others",
+     .Clients = 100,
+     .Piece = post("/p/1?ms=200", 0),
+     .Repeats = 2000},
     {.Name = "unfinished-bodies-hold-slots",
      .Guards = "calls whose bodies stop hold every slot of the upstream",
      .Clients = 40,
@@ -414,7 +441,10 @@
   std::vector<std::string> run() {
     if (!this->start())
       return {"the fleet did not start"};
-    this->assault();
+    for (unsigned I = 0; I <= this->Of.Waves; ++I) {
+      this->Clients.clear();
+      this->assault();
+    }
     bool Answered = this->All.waitFor([this] { return this->askCalmly(); });
     this->expect(Answered, "an ordinary request got no answer");
     this->checkNodes();
--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -74,6 +74,30 @@
   return Method == "HEAD" || Status == 204 || Status == 304;
 }
 
+/// Joins the pieces of a body that come together. A caller may send it in
+/// chunks of a byte each; passed on one by one, they would cost a frame each.
+class PieceJoiner {
+public:
+  /// The first piece must be valid as long as this.
+  void add(std::string_view Piece) {
+    if (this->Count++ == 0) {
+      this->First = Piece;
+      return;
+    }
+    if (this->Rest.empty())
+      this->Rest = this->First;
+    this->Rest.append(Piece);
+  }
+  std::string_view joined() const {
+    return this->Rest.empty() ? this->First : std::string_view(this->Rest);
+  }
+
+private:
+  size_t Count = 0;
+  std::string_view First;
+  std::string Rest;
+};
+
 std::string chunk(std::string_view Bytes) {
   char Size[32];
   int Length = std::snprintf(Size, sizeof(Size), "%zx\r\n", Bytes.size());
@@ -294,14 +318,14 @@
   if (!On->Parser->done()) {
     if (On->Unparsed.empty() || (Of.WindowFull && !Of.Released))
       return false;
-    CallerId Id = Of.Id;
     // The entry may refuse the exchange at any piece, and end the connection.
     std::shared_ptr<RequestParser> Parser = On->Parser;
     std::string Bytes = std::exchange(On->Unparsed, "");
-    size_t Used = Parser->feed(Bytes, [&](std::string_view Piece) {
-      if (Exchange *Still = this->find(Id))
-        this->takeBody(*Still, Piece, At);
-    });
+    PieceJoiner Pieces;
+    size_t Used =
+        Parser->feed(Bytes, [&](std::string_view Piece) { Pieces.add(Piece); });
+    if (!Pieces.joined().empty())
+      this->takeBody(Of, Pieces.joined(), At);
     if (!On->Stream->isOpen() || On->Parser != Parser)
       return false;
     On->Unparsed = std::move(Bytes);
