Take no status outside the protocol's range for an answer

Callers saw: the statuses 600 and 999 of an upstream in trouble, as answers. A call whose upstream answered 000 or 101 on a connection that it kept open waited until its deadline. Cause: the parser takes any three digits. What is below 200 counted as an interim answer that a final one follows. Change: statuses below 100 and above 599 are no answer, and neither is 101, since no request asks for another protocol. The call's outcome is unknown. Test: HttpSockets/AnswersAreJudged, five rows; four of them failed before.

--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -121,6 +121,12 @@
          "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
+std::string badStatus(const std::string &Status) {
+  return "HTTP/1.1 " + Status +
+         " X\r\nProof: p\r\nRequest-Id: id-1\r\n"
+         "Content-Length: 3\r\n\r\nabc";
+}
+
 /// A client of one upstream that the test plays, and what came of its calls.
 struct ClientFixture {
   int Listener = -1;
@@ -263,6 +269,16 @@
     {"a success without the upstream's mark",
      "HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nContent-Length: 0\r\n\r\n",
      AfterAnswer::Nothing, "may have run", "", false},
+    {"a status below the protocol's", badStatus("000"), AfterAnswer::Nothing,
+     "may have run", "", false},
+    {"the same, closed", badStatus("099"), AfterAnswer::Close, "may have run",
+     "", false},
+    {"a protocol that nobody asked for", badStatus("101"), AfterAnswer::Nothing,
+     "may have run", "", false},
+    {"a status above the protocol's", badStatus("600"), AfterAnswer::Nothing,
+     "may have run", "", false},
+    {"the largest number for one", badStatus("999"), AfterAnswer::Nothing,
+     "may have run", "", false},
     {"in a coding nobody asked for",
      answer("id-1", "abc", "Content-Encoding: gzip\r\n"), AfterAnswer::Nothing,
      "may have run", "", false},
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -28,6 +28,9 @@
 constexpr unsigned BadRequest = 400;
 constexpr unsigned HeadTooLarge = 431;
 constexpr unsigned NotImplemented = 501;
+constexpr int FirstStatus = 100;
+constexpr int SwitchingProtocols = 101;
+constexpr int LastStatus = 599;
 // Whoever takes the pieces counts them. Beast's own "no limit" refuses every
 // body that states its length.
 constexpr std::uint64_t NoBodyLimit = std::numeric_limits<int64_t>::max();
@@ -179,8 +182,14 @@
   return std::chrono::seconds(Seconds);
 }
 
+// A status outside the protocol's classes is no answer. Neither is 101: no
+// request here asks for another protocol.
 void ResponseParser::on_response_impl(int Status, View Reason, int,
-                                      ErrorCode &) {
+                                      ErrorCode &Why) {
+  bool IsStatus = Status >= FirstStatus && Status <= LastStatus &&
+                  Status != SwitchingProtocols;
+  if (!IsStatus)
+    Why = http::error::bad_status;
   this->Head.Status = static_cast<unsigned>(Status);
   this->Head.Reason = text(Reason);
 }
