Remember a reset that a look at the socket has found

Callers saw: part of an answer without a length, taken for the whole one, although its upstream had reset the connection. Cause: the kernel reports a pending error once. A look at the socket, as is taken to find out whether any connection to the upstream lives, got it; the next read then saw an orderly end, which completes an answer without a length. Change: the stream keeps the error that a look has found. Test: TcpStreams/ResetSeenByALookIsStillAReset; failed before (no error).

--- a/src/net/TcpStream.cpp
+++ b/src/net/TcpStream.cpp
@@ -117,7 +117,9 @@
         std::string_view(Buffer.data(), static_cast<size_t>(Got)), this->Now());
   if (Got < 0 && (errno == EAGAIN || errno == EINTR))
     return;
-  this->end(Got == 0 ? this->WriteError : systemError(errno));
+  if (Got < 0)
+    return this->end(systemError(errno));
+  this->end(this->PeekError ? this->PeekError : this->WriteError);
 }
 
 void TcpStream::end(std::error_code Why) {
@@ -204,20 +206,26 @@
   this->Fd = -1;
 }
 
-bool TcpStream::peerEnded() const {
-  if (!this->isOpen())
-    return true;
+ssize_t TcpStream::peek() {
   char Byte = 0;
   ssize_t Got = recv(this->Fd, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Got == 0 || (Got < 0 && errno != EAGAIN && errno != EINTR);
+  if (Got < 0 && errno != EAGAIN && errno != EINTR)
+    this->PeekError = systemError(errno);
+  return Got;
 }
 
-bool TcpStream::hasUnread() const {
-  if (!this->isOpen())
+bool TcpStream::peerEnded() {
+  if (!this->isOpen() || this->PeekError)
     return true;
-  char Byte = 0;
-  ssize_t Got = recv(this->Fd, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Got >= 0 || (errno != EAGAIN && errno != EINTR);
+  ssize_t Got = this->peek();
+  return Got == 0 || this->PeekError;
+}
+
+bool TcpStream::hasUnread() {
+  if (!this->isOpen() || this->PeekError)
+    return true;
+  ssize_t Got = this->peek();
+  return Got >= 0 || this->PeekError;
 }
 
 } // namespace hickorylift
--- a/src/net/TcpStream.h
+++ b/src/net/TcpStream.h
@@ -60,10 +60,10 @@
   void close();
   bool isOpen() const { return this->Fd >= 0; }
   /// Whether bytes or an end lie in the socket, not yet seen by a hook.
-  bool hasUnread() const;
+  bool hasUnread();
   /// Whether the peer has ended or reset the connection and no bytes lie before
   /// that. Looks at the socket: an end is there before any hook hears of it.
-  bool peerEnded() const;
+  bool peerEnded();
 
 private:
   TcpStream(int Fd, Hooks Hooks, std::function<TimePoint()> Clock);
@@ -72,6 +72,7 @@
   void ready(uint32_t What);
   void finishDial();
   void readOnce();
+  ssize_t peek();
   void flushSoon();
   void dropSent();
   void end(std::error_code Why);
@@ -85,6 +86,9 @@
   bool ReadPaused = false;
   bool FinishWanted = false;
   std::error_code WriteError;
+  // What a look at the socket found. The kernel tells an error only once, and
+  // reports an orderly end to whoever reads after that.
+  std::error_code PeekError;
   std::string Out;
   size_t Sent = 0;
 };
--- a/src/net/TcpStreamTest.cpp
+++ b/src/net/TcpStreamTest.cpp
@@ -1,8 +1,16 @@
 #include "net/TcpStream.h"
 
+#include <glib.h>
+
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
+#include <optional>
+#include <string>
+
+#include <arpa/inet.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -53,6 +61,45 @@
   ::close(Ends[1]);
 }
 
+// Guards against an answer without a length that is taken for whole although
+// its connection was reset: a look at the socket takes the pending error with
+// it, and the next read sees an orderly end.
+BOOST_AUTO_TEST_CASE(ResetSeenByALookIsStillAReset) {
+  int Listening = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in At{};
+  At.sin_family = AF_INET;
+  At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Size = sizeof(At);
+  BOOST_REQUIRE(bind(Listening, reinterpret_cast<sockaddr *>(&At), Size) == 0);
+  BOOST_REQUIRE(listen(Listening, 1) == 0);
+  getsockname(Listening, reinterpret_cast<sockaddr *>(&At), &Size);
+  std::string Received;
+  std::optional<std::error_code> End;
+  TcpStream::Hooks Hooks;
+  Hooks.Data = [&](std::string_view Bytes, TimePoint) { Received += Bytes; };
+  Hooks.Ended = [&](std::error_code Why, TimePoint) { End = Why; };
+  std::shared_ptr<TcpStream> Stream = TcpStream::dial(
+      {"127.0.0.1", ntohs(At.sin_port)}, Hooks, [] { return TimePoint(); });
+  int Peer = accept(Listening, nullptr, nullptr);
+  auto TurnUntil = [](const std::function<bool()> &Holds) {
+    for (int I = 0; I < 5000 && !Holds(); ++I)
+      if (!g_main_context_iteration(nullptr, FALSE))
+        usleep(200);
+    return Holds();
+  };
+  BOOST_REQUIRE(send(Peer, "abc", 3, 0) == 3);
+  BOOST_REQUIRE(TurnUntil([&] { return Received == "abc"; }));
+  linger Hard{1, 0};
+  setsockopt(Peer, SOL_SOCKET, SO_LINGER, &Hard, sizeof(Hard));
+  ::close(Peer);
+  while (!Stream->hasUnread())
+    usleep(200);
+  BOOST_TEST(Stream->peerEnded());
+  BOOST_REQUIRE(TurnUntil([&] { return End.has_value(); }));
+  BOOST_TEST((*End == std::errc::connection_reset));
+  ::close(Listening);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
