Count the heads of stored answers, and hold fewer keys

Callers saw: nothing. A gate that is sent a new idempotency key with each call could hold 200,000 of them, some 100 MB, and the heads of their answers, which no limit counted. Change: an answer's head counts with its body, and is kept only where both fit; 8 MB in place of 24 for all answers; 20,000 keys by default, which is 333 keyed calls a second at one gate with a window of a minute. A call whose key finds no room is refused as not run, as before. Found by adding up what a node may hold; not measured with processes.

--- a/src/gate/IdempotencyChecker.cpp
+++ b/src/gate/IdempotencyChecker.cpp
@@ -174,13 +174,15 @@
     return;
   KeyRecord &Record = Found->second;
   Record.CallState = State::Answered;
-  Record.Head = Head;
   this->scheduleExpiry(Key, Record, Now + Record.Window);
-  bool Fits = Body.size() <= this->Opts.MaxStoredAnswerBytes &&
-              this->ReplayBytes + Body.size() <= this->Opts.MaxReplayBytes;
+  size_t Bytes = heldBytes(Head) + Body.size();
+  bool Fits = Bytes <= this->Opts.MaxStoredAnswerBytes &&
+              this->ReplayBytes + Bytes <= this->Opts.MaxReplayBytes;
   if (!Fits)
     return;
-  this->ReplayBytes += Body.size();
+  this->ReplayBytes += Bytes;
+  Record.StoredBytes = Bytes;
+  Record.Head = Head;
   Record.Body = std::move(Body);
   Record.HasBody = true;
 }
@@ -208,7 +210,7 @@
 
 void IdempotencyChecker::erase(
     std::map<std::string, KeyRecord>::iterator Position) {
-  this->ReplayBytes -= Position->second.Body.size();
+  this->ReplayBytes -= Position->second.StoredBytes;
   this->Keys.erase(Position);
 }
 
--- a/src/gate/IdempotencyChecker.h
+++ b/src/gate/IdempotencyChecker.h
@@ -41,12 +41,12 @@
     Millis MaxListAge{45000};
     /// Maximum number of keys remembered at once; a call with a new key is
     /// refused when the memory is full.
-    size_t MaxKeys = 200000;
-    /// An answer is stored for replay up to this size, and all of them together
-    /// up to MaxReplayBytes. Of a longer answer only the fact that the call was
-    /// answered is remembered.
+    size_t MaxKeys = 20000;
+    /// An answer is stored for replay up to this size, its head included, and
+    /// all of them together up to MaxReplayBytes. Of a longer answer only the
+    /// fact that the call was answered is remembered.
     size_t MaxStoredAnswerBytes = 64 * 1024;
-    size_t MaxReplayBytes = 24u << 20;
+    size_t MaxReplayBytes = 8u << 20;
     Safeguards Guards;
   };
 
@@ -99,6 +99,8 @@
     ResponseHead Head;
     std::string Body;
     bool HasBody = false;
+    // What is stored of the answer, in bytes.
+    size_t StoredBytes = 0;
     Millis Window{0};
     TimePoint ExpiresAt = TimePoint::max();
   };
