Settings and metrics of the budget, and what descriptors leave to others

The budget is set by budget.memory_bytes and budget.descriptors, and shows in hickorylift_held_*, hickorylift_holders and hickorylift_evicted. By default the descriptors are the process's own limit; two thirds of them may be taken by connections that others open.

Three smaller faults on the same paths, found by reading: - a listener without descriptors stays readable, and the loop did nothing but try again; it pauses for 100 ms now; - a connection that could not be opened for want of a descriptor was noticed only by its timeout; the loop reports it at once now; - refusals of pipelined requests were all written in one turn to a caller that reads none; requests behind 256 KB of unread answers wait now. No test of its own shows these three.

--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -245,7 +245,11 @@
 }
 
 bool CallerServer::parseHead(const ConnectionPtr &On, TimePoint At) {
-  if (On->Unparsed.empty() || On->Queue.size() >= this->Opts.MaxPipelined)
+  // Refusals take no turn of the loop, and answers to a caller that reads none
+  // of them would all be written here.
+  bool Behind = On->Queue.size() >= this->Opts.MaxPipelined ||
+                On->Stream->pending() > this->Opts.MaxUnsent;
+  if (On->Unparsed.empty() || Behind)
     return false;
   if (!On->Parser) {
     On->Parser = std::make_shared<RequestParser>(this->Bounds.HeaderBytes);
@@ -564,6 +568,10 @@
   if (On.Closing)
     On.LingerUntil = At + this->Opts.Linger;
   this->consumed(On, At);
+  // What waited for these answers to be read.
+  auto Found = this->Connections.find(On.Id);
+  if (Found != this->Connections.end() && !On.Unparsed.empty())
+    this->parse(ConnectionPtr(Found->second), At);
 }
 
 // All are forgotten before the first hook is called: what a hook does may come
--- a/src/net/Listen.cpp
+++ b/src/net/Listen.cpp
@@ -18,6 +18,9 @@
 // Connections that may wait to be accepted. All callers of an instance, and a
 // fleet whose links broke together, come within one turn of the loop.
 constexpr int Backlog = 512;
+// A listener without descriptors stays readable, and the loop would do nothing
+// but try again.
+constexpr guint FullPauseMs = 100;
 
 } // namespace
 
@@ -54,13 +57,30 @@
 void Listener::close() {
   if (this->Fd < 0)
     return;
+  if (this->ResumeTimer)
+    g_source_remove(std::exchange(this->ResumeTimer, 0));
   Reactor::get().forget(this->Watch);
   ::close(std::exchange(this->Fd, -1));
 }
 
+void Listener::pause() {
+  Reactor::get().change(this->Watch, Reactor::None);
+  this->ResumeTimer = g_timeout_add(FullPauseMs, onResume, this);
+}
+
+gboolean Listener::onResume(gpointer GivenSelf) {
+  auto *Self = static_cast<Listener *>(GivenSelf);
+  Self->ResumeTimer = 0;
+  Reactor::get().change(Self->Watch, Reactor::Read);
+  return G_SOURCE_REMOVE;
+}
+
 void Listener::acceptSome() {
   for (int I = 0; I < this->ATurn && this->Fd >= 0; ++I) {
     int New = accept4(this->Fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    bool Full = New < 0 && (errno == EMFILE || errno == ENFILE);
+    if (Full)
+      return this->pause();
     if (New < 0)
       return;
     this->OnNew(New);
--- a/src/net/Listen.h
+++ b/src/net/Listen.h
@@ -38,10 +38,14 @@
 
 private:
   void acceptSome();
+  void pause();
+  static gboolean onResume(gpointer GivenSelf);
 
   int Fd = -1;
   int ATurn = 1;
   Reactor::WatchId Watch = 0;
+  // Set while no connection is accepted for want of descriptors.
+  guint ResumeTimer = 0;
   std::function<void(int)> OnNew;
 };
 
--- a/src/net/TcpStream.cpp
+++ b/src/net/TcpStream.cpp
@@ -44,9 +44,26 @@
   return New;
 }
 
+// The process has no descriptor left. Whoever dialled is told by the loop, as
+// of any other connection that fails.
+std::shared_ptr<TcpStream>
+TcpStream::withoutSocket(std::error_code Why, Hooks Hooks,
+                         std::function<TimePoint()> Clock) {
+  std::shared_ptr<TcpStream> New(
+      new TcpStream(-1, std::move(Hooks), std::move(Clock)));
+  Reactor::get().atTurnEnd([Weak = std::weak_ptr<TcpStream>(New), Why] {
+    if (auto Alive = Weak.lock())
+      Alive->Hook.Ended(Why, Alive->Now());
+  });
+  return New;
+}
+
 std::shared_ptr<TcpStream> TcpStream::dial(const NetAddress &To, Hooks Hooks,
                                            std::function<TimePoint()> Clock) {
   int Fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Fd < 0)
+    return withoutSocket(systemError(errno), std::move(Hooks),
+                         std::move(Clock));
   int On = 1;
   setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
   sockaddr_in Address = socketAddress(To);
--- a/src/net/TcpStream.h
+++ b/src/net/TcpStream.h
@@ -67,6 +67,9 @@
 
 private:
   TcpStream(int Fd, Hooks Hooks, std::function<TimePoint()> Clock);
+  static std::shared_ptr<TcpStream>
+  withoutSocket(std::error_code Why, Hooks Hooks,
+                std::function<TimePoint()> Clock);
   void watch(uint32_t Wanted);
   void updateWatch();
   void ready(uint32_t What);
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -27,14 +27,13 @@
 
 ResourceBudget::Options budgetOptions(const Settings &Of) {
   ResourceBudget::Options Out = Of.Budget;
-  if (Out.MaxConnections > 0)
-    return Out;
-  Out.MaxConnections = ResourceBudget::Options().MaxConnections;
+  size_t Descriptors = Of.Descriptors;
   rlimit Limit{};
-  if (getrlimit(RLIMIT_NOFILE, &Limit) == 0) {
-    size_t Others = Limit.rlim_cur - Limit.rlim_cur / OwnDescriptorShare;
-    Out.MaxConnections = std::min(Out.MaxConnections, Others);
-  }
+  if (Descriptors == 0 && getrlimit(RLIMIT_NOFILE, &Limit) == 0)
+    Descriptors = Limit.rlim_cur;
+  if (Descriptors > 0)
+    Out.MaxConnections = std::min(
+        Out.MaxConnections, Descriptors - Descriptors / OwnDescriptorShare);
   return Out;
 }
 
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -159,6 +159,35 @@
       "1 once the upstream states that it leaves", Stated.Leaving);
 }
 
+void Metrics::setBudget(const ResourceBudget &Of) {
+  auto Set = [this](const char *Name, const char *Help, size_t Value) {
+    this->set(Name, Help, static_cast<double>(Value));
+  };
+  for (ResourceBudget::Kind Kind : ResourceBudget::Kinds) {
+    this->set("hickorylift_held_bytes",
+              "Bytes of memory held for others, by kind of holder",
+              static_cast<double>(Of.bytes(Kind)), {{"kind", kindName(Kind)}});
+    this->set(
+        "hickorylift_holders", "Connections and calls that memory is held for",
+        static_cast<double>(Of.holders(Kind)), {{"kind", kindName(Kind)}});
+    auto Evicted = Of.counters().Evicted.find(Kind);
+    this->set("hickorylift_evicted",
+              "Holders ended because a limit was reached",
+              Evicted == Of.counters().Evicted.end()
+                  ? 0
+                  : static_cast<double>(Evicted->second),
+              {{"kind", kindName(Kind)}});
+  }
+  Set("hickorylift_held_bytes_peak", "Most bytes held for others at once",
+      Of.counters().PeakBytes);
+  Set("hickorylift_held_bytes_limit", "Bytes that may be held for others",
+      Of.options().MaxBytes);
+  Set("hickorylift_held_connections", "Connections that others have open",
+      Of.connections());
+  Set("hickorylift_held_connections_limit",
+      "Connections that others may have open", Of.options().MaxConnections);
+}
+
 void Metrics::setShedding(Node &Of, TimePoint Now) {
   const Gate &At = Of.core().gate();
   this->set("hickorylift_upstream_shed_percent",
@@ -246,6 +275,7 @@
       Of.core().control().members().size());
   this->setEntry(Of.core().entry().counters());
   this->setGate(Of.core().gate(), Now);
+  this->setBudget(Of.budget());
   this->setShedding(Of, Now);
   this->setSpillover(Of.core().entry().balancer().spillover(), Now);
   this->setQuarantine(Of.core().control().quarantine(), Now);
--- a/src/operator/Metrics.h
+++ b/src/operator/Metrics.h
@@ -2,6 +2,7 @@
 #define HICKORYLIFT_OPERATOR_METRICS_H
 
 #include "base/Time.h"
+#include "budget/ResourceBudget.h"
 #include "calls/Entry.h"
 #include "quarantine/Quarantine.h"
 #include "routing/SpilloverController.h"
@@ -35,6 +36,7 @@
 private:
   void setSpread(const Spreader::Counters &Spread);
   void setEntry(const Entry::Counters &Entered);
+  void setBudget(const ResourceBudget &Of);
   void setGate(Gate &At, TimePoint Now);
   void setShedding(Node &Of, TimePoint Now);
   void setSpillover(const SpilloverController &Of, TimePoint Now);
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -15,6 +15,12 @@
 constexpr Millis ShortestHealthInterval{50};
 constexpr int64_t LongestHealthMs = 60000;
 // A week: whoever is held for longer is better taken off by its route.
+// Below this a single call at its window would be more than all may hold.
+constexpr int64_t LeastBudgetBytes = 4 << 20;
+constexpr int64_t MostBudgetBytes = int64_t(64) << 30;
+// Below this there is no room for callers beside the links of a small fleet.
+constexpr int64_t LeastDescriptors = 64;
+constexpr int64_t MostDescriptors = 10000000;
 constexpr int64_t LongestQuarantineS = 7 * 24 * 3600;
 constexpr int64_t MostCrashes = 10;
 constexpr double MostOverrun = 100;
@@ -41,6 +47,7 @@
     this->readSeeds(Top);
     this->readSpread(Top);
     this->readCalls(Top);
+    this->readBudget(Top);
     this->readKeys(Top);
     this->readQuarantine(Top);
     this->readColdStart(Top);
@@ -267,6 +274,23 @@
     Calls.finish();
   }
 
+  void readBudget(JsonObject &Top) {
+    JsonObject Section = this->section(Top, "budget");
+    ResourceBudget::Options &To = this->Out.Budget;
+    To.MaxBytes = static_cast<size_t>(
+        Section.integer("memory_bytes", static_cast<int64_t>(To.MaxBytes),
+                        LeastBudgetBytes, MostBudgetBytes));
+    this->Out.Descriptors = static_cast<size_t>(
+        Section.integer("descriptors", 0, 0, MostDescriptors));
+    bool TooFew = this->Out.Descriptors > 0 &&
+                  this->Out.Descriptors < static_cast<size_t>(LeastDescriptors);
+    if (TooFew)
+      Section.fault("descriptors",
+                    "expected 0 for the process's own limit, or at least " +
+                        std::to_string(LeastDescriptors));
+    Section.finish();
+  }
+
   void readKeys(JsonObject &Top) {
     JsonObject Keys = this->section(Top, "keys");
     IdempotencyChecker::Options &To = this->Out.Core.CallGate.IdempotencyOpts;
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -43,9 +43,12 @@
   HttpPlatform::Options Platform;
   SplitReader::Options Store;
   std::string LogLevel;
-  /// Zero connections for as many as the process may have descriptors, less
-  /// what it needs itself.
-  ResourceBudget::Options Budget{.MaxConnections = 0};
+  /// What the process holds for others. MaxConnections is an upper bound; the
+  /// descriptors of the process may allow fewer.
+  ResourceBudget::Options Budget;
+  /// Descriptors that the process may have open; zero for what the system
+  /// allows it.
+  size_t Descriptors = 0;
   NodeCore::Options Core;
 };
 
