--- a/scenario/Crowd.cpp
+++ b/scenario/Crowd.cpp
@@ -37,6 +37,8 @@
 ABSL_FLAG(std::string, crowd, "", "name of the row to play; all if empty");
 ABSL_FLAG(bool, list, false, "only print the names of the rows");
 ABSL_FLAG(std::string, logs, "", "folder for the logs of rows that fail");
+ABSL_FLAG(bool, afterwards, false,
+          "also print what the nodes keep once the crowd has left");
 
 namespace hickorylift {
 
@@ -56,6 +58,7 @@
 constexpr Millis StuckAfter{1000};
 constexpr Millis LongestAssault{60000};
 constexpr Millis CalmRetryPause{200};
+constexpr Millis LeavingTime{2500};
 constexpr size_t KiB = 1024;
 constexpr size_t MiB = 1024 * 1024;
 const char CallerNode[] = "door-1";
@@ -448,6 +451,8 @@
     bool Answered = this->All.waitFor([this] { return this->askCalmly(); });
     this->expect(Answered, "an ordinary request got no answer");
     this->checkNodes();
+    if (absl::GetFlag(FLAGS_afterwards))
+      this->reportAfterwards();
     this->checkStop();
     if (!this->Failures.empty() && !absl::GetFlag(FLAGS_logs).empty())
       this->All.keepLogs(absl::GetFlag(FLAGS_logs) + "/" + this->Of.Name);
@@ -588,6 +593,20 @@
     }
   }
 
+  // Memory that the process has, and what of it is held for others.
+  void reportAfterwards() {
+    this->Clients.clear();
+    this->All.runFor(LeavingTime);
+    for (const char *Name : {CallerNode, UpstreamNode})
+      this->Summary +=
+          absl::StrCat(" afterwards ", Name, ": ",
+                       this->All.memoryKiB(Name, "VmRSS"), " KiB, ",
+                       static_cast<uint64_t>(
+                           this->All.metric(Name, "hickorylift_held_bytes")) /
+                           KiB,
+                       " KiB held;");
+  }
+
   void checkStop() {
     for (const char *Name : {CallerNode, UpstreamNode}) {
       if (this->All.exited(Name))
--- a/src/gate/GateTest.cpp
+++ b/src/gate/GateTest.cpp
@@ -322,6 +322,27 @@
   BOOST_TEST(MovedKeys > 10);
 }
 
+// Guards against heads of stored answers that no limit counts.
+BOOST_AUTO_TEST_CASE(HeadsOfStoredAnswersCount) {
+  IdempotencyChecker::Options Opts;
+  Opts.MaxReplayBytes = 5000;
+  IdempotencyChecker Checker(Opts, "a-1");
+  std::vector<Instance> OnlyHome = upstreams({"a-1"});
+  Checker.setUpstreams(pointers(OnlyHome), Start);
+  TimePoint Now = Start + Millis(200000);
+  ResponseHead Head;
+  Head.Headers = {{"Note", std::string(3000, 'x')}};
+  auto Check = [&](const char *Key) {
+    return Checker.check(Key, 1, Millis(60000), Millis(0), Now).Action;
+  };
+  for (const char *Key : {"1", "2"}) {
+    BOOST_TEST((Check(Key) == KeyDecision::Run));
+    Checker.recordAnswer(Key, Head, "ok", Now);
+  }
+  BOOST_TEST((Check("1") == KeyDecision::Replay));
+  BOOST_TEST((Check("2") == KeyDecision::Conflict));
+}
+
 BOOST_AUTO_TEST_CASE(FullKeyMemoryRefusesNewKeys) {
   IdempotencyChecker::Options Opts;
   Opts.MaxKeys = 2;
