--- a/scenario/Crowd.cpp
+++ b/scenario/Crowd.cpp
@@ -75,12 +75,12 @@
   unsigned Clients = 1;
   const char *Node = CallerNode;
   Door At = Door::Callers;
-  std::string Begin = "";
+  std::string Begin = {};
   /// What each client sends in place of Begin, where they differ.
   std::string (*BeginOf)(unsigned Client) = nullptr;
-  std::string Piece = "";
+  std::string Piece = {};
   size_t Repeats = 0;
-  std::string End = "";
+  std::string End = {};
   /// Bytes that a client sends before it is the next one's turn, and the pause
   /// after a turn of all.
   size_t TurnBytes = 64 * KiB;
@@ -338,8 +338,9 @@
         Returns(Of.Returns) {}
   ~Client() { this->close(); }
   Client(Client &&Other) noexcept
-      : Of(Other.Of), Begin(Other.Begin), Fd(std::exchange(Other.Fd, -1)),
-        Sent(Other.Sent), Returns(Other.Returns) {}
+      : Of(Other.Of), Begin(std::move(Other.Begin)),
+        Fd(std::exchange(Other.Fd, -1)), Sent(Other.Sent),
+        Returns(Other.Returns) {}
   Client(const Client &) = delete;
   Client &operator=(const Client &) = delete;
   Client &operator=(Client &&) = delete;
@@ -355,7 +356,9 @@
     Address.sin_family = AF_INET;
     Address.sin_port = htons(To.Port);
     inet_pton(AF_INET, To.Ip.c_str(), &Address.sin_addr);
-    connect(this->Fd, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+    // Goes on by itself; what becomes of it shows when it is used.
+    static_cast<void>(connect(this->Fd, reinterpret_cast<sockaddr *>(&Address),
+                              sizeof(Address)));
   }
 
   /// Sends what it may in one turn. Returns whether anything happened.
