--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -26,6 +26,9 @@
 #include <unistd.h>
 
 ABSL_FLAG(std::string, settings, "", "settings file of a node (run, check)");
+ABSL_FLAG(std::string, descriptors, "",
+          "descriptors that the process may have open, in place of "
+          "budget.descriptors; empty for the file's value (run, check)");
 ABSL_FLAG(std::string, records, "", "file of configuration records (check)");
 ABSL_FLAG(std::string, node, "127.0.0.1:9001",
           "operator address \"ip:port\" of a node (status, watch, explain, "
@@ -87,7 +90,9 @@
     Faults.push_back({Path, 0, 0, "", "cannot be read"});
     return std::nullopt;
   }
-  return readSettings(*Text, Path, Faults);
+  ProcessLimits Limits;
+  Limits.Descriptors = absl::GetFlag(FLAGS_descriptors);
+  return readSettings(*Text, Path, Faults, Limits);
 }
 
 struct Running {
@@ -295,11 +300,13 @@
 }
 
 const Command Commands[] = {
-    {"run", "hickorylift run --settings=FILE",
+    {"run", "hickorylift run --settings=FILE [--descriptors=N]",
      "Runs a node until SIGTERM, which is a graceful stop. Exit 0 after a "
      "planned stop, 1 if the settings have faults or a port is taken.",
      runNode},
-    {"check", "hickorylift check [--settings=FILE] [--records=FILE]",
+    {"check",
+     "hickorylift check [--settings=FILE] [--descriptors=N] "
+     "[--records=FILE]",
      "Prints every fault with its place. Exit 0 without faults, else 1. "
      "Nothing else is done.",
      checkFiles},
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -1,5 +1,8 @@
 #include "settings/Settings.h"
 
+#include <absl/strings/numbers.h>
+#include <absl/time/time.h>
+
 #include <algorithm>
 #include <set>
 
@@ -35,8 +38,8 @@
 class SettingsReader {
 public:
   SettingsReader(const std::string &Text, const std::string &File,
-                 FaultList &Faults)
-      : Source{File, Text, &Faults} {}
+                 FaultList &Faults, const ProcessLimits &Limits)
+      : Source{File, Text, &Faults}, Limits(Limits) {}
 
   Settings read(const Json::Value &Root) {
     JsonObject Top(this->Source, Root, "");
@@ -282,6 +285,8 @@
                         LeastBudgetBytes, MostBudgetBytes));
     this->Out.Descriptors = static_cast<size_t>(
         Section.integer("descriptors", 0, 0, MostDescriptors));
+    if (!this->Limits.Descriptors.empty())
+      this->replaceDescriptors();
     bool TooFew = this->Out.Descriptors > 0 &&
                   this->Out.Descriptors < static_cast<size_t>(LeastDescriptors);
     if (TooFew)
@@ -291,6 +296,21 @@
     Section.finish();
   }
 
+  void replaceDescriptors() {
+    int64_t Value = 0;
+    bool Valid = absl::SimpleAtoi(this->Limits.Descriptors, &Value) &&
+                 Value >= 0 && Value <= MostDescriptors;
+    if (!Valid)
+      return this->limitFault("--descriptors",
+                              "expected a whole number from 0 to " +
+                                  std::to_string(MostDescriptors));
+    this->Out.Descriptors = static_cast<size_t>(Value);
+  }
+
+  void limitFault(const char *Flag, const std::string &Message) {
+    this->Source.Faults->push_back({Flag, 0, 0, "", Message});
+  }
+
   void readKeys(JsonObject &Top) {
     JsonObject Keys = this->section(Top, "keys");
     IdempotencyChecker::Options &To = this->Out.Core.CallGate.IdempotencyOpts;
@@ -425,19 +445,20 @@
   }
 
   JsonSource Source;
+  const ProcessLimits &Limits;
   Settings Out;
 };
 
 } // namespace
 
 std::optional<Settings> readSettings(const std::string &Text,
-                                     const std::string &File,
-                                     FaultList &Faults) {
+                                     const std::string &File, FaultList &Faults,
+                                     const ProcessLimits &Limits) {
   std::optional<Json::Value> Root = parseJson(Text, File, Faults);
   if (!Root)
     return std::nullopt;
   size_t Before = Faults.size();
-  Settings Read = SettingsReader(Text, File, Faults).read(*Root);
+  Settings Read = SettingsReader(Text, File, Faults, Limits).read(*Root);
   if (Faults.size() != Before)
     return std::nullopt;
   return Read;
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -52,9 +52,19 @@
   NodeCore::Options Core;
 };
 
+/// What the platform grants a process, from the command line. Each text
+/// replaces a field of the settings file; an empty one replaces nothing, as the
+/// platform leaves a value empty that it does not have.
+struct ProcessLimits {
+  /// stop.grace_ms, as a duration with a unit: "6s", "1500ms".
+  std::string Grace;
+  /// budget.descriptors.
+  std::string Descriptors;
+};
+
 std::optional<Settings> readSettings(const std::string &Text,
-                                     const std::string &File,
-                                     FaultList &Faults);
+                                     const std::string &File, FaultList &Faults,
+                                     const ProcessLimits &Limits = {});
 
 } // namespace hickorylift
 
--- a/src/settings/SettingsTest.cpp
+++ b/src/settings/SettingsTest.cpp
@@ -251,6 +251,44 @@
   BOOST_TEST(Read->Core.CallEntry.BalancerOptions.FollowSlowdowns == Enabled);
 }
 
+/// Limits from the command line, and what becomes of them.
+struct LimitRow {
+  const char *Descriptors;
+  size_t ExpectedDescriptors;
+  const char *Fault;
+};
+std::ostream &operator<<(std::ostream &To, const LimitRow &Of) {
+  return To << "descriptors=" << Of.Descriptors;
+}
+
+const LimitRow LimitRows[] = {
+    // The platform leaves a value empty that it does not have.
+    {"", 3000, ""},
+    {"4100", 4100, ""},
+    {"0", 0, ""},
+    {"63", 0, "/budget/descriptors: expected 0"},
+    {"-1", 0, "--descriptors: expected a whole number"},
+    {"many", 0, "--descriptors: expected a whole number"},
+};
+
+// Guards against a limit that the platform tells and the process ignores.
+BOOST_DATA_TEST_CASE(CommandLineLimitsReplaceTheFiles, data::make(LimitRows),
+                     Row) {
+  std::string Text = readWhole("conf/aspenfold.jsonc");
+  std::string Key = "\"spread\": {";
+  Text.replace(Text.find(Key), Key.size(),
+               "\"budget\": {\"descriptors\": 3000}, " + Key);
+  FaultList Faults;
+  ProcessLimits Limits;
+  Limits.Descriptors = Row.Descriptors;
+  std::optional<Settings> Read = readSettings(Text, "f", Faults, Limits);
+  BOOST_TEST(Read.has_value() == (Row.Fault[0] == '\0'));
+  BOOST_TEST(faultTexts(Faults).find(Row.Fault) != std::string::npos,
+             faultTexts(Faults));
+  if (Read)
+    BOOST_TEST(Read->Descriptors == Row.ExpectedDescriptors);
+}
+
 BOOST_AUTO_TEST_CASE(FaultsNameTheirPlace) {
   FaultList Faults;
   readSettings("{\n  \"name\": 7\n}", "f", Faults);
