Report when several platform entries claim one node's address

A list holds one entry for each address. Where the platform holds several, one displaced the others without a trace: callers got 503 no-upstream, and neither the log nor the metrics told a displaced entry from one that could not be read or had expired. The audit names the claimants now, the one that is used first, once for each change, and a metric counts them.

Test: ContestedAddressesAreReportedOnce.

--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -131,6 +131,13 @@
       this->Trail.add(Now, "item-unreadable", Reason.Detail, Reason.Peer,
                       "names no upstream");
   };
+  Hooks.Contested = [this](const std::string &Node, const std::string &Detail,
+                           TimePoint Now) {
+    ++this->ContestedAddresses;
+    if (this->ContestLog.take(Now))
+      this->Trail.add(Now, "address-contested", Node, "platform",
+                      "uses " + Detail);
+  };
   Hooks.RecordChanged = [this](uint64_t Version, const RecordIssue &Issue,
                                TimePoint Now) {
     this->UnreadableItems += Issue.LeftOut ? 1 : 0;
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -201,6 +201,9 @@
   Quarantine &quarantine() { return this->RequestQuarantine; }
   /// Number of platform items that could not be used so far.
   uint64_t unreadableItems() const { return this->UnreadableItems; }
+  /// How often this node has read that several entries of the platform claim
+  /// the address of one node.
+  uint64_t contestedAddresses() const { return this->ContestedAddresses; }
   /// Number of restores of the platform detected by this node.
   uint64_t platformRestores() const { return this->PlatformRestores; }
   const Spreader &spreader() const { return this->Spread; }
@@ -303,11 +306,13 @@
   Hooks Hook;
   AuditTrail Trail;
   uint64_t UnreadableItems = 0;
+  uint64_t ContestedAddresses = 0;
   uint64_t PlatformRestores = 0;
   // The era after the last detected restore; empty if there was none.
   std::optional<uint64_t> PlatformEra;
   // Limits audit events about unreadable items, as a faulty writer may write
-  // them often.
+  // them often, and about addresses that several items claim.
+  TokenBucket ContestLog{/*Rate=*/1, /*Burst=*/1000};
   TokenBucket UnreadableLog{/*Rate=*/1, /*Burst=*/10};
   TokenBucket RecordIssueLog{/*Rate=*/1, /*Burst=*/20};
   Membership Fleet;
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -267,6 +267,10 @@
   Set("hickorylift_platform_unreadable",
       "Items of the platform that could not be used",
       Of.core().control().unreadableItems());
+  Set("hickorylift_platform_contested_addresses",
+      "Times that several items of the platform were found to claim one node's "
+      "address",
+      Of.core().control().contestedAddresses());
   Set("hickorylift_platform_restores",
       "Times that the platform was found restored from an older copy",
       Of.core().control().platformRestores());
--- a/src/reading/StorePublishing.cpp
+++ b/src/reading/StorePublishing.cpp
@@ -162,16 +162,37 @@
     this->Hook.Publish(ConfigTopic, this->ConfigDoc, Now);
 }
 
+std::string StoreReader::claimText(const ListedInstance &Of) {
+  return Of.Details.Upstream + " of " + Of.Details.Service;
+}
+
+void StoreReader::reportContests(std::map<std::string, std::string> Contests,
+                                 TimePoint Now) {
+  for (const auto &[Name, Detail] : Contests) {
+    auto Reported = this->ReportedContests.find(Name);
+    if (Reported == this->ReportedContests.end() || Reported->second != Detail)
+      this->Hook.Contested(Name, Detail, Now);
+  }
+  this->ReportedContests = std::move(Contests);
+}
+
 // Two items may have the same instance name for a while, if the address of a
 // removed instance is assigned again before its item expires. The item that was
 // created later is the valid one.
-StoreReader::EntriesByDataCentre StoreReader::listEntries() const {
+StoreReader::EntriesByDataCentre StoreReader::listEntries(TimePoint Now) {
   std::map<std::string, const ListedInstance *> ByName;
+  std::map<std::string, std::string> Contests;
   for (const auto &[Key, Listed] : this->Instances) {
     const ListedInstance *&Selected = ByName[Listed.Details.Name];
+    const ListedInstance *Before = Selected;
     if (!Selected || Selected->CreatedRevision < Listed.CreatedRevision)
       Selected = &Listed;
+    if (Before)
+      Contests[Listed.Details.Name] =
+          claimText(*Selected) + ", left out " +
+          claimText(Selected == &Listed ? *Before : Listed);
   }
+  this->reportContests(std::move(Contests), Now);
   EntriesByDataCentre Lists;
   for (const std::string &Name : this->DataCentres)
     Lists[Name];
@@ -239,7 +260,7 @@
   bool InGrace = Now < this->InstanceGraceEnd;
   std::set<std::string> ReadNames = this->readNames();
   this->ListsIncludeKept = false;
-  for (auto &[DataCentre, Entries] : this->listEntries()) {
+  for (auto &[DataCentre, Entries] : this->listEntries(Now)) {
     std::string Topic = listTopic(DataCentre);
     size_t Kept =
         InGrace ? this->keepMissingEntries(Topic, Entries, ReadNames, Now) : 0;
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -91,6 +91,7 @@
     Millis StoredColdLeft{0};
   };
 
+  static std::string claimText(const ListedInstance &Of);
   void startNextRequest(TimePoint Now);
   bool isServedByOthers(TimePoint Now);
   void updateLastAskedByAny();
@@ -148,7 +149,9 @@
   std::set<std::string> readNames() const;
   bool keepMissingDrain(EntryMap &Entries, const std::string &Name,
                         const DocumentEntry &Previous) const;
-  EntriesByDataCentre listEntries() const;
+  EntriesByDataCentre listEntries(TimePoint Now);
+  void reportContests(std::map<std::string, std::string> Contests,
+                      TimePoint Now);
   void confirmAll(TimePoint AskedAt);
   void reportComplete();
   Millis startDelay();
@@ -195,6 +198,8 @@
   DocumentPtr ConfigDoc;
   // Issues of the records of the newest version.
   std::set<RecordIssue> ReportedIssues;
+  // The names that several items claim, with the details last reported.
+  std::map<std::string, std::string> ReportedContests;
   // The list of each data centre as it was published last.
   std::map<std::string, DocumentPtr> ListDocs;
   // The latest time at which any node is known to have asked the platform.
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -79,6 +79,8 @@
   std::map<std::string, DocumentPtr> Documents;
   std::vector<std::string> Failures;
   std::vector<std::string> Unreadable;
+  /// The names claimed by several entries, each with its detail.
+  std::vector<std::string> Contests;
   /// The versions and issues of changed records.
   std::vector<std::string> RecordIssues;
   /// The old and the new era of each reported restore, in order.
@@ -114,6 +116,10 @@
     Hooks.Unreadable = [this](const Error &Why, TimePoint) {
       this->Unreadable.push_back(Why.Detail);
     };
+    Hooks.Contested = [this](const std::string &Node, const std::string &Detail,
+                             TimePoint) {
+      this->Contests.push_back(Node + ": " + Detail);
+    };
     Hooks.RecordChanged = [this](uint64_t Version, const RecordIssue &Issue,
                                  TimePoint) {
       this->RecordIssues.push_back(std::to_string(Version) + " " +
@@ -550,6 +556,17 @@
 
 // Guards against listing the old entry of an address that is assigned again
 // before that entry has expired.
+// Guards against an entry that displaces another without a trace in the log, or
+// with one at each of its heartbeats.
+BOOST_FIXTURE_TEST_CASE(ContestedAddressesAreReportedOnce, Fixture) {
+  this->startWith({storedInstance("x+old", 1), storedInstance("x+new", 5),
+                   storedInstance("y", 2)},
+                  5);
+  this->writeEntry("y", {"live", "live"});
+  std::vector<std::string> Expected = {"x: x+new of a, left out x+old of a"};
+  BOOST_TEST(this->Contests == Expected, boost::test_tools::per_element());
+}
+
 BOOST_FIXTURE_TEST_CASE(LaterEntryOfAReusedAddressIsListed, Fixture) {
   this->startWith({storedInstance("x+old", 1), storedInstance("x+new", 5)}, 5);
   BOOST_TEST(this->listed() == 1u);
