--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -108,6 +108,9 @@
     Millis RedialPeriod{15000};
     /// A link without calls is closed after this.
     Millis IdleLinkTimeout{60000};
+    /// For this long after its last answer an upstream is taken for the one
+    /// that the list named then, whatever other entries at its address say.
+    Millis ConfirmationPeriod{3000};
     /// Maximum number of gates that one call is offered to. Gates that refuse
     /// it before it reaches an upstream count here, but not as attempts within
     /// the limit of the route.
@@ -212,6 +215,13 @@
         CheckQuarantine = [](const Fingerprint &, TimePoint) {
           return Quarantine::Decision();
         };
+    /// A call that was meant for this start of the gate's upstream was turned
+    /// away as meant for another. Returns whether the list names another one
+    /// that calls are meant for from now on.
+    std::function<bool(const std::string &Gate, const UpstreamStart &,
+                       TimePoint)>
+        RefuteUpstream = [](const std::string &, const UpstreamStart &,
+                            TimePoint) { return false; };
     /// The run of the upstream beside this entry that makes the request with
     /// this id; nothing if none does. Without this hook no call is nested, and
     /// Open frames do not say which calls are repeats.
@@ -247,6 +257,9 @@
 
   void configure(const ConfigPtr &NewConfig);
   void membersChanged(TimePoint Now);
+  /// Whether the instance's upstream has answered a call of this entry within
+  /// ConfirmationPeriod, and has not failed since.
+  bool isConfirmed(const Instance &Of) const;
 
   void request(CallerId Caller, const RequestHead &Head, TimePoint Now);
   void body(CallerId Caller, std::string_view Bytes, TimePoint Now);
@@ -317,7 +330,7 @@
     bool Hedged = false;
     TimePoint AssignedAt{};
     TimePoint SentAt{};
-    StatementMemory::UpstreamStart SentTo{};
+    UpstreamStart SentTo{};
   };
 
   struct PendingCall {
@@ -361,7 +374,7 @@
     std::string Gate;
     uint64_t GateIncarnation = 0;
     // The start of the gate's upstream that was listed when the call was sent.
-    StatementMemory::UpstreamStart SentTo;
+    UpstreamStart SentTo;
     TimePoint AssignedAt;
     // When the Open frame was sent over the current link.
     TimePoint SentAt;
@@ -394,6 +407,9 @@
     std::optional<TimePoint> LostAt;
     // The gate has reported that its upstream is gone.
     bool UpstreamGone = false;
+    // The start of the upstream that has answered last, and when.
+    std::optional<UpstreamStart> AnsweredBy;
+    TimePoint AnsweredAt;
     // Consecutive links that were declared dead for a liveness timeout, and
     // when the last of them was.
     unsigned LivenessTimeouts = 0;
@@ -465,6 +481,10 @@
   void onHello(const std::string &Gate, GateLink &Link,
                const wire::CallHelloT &Hello, TimePoint Now);
   void onHead(const std::string &Gate, const wire::HeadT &Head, TimePoint Now);
+  void confirmUpstream(const std::string &Gate, const PendingCall &Call,
+                       TimePoint Now);
+  bool refuteUpstream(const std::string &Gate, const UpstreamStart &Start,
+                      const std::string &Reason, TimePoint Now);
   void noteStatement(const std::string &Gate, const PendingCall &Call,
                      const ResponseHead &Answer);
   void recordRoundTrip(const std::string &Gate, const PendingCall &Call,
--- a/src/calls/EntryAnswers.cpp
+++ b/src/calls/EntryAnswers.cpp
@@ -15,6 +15,9 @@
 // The gate's upstream is no longer running.
 const char UpstreamGone[] = "upstream-gone";
 const char UpstreamCrashed[] = "upstream-crashed";
+const char UpstreamReplaced[] = "upstream-replaced";
+const char UpstreamReasonPrefix[] = "upstream-";
+const char NotMyService[] = "not-my-service";
 
 } // namespace
 
@@ -105,6 +108,36 @@
   this->Statements.record(Gate, Call.SentTo, Stated);
 }
 
+void Entry::confirmUpstream(const std::string &Gate, const PendingCall &Call,
+                            TimePoint Now) {
+  auto Found = this->Links.find(Gate);
+  if (Found == this->Links.end() || Call.SentTo.first.empty())
+    return;
+  Found->second.AnsweredBy = Call.SentTo;
+  Found->second.AnsweredAt = Now;
+}
+
+bool Entry::isConfirmed(const Instance &Of) const {
+  auto Found = this->Links.find(Of.Name);
+  return Found != this->Links.end() && Found->second.AnsweredBy &&
+         *Found->second.AnsweredBy ==
+             UpstreamStart(Of.Upstream, Of.Incarnation);
+}
+
+// Several entries of the platform may claim the address of one node. Only the
+// machine knows which of them is its own: the gate its service, and the
+// upstream its name. Returns whether another one is meant from now on.
+bool Entry::refuteUpstream(const std::string &Gate, const UpstreamStart &Start,
+                           const std::string &Reason, TimePoint Now) {
+  bool ConcernsUpstream =
+      Reason == NotMyService || Reason.rfind(UpstreamReasonPrefix, 0) == 0;
+  auto Link = this->Links.find(Gate);
+  if (ConcernsUpstream && Link != this->Links.end())
+    Link->second.AnsweredBy.reset();
+  bool IsAnother = Reason == NotMyService || Reason == UpstreamReplaced;
+  return IsAnother && this->Hook.RefuteUpstream(Gate, Start, Now);
+}
+
 void Entry::onHead(const std::string &Gate, const wire::HeadT &Head,
                    TimePoint Now) {
   if (Head.load)
@@ -144,6 +177,7 @@
   Answer.Headers = fromWire(Head.headers);
   Answer.Length = Head.length;
   this->noteStatement(Gate, Call, Answer);
+  this->confirmUpstream(Gate, Call, Now);
   this->Hook.Head(*Caller, Answer);
 }
 
@@ -196,7 +230,7 @@
     this->Balancer.markDraining(Gate);
   // The membership list is out of date: another instance runs at that address
   // now.
-  if (Cause.Reason == "not-my-service" || Cause.Reason == "upstream-replaced")
+  if (Cause.Reason == NotMyService || Cause.Reason == UpstreamReplaced)
     this->Balancer.markUnreachable(Gate, Now);
   if (Cause.Reason == "overload" || Cause.Reason == "stated-rate")
     this->Balancer.recordRefusal(Gate, Millis(Failed.room_in_ms), Now);
@@ -208,6 +242,8 @@
   }
   // A detached run has ended. The call continues at its current gate.
   if (PendingCall *Call = this->findDetachedCall(Gate, Failed.seq)) {
+    if (this->refuteUpstream(Gate, Call->Detached->SentTo, Cause.Reason, Now))
+      this->Balancer.markReachable(Gate);
     this->endFirstRun(*Call, Cause, Now);
     this->DetachedBySeq.erase(Failed.seq);
     Call->Detached.reset();
@@ -216,10 +252,15 @@
   std::optional<CallerId> Caller = this->findCallAtGate(Gate, Failed.seq);
   if (!Caller)
     return;
+  PendingCall &Refused = this->Calls.at(*Caller);
+  if (this->refuteUpstream(Gate, Refused.SentTo, Cause.Reason, Now)) {
+    this->Balancer.markReachable(Gate);
+    Refused.TriedGates.erase(Gate);
+  }
   // The gate works and may well have capacity, since the call was lost on the
   // link. So it may be offered the call again.
   if (Cause.Reason == "never-arrived")
-    this->Calls.at(*Caller).TriedGates.erase(Gate);
+    Refused.TriedGates.erase(Gate);
   this->retryOrGiveUp(*Caller, Cause, Now);
 }
 
--- a/src/calls/EntryLinks.cpp
+++ b/src/calls/EntryLinks.cpp
@@ -304,6 +304,8 @@
     Link.NextPingAt = Now + this->Opts.PingInterval;
     this->Hook.Send(Gate, makeCallFrame(wire::PingT()));
   }
+  if (Now - Link.AnsweredAt > this->Opts.ConfirmationPeriod)
+    Link.AnsweredBy.reset();
   int64_t Factor = this->timeoutFactor(Link, Now);
   bool Unresponsive =
       Link.PingSentAt &&
--- a/src/config/RecordImport.cpp
+++ b/src/config/RecordImport.cpp
@@ -182,12 +182,6 @@
                memberText(Match, "prefix");
 }
 
-bool holdsService(const EntryMap &Entries, const std::string &Name) {
-  std::string Prefix = "service/" + Name + "@";
-  auto Found = Entries.lower_bound(Prefix);
-  return Found != Entries.end() && Found->first.rfind(Prefix, 0) == 0;
-}
-
 void addDefaultService(EntryMap &Entries, const std::string &Name,
                        std::vector<RecordIssue> &Issues) {
   Json::Value Record(Json::objectValue);
@@ -201,6 +195,12 @@
 
 } // namespace
 
+bool holdsService(const EntryMap &Entries, const std::string &Name) {
+  std::string Prefix = "service/" + Name + "@";
+  auto Found = Entries.lower_bound(Prefix);
+  return Found != Entries.end() && Found->first.rfind(Prefix, 0) == 0;
+}
+
 ImportedRecordPtr unusableRecord(const std::string &Name,
                                  const std::string &Why) {
   auto Out = std::make_shared<ImportedRecord>();
--- a/src/config/RecordImport.h
+++ b/src/config/RecordImport.h
@@ -58,6 +58,9 @@
 ImportedRecordPtr unusableRecord(const std::string &Name,
                                  const std::string &Why);
 
+/// Whether a version with these entries has a record of a service.
+bool holdsService(const EntryMap &Entries, const std::string &Name);
+
 /// Joins records to a version without a fault. Appends the issues of all of
 /// them. A service that a route refers to and that is missing or unusable gets
 /// the default settings. Of two records with one name or for the same requests,
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -131,13 +131,6 @@
       this->Trail.add(Now, "item-unreadable", Reason.Detail, Reason.Peer,
                       "names no upstream");
   };
-  Hooks.Contested = [this](const std::string &Node, const std::string &Detail,
-                           TimePoint Now) {
-    ++this->ContestedAddresses;
-    if (this->ContestLog.take(Now))
-      this->Trail.add(Now, "address-contested", Node, "platform",
-                      "uses " + Detail);
-  };
   Hooks.RecordChanged = [this](uint64_t Version, const RecordIssue &Issue,
                                TimePoint Now) {
     this->UnreadableItems += Issue.LeftOut ? 1 : 0;
@@ -609,7 +602,14 @@
   this->ActiveConfigSince = Now;
   this->View.setActiveVersion(Received.Doc->stamp());
   this->Trail.add(Now, "version-in-force", Stamp, Received.Source, "taken");
+  std::set<std::string> Services;
+  for (const auto &[Name, Service] : this->ActiveConfig->services())
+    Services.insert(Name);
+  bool MembersChange = this->Fleet.setServices(std::move(Services));
+  this->reportContests(Now);
   this->Hook.ConfigChanged(this->ActiveConfig, Now);
+  if (MembersChange)
+    this->Hook.MembersChanged(Now);
   this->scheduleReport(Now);
   return true;
 }
@@ -623,9 +623,29 @@
   this->Trail.add(Now, "list",
                   Received.Topic + " " + Received.Doc->stamp().text(),
                   Received.Source, "taken");
+  this->reportContests(Now);
   this->Hook.MembersChanged(Now);
 }
 
+bool ControlPlane::refuteUpstream(const std::string &Name,
+                                  const UpstreamStart &Start, TimePoint Now) {
+  bool Changed = this->Fleet.refute(Name, Start);
+  if (Changed)
+    this->reportContests(Now);
+  return Changed;
+}
+
+void ControlPlane::reportContests(TimePoint Now) {
+  std::map<std::string, std::string> Contests = this->Fleet.contests();
+  for (const auto &[Name, Text] : Contests) {
+    auto Known = this->ReportedContests.find(Name);
+    bool IsNew = Known == this->ReportedContests.end() || Known->second != Text;
+    if (IsNew && this->ContestLog.take(Now))
+      this->Trail.add(Now, "address-contested", Name, "list", Text);
+  }
+  this->ReportedContests = std::move(Contests);
+}
+
 std::optional<Millis> ControlPlane::oldestListAge(TimePoint Now) const {
   std::optional<Millis> Oldest;
   for (const std::string &Name : this->Opts.DataCentres) {
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -186,6 +186,12 @@
     return this->ActiveConfigSince;
   }
   const Membership &members() const { return this->Fleet; }
+  /// See Membership.
+  bool refuteUpstream(const std::string &Name, const UpstreamStart &Start,
+                      TimePoint Now);
+  void setConfirmation(std::function<bool(const Instance &)> IsConfirmed) {
+    this->Fleet.setConfirmation(std::move(IsConfirmed));
+  }
   /// Age of the oldest list among all data centres; nullopt while any of them
   /// is unknown or was never confirmed.
   std::optional<Millis> oldestListAge(TimePoint Now) const;
@@ -201,9 +207,8 @@
   Quarantine &quarantine() { return this->RequestQuarantine; }
   /// Number of platform items that could not be used so far.
   uint64_t unreadableItems() const { return this->UnreadableItems; }
-  /// How often this node has read that several entries of the platform claim
-  /// the address of one node.
-  uint64_t contestedAddresses() const { return this->ContestedAddresses; }
+  /// Number of nodes whose address several entries of the platform claim.
+  size_t contestedAddresses() const { return this->ReportedContests.size(); }
   /// Number of restores of the platform detected by this node.
   uint64_t platformRestores() const { return this->PlatformRestores; }
   const Spreader &spreader() const { return this->Spread; }
@@ -300,13 +305,15 @@
   Spreader::Hooks spreadHooks();
   SourceHooks sourceHooks();
   void addReportHooks(SourceHooks &Hooks);
+  void reportContests(TimePoint Now);
   Quarantine::Hooks quarantineHooks();
 
   Options Opts;
   Hooks Hook;
   AuditTrail Trail;
   uint64_t UnreadableItems = 0;
-  uint64_t ContestedAddresses = 0;
+  // The addresses that several entries claim, each with what was reported.
+  std::map<std::string, std::string> ReportedContests;
   uint64_t PlatformRestores = 0;
   // The era after the last detected restore; empty if there was none.
   std::optional<uint64_t> PlatformEra;
--- a/src/control/FleetFixture.h
+++ b/src/control/FleetFixture.h
@@ -5,10 +5,12 @@
 #include "control/ControlPlane.h"
 #include "reading/SplitReader.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <random>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -73,6 +75,49 @@
       this->wakeWatches(Of);
   }
 
+  /// The same, with these services in the configuration.
+  void publish(uint64_t Version, const std::string &Services) {
+    this->put("c", std::to_string(Version) + " " + Services);
+    this->wakeAll();
+  }
+
+  /// Writes an entry as another writer, who renews nothing. Its value is a list
+  /// of words: "at NAME", the node whose address it claims, and, where they
+  /// differ from those of the node's own, "of SERVICE", "in DATA-CENTRE",
+  /// "leaving", "born INCARNATION" and "cold MILLISECONDS".
+  void writeEntry(const std::string &Name, const std::string &Value) {
+    this->put("i/" + Name, Value);
+    this->wakeAll();
+  }
+  void removeEntry(const std::string &Name) {
+    this->Items.erase("i/" + Name);
+    this->History.push_back({"i/" + Name, ++this->Revision, std::nullopt});
+    this->wakeAll();
+  }
+
+  /// The nodes whose lists don't name Upstream as the one to call for a service
+  /// at the address At, ready for calls.
+  std::vector<std::string> nodesNotCalling(const std::string &Upstream,
+                                           const std::string &At,
+                                           const std::string &Service) const {
+    std::vector<std::string> Names;
+    for (const auto &[Name, Of] : this->Members) {
+      const auto &Callable = Of.Node->members().upstreams(Service);
+      bool IsCalled = std::any_of(
+          Callable.begin(), Callable.end(), [&](const Instance *One) {
+            return One->Name == At && One->Upstream == Upstream &&
+                   !One->Leaving;
+          });
+      if (!IsCalled)
+        Names.push_back(Name);
+    }
+    return Names;
+  }
+
+  ControlPlane &node(const std::string &Name) {
+    return *this->Members.at(Name).Node;
+  }
+
   /// Cuts a data centre off from the others and from the store.
   void cut(const std::string &DataCentre) { this->CutOff.insert(DataCentre); }
   void heal(const std::string &DataCentre) { this->CutOff.erase(DataCentre); }
@@ -320,24 +365,48 @@
     Layout.ConfigKey = "c";
     Layout.InstancePrefix = "i/";
     Layout.ReadConfig = [](const StoredItem &Item) -> Result<ParsedConfig> {
+      std::istringstream Words(Item.Value);
+      uint64_t Version = 0;
+      Words >> Version;
+      std::string Services;
+      for (std::string Name; Words >> Name || Services.empty();)
+        Services += std::string(Services.empty() ? "" : ", ") +
+                    R"({"kind": "service", "name": ")" +
+                    (Name.empty() ? "portal" : Name) + R"(", "schema": 1})";
       FaultList Faults;
-      std::optional<EntryMap> Records = readRecordFile(
-          R"([{"kind": "service", "name": "portal", "schema": 1}])", "f",
-          Faults);
-      return ParsedConfig{std::stoull(Item.Value), std::move(*Records)};
+      std::optional<EntryMap> Records =
+          readRecordFile("[" + Services + "]", "f", Faults);
+      return ParsedConfig{Version, std::move(*Records)};
     };
     Layout.ReadInstance = [](const StoredItem &Item) -> Result<Instance> {
       Instance Parsed;
-      Parsed.Name = Item.Key.substr(2);
-      Parsed.Upstream = Parsed.Name;
-      Parsed.DataCentre = Parsed.Name.substr(0, Parsed.Name.rfind('-'));
+      Parsed.Upstream = Item.Key.substr(2);
+      Parsed.Name = Parsed.Upstream;
       Parsed.Service = "portal";
+      std::istringstream Words(Item.Value);
+      int64_t ColdMs = 0;
+      for (std::string Word; Words >> Word;) {
+        if (Word == "at")
+          Words >> Parsed.Name;
+        else if (Word == "of")
+          Words >> Parsed.Service;
+        else if (Word == "in")
+          Words >> Parsed.DataCentre;
+        else if (Word == "born")
+          Words >> Parsed.Incarnation;
+        else if (Word == "cold")
+          Words >> ColdMs;
+        Parsed.Leaving |= Word == "leaving";
+      }
+      Parsed.ColdLeft = Millis(ColdMs);
+      if (Parsed.DataCentre.empty())
+        Parsed.DataCentre = Parsed.Name.substr(0, Parsed.Name.rfind('-'));
       Parsed.Node = "10.0.0.1:7000";
       Parsed.Operator = "10.0.0.1:9000";
       return Parsed;
     };
     Layout.InstanceKey = [](const Instance &Listed) {
-      return "i/" + Listed.Name;
+      return "i/" + Listed.Upstream;
     };
     return Layout;
   }
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -2,6 +2,8 @@
 
 #include "base/Hash.h"
 #include "base/NetAddress.h"
+#include "membership/Claims.h"
+#include "membership/InstanceText.h"
 
 #include <algorithm>
 
@@ -24,8 +26,6 @@
 const std::string TreeSalt = "tree";
 const std::string BackupSalt = "backup";
 const std::string ListPrefix = "instances/";
-constexpr int64_t MaxSlots = 100000;
-constexpr int64_t MaxColdMs = 3600 * 1000;
 
 std::string readAddress(JsonObject &Fields, const std::string &Key) {
   std::string Text = Fields.string(Key, std::nullopt);
@@ -46,7 +46,7 @@
   return Topic.substr(ListPrefix.size());
 }
 
-std::string writeInstance(const Instance &Source) {
+Json::Value instanceFields(const Instance &Source) {
   Json::Value Fields(Json::objectValue);
   Fields["name"] = Source.Name;
   Fields["data_centre"] = Source.DataCentre;
@@ -62,12 +62,14 @@
     Fields["incarnation"] = Json::UInt64(Source.Incarnation);
   if (Source.ColdLeft.count() > 0)
     Fields["cold_ms"] = Json::Int64(Source.ColdLeft.count());
-  return writeJson(Fields);
+  return Fields;
 }
 
-namespace {
+std::string writeInstance(const Instance &Source) {
+  return writeJson(instanceFields(Source));
+}
 
-Instance readFields(JsonObject &Top) {
+Instance readInstanceFields(JsonObject &Top) {
   Instance Result;
   Result.Name = Top.name("name");
   Result.DataCentre = Top.name("data_centre");
@@ -77,15 +79,14 @@
   Result.Leaving =
       Top.oneOf("state", std::nullopt, {"live", "leaving"}) == "leaving";
   Result.Upstream = Top.string("upstream", "");
-  Result.Slots = static_cast<uint32_t>(Top.integer("slots", 0, 0, MaxSlots));
+  Result.Slots =
+      static_cast<uint32_t>(Top.integer("slots", 0, 0, MaxInstanceSlots));
   Result.Incarnation =
-      static_cast<uint64_t>(Top.integer("incarnation", 0, 0, INT64_MAX));
-  Result.ColdLeft = Millis(Top.integer("cold_ms", 0, 0, MaxColdMs));
+      static_cast<uint64_t>(Top.integer("incarnation", 0, 0, MaxIncarnation));
+  Result.ColdLeft = Millis(Top.integer("cold_ms", 0, 0, MaxColdLeft.count()));
   return Result;
 }
 
-} // namespace
-
 std::optional<Instance> readInstance(const std::string &Text,
                                      const std::string &File,
                                      FaultList &Faults) {
@@ -94,7 +95,7 @@
   if (!Root)
     return std::nullopt;
   JsonObject Top({File, Text, &Faults}, *Root, "");
-  Instance Result = readFields(Top);
+  Instance Result = readInstanceFields(Top);
   // Unknown keys are ignored: the platform may send more fields than this build
   // reads.
   if (Faults.size() != Before)
@@ -115,7 +116,7 @@
     for (Json::ArrayIndex I = 0; I < (*Root)["instances"].size(); ++I) {
       JsonObject Top({File, Text, &Faults}, (*Root)["instances"][I],
                      "/instances/" + std::to_string(I));
-      Instance Member = readFields(Top);
+      Instance Member = readInstanceFields(Top);
       if (Member.DataCentre != DataCentre)
         Top.fault("data_centre", "expected " + DataCentre);
       Entries[Member.Name] = makeEntry(Member.Name, writeInstance(Member));
@@ -137,7 +138,8 @@
       this->Topology[DataCentre];
   Adopted.clear();
   for (const auto &[Name, Listed] : this->Lists[DataCentre])
-    Adopted.push_back(Listed.Value);
+    if (Listed.Used)
+      Adopted.push_back(Listed.Used);
   return true;
 }
 
@@ -155,12 +157,12 @@
 
 // Parsing JSON is most of the cost, and usually one instance in a list of
 // hundreds has changed. Instances whose entry has the same hash as before are
-// kept instead of parsed again.
+// kept instead of parsed again, also where it can't be read.
 void Membership::updateList(const std::string &DataCentre,
                             const Document &List) {
-  std::map<std::string, ListedInstance> &Old = this->Lists[DataCentre];
-  std::map<std::string, ListedInstance> New;
-  bool Changed = false;
+  std::map<std::string, ListedNode> &Old = this->Lists[DataCentre];
+  std::map<std::string, ListedNode> New;
+  bool Changed = List.entries().size() != Old.size();
   for (const auto &[Name, Entry] : List.entries()) {
     auto Known = Old.find(Name);
     if (Known != Old.end() && Known->second.Hash == Entry.Hash) {
@@ -168,27 +170,137 @@
       continue;
     }
     Changed = true;
-    FaultList Faults;
-    if (std::optional<Instance> Member =
-            readInstance(*Entry.Bytes, Name, Faults))
-      New[Name] = {Entry.Hash,
-                   std::make_shared<const Instance>(std::move(*Member))};
+    New.emplace(Name, this->readNode(Entry, Name));
   }
-  Changed |= New.size() != Old.size();
   Old = std::move(New);
   if (!Changed)
     return;
   this->NotAdopted.insert(DataCentre);
+  this->forgetRefutations();
+  this->chooseAgain();
   this->rebuild();
 }
 
+Membership::ListedNode Membership::readNode(const DocumentEntry &Entry,
+                                            const std::string &Name) const {
+  ListedNode Read;
+  Read.Hash = Entry.Hash;
+  FaultList Faults;
+  for (Claim &One : readClaims(*Entry.Bytes, Name, Faults))
+    Read.Claims.push_back(
+        std::make_shared<const Instance>(std::move(One.Details)));
+  return Read;
+}
+
+std::shared_ptr<const Instance> Membership::choose(const ListedNode &Of) const {
+  if (Of.Claims.size() < 2)
+    return Of.Claims.empty() ? nullptr : Of.Claims.front();
+  std::vector<const Instance *> Claims;
+  for (const auto &One : Of.Claims)
+    Claims.push_back(One.get());
+  const std::string &Name = Claims.front()->Name;
+  ClaimEvidence Evidence;
+  if (Name == this->Opts.Self)
+    Evidence.OwnService = this->Opts.Service;
+  Evidence.IsNamed = [this](const std::string &Service) {
+    return !this->Services || this->Services->count(Service) != 0;
+  };
+  Evidence.IsRefuted = [this, &Name](const Instance &One) {
+    auto Found = this->Refuted.find(Name);
+    return Found != this->Refuted.end() &&
+           Found->second.count({One.Upstream, One.Incarnation}) != 0;
+  };
+  Evidence.IsConfirmed = this->IsConfirmed;
+  return Of.Claims[chooseClaim(Claims, Evidence)];
+}
+
+// Claims on one address may differ in the data centre as well. Such an address
+// is on the lists of all of them, with the same claims, and counts on one.
+bool Membership::chooseAgain() {
+  bool Changed = false;
+  for (auto &[DataCentre, List] : this->Lists)
+    for (auto &[Name, Listed] : List) {
+      std::shared_ptr<const Instance> Used = this->choose(Listed);
+      if (Used && Listed.Claims.size() > 1 && Used->DataCentre != DataCentre)
+        Used.reset();
+      if (Used == Listed.Used)
+        continue;
+      Changed = true;
+      this->NotAdopted.insert(DataCentre);
+      Listed.Used = std::move(Used);
+    }
+  return Changed;
+}
+
+bool Membership::setServices(std::set<std::string> Names) {
+  if (this->Services == Names)
+    return false;
+  this->Services = std::move(Names);
+  bool Changed = this->chooseAgain();
+  if (Changed)
+    this->rebuild();
+  return Changed;
+}
+
+bool Membership::refute(const std::string &Name, const UpstreamStart &Start) {
+  const Instance *Before = this->find(Name);
+  bool IsUsed =
+      Before && UpstreamStart(Before->Upstream, Before->Incarnation) == Start;
+  auto List = IsUsed ? this->Lists.find(Before->DataCentre) : this->Lists.end();
+  if (List == this->Lists.end())
+    return false;
+  const ListedNode &Listed = List->second[Name];
+  if (Listed.Claims.size() < 2)
+    return false;
+  std::set<UpstreamStart> &Disowned = this->Refuted[Name];
+  Disowned.insert(Start);
+  // One of them must be right, so an earlier refusal had another reason.
+  if (Disowned.size() >= Listed.Claims.size())
+    Disowned = {Start};
+  bool Changed = this->chooseAgain();
+  if (Changed)
+    this->rebuild();
+  return Changed;
+}
+
+void Membership::forgetRefutations() {
+  std::map<std::string, std::set<UpstreamStart>> Still;
+  for (const auto &[Name, Disowned] : this->Refuted)
+    for (const auto &[DataCentre, List] : this->Lists) {
+      auto Listed = List.find(Name);
+      if (Listed == List.end() || Listed->second.Claims.size() < 2)
+        continue;
+      for (const auto &One : Listed->second.Claims)
+        if (Disowned.count({One->Upstream, One->Incarnation}))
+          Still[Name].insert({One->Upstream, One->Incarnation});
+    }
+  this->Refuted = std::move(Still);
+}
+
+std::map<std::string, std::string> Membership::contests() const {
+  std::map<std::string, std::string> Found;
+  for (const auto &[DataCentre, List] : this->Lists)
+    for (const auto &[Name, Listed] : List) {
+      if (Listed.Claims.size() < 2 || !Listed.Used)
+        continue;
+      std::string Text = "uses " + Listed.Used->Upstream + " of " +
+                         Listed.Used->Service + ", not";
+      for (const auto &One : Listed.Claims)
+        if (One != Listed.Used)
+          Text += " " + One->Upstream + " of " + One->Service;
+      Found[Name] = Text;
+    }
+  return Found;
+}
+
 void Membership::rebuild() {
   ++this->Generation;
   this->ByName.clear();
   this->ByService.clear();
   for (const auto &[DataCentre, List] : this->Lists)
     for (const auto &[Name, Listed] : List)
-      this->ByName[Name] = Listed.Value.get();
+      if (Listed.Used)
+        this->ByName[Name] = Listed.Used.get();
   for (const auto &[Name, Member] : this->ByName)
     this->ByService[Member->Service].push_back(Member);
   this->rebuildRoutable();
@@ -215,6 +327,13 @@
   return Found == this->ByName.end() ? nullptr : Found->second;
 }
 
+const Instance *Membership::ownUpstream() const {
+  const Instance *Listed = this->find(this->Opts.Self);
+  bool IsOther = Listed && !this->Opts.Service.empty() &&
+                 Listed->Service != this->Opts.Service;
+  return IsOther ? nullptr : Listed;
+}
+
 const std::vector<const Instance *> &
 Membership::findIn(const ServiceMap &Services, const std::string &Service) {
   static const std::vector<const Instance *> None;
@@ -241,7 +360,11 @@
 
 size_t Membership::size(const std::string &DataCentre) const {
   auto Found = this->Lists.find(DataCentre);
-  return Found == this->Lists.end() ? 0 : Found->second.size();
+  if (Found == this->Lists.end())
+    return 0;
+  return static_cast<size_t>(std::count_if(
+      Found->second.begin(), Found->second.end(),
+      [](const auto &Listed) { return Listed.second.Used != nullptr; }));
 }
 
 std::vector<const Instance *>
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -5,17 +5,22 @@
 #include "base/Time.h"
 #include "config/Document.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 // Membership is a node's view of the fleet: the instance lists of the platform,
 // one for each data centre, as the node has received them. From them it derives
 // which nodes read the platform, which nodes link to each other, and which
 // instances serve a service. Nodes with the same lists derive the same; nodes
-// whose lists differ for a while agree on most.
+// whose lists differ for a while agree on most. Where several entries of the
+// platform claim one node's address, each node chooses for itself which one
+// describes the upstream there (Claims.h).
 //
 //   Membership Fleet({.Self = "portal-3", .DataCentre = "north"});
 //   Fleet.update("north", *ListDocument);
@@ -57,6 +62,14 @@
   bool operator==(const Instance &) const = default;
 };
 
+/// Name and incarnation of an upstream, which identify one of its starts.
+using UpstreamStart = std::pair<std::string, uint64_t>;
+
+/// Bounds of what a list can hold of an instance.
+constexpr uint32_t MaxInstanceSlots = 100000;
+constexpr Millis MaxColdLeft{3600 * 1000};
+constexpr uint64_t MaxIncarnation = INT64_MAX;
+
 /// Returns the topic of a data centre's instance list.
 std::string listTopic(const std::string &DataCentre);
 /// Returns the data centre of a list topic; empty if Topic is not one.
@@ -103,6 +116,8 @@
     /// Name and data centre of this instance.
     std::string Self;
     std::string DataCentre;
+    /// Service of the upstream beside this node; empty if that is not known.
+    std::string Service{};
     /// Number of nodes in each data centre that watch the platform.
     size_t Readers = 2;
     /// In a fleet of up to this many instances every node reads the platform.
@@ -131,6 +146,22 @@
   /// Number of instances of a data centre from which the topology is derived.
   size_t topologySize(const std::string &DataCentre) const;
 
+  /// Sets the services that the configuration names. Until the first call all
+  /// are taken to be named. Returns false if no instance changes.
+  bool setServices(std::set<std::string> Names);
+  /// The upstream beside a node has turned away a call that was meant for this
+  /// start, or the node is not one of its service. Returns whether another
+  /// claim on the node's address is used from now on.
+  bool refute(const std::string &Name, const UpstreamStart &Start);
+  /// Sets what tells whether an instance's upstream has just answered a call
+  /// that was meant for it.
+  void setConfirmation(std::function<bool(const Instance &)> IsConfirmed) {
+    this->IsConfirmed = std::move(IsConfirmed);
+  }
+  /// The names that several entries of the platform claim, each with the
+  /// upstream that is used and the others.
+  std::map<std::string, std::string> contests() const;
+
   /// Sets which data centres are evacuated. Returns false if nothing changes.
   bool setEvacuated(const std::set<std::string> &DataCentres);
   const std::set<std::string> &evacuated() const { return this->Evacuated; }
@@ -167,6 +198,9 @@
                        const AvoidSet &Avoid = {}) const;
 
   const Instance *find(const std::string &Name) const;
+  /// The upstream beside this node, as it is listed; null if it is not, though
+  /// another writer's entry may stand at this node's address.
+  const Instance *ownUpstream() const;
   /// All instances of a service in all data centres, sorted by name.
   const std::vector<const Instance *> &
   upstreams(const std::string &Service) const;
@@ -194,14 +228,32 @@
   void rebuild();
   void rebuildRoutable();
 
-  struct ListedInstance {
-    // Hash of the document entry from which Value was read.
+  struct ListedNode {
+    // Hash of the document entry from which the claims were read.
     uint64_t Hash = 0;
-    std::shared_ptr<const Instance> Value;
+    // The claims on the node's address in the order of the list; none if the
+    // entry can't be read.
+    std::vector<std::shared_ptr<const Instance>> Claims;
+    // The claim that is used. Null if there is none, or if it is of another
+    // data centre, in whose list it counts.
+    std::shared_ptr<const Instance> Used;
   };
+  ListedNode readNode(const DocumentEntry &Entry,
+                      const std::string &Name) const;
+  std::shared_ptr<const Instance> choose(const ListedNode &Of) const;
+  bool chooseAgain();
+  void forgetRefutations();
 
   Options Opts;
-  std::map<std::string, std::map<std::string, ListedInstance>> Lists;
+  std::map<std::string, std::map<std::string, ListedNode>> Lists;
+  // The services that the configuration names; nothing before the first.
+  std::optional<std::set<std::string>> Services;
+  // By name, the starts that the upstream there has disowned. Only of names
+  // with several claims, and only as long as the claim is listed.
+  std::map<std::string, std::set<UpstreamStart>> Refuted;
+  std::function<bool(const Instance &)> IsConfirmed = [](const Instance &) {
+    return false;
+  };
   // The instances of each data centre from which the topology is derived, and
   // the data centres whose list has changed since.
   std::map<std::string, std::vector<std::shared_ptr<const Instance>>> Topology;
--- a/src/membership/MembershipTest.cpp
+++ b/src/membership/MembershipTest.cpp
@@ -1,5 +1,8 @@
 #include "membership/Membership.h"
+#include "membership/Claims.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 namespace hickorylift {
@@ -103,6 +106,166 @@
   BOOST_TEST(!readInstanceList(InvalidState, "n", 4));
 }
 
+/// Two claims on the address "x" and the upstream that is used.
+struct ContestRow {
+  const char *Name;
+  Instance First;
+  Instance Second;
+  std::set<std::string> Services;
+  std::vector<std::string> Refuted;
+  const char *Confirmed;
+  const char *ExpectedUpstream;
+};
+std::ostream &operator<<(std::ostream &Out, const ContestRow &Row) {
+  return Out << Row.Name;
+}
+
+Instance claimOnX(const char *Upstream, const char *Service,
+                  bool Leaving = false, const char *DataCentre = "north") {
+  Instance Claimed{
+      "x", DataCentre, Service, "127.0.0.1:7000", "127.0.0.1:9000", Leaving};
+  Claimed.Upstream = Upstream;
+  return Claimed;
+}
+
+const ContestRow ContestRows[] = {
+    {"the first of equals",
+     claimOnX("new", "a"),
+     claimOnX("old", "a"),
+     {"a"},
+     {},
+     "",
+     "new"},
+    {"a named service",
+     claimOnX("agent", "b"),
+     claimOnX("up", "a"),
+     {"a"},
+     {},
+     "",
+     "up"},
+    {"both services are named",
+     claimOnX("new", "b"),
+     claimOnX("old", "a"),
+     {"a", "b"},
+     {},
+     "",
+     "new"},
+    {"one that the upstream disowns",
+     claimOnX("agent", "a"),
+     claimOnX("up", "a"),
+     {"a"},
+     {"agent"},
+     "",
+     "up"},
+    {"a service that its node disowns",
+     claimOnX("agent", "b"),
+     claimOnX("up", "a"),
+     {"a", "b"},
+     {"agent"},
+     "",
+     "up"},
+    {"all are disowned: only the last counts",
+     claimOnX("agent", "a"),
+     claimOnX("up", "a"),
+     {"a"},
+     {"agent", "up"},
+     "",
+     "agent"},
+    {"the one that has just answered",
+     claimOnX("agent", "a"),
+     claimOnX("up", "a"),
+     {"a"},
+     {},
+     "up",
+     "up"},
+    {"one that is not named has answered before",
+     claimOnX("new", "a"),
+     claimOnX("old", "b"),
+     {"a"},
+     {},
+     "old",
+     "new"},
+    {"one that does not leave",
+     claimOnX("agent", "a", /*Leaving=*/true),
+     claimOnX("up", "a"),
+     {"a"},
+     {},
+     "",
+     "up"},
+    {"an upstream that has just answered may leave",
+     claimOnX("agent", "a"),
+     claimOnX("up", "a", /*Leaving=*/true),
+     {"a"},
+     {},
+     "up",
+     "up"},
+    {"in another data centre",
+     claimOnX("agent", "b", false, "south"),
+     claimOnX("up", "a"),
+     {"a"},
+     {},
+     "",
+     "up"},
+};
+
+// Guards against an entry of another writer that is taken for the upstream at
+// its address.
+BOOST_DATA_TEST_CASE(ContestedAddressesAreDecided,
+                     boost::unit_test::data::make(ContestRows), Row) {
+  Membership Fleet = makeMembership("self", "north");
+  std::string Confirmed = Row.Confirmed;
+  Fleet.setConfirmation(
+      [&](const Instance &Of) { return Of.Upstream == Confirmed; });
+  Fleet.setServices(Row.Services);
+  std::string Text = writeClaims({{Row.First, 2}, {Row.Second, 1}});
+  EntryMap Entries{{"x", makeEntry("x", Text)}};
+  for (const char *DataCentre : {"north", "south"})
+    Fleet.update(DataCentre, *Document::make(1, 1, Entries));
+  for (const std::string &Upstream : Row.Refuted)
+    Fleet.refute("x", {Upstream, 0});
+  const Instance *Used = Fleet.find("x");
+  BOOST_REQUIRE(Used);
+  BOOST_TEST(Used->Upstream == Row.ExpectedUpstream);
+  BOOST_TEST(Fleet.size() == 1u);
+  BOOST_TEST(Fleet.size("north") + Fleet.size("south") == 1u);
+  BOOST_TEST(Fleet.contests().size() == 1u);
+}
+
+// Guards against a node that takes what another writer lists at its address for
+// its own upstream, and closes its gate or believes it cold.
+BOOST_AUTO_TEST_CASE(NodesKnowTheirOwnService) {
+  Membership::Options Opts;
+  Opts.Self = "x";
+  Opts.DataCentre = "north";
+  Opts.Service = "a";
+  Membership Fleet(Opts);
+  Fleet.setServices({"a", "b"});
+  auto List = [](const std::vector<Claim> &Claims) {
+    EntryMap Entries{{"x", makeEntry("x", writeClaims(Claims))}};
+    return Document::make(1, 1, Entries);
+  };
+  Fleet.update("north", *List({{claimOnX("agent", "b", true), 2}}));
+  BOOST_TEST(Fleet.find("x") != nullptr);
+  BOOST_TEST(Fleet.ownUpstream() == nullptr);
+  Fleet.update("north", *List({{claimOnX("agent", "b", true), 2},
+                               {claimOnX("up", "a"), 1}}));
+  BOOST_REQUIRE(Fleet.ownUpstream());
+  BOOST_TEST(Fleet.ownUpstream()->Upstream == "up");
+}
+
+// Guards against parsing an entry that can't be read at each change of a list,
+// and changing the fleet each time.
+BOOST_AUTO_TEST_CASE(UnreadableEntriesChangeNothingTwice) {
+  Membership Fleet = makeMembership("self", "north");
+  EntryMap Entries = makeList("north", 2)->entries();
+  Entries["z"] = makeEntry("z", "{}");
+  Fleet.update("north", *Document::make(1, 1, Entries));
+  uint64_t Before = Fleet.generation();
+  Fleet.update("north", *Document::make(2, 2, Entries));
+  BOOST_TEST(Fleet.generation() == Before);
+  BOOST_TEST(Fleet.size() == 2u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -102,7 +102,8 @@
 
 SourceFactory Node::storeSource() {
   return [this](const SourceHooks &Hooks) {
-    platform::NodePorts Here{this->Set.Peers.Port, this->Set.Operator.Port};
+    platform::NodePorts Here{this->Set.Peers.Port, this->Set.Operator.Port,
+                             this->Set.Upstream.Address.Port};
     return std::make_unique<SplitReader>(
         this->Set.Store, *this->Store, platform::storeLayout(Here), Hooks,
         this->Set.DataCentres, this->Incarnation);
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -51,6 +51,7 @@
   this->Control.Seed = Incarnation;
   this->Control.Members.Self = Name;
   this->Control.Members.DataCentre = DataCentre;
+  this->Control.Members.Service = Service;
   this->Control.Spread.Guards = this->Guards;
   this->Control.Compile.Guards = this->Guards;
   this->Control.QuarantineOpts.Self = Name;
@@ -92,6 +93,8 @@
   this->From = std::make_unique<Entry>(this->Opts.CallEntry, this->entryHooks(),
                                        this->Control->members());
   this->At = std::make_unique<Gate>(this->Opts.CallGate, this->gateHooks());
+  this->Control->setConfirmation(
+      [this](const Instance &Of) { return this->From->isConfirmed(Of); });
 }
 
 ControlPlane::Hooks NodeCore::controlHooks() {
@@ -128,6 +131,15 @@
   Out.CheckQuarantine = [this](const Fingerprint &Of, TimePoint Now) {
     return this->Control->quarantine().check(Of, Now);
   };
+  // The list's readers are told in the next turn, as the entry is in the midst
+  // of a call.
+  Out.RefuteUpstream = [this](const std::string &Gate,
+                              const UpstreamStart &Start, TimePoint Now) {
+    bool Changed = this->Control->refuteUpstream(Gate, Start, Now);
+    if (Changed)
+      this->Hook.Post([this](TimePoint Now) { this->membersChanged(Now); });
+    return Changed;
+  };
   if (this->Runs.enabled())
     Out.FindParentRun = [this](const std::string &RequestId) {
       return this->Runs.findParent(RequestId);
@@ -303,7 +315,7 @@
   const Membership &Fleet = this->Control->members();
   this->From->membersChanged(Now);
   this->At->membersChanged(Fleet.upstreams(this->Opts.CallGate.Service), Now);
-  const Instance *Own = Fleet.find(this->Opts.CallGate.Self);
+  const Instance *Own = Fleet.ownUpstream();
   bool WasListed = this->SeenAs != OwnEntry::Missing;
   this->noteOwnEntry(Own, Now);
   if (Own ? Own->Leaving : WasListed)
--- a/src/operator/Metrics.cpp
+++ b/src/operator/Metrics.cpp
@@ -268,8 +268,7 @@
       "Items of the platform that could not be used",
       Of.core().control().unreadableItems());
   Set("hickorylift_platform_contested_addresses",
-      "Times that several items of the platform were found to claim one node's "
-      "address",
+      "Nodes whose address several items of the platform claim",
       Of.core().control().contestedAddresses());
   Set("hickorylift_platform_restores",
       "Times that the platform was found restored from an older copy",
--- a/src/reading/DocumentSource.h
+++ b/src/reading/DocumentSource.h
@@ -68,12 +68,6 @@
   /// The platform answers, but one item can't be parsed.
   std::function<void(const Error &, TimePoint)> Unreadable = [](const Error &,
                                                                 TimePoint) {};
-  /// Several entries of the platform claim the address of one node. Detail
-  /// names them, the one that the list uses first. Called once for each change
-  /// of Detail.
-  std::function<void(const std::string &Node, const std::string &Detail,
-                     TimePoint)>
-      Contested = [](const std::string &, const std::string &, TimePoint) {};
   /// A record of this version was changed, or left out of it. Not called again
   /// for the same issue of the next version.
   std::function<void(uint64_t Version, const RecordIssue &, TimePoint)>
--- a/src/reading/StoreFixture.h
+++ b/src/reading/StoreFixture.h
@@ -30,7 +30,8 @@
 }
 
 /// Layout of the test store: the version under "c", instances under "i/" and
-/// evacuations under "c-e/". The value of an instance is its state. Text after
+/// evacuations under "c-e/". The value of an instance is its state, or "of" and
+/// its service. Text after
 /// the number of a version is an issue of the record route/r@3.
 inline StoreLayout testLayout() {
   StoreLayout Layout;
@@ -53,6 +54,8 @@
     Parsed.Upstream = Name;
     Parsed.DataCentre = "north";
     Parsed.Service = "a";
+    if (size_t At = Item.Value.find("of "); At != std::string::npos)
+      Parsed.Service = Item.Value.substr(At + 3);
     Parsed.Node = "127.0.0.1:1";
     Parsed.Operator = "127.0.0.1:2";
     // "leaving", optionally preceded by the incarnation.
--- a/src/reading/StorePublishing.cpp
+++ b/src/reading/StorePublishing.cpp
@@ -1,5 +1,6 @@
 #include "reading/StoreReader.h"
 
+#include "config/RecordImport.h"
 #include "membership/Evacuations.h"
 
 #include <algorithm>
@@ -158,48 +159,48 @@
 
 void StoreReader::publishConfig(TimePoint Now) {
   bool IsNew = this->decodeConfig(Now);
+  // Claims on one address are ordered by the services that a version names.
+  this->ListsChanged |= IsNew;
   if (IsNew || (this->ConfigDoc && this->lacksConfig()))
     this->Hook.Publish(ConfigTopic, this->ConfigDoc, Now);
 }
 
-std::string StoreReader::claimText(const ListedInstance &Of) {
-  return Of.Details.Upstream + " of " + Of.Details.Service;
+NamedServices StoreReader::namedServices() const {
+  DocumentPtr Config = this->Hook.CurrentDocument(ConfigTopic);
+  if (!Config)
+    return [](const std::string &) { return true; };
+  return [Config](const std::string &Service) {
+    return holdsService(Config->entries(), Service);
+  };
 }
 
-void StoreReader::reportContests(std::map<std::string, std::string> Contests,
-                                 TimePoint Now) {
-  for (const auto &[Name, Detail] : Contests) {
-    auto Reported = this->ReportedContests.find(Name);
-    if (Reported == this->ReportedContests.end() || Reported->second != Detail)
-      this->Hook.Contested(Name, Detail, Now);
-  }
-  this->ReportedContests = std::move(Contests);
+// Several items may claim the address of one node: that of a removed instance
+// is assigned again before its item expires, or another writer lists something
+// of its own there. The list holds them all, as each node chooses among them by
+// what it knows.
+StoreReader::ClaimsByName StoreReader::readClaimsByName() const {
+  ClaimsByName Claims;
+  for (const auto &[Key, Listed] : this->Instances)
+    Claims[Listed.Details.Name].push_back(
+        {Listed.Details, Listed.CreatedRevision});
+  NamedServices IsNamed = this->namedServices();
+  for (auto &[Name, Of] : Claims)
+    if (Of.size() > 1)
+      orderClaims(Of, IsNamed);
+  return Claims;
 }
 
-// Two items may have the same instance name for a while, if the address of a
-// removed instance is assigned again before its item expires. The item that was
-// created later is the valid one.
-StoreReader::EntriesByDataCentre StoreReader::listEntries(TimePoint Now) {
-  std::map<std::string, const ListedInstance *> ByName;
-  std::map<std::string, std::string> Contests;
-  for (const auto &[Key, Listed] : this->Instances) {
-    const ListedInstance *&Selected = ByName[Listed.Details.Name];
-    const ListedInstance *Before = Selected;
-    if (!Selected || Selected->CreatedRevision < Listed.CreatedRevision)
-      Selected = &Listed;
-    if (Before)
-      Contests[Listed.Details.Name] =
-          claimText(*Selected) + ", left out " +
-          claimText(Selected == &Listed ? *Before : Listed);
-  }
-  this->reportContests(std::move(Contests), Now);
+// An address whose claims differ in their data centre is on the list of each.
+StoreReader::EntriesByDataCentre
+StoreReader::listEntries(const ClaimsByName &Claims) const {
   EntriesByDataCentre Lists;
   for (const std::string &Name : this->DataCentres)
     Lists[Name];
-  for (const auto &[Name, Listed] : ByName) {
-    auto List = Lists.find(Listed->Details.DataCentre);
-    if (List != Lists.end())
-      List->second[Name] = makeEntry(Name, writeInstance(Listed->Details));
+  for (const auto &[Name, Of] : Claims) {
+    DocumentEntry Entry = makeEntry(Name, writeClaims(Of));
+    for (const Claim &One : Of)
+      if (auto List = Lists.find(One.Details.DataCentre); List != Lists.end())
+        List->second[Name] = Entry;
   }
   return Lists;
 }
@@ -211,16 +212,19 @@
 // many entries were kept.
 size_t StoreReader::keepMissingEntries(const std::string &Topic,
                                        EntryMap &Entries,
-                                       const std::set<std::string> &ReadNames,
+                                       const ClaimsByName &Read,
                                        TimePoint Now) const {
   DocumentPtr Current = this->Hook.CurrentDocument(Topic);
   if (!Current)
     return 0;
   size_t Kept = 0;
   for (const auto &[Name, Entry] : Current->entries()) {
-    if (!ReadNames.count(Name)) {
+    auto Found = Read.find(Name);
+    if (Found == Read.end()) {
       Entries[Name] = Entry;
       ++Kept;
+    } else if (this->keepMissingClaims(Entries, Name, Entry, Found->second)) {
+      ++Kept;
     } else if (Now < this->RestoreGraceEnd &&
                this->keepMissingDrain(Entries, Name, Entry)) {
       ++Kept;
@@ -229,41 +233,74 @@
   return Kept;
 }
 
-// The names of all instances in the copy, of whatever data centre: one that
-// moved to another data centre is not missing.
-std::set<std::string> StoreReader::readNames() const {
-  std::set<std::string> Names;
-  for (const auto &[Key, Listed] : this->Instances)
-    Names.insert(Listed.Details.Name);
-  return Names;
+// An upstream's entry may have expired while another writer's at its address
+// has not. Adds the claims of Previous to those that were read, if only the
+// former are of services that the configuration names. Returns whether any were
+// added.
+bool StoreReader::keepMissingClaims(EntryMap &Entries, const std::string &Name,
+                                    const DocumentEntry &Previous,
+                                    const std::vector<Claim> &Read) const {
+  NamedServices IsNamed = this->namedServices();
+  auto Names = [&IsNamed](const Claim &One) {
+    return IsNamed(One.Details.Service);
+  };
+  if (std::any_of(Read.begin(), Read.end(), Names))
+    return false;
+  FaultList Faults;
+  std::vector<Claim> Merged = readClaims(*Previous.Bytes, Name, Faults);
+  std::erase_if(Merged, [&](const Claim &One) { return !Names(One); });
+  if (Merged.empty())
+    return false;
+  Merged.insert(Merged.end(), Read.begin(), Read.end());
+  orderClaims(Merged, IsNamed);
+  Entries[Name] = makeEntry(Name, writeClaims(Merged));
+  return true;
 }
 
 // Keeps an instance marked as leaving if the node's list, in Previous, has the
 // same start of it as leaving: a restored store may have lost the drain.
-// Returns whether the mark was kept.
+// Returns whether a mark was kept.
 bool StoreReader::keepMissingDrain(EntryMap &Entries, const std::string &Name,
                                    const DocumentEntry &Previous) const {
   auto Read = Entries.find(Name);
   if (Read == Entries.end() || Read->second.Hash == Previous.Hash)
     return false;
   FaultList Faults;
-  std::optional<Instance> Old = readInstance(*Previous.Bytes, Name, Faults);
-  std::optional<Instance> New = readInstance(*Read->second.Bytes, Name, Faults);
-  if (!Old || !New || !Old->Leaving || New->Leaving || !Old->sameStart(*New))
-    return false;
-  New->Leaving = true;
-  Read->second = makeEntry(Name, writeInstance(*New));
-  return true;
+  std::vector<Claim> Old = readClaims(*Previous.Bytes, Name, Faults);
+  std::vector<Claim> New = readClaims(*Read->second.Bytes, Name, Faults);
+  bool Kept = false;
+  for (Claim &One : New) {
+    bool WasLeaving = std::any_of(Old.begin(), Old.end(), [&](const Claim &Of) {
+      return Of.Details.Leaving && Of.Details.sameStart(One.Details);
+    });
+    Kept |= WasLeaving && !One.Details.Leaving;
+    One.Details.Leaving |= WasLeaving;
+  }
+  if (Kept)
+    Read->second = makeEntry(Name, writeClaims(New));
+  return Kept;
+}
+
+// Publishes the lists if a change may be in them. Most changes in the store are
+// heartbeats, or entries that can't be used, which no list contains: writing
+// the lists of a large fleet at each would be the reader's main work.
+void StoreReader::updateLists(TimePoint Now) {
+  if (this->ListsChanged || Now < this->InstanceGraceEnd ||
+      this->hasRefusedDocument())
+    return this->publishLists(Now);
+  for (auto &[DataCentre, Published] : this->ListDocs)
+    Published = this->Hook.CurrentDocument(listTopic(DataCentre));
 }
 
 void StoreReader::publishLists(TimePoint Now) {
+  this->ListsChanged = false;
   bool InGrace = Now < this->InstanceGraceEnd;
-  std::set<std::string> ReadNames = this->readNames();
+  ClaimsByName Claims = this->readClaimsByName();
   this->ListsIncludeKept = false;
-  for (auto &[DataCentre, Entries] : this->listEntries(Now)) {
+  for (auto &[DataCentre, Entries] : this->listEntries(Claims)) {
     std::string Topic = listTopic(DataCentre);
     size_t Kept =
-        InGrace ? this->keepMissingEntries(Topic, Entries, ReadNames, Now) : 0;
+        InGrace ? this->keepMissingEntries(Topic, Entries, Claims, Now) : 0;
     this->ListsIncludeKept |= Kept > 0;
     DocumentPtr KeptFrom =
         Kept > 0 ? this->Hook.CurrentDocument(Topic) : nullptr;
--- a/src/reading/StoreReader.cpp
+++ b/src/reading/StoreReader.cpp
@@ -229,9 +229,9 @@
   return true;
 }
 
-// Instance lists don't contain the revision at which an item was created, so it
-// is set to 0. If a second item with the same instance name is read later, it
-// has a higher one and takes precedence.
+// Instance lists contain the revision at which an item was created only where
+// several items claim one name; else it is set to 0. If a second item with the
+// same instance name is read later, it has a higher one and comes first.
 bool StoreReader::resumeLists() {
   std::map<std::string, ListedInstance> Resumed;
   std::map<std::string, DocumentPtr> Lists;
@@ -241,18 +241,23 @@
     if (!Current)
       return false;
     for (const auto &[Name, Entry] : Current->entries()) {
-      std::optional<Instance> Parsed = readInstance(*Entry.Bytes, Name, Faults);
-      if (!Parsed || Parsed->Upstream.empty())
+      std::vector<Claim> Claims = readClaims(*Entry.Bytes, Name, Faults);
+      if (Claims.empty())
         return false;
-      Resumed[this->Layout.InstanceKey(*Parsed)] = {
-          *Parsed, /*CreatedRevision=*/0, Parsed->ColdLeft};
+      for (const Claim &One : Claims) {
+        if (One.Details.Upstream.empty())
+          return false;
+        Resumed[this->Layout.InstanceKey(One.Details)] = {
+            One.Details, One.CreatedRevision, One.Details.ColdLeft};
+      }
     }
     Lists[DataCentre] = Current;
   }
-  for (const auto &[Key, Listed] : Resumed)
-    if (Listed.Details.Incarnation != 0)
-      this->LatestIncarnation[Key] =
-          std::max(this->LatestIncarnation[Key], Listed.Details.Incarnation);
+  for (const auto &[Key, Listed] : Resumed) {
+    uint64_t Incarnation = Listed.Details.Incarnation;
+    if (Incarnation != 0 && Incarnation > this->LatestStarts[Key].Incarnation)
+      this->LatestStarts[Key] = {Incarnation, /*LateWrites=*/0};
+  }
   this->Instances = std::move(Resumed);
   this->ListDocs = std::move(Lists);
   return true;
@@ -340,14 +345,15 @@
       this->applyItem(*Change.Item, Now);
       continue;
     }
-    this->Instances.erase(Change.Key);
+    this->removeInstance(Change.Key);
+    this->ReportedFaults.erase(Change.Key);
     if (this->EvacuationKeys.erase(Change.Key) != 0)
       this->RemovedEvacuationKeys.insert(Change.Key);
   }
   if (!Got->Changes.empty() || this->hasRefusedDocument()) {
     this->publishEvacuations(Now);
     this->publishConfig(Now);
-    this->publishLists(Now);
+    this->updateLists(Now);
   }
   this->confirmAll(AskedAt);
   this->reportComplete();
@@ -491,33 +497,77 @@
     this->EvacuationKeys.insert(Item.Key);
 }
 
-// An item that can't be parsed refers to no upstream: the instance that was
+// An item that can't be used refers to no upstream: the instance that was
 // stored under its key before is removed, since the store no longer contains
 // it. Other items are not affected.
-//
-// An upstream that restarts under the same name has a higher incarnation. A
-// write by its earlier process may reach the store after that, and would
-// restore a drain mark that no longer applies, so that callers would not use an
-// upstream that serves. So items of an earlier incarnation are ignored.
 void StoreReader::applyInstance(const StoredItem &Item, TimePoint Now) {
-  Result<Instance> Read = this->Layout.ReadInstance(Item);
+  Result<Instance> Read = this->readInstanceItem(Item);
   if (!Read) {
-    this->Instances.erase(Item.Key);
-    return this->Hook.Unreadable(Read.error(), Now);
-  }
-  if (Read->Incarnation != 0) {
-    uint64_t &Latest = this->LatestIncarnation[Item.Key];
-    if (Read->Incarnation < Latest)
-      return;
-    Latest = Read->Incarnation;
-    if (this->LatestIncarnation.size() > this->Opts.MaxRememberedStarts)
-      std::erase_if(this->LatestIncarnation, [this](const auto &Entry) {
-        return !this->Instances.count(Entry.first);
-      });
+    this->removeInstance(Item.Key);
+    return this->reportUnusable(Item.Key, Read.error(), Now);
   }
+  this->ReportedFaults.erase(Item.Key);
+  if (Read->Incarnation != 0 && this->isLateWrite(Item.Key, Read->Incarnation))
+    return;
   ListedInstance New{*Read, Item.CreatedRevision, Read->ColdLeft};
   this->updateColdSpell(New, Item.Key);
-  this->Instances[Item.Key] = std::move(New);
+  auto [Old, IsNew] = this->Instances.try_emplace(Item.Key);
+  this->ListsChanged |= IsNew || !Old->second.isListedLike(New);
+  Old->second = std::move(New);
+}
+
+void StoreReader::removeInstance(const std::string &Key) {
+  this->ListsChanged |= this->Instances.erase(Key) != 0;
+}
+
+// What a list can't hold would make the whole entry unreadable for every node.
+Result<Instance> StoreReader::readInstanceItem(const StoredItem &Item) const {
+  Result<Instance> Read = this->Layout.ReadInstance(Item);
+  if (!Read)
+    return Read;
+  auto Unusable = [&Item](const std::string &Why) {
+    return Error{Errc::Invalid, "read-item", "store", Item.Key + ": " + Why};
+  };
+  bool IsKnown = std::find(this->DataCentres.begin(), this->DataCentres.end(),
+                           Read->DataCentre) != this->DataCentres.end();
+  if (!IsKnown)
+    return Unusable("unknown data centre " + Read->DataCentre);
+  if (Read->Incarnation > MaxIncarnation)
+    return Unusable("start time out of range");
+  if (Read->Slots > MaxInstanceSlots)
+    return Unusable("number of slots out of range");
+  (*Read).ColdLeft = std::min(Read->ColdLeft, MaxColdLeft);
+  return Read;
+}
+
+// An item that stays unusable is written again at each heartbeat of its writer,
+// and is reported once.
+void StoreReader::reportUnusable(const std::string &Key, const Error &Fault,
+                                 TimePoint Now) {
+  auto Known = this->ReportedFaults.find(Key);
+  if (Known != this->ReportedFaults.end() && Known->second == Fault.Detail)
+    return;
+  if (this->ReportedFaults.size() < this->Opts.MaxRememberedFaults)
+    this->ReportedFaults[Key] = Fault.Detail;
+  this->Hook.Unreadable(Fault, Now);
+}
+
+// An upstream that restarts under the same name has a higher incarnation. A
+// write by its earlier process may reach the store after that, and would
+// restore a drain mark that no longer applies, so that callers would not use an
+// upstream that serves. So items of an earlier incarnation are ignored, unless
+// they go on: then the greater number was another writer's.
+bool StoreReader::isLateWrite(const std::string &Key, uint64_t Incarnation) {
+  LatestStart &Latest = this->LatestStarts[Key];
+  if (Incarnation < Latest.Incarnation &&
+      ++Latest.LateWrites <= this->Opts.MaxLateWrites)
+    return true;
+  Latest = {Incarnation, /*LateWrites=*/0};
+  if (this->LatestStarts.size() > this->Opts.MaxRememberedStarts)
+    std::erase_if(this->LatestStarts, [this](const auto &Entry) {
+      return !this->Instances.count(Entry.first);
+    });
+  return false;
 }
 
 // Every upstream is cold after its start, which all nodes know. Counting the
--- a/src/reading/StoreReader.h
+++ b/src/reading/StoreReader.h
@@ -2,6 +2,7 @@
 #define HICKORYLIFT_READING_STOREREADER_H
 
 #include "base/TokenBucket.h"
+#include "membership/Claims.h"
 #include "reading/DocumentSource.h"
 #include "reading/KeyValueStore.h"
 
@@ -66,6 +67,13 @@
     /// items are gone. A fleet that replaces 2,500 upstreams a day reaches this
     /// number in some weeks.
     size_t MaxRememberedStarts = 50000;
+    /// Writes of an earlier incarnation under a key, with none of the latest
+    /// between, after which the earlier one is taken for the living one. A
+    /// process that has ended can't write again and again.
+    unsigned MaxLateWrites = 2;
+    /// Number of unusable items that are remembered, so that each is reported
+    /// once and not with each of its changes.
+    size_t MaxRememberedFaults = 10000;
   };
 
   StoreReader(Options Opts, KeyValueStore &Store, StoreLayout Layout,
@@ -89,9 +97,13 @@
     uint64_t CreatedRevision = 0;
     // The remaining cold time according to the item in the store.
     Millis StoredColdLeft{0};
+
+    bool isListedLike(const ListedInstance &Other) const {
+      return this->Details == Other.Details &&
+             this->CreatedRevision == Other.CreatedRevision;
+    }
   };
 
-  static std::string claimText(const ListedInstance &Of);
   void startNextRequest(TimePoint Now);
   bool isServedByOthers(TimePoint Now);
   void updateLastAskedByAny();
@@ -126,6 +138,10 @@
   void fail(const Error &Why, TimePoint Now);
   void applyItem(const StoredItem &Item, TimePoint Now);
   void applyInstance(const StoredItem &Item, TimePoint Now);
+  Result<Instance> readInstanceItem(const StoredItem &Item) const;
+  void reportUnusable(const std::string &Key, const Error &Fault,
+                      TimePoint Now);
+  bool isLateWrite(const std::string &Key, uint64_t Incarnation);
   void updateColdSpell(ListedInstance &New, const std::string &Key) const;
   bool decodeConfig(TimePoint Now);
   void reportIssues(const ParsedConfig &Read, TimePoint Now);
@@ -138,20 +154,24 @@
   bool isSuperseded(const std::string &Topic,
                     const DocumentPtr &Published) const;
   bool hasSupersededList() const;
+  void removeInstance(const std::string &Key);
+  void updateLists(TimePoint Now);
   void publishLists(TimePoint Now);
   bool hasRefusedDocument() const;
   bool lacksConfig() const;
   bool nodeHas(const std::string &Topic, const DocumentPtr &Doc) const;
+  using ClaimsByName = std::map<std::string, std::vector<Claim>>;
   using EntriesByDataCentre = std::map<std::string, EntryMap>;
   size_t keepMissingEntries(const std::string &Topic, EntryMap &Entries,
-                            const std::set<std::string> &ReadNames,
-                            TimePoint Now) const;
-  std::set<std::string> readNames() const;
+                            const ClaimsByName &Read, TimePoint Now) const;
+  bool keepMissingClaims(EntryMap &Entries, const std::string &Name,
+                         const DocumentEntry &Previous,
+                         const std::vector<Claim> &Read) const;
   bool keepMissingDrain(EntryMap &Entries, const std::string &Name,
                         const DocumentEntry &Previous) const;
-  EntriesByDataCentre listEntries(TimePoint Now);
-  void reportContests(std::map<std::string, std::string> Contests,
-                      TimePoint Now);
+  ClaimsByName readClaimsByName() const;
+  NamedServices namedServices() const;
+  EntriesByDataCentre listEntries(const ClaimsByName &Claims) const;
   void confirmAll(TimePoint AskedAt);
   void reportComplete();
   Millis startDelay();
@@ -184,9 +204,19 @@
   uint64_t FirstPageRevision = 0;
   // The copy: instances by key. The newest version is in ConfigDoc.
   std::map<std::string, ListedInstance> Instances;
+  // Whether the copy has changed in what the lists contain since they were
+  // published.
+  bool ListsChanged = false;
   // The latest incarnation seen under each key, if the platform reports
   // incarnations.
-  std::map<std::string, uint64_t> LatestIncarnation;
+  struct LatestStart {
+    uint64_t Incarnation = 0;
+    // Writes of earlier incarnations since the last one of this.
+    unsigned LateWrites = 0;
+  };
+  std::map<std::string, LatestStart> LatestStarts;
+  // Unusable items by key, each with the fault that was reported.
+  std::map<std::string, std::string> ReportedFaults;
   // Keys of the items that mark a data centre as evacuated.
   std::set<std::string> EvacuationKeys;
   // Keys of evacuations that were seen to be removed in the current era.
@@ -198,8 +228,6 @@
   DocumentPtr ConfigDoc;
   // Issues of the records of the newest version.
   std::set<RecordIssue> ReportedIssues;
-  // The names that several items claim, with the details last reported.
-  std::map<std::string, std::string> ReportedContests;
   // The list of each data centre as it was published last.
   std::map<std::string, DocumentPtr> ListDocs;
   // The latest time at which any node is known to have asked the platform.
--- a/src/reading/StoreReaderTest.cpp
+++ b/src/reading/StoreReaderTest.cpp
@@ -1,4 +1,5 @@
 #include "reading/StoreReader.h"
+#include "config/Config.h"
 #include "membership/Evacuations.h"
 #include "reading/SplitReader.h"
 #include "reading/StoreFixture.h"
@@ -79,8 +80,6 @@
   std::map<std::string, DocumentPtr> Documents;
   std::vector<std::string> Failures;
   std::vector<std::string> Unreadable;
-  /// The names claimed by several entries, each with its detail.
-  std::vector<std::string> Contests;
   /// The versions and issues of changed records.
   std::vector<std::string> RecordIssues;
   /// The old and the new era of each reported restore, in order.
@@ -116,10 +115,6 @@
     Hooks.Unreadable = [this](const Error &Why, TimePoint) {
       this->Unreadable.push_back(Why.Detail);
     };
-    Hooks.Contested = [this](const std::string &Node, const std::string &Detail,
-                             TimePoint) {
-      this->Contests.push_back(Node + ": " + Detail);
-    };
     Hooks.RecordChanged = [this](uint64_t Version, const RecordIssue &Issue,
                                  TimePoint) {
       this->RecordIssues.push_back(std::to_string(Version) + " " +
@@ -556,17 +551,6 @@
 
 // Guards against listing the old entry of an address that is assigned again
 // before that entry has expired.
-// Guards against an entry that displaces another without a trace in the log, or
-// with one at each of its heartbeats.
-BOOST_FIXTURE_TEST_CASE(ContestedAddressesAreReportedOnce, Fixture) {
-  this->startWith({storedInstance("x+old", 1), storedInstance("x+new", 5),
-                   storedInstance("y", 2)},
-                  5);
-  this->writeEntry("y", {"live", "live"});
-  std::vector<std::string> Expected = {"x: x+new of a, left out x+old of a"};
-  BOOST_TEST(this->Contests == Expected, boost::test_tools::per_element());
-}
-
 BOOST_FIXTURE_TEST_CASE(LaterEntryOfAReusedAddressIsListed, Fixture) {
   this->startWith({storedInstance("x+old", 1), storedInstance("x+new", 5)}, 5);
   BOOST_TEST(this->listed() == 1u);
@@ -597,6 +581,22 @@
      {"5 live", "6 live", "", "5 live"},
      "none",
      "none"},
+    {"an earlier start goes on writing: the later one was another writer's",
+     {"5 live", "6 leaving", "5 live", "5 live", "5 live"},
+     "live",
+     "5"},
+    {"a later start writes between the late writes",
+     {"6 live", "5 leaving", "5 leaving", "6 live", "5 leaving"},
+     "live",
+     "6"},
+    {"a start that no list can hold",
+     {"5 live", "9223372036854775808 live"},
+     "none",
+     "none"},
+    {"the upstream after a start that no list can hold",
+     {"5 live", "9223372036854775808 live", "5 live"},
+     "live",
+     "5"},
     {"the newest value counts without incarnations",
      {"leaving", "live"},
      "live",
@@ -648,6 +648,7 @@
      2500},
     {"the second cold spell ends", {"5 live", "5 cold 2500", "5 live"}, 0},
     {"the upstream restarts", {"5 live", "5 cold 2500", "6 cold 2800"}, 0},
+    {"longer than a list can hold", {"5 live", "5 cold 100000000000"}, 3600000},
 };
 
 // Guards against lists that change with each heartbeat of each upstream that
@@ -678,6 +679,51 @@
   BOOST_TEST(this->entryOf("x") != "none");
 }
 
+// Guards against a log that fills up, and lists that are written anew, at each
+// heartbeat of a writer whose entries can't be used.
+BOOST_FIXTURE_TEST_CASE(UnusableEntriesCostNothingLater, Fixture) {
+  this->startWith({storedInstance("x", 1)}, 1);
+  DocumentPtr Before = this->Documents.at("instances/north");
+  this->writeEntry("z", {"rubbish", "rubbish", "rubbish"});
+  BOOST_TEST(this->Unreadable.size() == 1u);
+  this->writeEntry("z", {""});
+  BOOST_TEST((this->Documents.at("instances/north") == Before));
+  this->writeEntry("z", {"rubbish"});
+  BOOST_TEST(this->Unreadable.size() == 2u);
+}
+
+// Guards against lists that are written anew at each heartbeat.
+BOOST_FIXTURE_TEST_CASE(HeartbeatsLeaveTheListsAsTheyAre, Fixture) {
+  this->startWith({storedInstance("x", 1), storedInstance("y", 2)}, 2);
+  this->writeEntry("x", {"live"});
+  DocumentPtr Before = this->Documents.at("instances/north");
+  this->writeEntry("x", {"live", "live"});
+  BOOST_TEST((this->Documents.at("instances/north") == Before));
+  BOOST_TEST(this->ReportedComplete == this->Revision);
+}
+
+// Guards against losing an upstream whose entry expired in an outage of the
+// store, because another writer's entry at its address did not.
+BOOST_FIXTURE_TEST_CASE(ExpiredEntriesAreKeptBesideOthers, Fixture) {
+  std::string Service = recordEntryName("service", "a", 1);
+  this->Documents[ConfigTopic] =
+      Document::make(3, 1, {{Service, makeEntry(Service, "{}")}});
+  StoredItem Agent = storedInstance("x+agent", 2);
+  Agent.Value = "of b";
+  this->startWith({storedInstance("x", 1), Agent}, 2);
+  auto ListsUpstream = [this] {
+    return this->entryOf("x").find(R"("upstream":"x")") != std::string::npos;
+  };
+  BOOST_TEST(ListsUpstream());
+  this->Store.answerWatch(unreachable(), this->Now);
+  this->runUntilRequest();
+  this->Store.answerWatch(ItemChanges{{{"i/x", 5, std::nullopt}}, 5},
+                          this->Now);
+  BOOST_TEST(ListsUpstream());
+  this->step(Millis(2300));
+  BOOST_TEST(!ListsUpstream());
+}
+
 /// The documents that a node has received from neighbours before it reads, and
 /// its first request.
 struct ReceivedCase {
--- a/src/routing/StatementMemory.h
+++ b/src/routing/StatementMemory.h
@@ -23,9 +23,6 @@
 
 class StatementMemory {
 public:
-  /// Name and incarnation of an upstream, which identify one of its starts.
-  using UpstreamStart = std::pair<std::string, uint64_t>;
-
   struct Remembered {
     UpstreamStart Start;
     UpstreamStatement Stated;
