Move the histogram of hedging into a class of its own

A planned stop needs the same: durations whose weight decays, and their quantiles. No change in what hedging does; its tests pass as they are.

--- a/src/routing/HedgePolicy.h
+++ b/src/routing/HedgePolicy.h
@@ -2,8 +2,8 @@
 #define HICKORYLIFT_ROUTING_HEDGEPOLICY_H
 
 #include "base/Time.h"
+#include "routing/DecayingHistogram.h"
 
-#include <array>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -77,22 +77,13 @@
   bool spendHedge(const std::string &Route);
 
 private:
-  // Times are counted in buckets whose bounds grow by a tenth, from 100 us to
-  // about 140 s. A delay is then at most a tenth too long.
-  static constexpr size_t BucketCount = 150;
-
   struct RouteTimes {
-    std::array<float, BucketCount> Weights{};
-    double TotalWeight = 0;
-    TimePoint DecayedAt;
+    DecayingHistogram Times;
     double SavedHedges = 0;
   };
 
   RouteTimes *findOrAdd(const std::string &Route);
   const RouteTimes *findKnown(const std::string &Route, TimePoint Now) const;
-  double remainingWeight(const RouteTimes &Times, TimePoint Now) const;
-  void decay(RouteTimes &Times, TimePoint Now) const;
-  Clock::duration quantile(const RouteTimes &Times, double Share) const;
 
   Options Opts;
   std::map<std::string, RouteTimes> ByRoute;
