Let every time of a planned stop follow from the platform's grace

What callers saw: with a grace of 10 s and work of 4.5 s, requests that must not run twice, taken 2.4 to 2.8 s after the signal and at work at their upstream, got our own 504 at 5.5 s. With a shorter grace the kill would have come first.

Cause: stop.within_ms was 5500 whatever the grace, and a stopping node took whatever came without asking whether it could end. Beside it: the gate did the same for other entries' calls and for those that had waited; second tries and hedges began in the last moments; the calls of runs that go on beside the node were refused, so that these failed; a suspension did not count.

Entry and gate know how long 99 in 100 calls of each route lasted, and refuse at once, as not run, what could not end. The calls of runs are taken until these end.

Why it works: what is taken either has its deadline before the stop's end, or its route's calls have been shorter than what is left.

--- a/src/calls/Entry.cpp
+++ b/src/calls/Entry.cpp
@@ -170,8 +170,22 @@
   return this->Hook.CheckQuarantine(Call.RequestFingerprint, Now);
 }
 
+bool Entry::canEndBeforeStop(const PendingCall &Call, TimePoint Now) const {
+  std::optional<TimePoint> StopsAt = this->Hook.StopsAt();
+  return !StopsAt || this->Completions.endsBy(Call.MatchedRoute->Name,
+                                              Call.Deadline, *StopsAt, Now);
+}
+
 void Entry::routeCall(CallerId Caller, TimePoint Now) {
   PendingCall &Call = this->Calls.at(Caller);
+  if (!this->canEndBeforeStop(Call, Now)) {
+    if (this->returnToDetachedRun(Caller, Call, Now))
+      return;
+    Refusal Cause =
+        this->refusal(Outcome::NotRun, ReasonStopping, StepEntry, "");
+    Cause.RetryAfter = this->Opts.RetryAfter;
+    return this->giveUp(Caller, Call.LastRefusal.value_or(Cause), Now);
+  }
   Quarantine::Decision Decision = this->checkQuarantine(Call, Now);
   if (Decision.RequestStatus == Quarantine::Status::Quarantined) {
     Refusal Cause = this->refusal(Outcome::NotRun, Quarantined, StepEntry, "");
--- a/src/calls/Entry.h
+++ b/src/calls/Entry.h
@@ -9,6 +9,7 @@
 #include "lineage/RunRegistry.h"
 #include "membership/Membership.h"
 #include "quarantine/Quarantine.h"
+#include "routing/CompletionTimes.h"
 #include "routing/HedgePolicy.h"
 #include "routing/LoadBalancer.h"
 #include "routing/NodeRank.h"
@@ -222,6 +223,11 @@
                        TimePoint)>
         RefuteUpstream = [](const std::string &, const UpstreamStart &,
                             TimePoint) { return false; };
+    /// When the process ends, if a planned stop has begun. A call that would
+    /// last longer is refused as not run.
+    std::function<std::optional<TimePoint>()> StopsAt = [] {
+      return std::optional<TimePoint>();
+    };
     /// The run of the upstream beside this entry that makes the request with
     /// this id; nothing if none does. Without this hook no call is nested, and
     /// Open frames do not say which calls are repeats.
@@ -436,6 +442,8 @@
   PendingCall makeCall(const RequestHead &Head, const Route &MatchedRoute,
                        TimePoint Now);
   void routeCall(CallerId Caller, TimePoint Now);
+  bool canEndBeforeStop(const PendingCall &Call, TimePoint Now) const;
+  bool isNested(const RequestHead &Head) const;
   const Route *findRoute(const RequestHead &Head) const;
   bool gathersBody(const RequestHead &Head) const;
   const Instance *chooseGate(const PendingCall &Call, TimePoint Now);
@@ -535,6 +543,7 @@
                                          uint64_t Seq) const;
 
   static constexpr char StepEntry[] = "entry";
+  static constexpr char ReasonStopping[] = "stopping";
   static constexpr char StepLink[] = "gate-link";
   static constexpr char ReasonHedgeRefused[] = "hedge-refused";
 
@@ -558,6 +567,8 @@
   RetryAllocator ShedRetries;
   NodeRank CallRank;
   HedgePolicy Hedges;
+  // From the offer of a call to the end of its answer.
+  CompletionTimes Completions;
   // When each run without an answer is to be hedged, by its sequence number;
   // entries of ended runs are skipped.
   std::multimap<TimePoint, uint64_t> HedgeTimers;
--- a/src/calls/EntryAnswers.cpp
+++ b/src/calls/EntryAnswers.cpp
@@ -206,6 +206,8 @@
   Credit.consumed = Found->second.Response.received();
   this->Hook.Send(Gate, makeCallFrame(Credit));
   ++this->Counts.Answered;
+  this->Completions.record(Found->second.MatchedRoute->Name,
+                           Now - Found->second.AssignedAt, Now);
   this->Hook.CallFinished(Now - Found->second.ReceivedAt, /*Answered=*/true);
   this->finish(*Caller, Now);
   this->Hook.BodyEnd(*Caller);
--- a/src/calls/EntryHedges.cpp
+++ b/src/calls/EntryHedges.cpp
@@ -53,7 +53,7 @@
   const std::string &Route = Call.MatchedRoute->Name;
   if (Call.CurrentState != State::Sent || !this->allowsHedge(Call) ||
       !this->Hedges.fits(Route, Call.Deadline, Now) ||
-      !this->Hedges.hasHedge(Route))
+      !this->canEndBeforeStop(Call, Now) || !this->Hedges.hasHedge(Route))
     return;
   // While upstreams shed calls, the retries go to calls that have no run.
   if (this->ShedRetries.isShedding(Call.TargetService->Name, Now))
--- a/src/calls/EntryRequests.cpp
+++ b/src/calls/EntryRequests.cpp
@@ -40,6 +40,14 @@
   return MatchedRoute && MatchedRoute->isIdempotent(Head.Method);
 }
 
+// Whether a run of the upstream beside this entry makes the request. Such a run
+// may go on after callers are no longer taken, and would fail without it.
+bool Entry::isNested(const RequestHead &Head) const {
+  return this->Hook.FindParentRun &&
+         this->Hook.FindParentRun(
+             findHeader(Head.Headers, this->Opts.HeaderNames.RequestId));
+}
+
 std::optional<Refusal> Entry::check(CallerId, const RequestHead &Head,
                                     TimePoint Now) const {
   auto NotRun = [&](const char *Reason, unsigned Status) {
@@ -49,7 +57,7 @@
       Cause.RetryAfter = this->Opts.RetryAfter;
     return Cause;
   };
-  if (this->Draining)
+  if (this->Draining && !this->isNested(Head))
     return NotRun("entry-draining", 0);
   if (!this->ActiveConfig) {
     Refusal Cause = NotRun("no-configuration", 0);
--- a/src/calls/EntryTest.cpp
+++ b/src/calls/EntryTest.cpp
@@ -39,6 +39,11 @@
   // was asked about.
   Quarantine::Decision Decision;
   std::vector<Fingerprint> Checked;
+  // When the process stops, if it does.
+  std::optional<TimePoint> StopsAt;
+  // The starts that were refuted, and whether another claim takes their place.
+  std::vector<UpstreamStart> RefutedStarts;
+  bool HasOtherClaim = false;
   TimePoint Now = Start;
 
   EntryFixture() : EntryFixture(/*FleetRetryReserve=*/6) {}
@@ -91,6 +96,12 @@
       this->OnRefuse(Id);
     };
     Hooks.PauseRequest = [](Entry::CallerId, bool) {};
+    Hooks.StopsAt = [this] { return this->StopsAt; };
+    Hooks.RefuteUpstream = [this](const std::string &,
+                                  const UpstreamStart &Start, TimePoint) {
+      this->RefutedStarts.push_back(Start);
+      return this->HasOtherClaim;
+    };
     Hooks.CheckQuarantine = [this](const Fingerprint &RequestFingerprint,
                                    TimePoint) {
       this->Checked.push_back(RequestFingerprint);
@@ -1040,6 +1051,125 @@
   BOOST_TEST(findHeader(fromWire(Open->headers), "Origin") == "b");
 }
 
+/// How a gate or its upstream ends a call, and what the entry makes of it.
+struct RefuteRow {
+  const char *Reason;
+  bool HasOtherClaim;
+  bool Refuted;
+  bool SameGateAgain;
+};
+std::ostream &operator<<(std::ostream &Stream, const RefuteRow &Row) {
+  return Stream << Row.Reason << (Row.HasOtherClaim ? ", another claim" : "");
+}
+
+const RefuteRow RefuteRows[] = {
+    {"upstream-replaced", true, true, true},
+    {"not-my-service", true, true, true},
+    {"upstream-replaced", false, true, false},
+    {"overload", true, false, false},
+};
+
+// Guards against calls that go on naming an upstream that has disowned them,
+// and against losing the only gate of a service over it.
+BOOST_DATA_TEST_CASE(DisownedCallsRefuteTheClaim, data::make(RefuteRows), Row) {
+  EntryFixture Test;
+  Test.setGates({"g-1"});
+  Test.HasOtherClaim = Row.HasOtherClaim;
+  Test.connectGate("g-1");
+  Test.request(1, "/read/1");
+  Test.sendFailed("g-1", Test.opens().back().second->seq, wire::Outcome::NotRun,
+                  Row.Reason);
+  BOOST_TEST(Test.RefutedStarts.size() == (Row.Refuted ? 1u : 0u));
+  if (Row.Refuted)
+    BOOST_TEST(Test.RefutedStarts[0].first == "up-g-1");
+  BOOST_TEST(Test.opens().size() == (Row.SameGateAgain ? 2u : 1u));
+  BOOST_TEST(Test.Refused.count(1) == (Row.SameGateAgain ? 0u : 1u));
+}
+
+// Guards against an upstream that is displaced while it answers, and against
+// holding on to one that has failed or is silent.
+BOOST_FIXTURE_TEST_CASE(AnswersConfirmTheUpstream, EntryFixture) {
+  this->setGates({"g-1"});
+  Instance Named = *this->Fleet.find("g-1");
+  Instance Other = Named;
+  Other.Upstream = "other";
+  auto Answer = [&](Entry::CallerId Id) {
+    this->request(Id, "/read/1");
+    this->answerWith(this->opens().back().second->seq, {"a", "b"});
+  };
+  this->connectGate("g-1");
+  BOOST_TEST(!this->TestedEntry->isConfirmed(Named));
+  Answer(1);
+  BOOST_TEST(this->TestedEntry->isConfirmed(Named));
+  BOOST_TEST(!this->TestedEntry->isConfirmed(Other));
+  this->advanceTime(Millis(3100));
+  BOOST_TEST(!this->TestedEntry->isConfirmed(Named));
+  Answer(2);
+  this->request(3, "/write/1");
+  this->sendFailed("g-1", this->opens().back().second->seq,
+                   wire::Outcome::Unknown, "upstream-crashed");
+  BOOST_TEST(!this->TestedEntry->isConfirmed(Named));
+}
+
+/// A call during a planned stop, by how long the route's calls have taken.
+struct StopRow {
+  const char *Name;
+  std::optional<Millis> Known;
+  Millis Budget;
+  Millis UntilStop;
+  const char *Refused;
+};
+std::ostream &operator<<(std::ostream &Stream, const StopRow &Row) {
+  return Stream << Row.Name;
+}
+
+const StopRow StopRows[] = {
+    {"its deadline is before the stop", std::nullopt, Millis(400), Millis(500),
+     ""},
+    {"nothing is known of its route", std::nullopt, Millis(800), Millis(500),
+     "not-run stopping"},
+    {"its route's calls are short", Millis(100), Millis(800), Millis(500), ""},
+    {"its route's calls are long", Millis(700), Millis(800), Millis(500),
+     "not-run stopping"},
+};
+
+// Guards against a call that must not run twice, taken during a stop and cut at
+// its end.
+BOOST_DATA_TEST_CASE(StopsTakeOnlyWhatCanEnd, data::make(StopRows), Row) {
+  EntryFixture Test;
+  Test.setGates({"g-1"});
+  Test.connectGate("g-1");
+  if (Row.Known) {
+    Test.request(1, "/write/1");
+    uint64_t Seq = Test.opens().back().second->seq;
+    Test.advanceTime(*Row.Known);
+    Test.answerWith(Seq, {"a", "b"});
+    wire::DataT End;
+    End.seq = Seq;
+    End.end = true;
+    Test.TestedEntry->handleFrame("g-1", makeCallFrame(std::move(End)),
+                                  Test.Now);
+  }
+  size_t Before = Test.opens().size();
+  Test.StopsAt = Test.Now + Row.UntilStop;
+  Test.request(2, "/write/1", Row.Budget);
+  BOOST_TEST(Test.Refused[2] == Row.Refused);
+  BOOST_TEST(Test.opens().size() - Before == (Row.Refused[0] ? 0u : 1u));
+}
+
+// Guards against a second try that begins during a stop and is cut.
+BOOST_FIXTURE_TEST_CASE(StopsBeginNoSecondTryThatCannotEnd, EntryFixture) {
+  this->connectGate("g-1");
+  this->connectGate("g-2");
+  this->connectGate("g-3");
+  this->request(1, "/read/1", Millis(900));
+  auto [Gate, Open] = this->opens().back();
+  this->StopsAt = this->Now + Millis(500);
+  this->sendFailed(Gate, Open->seq, wire::Outcome::NotRun, "overload");
+  BOOST_TEST(this->opens().size() == 1u);
+  BOOST_TEST(this->Refused[1] == "not-run overload");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -182,6 +182,8 @@
     return RefuseNotRun("not-my-service");
   if (this->UpstreamGone)
     return RefuseNotRun(ReasonUpstreamGone);
+  if (!this->canEndBeforeStop(Open.route, Call, Now))
+    return RefuseNotRun(ReasonStopping);
   this->AdmissionControl.coldStart().observeUpstream(Open.upstream, Now);
   this->queryHealthIfNeeded(Now);
   if (this->callRecordCount() > this->Opts.MaxCallRecords)
@@ -203,6 +205,13 @@
                                       : this->requestSlot(Id, Call, Now);
 }
 
+bool Gate::canEndBeforeStop(const std::string &Route, const CallRecord &Call,
+                            TimePoint Now) const {
+  std::optional<TimePoint> StopsAt = this->Hook.StopsAt();
+  return !StopsAt ||
+         this->Completions.endsBy(Route, Call.Deadline, *StopsAt, Now);
+}
+
 void Gate::requestSlot(const CallId &Id, CallRecord &Call, TimePoint Now) {
   Call.Prefetching = false;
   Admission::Request SlotRequest = Call.SlotRequest;
@@ -259,6 +268,12 @@
                         makeRefusal(Outcome::NotRun, "deadline", StepAdmission,
                                     this->Opts.Self),
                         Now);
+  // It may have waited for its slot or its body since the stop began.
+  if (!this->canEndBeforeStop(Call.SlotRequest.Kind, Call, Now))
+    return this->refuse(Id, Call,
+                        makeRefusal(Outcome::NotRun, ReasonStopping,
+                                    StepAdmission, this->Opts.Self),
+                        Now);
   if (!this->checkQuarantine(Id, Call, Now) ||
       !this->checkIdempotencyKey(Id, Call, Now))
     return;
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -14,6 +14,7 @@
 #include "gate/SlowdownDetector.h"
 #include "gate/TransferScheduler.h"
 #include "lineage/RunRegistry.h"
+#include "routing/CompletionTimes.h"
 
 #include <functional>
 #include <map>
@@ -144,6 +145,11 @@
     /// and how long it ran.
     std::function<void(Clock::duration Waited, Clock::duration Ran)>
         CallFinished = [](Clock::duration, Clock::duration) {};
+    /// When the process ends, if a planned stop has begun. A call that would
+    /// last longer is refused as not run.
+    std::function<std::optional<TimePoint>()> StopsAt = [] {
+      return std::optional<TimePoint>();
+    };
     /// Age of the oldest instance list; nothing while one is unknown.
     std::function<std::optional<Millis>(TimePoint)> ListAge = [](TimePoint) {
       return Millis(0);
@@ -451,6 +457,8 @@
   bool canBufferBody(const CallRecord &Call) const;
   bool shouldPrefetchBody(const CallRecord &Call, TimePoint Now) const;
   void prefetchBody(const CallId &Id, CallRecord &Call, TimePoint Now);
+  bool canEndBeforeStop(const std::string &Route, const CallRecord &Call,
+                        TimePoint Now) const;
   void requestSlot(const CallId &Id, CallRecord &Call, TimePoint Now);
   void requestBody(const CallId &Id, const CallRecord &Call);
   void grantTransfers(TimePoint Now);
@@ -510,6 +518,7 @@
   static constexpr char StepAdmission[] = "admission";
   static constexpr char StepUpstream[] = "upstream";
   static constexpr char ReasonUpstreamGone[] = "upstream-gone";
+  static constexpr char ReasonStopping[] = "stopping";
   static constexpr char ReasonStalled[] = "caller-stalled";
   static constexpr char ReasonOverload[] = "overload";
   static constexpr char ReasonEvicted[] = "evicted";
@@ -519,6 +528,8 @@
   Hooks Hook;
   Admission AdmissionControl;
   IdempotencyChecker KeyChecker;
+  // From the start of a call to the end of its answer.
+  CompletionTimes Completions;
   TransferScheduler Transfers;
   CrashDetector Runs;
   ShedDetector Shedding;
--- a/src/calls/GateCallsTest.cpp
+++ b/src/calls/GateCallsTest.cpp
@@ -538,6 +538,45 @@
   BOOST_TEST(Test.TestGate->idle());
 }
 
+// Guards against a call of another entry that a stopping gate takes and cuts.
+BOOST_FIXTURE_TEST_CASE(StoppingGatesTakeOnlyWhatCanEnd, GateFixture) {
+  ResponseHead Answer;
+  Answer.Status = 200;
+  Answer.Length = 0;
+  this->StopsAt = this->Now + Millis(1500);
+  this->sendOpen(this->makeOpen(1)); // until its deadline, which is sooner
+  BOOST_TEST(this->StartedCalls.size() == 1u);
+  this->Now += Millis(400);
+  this->TestGate->upstreamHead({7, 1}, Answer, this->Now);
+  this->Now += Millis(600);
+  this->sendOpen(this->makeOpen(2)); // 400 ms, as the first one
+  BOOST_TEST(this->StartedCalls.size() == 2u);
+  this->Now += Millis(200);
+  this->sendOpen(this->makeOpen(3));
+  BOOST_TEST(this->StartedCalls.size() == 2u);
+  BOOST_REQUIRE(this->lastFailed());
+  BOOST_TEST(this->lastFailed()->reason == "stopping");
+  BOOST_TEST((this->lastFailed()->outcome == wire::Outcome::NotRun));
+}
+
+// Guards against a call that has waited for a slot since the stop began, and
+// starts too late to end.
+BOOST_FIXTURE_TEST_CASE(StoppingGatesStartNoQueuedCallTooLate, GateFixture) {
+  this->listSlots(1);
+  ResponseHead Answer;
+  Answer.Status = 200;
+  Answer.Length = 0;
+  this->sendOpen(this->makeOpen(1));
+  this->sendOpen(this->makeOpen(2));
+  BOOST_TEST(this->StartedCalls.size() == 1u);
+  this->StopsAt = this->Now + Millis(100);
+  this->Now += Millis(60);
+  this->TestGate->upstreamHead({7, 1}, Answer, this->Now);
+  BOOST_TEST(this->StartedCalls.size() == 1u);
+  BOOST_REQUIRE(this->lastFailed());
+  BOOST_TEST(this->lastFailed()->reason == "stopping");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
--- a/src/calls/GateFixture.h
+++ b/src/calls/GateFixture.h
@@ -44,6 +44,8 @@
   std::vector<std::string> HealthQueries;
   /// Whether each started request is written to the upstream at once.
   bool SendsAtOnce = true;
+  /// When the process stops, if it does.
+  std::optional<TimePoint> StopsAt;
   TimePoint Now = TimePoint(std::chrono::hours(1));
 
   /// Opens a call with a long body. The entry sends the body when it is
@@ -142,6 +144,7 @@
         [this](const std::vector<Quarantine::RunningRequest> &Running,
                TimePoint) { this->ReportedCrashes.push_back(Running); };
     Hooks.Probe = [this] { ++this->ProbeCount; };
+    Hooks.StopsAt = [this] { return this->StopsAt; };
     Hooks.QueryHealth = [this](const std::string &Path) {
       this->HealthQueries.push_back(Path);
     };
--- a/src/calls/GateUpstream.cpp
+++ b/src/calls/GateUpstream.cpp
@@ -179,6 +179,7 @@
                      Now);
   this->Hook.RequestAnswered(Call->RequestFingerprint, Now);
   ++this->Counts.Answered;
+  this->Completions.record(Call->SlotRequest.Kind, Now - Call->StartedAt, Now);
   this->Hook.CallFinished(Call->StartedAt - Call->ArrivedAt,
                           Now - Call->StartedAt);
   Call->AnswerBody.finish();
--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -26,6 +26,10 @@
 #include <unistd.h>
 
 ABSL_FLAG(std::string, settings, "", "settings file of a node (run, check)");
+ABSL_FLAG(
+    std::string, grace, "",
+    "time between the signal to stop and the kill, as \"6s\", in place of "
+    "stop.grace_ms; empty for the file's value (run, check)");
 ABSL_FLAG(std::string, descriptors, "",
           "descriptors that the process may have open, in place of "
           "budget.descriptors; empty for the file's value (run, check)");
@@ -91,6 +95,7 @@
     return std::nullopt;
   }
   ProcessLimits Limits;
+  Limits.Grace = absl::GetFlag(FLAGS_grace);
   Limits.Descriptors = absl::GetFlag(FLAGS_descriptors);
   return readSettings(*Text, Path, Faults, Limits);
 }
@@ -300,12 +305,12 @@
 }
 
 const Command Commands[] = {
-    {"run", "hickorylift run --settings=FILE [--descriptors=N]",
+    {"run", "hickorylift run --settings=FILE [--grace=TIME] [--descriptors=N]",
      "Runs a node until SIGTERM, which is a graceful stop. Exit 0 after a "
      "planned stop, 1 if the settings have faults or a port is taken.",
      runNode},
     {"check",
-     "hickorylift check [--settings=FILE] [--descriptors=N] "
+     "hickorylift check [--settings=FILE] [--grace=TIME] [--descriptors=N] "
      "[--records=FILE]",
      "Prints every fault with its place. Exit 0 without faults, else 1. "
      "Nothing else is done.",
--- a/src/node/Node.cpp
+++ b/src/node/Node.cpp
@@ -167,6 +167,7 @@
         .info();
   };
   Hooks.Leaving = [this] { this->Http->closeAfterAnswers(); };
+  Hooks.CloseIdle = [this] { this->Http->closeIdle(); };
   Hooks.StopListening = [this] {
     this->Http->stopListening();
     this->Http->closeIdle();
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -131,6 +131,7 @@
   Out.CheckQuarantine = [this](const Fingerprint &Of, TimePoint Now) {
     return this->Control->quarantine().check(Of, Now);
   };
+  Out.StopsAt = [this] { return this->StopBy; };
   // The list's readers are told in the next turn, as the entry is in the midst
   // of a call.
   Out.RefuteUpstream = [this](const std::string &Gate,
@@ -187,6 +188,7 @@
   Out.SlowdownChanged = [this](bool Slow, uint32_t Percent, TimePoint Now) {
     this->noteSlowdown(Slow, Percent, Now);
   };
+  Out.StopsAt = [this] { return this->StopBy; };
   Out.ListAge = [this](TimePoint Now) {
     return this->Control->oldestListAge(Now);
   };
@@ -232,7 +234,12 @@
     this->pausedFor(Gap, Now);
 }
 
+// The platform counts the time of a stop with the suspension.
 void NodeCore::suspended(Millis For, TimePoint Now) {
+  if (this->StopBy)
+    *this->StopBy -= For;
+  if (this->LingerUntil)
+    *this->LingerUntil -= For;
   if (For > this->Opts.SuspendThreshold)
     this->pausedFor(For, Now);
 }
@@ -475,7 +482,16 @@
   this->LingerUntil.reset();
   this->drainGate(ByStop, Now);
   this->From->drain();
-  this->Hook.StopListening();
+  this->Hook.CloseIdle();
+  this->stopListening();
+}
+
+// A run of the upstream may still make calls here, which fail if nobody listens
+// to them. Other callers are refused meanwhile.
+void NodeCore::stopListening() {
+  bool MayCall = this->Runs.enabled() && this->Runs.runCount() > 0;
+  if (!MayCall && !std::exchange(this->ListeningEnded, true))
+    this->Hook.StopListening();
 }
 
 void NodeCore::callTick(TimePoint Now) {
@@ -484,6 +500,8 @@
   this->From->tick(Now);
   if (this->LingerUntil && Now >= *this->LingerUntil)
     this->endLinger(Now);
+  if (this->StopBy && !this->LingerUntil)
+    this->stopListening();
   if (this->StopBy && !this->StopDone)
     this->finishStop(Now);
 }
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -74,6 +74,8 @@
         [](const ConfigPtr &) {};
     /// A planned stop has begun: ask callers to go elsewhere next time.
     std::function<void()> Leaving = [] {};
+    /// Close the callers' connections on which nothing is under way.
+    std::function<void()> CloseIdle = [] {};
     /// Take no more connections from callers.
     std::function<void()> StopListening = [] {};
     /// Whether no caller would lose an answer if the process ended now.
@@ -161,10 +163,12 @@
   TokenBucket SlowdownLog{/*Rate=*/0.2, /*Burst=*/5};
   bool LoggedSlow = false;
   void endLinger(TimePoint Now);
+  void stopListening();
   void pausedFor(Millis Gap, TimePoint Now);
 
   std::optional<TimePoint> StopBy;
   std::optional<TimePoint> LingerUntil;
+  bool ListeningEnded = false;
   // Whether anything asks the upstream how it is.
   bool AsksUpstream = true;
   // The calls that were left when the time for a planned stop ran out have been
--- a/src/node/NodeCoreTest.cpp
+++ b/src/node/NodeCoreTest.cpp
@@ -1,4 +1,5 @@
 #include "node/NodeCore.h"
+#include "node/StopTimes.h"
 
 #include "control/ControlFixture.h"
 
@@ -13,7 +14,7 @@
 
 constexpr LinkId Link = 1;
 const std::string Records = R"([
-  {"kind":"service","name":"a","schema":1},
+  {"kind":"service","name":"a","schema":1,"slots":100},
   {"kind":"route","name":"r","schema":3,"match":{"prefix":"/"},
    "service":"a","idempotent":true}])";
 
@@ -25,24 +26,36 @@
   std::vector<bool> RefusedNested;
   bool CallersServed = true;
   bool Stopped = false;
+  bool Listening = true;
+  std::string RefusedReason;
   TimePoint Now = TimePoint(std::chrono::hours(1));
 
-  explicit NodeCoreFixture(const std::string &Separator) {
+  /// The calls that have started at the upstream.
+  std::vector<CallId> Started;
+
+  explicit NodeCoreFixture(const std::string &Separator,
+                           StopTimes Times = {Millis(5500), Millis(0)}) {
     NodeCore::Options Opts;
     Opts.setIdentity("me", "north", {"north"}, "a", /*Incarnation=*/1);
     Opts.CallEntry.HeaderNames.RequestId = "Request-Id";
     Opts.CallGate.HeaderNames.RequestId = "Request-Id";
     Opts.NestedCalls.IdSeparator = Separator;
-    Opts.StopWithin = Millis(5500);
+    Opts.StopWithin = Times.Within;
+    Opts.StopLinger = Times.Linger;
     NodeCore::Hooks Hooks;
     Hooks.Send = [](LinkId, const std::string &) {};
+    Hooks.StopListening = [this] { this->Listening = false; };
     Hooks.Callers.LogEvent = [this](const Entry::CallEvent &Event, TimePoint) {
       this->RefusedNested.push_back(Event.Nested);
+      this->RefusedReason = Event.Reason;
     };
     Hooks.CallersServed = [this] { return this->CallersServed; };
     Hooks.Stopped = [this] { this->Stopped = true; };
     Hooks.Callers.Refuse = [](Entry::CallerId, const Refusal &) {};
-    Hooks.Upstream.Start = [](const CallId &, const RequestHead &, bool) {};
+    Hooks.Upstream.Start = [this](const CallId &Id, const RequestHead &, bool) {
+      this->Started.push_back(Id);
+      this->Core->gate().requestSent(Id, this->Now);
+    };
     Hooks.Upstream.BodyEnd = [](const CallId &) {};
     this->Core = std::make_unique<NodeCore>(
         Opts,
@@ -61,15 +74,16 @@
     this->Core->gate().linkUp(Link, this->Now);
   }
 
-  void startRun(const std::string &RequestId) {
+  void startRun(const std::string &RequestId, uint64_t Seq = 1,
+                Millis Budget = Millis(1000)) {
     wire::OpenT Open;
-    Open.seq = 1;
+    Open.seq = Seq;
     Open.entry = 7;
     Open.service = "a";
     Open.method = "GET";
     Open.path = "/x";
-    Open.budget_ms = 1000;
-    Open.target_ms = 1000;
+    Open.budget_ms = static_cast<uint32_t>(Budget.count());
+    Open.target_ms = Open.budget_ms;
     Open.headers = toWire({{"Request-Id", RequestId}});
     this->Core->gate().handleFrame(Link, makeCallFrame(std::move(Open)),
                                    this->Now);
@@ -128,6 +142,91 @@
              (Expected + 2 * Tick).count());
 }
 
+// Guards against a run that fails because its own calls are no longer taken
+// while the node beside it stops.
+BOOST_AUTO_TEST_CASE(StopsTakeTheCallsOfRunsUntilTheseEnd) {
+  NodeCoreFixture Test(".");
+  Test.startRun("run");
+  Test.Core->stop("signal", Test.Now);
+  Test.Core->callTick(Test.Now);
+  BOOST_TEST(Test.Listening);
+  Test.isNested("other.1");
+  BOOST_TEST(Test.RefusedReason == "entry-draining");
+  Test.isNested("run.1");
+  BOOST_TEST(Test.RefusedReason == "no-upstream");
+  Test.Core->gate().upstreamEnd({7, 1}, Test.Now);
+  Test.Core->callTick(Test.Now);
+  BOOST_TEST(!Test.Listening);
+}
+
+// Guards against a stop that the platform cuts because the machine stood still
+// meanwhile.
+BOOST_AUTO_TEST_CASE(SuspensionsCountInTheTimeOfAStop) {
+  NodeCoreFixture Test("");
+  Test.CallersServed = false;
+  Test.Core->stop("signal", Test.Now);
+  Test.Core->suspended(Millis(3000), Test.Now);
+  for (int I = 0; I < 30; ++I) {
+    Test.Now += Millis(100);
+    Test.Core->callTick(Test.Now);
+  }
+  BOOST_TEST(Test.Stopped);
+}
+
+struct GraceRow {
+  Millis Grace;
+  Millis Work;
+};
+std::ostream &operator<<(std::ostream &Out, const GraceRow &Row) {
+  return Out << "grace " << Row.Grace.count() << " ms, work "
+             << Row.Work.count() << " ms";
+}
+
+const GraceRow GraceRows[] = {
+    {Millis(6000), Millis(300)},   {Millis(6000), Millis(2000)},
+    {Millis(6000), Millis(4500)},  {Millis(10000), Millis(300)},
+    {Millis(10000), Millis(2000)}, {Millis(10000), Millis(4500)},
+    {Millis(3000), Millis(300)},   {Millis(3000), Millis(2000)},
+    {Millis(3000), Millis(4500)},
+};
+
+// Guards against a stop that takes calls and cuts them at its end, be it its
+// own or the platform's, and against one that lasts longer than its calls.
+BOOST_DATA_TEST_CASE(StopsEndAllTheyTakeUnderEachGrace, data::make(GraceRows),
+                     Row) {
+  constexpr Millis Tick{100};
+  constexpr Millis Budget{60000};
+  NodeCoreFixture Test("", stopTimes(Row.Grace, Millis(2800)));
+  ResponseHead Answer;
+  Answer.Status = 200;
+  Answer.Length = 0;
+  Test.startRun("known", 1, Budget);
+  Test.Now += Row.Work;
+  Test.Core->gate().upstreamHead({7, 1}, Answer, Test.Now);
+  BOOST_REQUIRE(Test.Started.size() == 1u);
+
+  TimePoint Signal = Test.Now;
+  Test.Core->stop("signal", Test.Now);
+  std::map<TimePoint, CallId> Running;
+  bool Took = false;
+  for (uint64_t Seq = 2; !Test.Stopped; ++Seq) {
+    Test.Now += Tick;
+    for (; !Running.empty() && Running.begin()->first <= Test.Now;
+         Running.erase(Running.begin()))
+      Test.Core->gate().upstreamHead(Running.begin()->second, Answer, Test.Now);
+    size_t Before = Test.Started.size();
+    Test.startRun("late", Seq, Budget);
+    for (size_t I = Before; I < Test.Started.size(); ++I)
+      Running[Test.Now + Row.Work] = Test.Started[I];
+    Took |= !Running.empty();
+    Test.Core->callTick(Test.Now);
+    BOOST_REQUIRE((Test.Now - Signal < Row.Grace));
+  }
+  BOOST_TEST(Running.empty());
+  BOOST_TEST(Took ==
+             (Row.Work + Tick < stopTimes(Row.Grace, Millis(0)).Within));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
--- a/src/reading/StorePublishing.cpp
+++ b/src/reading/StorePublishing.cpp
@@ -223,12 +223,13 @@
     if (Found == Read.end()) {
       Entries[Name] = Entry;
       ++Kept;
-    } else if (this->keepMissingClaims(Entries, Name, Entry, Found->second)) {
-      ++Kept;
-    } else if (Now < this->RestoreGraceEnd &&
-               this->keepMissingDrain(Entries, Name, Entry)) {
-      ++Kept;
+      continue;
     }
+    bool KeptClaims =
+        this->keepMissingClaims(Entries, Name, Entry, Found->second);
+    bool KeptDrain = !KeptClaims && Now < this->RestoreGraceEnd &&
+                     this->keepMissingDrain(Entries, Name, Entry);
+    Kept += KeptClaims || KeptDrain;
   }
   return Kept;
 }
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -1,5 +1,7 @@
 #include "settings/Settings.h"
 
+#include "node/StopTimes.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/time/time.h>
 
@@ -11,6 +13,7 @@
 namespace {
 
 constexpr int64_t MaxMs = 3600 * 1000;
+constexpr int64_t DefaultStopMs = 60000;
 // A link is condemned after this many heartbeats in a row were missed, at
 // least: fewer and one lost packet cuts healthy links.
 constexpr int64_t MinMissedHeartbeats = 3;
@@ -437,13 +440,37 @@
         static_cast<size_t>(Audit.integer("events", 1000, 10, 1000000));
     Audit.finish();
     JsonObject Stop = this->section(Top, "stop");
-    this->Out.Core.StopWithin = Stop.millis("within_ms", 60000, 0, MaxMs);
-    this->Out.Core.StopLinger = Stop.millis("linger_ms", 0, 0, MaxMs);
-    if (this->Out.Core.StopLinger > this->Out.Core.StopWithin)
+    Millis Grace = Stop.millis("grace_ms", 0, 0, MaxMs);
+    if (!this->Limits.Grace.empty())
+      Grace = this->graceLimit();
+    Millis &Within = this->Out.Core.StopWithin;
+    Millis &Linger = this->Out.Core.StopLinger;
+    Within = Stop.millis("within_ms", DefaultStopMs, 0, MaxMs);
+    Linger = Stop.millis("linger_ms", 0, 0, MaxMs);
+    if (Linger > Within)
       Stop.fault("linger_ms", "expected at most within_ms");
+    if (Grace.count() > 0) {
+      StopTimes Times = stopTimes(Grace, Linger);
+      Within = std::min(Within, Times.Within);
+      Linger = std::min(Times.Linger, Within);
+    }
     Stop.finish();
   }
 
+  Millis graceLimit() {
+    absl::Duration Value;
+    bool Valid = absl::ParseDuration(this->Limits.Grace, &Value) &&
+                 Value >= absl::ZeroDuration() &&
+                 Value <= absl::Milliseconds(MaxMs);
+    if (!Valid) {
+      this->limitFault("--grace",
+                       "expected a duration with a unit, \"6s\", of at most " +
+                           std::to_string(MaxMs) + " ms");
+      return Millis(0);
+    }
+    return Millis(absl::ToInt64Milliseconds(Value));
+  }
+
   JsonSource Source;
   const ProcessLimits &Limits;
   Settings Out;
--- a/src/settings/SettingsTest.cpp
+++ b/src/settings/SettingsTest.cpp
@@ -253,22 +253,30 @@
 
 /// Limits from the command line, and what becomes of them.
 struct LimitRow {
+  const char *Grace;
   const char *Descriptors;
+  int64_t ExpectedWithinMs;
   size_t ExpectedDescriptors;
   const char *Fault;
 };
 std::ostream &operator<<(std::ostream &To, const LimitRow &Of) {
-  return To << "descriptors=" << Of.Descriptors;
+  return To << "grace=" << Of.Grace << " descriptors=" << Of.Descriptors;
 }
 
 const LimitRow LimitRows[] = {
     // The platform leaves a value empty that it does not have.
-    {"", 3000, ""},
-    {"4100", 4100, ""},
-    {"0", 0, ""},
-    {"63", 0, "/budget/descriptors: expected 0"},
-    {"-1", 0, "--descriptors: expected a whole number"},
-    {"many", 0, "--descriptors: expected a whole number"},
+    {"", "", 5500, 3000, ""},
+    {"", "4100", 5500, 4100, ""},
+    {"", "0", 5500, 0, ""},
+    {"", "63", 0, 0, "/budget/descriptors: expected 0"},
+    {"", "-1", 0, 0, "--descriptors: expected a whole number"},
+    {"", "many", 0, 0, "--descriptors: expected a whole number"},
+    {"10s", "", 9167, 3000, ""},
+    {"2.5s", "", 2100, 3000, ""},
+    {"1500ms", "", 1250, 3000, ""},
+    {"10", "", 0, 0, "--grace: expected a duration"},
+    {"-1s", "", 0, 0, "--grace: expected a duration"},
+    {"1000h", "", 0, 0, "--grace: expected a duration"},
 };
 
 // Guards against a limit that the platform tells and the process ignores.
@@ -277,16 +285,21 @@
   std::string Text = readWhole("conf/aspenfold.jsonc");
   std::string Key = "\"spread\": {";
   Text.replace(Text.find(Key), Key.size(),
-               "\"budget\": {\"descriptors\": 3000}, " + Key);
+               "\"budget\": {\"descriptors\": 3000}, "
+               "\"stop\": {\"grace_ms\": 6000}, " +
+                   Key);
   FaultList Faults;
   ProcessLimits Limits;
+  Limits.Grace = Row.Grace;
   Limits.Descriptors = Row.Descriptors;
   std::optional<Settings> Read = readSettings(Text, "f", Faults, Limits);
   BOOST_TEST(Read.has_value() == (Row.Fault[0] == '\0'));
   BOOST_TEST(faultTexts(Faults).find(Row.Fault) != std::string::npos,
              faultTexts(Faults));
-  if (Read)
-    BOOST_TEST(Read->Descriptors == Row.ExpectedDescriptors);
+  if (!Read)
+    return;
+  BOOST_TEST(Read->Descriptors == Row.ExpectedDescriptors);
+  BOOST_TEST(Read->Core.StopWithin.count() == Row.ExpectedWithinMs);
 }
 
 BOOST_AUTO_TEST_CASE(FaultsNameTheirPlace) {
