Let a gate learn from its upstream which claim is its own

An entry that leaves no call unanswered knew which claim on a gate's address is right, and the gate itself did not: a newer entry of the same service, by another writer, counted as a restart of the upstream (its slots, its speed and its statements forgotten, a cold start supposed) and its 'draining' closed the gate. And where an upstream disowned every listed claim, as one that has just restarted does until its entry is read, calls were offered to the gate again and again in place of leaving it out for a while.

Tests: GatesKnowWhatTheirUpstreamAnswersTo, RefutationsEndWithTheLastClaim.

--- a/src/calls/Gate.cpp
+++ b/src/calls/Gate.cpp
@@ -614,6 +614,8 @@
 }
 
 void Gate::tick(TimePoint Now) {
+  if (Now - this->AnsweredAt > this->Opts.ConfirmationPeriod)
+    this->AnsweredBy.clear();
   this->AdmissionControl.coldStart().startCounting(Now);
   this->abortAbandonedCalls(Now);
   this->endStalledCalls(Now);
--- a/src/calls/Gate.h
+++ b/src/calls/Gate.h
@@ -121,6 +121,9 @@
     /// The upstream counts as slow if its runs take longer than this percentage
     /// of their usual time.
     uint32_t SlowPercent = 150;
+    /// For this long after its last answer the upstream is taken for the one
+    /// that the call was meant for.
+    Millis ConfirmationPeriod{3000};
     /// Shortest time between two pongs that report a slowdown on one link.
     Millis SlowdownPongInterval{200};
   };
@@ -162,6 +165,10 @@
     /// The upstream answered a request completely.
     std::function<void(const Fingerprint &, TimePoint)> RequestAnswered =
         [](const Fingerprint &, TimePoint) {};
+    /// The upstream has turned away a call as meant for another one, of this
+    /// name.
+    std::function<void(const std::string &Upstream, TimePoint)>
+        UpstreamDisowned = [](const std::string &, TimePoint) {};
     /// The upstream crashed while these requests were running.
     std::function<void(const std::vector<Quarantine::RunningRequest> &,
                        TimePoint)>
@@ -281,6 +288,11 @@
   /// Whether no call runs or waits and no answer is still to be sent to an
   /// entry.
   bool idle() const;
+  /// Whether the upstream has answered a call that was meant for this one
+  /// within ConfirmationPeriod, and has not failed since.
+  bool isConfirmed(const Instance &Of) const {
+    return !this->AnsweredBy.empty() && this->AnsweredBy == Of.Upstream;
+  }
   /// Counts of the calls that have not ended, by state.
   struct UnfinishedCalls {
     size_t Waiting = 0;
@@ -530,6 +542,10 @@
   IdempotencyChecker KeyChecker;
   // From the start of a call to the end of its answer.
   CompletionTimes Completions;
+  // The upstream that the last answered call was meant for, and when it was
+  // answered; empty if that is too long ago.
+  std::string AnsweredBy;
+  TimePoint AnsweredAt;
   TransferScheduler Transfers;
   CrashDetector Runs;
   ShedDetector Shedding;
--- a/src/calls/GateCallsTest.cpp
+++ b/src/calls/GateCallsTest.cpp
@@ -577,6 +577,26 @@
   BOOST_TEST(this->lastFailed()->reason == "stopping");
 }
 
+// Guards against a gate that takes another writer's entry for its upstream,
+// although the upstream has said that it is another one.
+BOOST_FIXTURE_TEST_CASE(GatesKnowWhatTheirUpstreamAnswersTo, GateFixture) {
+  Instance Named;
+  Named.Upstream = "up-1";
+  ResponseHead Answer;
+  Answer.Status = 200;
+  Answer.Length = 0;
+  this->sendOpen(this->makeOpen(1));
+  this->TestGate->upstreamHead({7, 1}, Answer, this->Now);
+  BOOST_TEST(this->TestGate->isConfirmed(Named));
+  this->Now += Millis(3100);
+  this->TestGate->tick(this->Now);
+  BOOST_TEST(!this->TestGate->isConfirmed(Named));
+  this->sendOpen(this->makeOpen(2));
+  Answer.Status = 421;
+  this->TestGate->upstreamHead({7, 2}, Answer, this->Now);
+  BOOST_TEST((this->Disowned == std::vector<std::string>{"up-1"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
--- a/src/calls/GateFixture.h
+++ b/src/calls/GateFixture.h
@@ -39,6 +39,8 @@
   /// The running requests of each crash that the gate reported.
   std::vector<std::vector<Quarantine::RunningRequest>> ReportedCrashes;
   std::vector<Fingerprint> AnsweredRequests;
+  /// The names by which the upstream was called and that it has disowned.
+  std::vector<std::string> Disowned;
   size_t ProbeCount = 0;
   /// Paths at which the gate queried the upstream's health.
   std::vector<std::string> HealthQueries;
@@ -145,6 +147,9 @@
                TimePoint) { this->ReportedCrashes.push_back(Running); };
     Hooks.Probe = [this] { ++this->ProbeCount; };
     Hooks.StopsAt = [this] { return this->StopsAt; };
+    Hooks.UpstreamDisowned = [this](const std::string &Upstream, TimePoint) {
+      this->Disowned.push_back(Upstream);
+    };
     Hooks.QueryHealth = [this](const std::string &Path) {
       this->HealthQueries.push_back(Path);
     };
--- a/src/calls/GateUpstream.cpp
+++ b/src/calls/GateUpstream.cpp
@@ -55,6 +55,8 @@
   this->recordShedding(*Call, Head, Now);
   if (this->handleUpstreamRefusal(Id, *Call, Head, Now))
     return this->advanceQueue(Now);
+  this->AnsweredBy = Call->ExpectedUpstream;
+  this->AnsweredAt = Now;
   Call->HaveAnswerHead = true;
   Call->AnsweredAt = Now;
   Call->AnswerHead = Head;
@@ -115,8 +117,11 @@
   // call.
   bool Marked = Head.Status == MisdirectedStatus || this->isMarkedNotRun(Head);
   bool Misdirected = Head.Status == MisdirectedStatus;
-  if (Misdirected)
+  if (Misdirected) {
+    this->AnsweredBy.clear();
     this->suspectRestart(Now);
+    this->Hook.UpstreamDisowned(Call.ExpectedUpstream, Now);
+  }
   if (Marked) {
     Refusal Details = makeRefusal(
         Outcome::NotRun, Misdirected ? "upstream-replaced" : "upstream-shed",
@@ -220,6 +225,7 @@
   if (!Call || Call->Phase != State::Running)
     return;
   std::string Reason = "upstream-" + Cause.Code.message();
+  this->AnsweredBy.clear();
   if (!Sent) {
     if (!Call->IdempotencyKey.empty())
       this->KeyChecker.recordNotRun(Call->IdempotencyKey);
--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -627,14 +627,6 @@
   this->Hook.MembersChanged(Now);
 }
 
-bool ControlPlane::refuteUpstream(const std::string &Name,
-                                  const UpstreamStart &Start, TimePoint Now) {
-  bool Changed = this->Fleet.refute(Name, Start);
-  if (Changed)
-    this->reportContests(Now);
-  return Changed;
-}
-
 void ControlPlane::reportContests(TimePoint Now) {
   std::map<std::string, std::string> Contests = this->Fleet.contests();
   for (const auto &[Name, Text] : Contests) {
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -186,9 +186,13 @@
     return this->ActiveConfigSince;
   }
   const Membership &members() const { return this->Fleet; }
-  /// See Membership.
-  bool refuteUpstream(const std::string &Name, const UpstreamStart &Start,
-                      TimePoint Now);
+  /// See Membership. Start is an UpstreamStart, or the name of an upstream.
+  template <typename T>
+  bool refuteUpstream(const std::string &Name, const T &Start, TimePoint Now) {
+    bool IsOtherUsed = this->Fleet.refute(Name, Start);
+    this->reportContests(Now);
+    return IsOtherUsed;
+  }
   void setConfirmation(std::function<bool(const Instance &)> IsConfirmed) {
     this->Fleet.setConfirmation(std::move(IsConfirmed));
   }
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -243,24 +243,42 @@
 }
 
 bool Membership::refute(const std::string &Name, const UpstreamStart &Start) {
-  const Instance *Before = this->find(Name);
-  bool IsUsed =
-      Before && UpstreamStart(Before->Upstream, Before->Incarnation) == Start;
-  auto List = IsUsed ? this->Lists.find(Before->DataCentre) : this->Lists.end();
-  if (List == this->Lists.end())
-    return false;
-  const ListedNode &Listed = List->second[Name];
-  if (Listed.Claims.size() < 2)
+  const ListedNode *Listed = this->findListed(Name);
+  bool IsClaim =
+      Listed && std::any_of(Listed->Claims.begin(), Listed->Claims.end(),
+                            [&](const auto &One) {
+                              return UpstreamStart(One->Upstream,
+                                                   One->Incarnation) == Start;
+                            });
+  if (!IsClaim || Listed->Claims.size() < 2)
     return false;
   std::set<UpstreamStart> &Disowned = this->Refuted[Name];
   Disowned.insert(Start);
-  // One of them must be right, so an earlier refusal had another reason.
-  if (Disowned.size() >= Listed.Claims.size())
+  // One of them must be right, so the earlier refusals had another reason, or
+  // the list lacks the right one.
+  bool IsNoneLeft = Disowned.size() >= Listed->Claims.size();
+  if (IsNoneLeft)
     Disowned = {Start};
-  bool Changed = this->chooseAgain();
-  if (Changed)
+  if (this->chooseAgain())
     this->rebuild();
-  return Changed;
+  return !IsNoneLeft;
+}
+
+bool Membership::refute(const std::string &Name, const std::string &Upstream) {
+  const Instance *Used = this->find(Name);
+  return Used && Used->Upstream == Upstream &&
+         this->refute(Name, UpstreamStart(Upstream, Used->Incarnation));
+}
+
+// The entry of the list in which the name counts; null if it counts in none.
+const Membership::ListedNode *
+Membership::findListed(const std::string &Name) const {
+  const Instance *Used = this->find(Name);
+  auto List = Used ? this->Lists.find(Used->DataCentre) : this->Lists.end();
+  if (List == this->Lists.end())
+    return nullptr;
+  auto Listed = List->second.find(Name);
+  return Listed == List->second.end() ? nullptr : &Listed->second;
 }
 
 void Membership::forgetRefutations() {
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -151,8 +151,11 @@
   bool setServices(std::set<std::string> Names);
   /// The upstream beside a node has turned away a call that was meant for this
   /// start, or the node is not one of its service. Returns whether another
-  /// claim on the node's address is used from now on.
+  /// claim on the node's address is used from now on that has not been turned
+  /// away as well.
   bool refute(const std::string &Name, const UpstreamStart &Start);
+  /// The same for whatever start of Upstream is used.
+  bool refute(const std::string &Name, const std::string &Upstream);
   /// Sets what tells whether an instance's upstream has just answered a call
   /// that was meant for it.
   void setConfirmation(std::function<bool(const Instance &)> IsConfirmed) {
@@ -242,6 +245,7 @@
                       const std::string &Name) const;
   std::shared_ptr<const Instance> choose(const ListedNode &Of) const;
   bool chooseAgain();
+  const ListedNode *findListed(const std::string &Name) const;
   void forgetRefutations();
 
   Options Opts;
--- a/src/membership/MembershipTest.cpp
+++ b/src/membership/MembershipTest.cpp
@@ -222,7 +222,7 @@
   for (const char *DataCentre : {"north", "south"})
     Fleet.update(DataCentre, *Document::make(1, 1, Entries));
   for (const std::string &Upstream : Row.Refuted)
-    Fleet.refute("x", {Upstream, 0});
+    Fleet.refute("x", UpstreamStart(Upstream, 0));
   const Instance *Used = Fleet.find("x");
   BOOST_REQUIRE(Used);
   BOOST_TEST(Used->Upstream == Row.ExpectedUpstream);
@@ -231,6 +231,20 @@
   BOOST_TEST(Fleet.contests().size() == 1u);
 }
 
+// Guards against offering a call again and again to a machine whose upstream
+// disowns every claim that is listed.
+BOOST_AUTO_TEST_CASE(RefutationsEndWithTheLastClaim) {
+  Membership Fleet = makeMembership("self", "north");
+  std::string Text =
+      writeClaims({{claimOnX("new", "a"), 2}, {claimOnX("old", "a"), 1}});
+  Fleet.update("north", *Document::make(1, 1, {{"x", makeEntry("x", Text)}}));
+  BOOST_TEST(!Fleet.refute("x", UpstreamStart("gone", 0)));
+  BOOST_TEST(Fleet.refute("x", UpstreamStart("new", 0)));
+  BOOST_TEST(Fleet.refute("x", UpstreamStart("new", 0)));
+  BOOST_TEST(Fleet.find("x")->Upstream == "old");
+  BOOST_TEST(!Fleet.refute("x", UpstreamStart("old", 0)));
+}
+
 // Guards against a node that takes what another writer lists at its address for
 // its own upstream, and closes its gate or believes it cold.
 BOOST_AUTO_TEST_CASE(NodesKnowTheirOwnService) {
--- a/src/node/NodeCore.cpp
+++ b/src/node/NodeCore.cpp
@@ -93,8 +93,10 @@
   this->From = std::make_unique<Entry>(this->Opts.CallEntry, this->entryHooks(),
                                        this->Control->members());
   this->At = std::make_unique<Gate>(this->Opts.CallGate, this->gateHooks());
-  this->Control->setConfirmation(
-      [this](const Instance &Of) { return this->From->isConfirmed(Of); });
+  this->Control->setConfirmation([this](const Instance &Of) {
+    bool IsOwn = Of.Name == this->Opts.CallGate.Self;
+    return IsOwn ? this->At->isConfirmed(Of) : this->From->isConfirmed(Of);
+  });
 }
 
 ControlPlane::Hooks NodeCore::controlHooks() {
@@ -132,14 +134,9 @@
     return this->Control->quarantine().check(Of, Now);
   };
   Out.StopsAt = [this] { return this->StopBy; };
-  // The list's readers are told in the next turn, as the entry is in the midst
-  // of a call.
   Out.RefuteUpstream = [this](const std::string &Gate,
                               const UpstreamStart &Start, TimePoint Now) {
-    bool Changed = this->Control->refuteUpstream(Gate, Start, Now);
-    if (Changed)
-      this->Hook.Post([this](TimePoint Now) { this->membersChanged(Now); });
-    return Changed;
+    return this->refuteUpstream(Gate, Start, Now);
   };
   if (this->Runs.enabled())
     Out.FindParentRun = [this](const std::string &RequestId) {
@@ -195,6 +192,9 @@
   Out.CheckQuarantine = [this](const Fingerprint &Of, TimePoint Now) {
     return this->Control->quarantine().check(Of, Now);
   };
+  Out.UpstreamDisowned = [this](const std::string &Upstream, TimePoint Now) {
+    this->refuteUpstream(this->Opts.CallGate.Self, Upstream, Now);
+  };
   Out.RequestAnswered = [this](const Fingerprint &Of, TimePoint Now) {
     this->Control->quarantine().requestAnswered(Of, Now);
   };
@@ -204,6 +204,18 @@
   return Out;
 }
 
+// The entry and the gate are told in the next turn, as one of them is in the
+// midst of a call.
+template <typename T>
+bool NodeCore::refuteUpstream(const std::string &Name, const T &Start,
+                              TimePoint Now) {
+  uint64_t Before = this->Control->members().generation();
+  bool IsOtherUsed = this->Control->refuteUpstream(Name, Start, Now);
+  if (this->Control->members().generation() != Before)
+    this->Hook.Post([this](TimePoint At) { this->membersChanged(At); });
+  return IsOtherUsed;
+}
+
 // Frames to this node's own gate wait for the next turn of the loop, as if
 // they had come over a link: otherwise the gate's answer would arrive while
 // the entry is still in the midst of sending.
--- a/src/node/NodeCore.h
+++ b/src/node/NodeCore.h
@@ -125,6 +125,8 @@
   Entry::Hooks entryHooks();
   Gate::Hooks gateHooks();
   void membersChanged(TimePoint Now);
+  template <typename T>
+  bool refuteUpstream(const std::string &Name, const T &Start, TimePoint Now);
   void noteOwnEntry(const Instance *Own, TimePoint Now);
   void followEvacuation(TimePoint Now);
   void auditDrain(const std::string &By, TimePoint Now);
