Let entries of unnamed services be nobody's parents

An entry of another writer at an address that is nobody's was a member of the spreading tree like any other: a thousand of them, among ten nodes, would be its readers and inner nodes, and a fleet small enough for every node to read would count as large. Nodes would go round them one failed link at a time.

Entries of services that the configuration does not name stand behind all others in the order of the tree, and do not count in the size of a small fleet while there are others. Nothing changes where all services are named. The log tells each unusable entry once, up to a thousand at a time.

Test: EntriesOfUnnamedServicesAreNobodysParents.

--- a/src/control/ControlPlane.cpp
+++ b/src/control/ControlPlane.cpp
@@ -605,6 +605,7 @@
   std::set<std::string> Services;
   for (const auto &[Name, Service] : this->ActiveConfig->services())
     Services.insert(Name);
+  this->NeedsRetarget |= Services != this->Fleet.services();
   bool MembersChange = this->Fleet.setServices(std::move(Services));
   this->reportContests(Now);
   this->Hook.ConfigChanged(this->ActiveConfig, Now);
--- a/src/control/ControlPlane.h
+++ b/src/control/ControlPlane.h
@@ -324,7 +324,7 @@
   // Limits audit events about unreadable items, as a faulty writer may write
   // them often, and about addresses that several items claim.
   TokenBucket ContestLog{/*Rate=*/1, /*Burst=*/1000};
-  TokenBucket UnreadableLog{/*Rate=*/1, /*Burst=*/10};
+  TokenBucket UnreadableLog{/*Rate=*/1, /*Burst=*/1000};
   TokenBucket RecordIssueLog{/*Rate=*/1, /*Burst=*/20};
   Membership Fleet;
   FleetView View;
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -149,6 +149,9 @@
   /// Sets the services that the configuration names. Until the first call all
   /// are taken to be named. Returns false if no instance changes.
   bool setServices(std::set<std::string> Names);
+  const std::optional<std::set<std::string>> &services() const {
+    return this->Services;
+  }
   /// The upstream beside a node has turned away a call that was meant for this
   /// start, or the node is not one of its service. Returns whether another
   /// claim on the node's address is used from now on that has not been turned
@@ -219,6 +222,11 @@
 private:
   std::vector<const Instance *> treeOrder(const std::string &DataCentre,
                                           const std::string &Salt) const;
+  // Place in a spreading tree; the least is the root.
+  using TreeRank = std::pair<bool, uint64_t>;
+  TreeRank treeRank(const std::string &Service, const std::string &Name,
+                    const std::string &Salt) const;
+  bool isNamed(const std::string &Service) const;
   size_t indexIn(const std::vector<const Instance *> &Order,
                  const std::string &Salt) const;
   const Instance *parentInTree(const std::string &Salt,
--- a/src/membership/MembershipTest.cpp
+++ b/src/membership/MembershipTest.cpp
@@ -231,6 +231,42 @@
   BOOST_TEST(Fleet.contests().size() == 1u);
 }
 
+// Guards against a tree whose inner nodes and readers are entries of another
+// writer, with no node at their addresses.
+BOOST_AUTO_TEST_CASE(EntriesOfUnnamedServicesAreNobodysParents) {
+  EntryMap Entries = makeList("north", 10)->entries();
+  for (int I = 0; I < 1000; ++I) {
+    Instance Odd{"odd-" + std::to_string(I), "north",          "metrics",
+                 "127.0.0.2:7000",           "127.0.0.2:9000", false};
+    Entries[Odd.Name] = makeEntry(Odd.Name, writeInstance(Odd));
+  }
+  size_t Readers = 0;
+  for (int I = 0; I < 10; ++I) {
+    Membership::Options Opts;
+    Opts.Self = "north-" + std::to_string(I);
+    Opts.DataCentre = "north";
+    Opts.Service = "a";
+    Opts.AllReadUpTo = 5;
+    Membership Fleet(Opts);
+    Fleet.update("north", *Document::make(1, 1, Entries));
+    Fleet.setServices({"a"});
+    Readers += Fleet.isReader();
+    for (const Neighbour &Linked : Fleet.neighbours())
+      BOOST_TEST(Linked.Peer->Service == "a");
+  }
+  BOOST_TEST(Readers == 2u);
+  Membership::Options Opts;
+  Opts.DataCentre = "north";
+  Opts.AllReadUpTo = 10;
+  Membership Fleet(Opts);
+  Fleet.update("north", *Document::make(1, 1, Entries));
+  BOOST_TEST(!Fleet.everyNodeReads());
+  Fleet.setServices({"a"});
+  BOOST_TEST(Fleet.everyNodeReads());
+  Fleet.setServices({"none"});
+  BOOST_TEST(!Fleet.everyNodeReads());
+}
+
 // Guards against offering a call again and again to a machine whose upstream
 // disowns every claim that is listed.
 BOOST_AUTO_TEST_CASE(RefutationsEndWithTheLastClaim) {
