--- a/src/calls/EntryAnswers.cpp
+++ b/src/calls/EntryAnswers.cpp
@@ -15,7 +15,6 @@
 // The gate's upstream is no longer running.
 const char UpstreamGone[] = "upstream-gone";
 const char UpstreamCrashed[] = "upstream-crashed";
-const char UpstreamShed[] = "upstream-shed";
 const char UpstreamReplaced[] = "upstream-replaced";
 const char UpstreamReasonPrefix[] = "upstream-";
 const char NotMyService[] = "not-my-service";
