Reset the connection of an answer to HTTP/1.0 that breaks off

Cause: such an answer ends with its connection, and the node, or the kernel for a process that was gone, ended it in the same way whether it was whole or not.

Change: from the head of such an answer until the kernel has all of it, a close of the connection resets it; closeWhenWritten() no longer sends an orderly end behind a part of it. A request of HTTP/1.0 waits for the answers ahead of it on its connection.

Why it works: it is an option of the socket, so that every path that closes it resets it, those outside the program included, and it is taken back only when the kernel has all bytes, right before the orderly end. Whole answers end in order as before, also those that their caller reads late.

--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -26,6 +26,12 @@
 // connection is only closed once the kernel has taken all of it, or after the
 // caller has read nothing for the idle timeout, which bounds the memory that
 // such a caller uses.
+//
+// An answer whose length is not known goes to a caller of HTTP/1.0 without any
+// mark of its end but that of the connection, and is whole for it if that end
+// is orderly. So from the head of such an answer until the kernel has all of
+// it, whatever closes the connection resets it, the end of this process
+// included.
 
 namespace hickorylift {
 
@@ -133,6 +139,8 @@
   bool WindowFull = false;
   bool Answering = false;
   bool Chunked = false;
+  // Only an orderly end of the connection marks the end of the answer.
+  bool EndsWithConnection = false;
   bool NoBody = false;
   bool Ended = false;
   bool CloseAfter = false;
@@ -303,8 +311,10 @@
                             const RequestHead &Head) const {
   if (On.Queue.empty())
     return true;
+  // HTTP/1.0 has no requests behind others, and the end of the answer may have
+  // to be a reset, which takes away what lies before it.
   return !this->Leaving && !On.Queue.back()->CloseAfter &&
-         this->Hook.MayOverlap(Head);
+         !On.Parser->isHttp10() && this->Hook.MayOverlap(Head);
 }
 
 // While this node is busy, a request lies in its socket, and its caller may
@@ -447,7 +457,9 @@
     return;
   Of->Answering = true;
   Of->NoBody = hasNoBody(Of->Method, Head.Status);
-  Of->Chunked = Head.Length < 0 && !Of->NoBody && !Of->Http10;
+  bool Unmarked = Head.Length < 0 && !Of->NoBody;
+  Of->Chunked = Unmarked && !Of->Http10;
+  Of->EndsWithConnection = Unmarked && Of->Http10;
   // The rest of a body that the upstream did not wait for is not read on.
   Of->CloseAfter |= this->endsConnection(*Of) || !Of->RequestRead;
   std::string Out =
@@ -464,6 +476,8 @@
   if (Of->CloseAfter)
     addField(Out, "Connection", "close");
   Out.append("\r\n");
+  if (Of->EndsWithConnection)
+    Of->On->Stream->resetOnClose();
   this->write(*Of, Out);
 }
 
@@ -554,9 +568,11 @@
 }
 
 // Ends a connection on which nothing more is answered, after the answers that
-// the kernel has not taken yet.
+// the kernel has not taken yet. An answer that would look whole by an orderly
+// end is broken off at once.
 void CallerServer::closeWhenWritten(const ConnectionPtr &On, TimePoint At) {
-  if (On->Stream->pending() != 0)
+  bool Resets = !On->Queue.empty() && On->Queue.front()->EndsWithConnection;
+  if (On->Stream->pending() != 0 && !Resets)
     return this->lingerClose(*On, At);
   this->CutOff += On->Queue.size();
   this->drop(On, At);
--- a/src/http/SocketFixture.h
+++ b/src/http/SocketFixture.h
@@ -45,11 +45,13 @@
   int Fd = -1;
   std::string Got;
   bool Ended = false;
+  /// Whether it ended by a reset, not in order.
+  bool WasReset = false;
 
   explicit RawPeer(int Fd) : Fd(Fd) { fcntl(Fd, F_SETFL, O_NONBLOCK); }
   RawPeer(RawPeer &&Other) noexcept
       : Fd(std::exchange(Other.Fd, -1)), Got(std::move(Other.Got)),
-        Ended(Other.Ended) {}
+        Ended(Other.Ended), WasReset(Other.WasReset) {}
   RawPeer(const RawPeer &) = delete;
   RawPeer &operator=(const RawPeer &) = delete;
   RawPeer &operator=(RawPeer &&) = delete;
@@ -80,7 +82,9 @@
     ssize_t Size = 0;
     while ((Size = recv(this->Fd, Buffer, sizeof(Buffer), 0)) > 0)
       this->Got.append(Buffer, static_cast<size_t>(Size));
-    this->Ended |= Size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    bool Failed = Size < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+    this->WasReset |= Failed && errno == ECONNRESET;
+    this->Ended |= Size == 0 || Failed;
   }
   bool waitFor(const std::string &Text) {
     return turnUntil([&] {
--- a/src/net/TcpStream.cpp
+++ b/src/net/TcpStream.cpp
@@ -181,7 +181,7 @@
   }
   this->dropSent();
   if (this->pending() == 0 && this->FinishWanted)
-    shutdown(this->Fd, SHUT_WR);
+    this->shutdownWriting();
   this->updateWatch();
   if (Had && this->pending() == 0)
     this->Hook.Drained(this->Now());
@@ -212,7 +212,25 @@
     return;
   this->FinishWanted = true;
   if (this->pending() == 0 && !this->Connecting)
-    shutdown(this->Fd, SHUT_WR);
+    this->shutdownWriting();
+}
+
+void TcpStream::setResetOnClose(bool On) {
+  linger Option{On ? 1 : 0, 0};
+  setsockopt(this->Fd, SOL_SOCKET, SO_LINGER, &Option, sizeof(Option));
+  this->ResetsOnClose = On;
+}
+
+void TcpStream::resetOnClose() {
+  if (this->isOpen() && !this->ResetsOnClose)
+    this->setResetOnClose(true);
+}
+
+// The kernel has all bytes, and sends them and the end also after a close.
+void TcpStream::shutdownWriting() {
+  if (this->ResetsOnClose)
+    this->setResetOnClose(false);
+  shutdown(this->Fd, SHUT_WR);
 }
 
 void TcpStream::close() {
--- a/src/net/TcpStream.h
+++ b/src/net/TcpStream.h
@@ -54,6 +54,11 @@
   /// Bytes of memory that the unsent bytes take up.
   size_t reserved() const { return this->Out.capacity(); }
   void pauseReading(bool Paused);
+  /// From now on a close resets the connection, also one that the kernel makes
+  /// because this process ends. For a message whose only mark of its end is an
+  /// orderly end of the connection: cut short, it must not look whole. Holds
+  /// until finishWriting() has given all bytes to the kernel.
+  void resetOnClose();
   /// Ends our direction once all is sent; the peer may go on.
   void finishWriting();
   /// What the kernel has not taken is lost.
@@ -77,6 +82,8 @@
   void readOnce();
   ssize_t peek();
   void flushSoon();
+  void setResetOnClose(bool On);
+  void shutdownWriting();
   void dropSent();
   void end(std::error_code Why);
 
@@ -88,6 +95,7 @@
   bool Connecting = false;
   bool ReadPaused = false;
   bool FinishWanted = false;
+  bool ResetsOnClose = false;
   std::error_code WriteError;
   // What a look at the socket found. The kernel tells an error only once, and
   // reports an orderly end to whoever reads after that.
