Break off an answer whose request's body grows too long

What callers saw: a caller that sent a body in chunks beyond the limit while its answer had already begun got no more of the answer and no end of the connection; it waited until it gave up.

Cause: the entry was told that the call is gone, and the refusal that follows is dropped where an answer has begun. Nothing else ends such a connection.

Change: an answer that is being written is broken off, one that waits for its turn is replaced by the refusal. The two other places that did the latter use the same function.

Why it works: abort() ends the connection, by a reset where an orderly end would look whole, and the caller is told in each case.

Tests: the row 'the request's body is longer than allowed' of CutAnswers/CallersCanTellThatAnAnswerBrokeOff failed for all four kinds of callers before (no end within 5 s).

--- a/src/http/CallerServer.cpp
+++ b/src/http/CallerServer.cpp
@@ -376,7 +376,17 @@
   Why.Step = "entry";
   Why.Status = BodyTooLarge;
   this->Hook.Gone(Id, At);
-  this->refuse(Id, Why);
+  this->refuseOrAbort(Of, Why);
+}
+
+// For a request whose answer may have begun. One that waits for its turn is
+// replaced, and one that is being written can only be broken off.
+void CallerServer::refuseOrAbort(Exchange &Of, const Refusal &Why) {
+  if (Of.Answering && Of.On->Queue.front().get() == &Of)
+    return this->abort(Of.Id, Why);
+  Of.Answering = false;
+  Of.Waiting.clear();
+  this->refuse(Of.Id, Why);
 }
 
 // A request that never reached the entry. It is answered in its turn, and
@@ -408,18 +418,15 @@
   Exchange &Of = *On->Reading;
   if (On->Queue.front().get() == &Of)
     return this->closeWhenWritten(On, At);
-  CallerId Id = Of.Id;
   On->NoMore = true;
   On->Unparsed.clear();
-  Of.Answering = false;
-  Of.Waiting.clear();
   if (!Of.Released)
-    this->Hook.Gone(Id, At);
+    this->Hook.Gone(Of.Id, At);
   Refusal Why;
   Why.Reason = "request-not-understood";
   Why.Step = "http";
   Why.Status = BadRequest;
-  this->refuse(Id, Why);
+  this->refuseOrAbort(Of, Why);
 }
 
 // Whether the answer that is being written is the last of its connection.
@@ -616,12 +623,10 @@
   if (!Of)
     return;
   if (Of->On->Queue.front().get() != Of) {
-    Of->Answering = false;
-    Of->Waiting.clear();
     Refusal Whole = Why;
     Whole.CallOutcome = Outcome::Unknown;
     Whole.Status = BadGateway;
-    return this->refuse(Caller, Whole);
+    return this->refuseOrAbort(*Of, Whole);
   }
   Of->Released = true;
   Of->Broken = true;
--- a/src/http/CallerServer.h
+++ b/src/http/CallerServer.h
@@ -122,6 +122,7 @@
   void refuseUnread(const ConnectionPtr &On, unsigned Status,
                     const std::string &Reason, TimePoint At);
   void refuseBroken(const ConnectionPtr &On, TimePoint At);
+  void refuseOrAbort(Exchange &Of, const Refusal &Why);
   bool endsConnection(const Exchange &Of) const;
   void updateReading(Connection &On);
   void write(Exchange &Of, std::string_view Bytes);
--- a/src/http/CutAnswersTest.cpp
+++ b/src/http/CutAnswersTest.cpp
@@ -199,6 +199,12 @@
        turnUntil([&] { return !Of.Gone.empty(); });
        Of.pass(IdleTimeout * 2);
      }},
+    {"the request's body is longer than allowed", "POST",
+     "Transfer-Encoding: chunked\r\n", 4,
+     [](ServerFixture &Of, const RawPeer &Caller) {
+       Caller.send("8\r\nabcdefgh\r\n");
+       turnUntil([&] { return !Of.Gone.empty(); });
+     }},
 };
 
 /// What happens behind an answer that is whole.
@@ -244,6 +250,7 @@
 CallerBounds narrowBounds() {
   CallerBounds Out;
   Out.IdleTimeout = IdleTimeout;
+  Out.BodyBytes = 4;
   return Out;
 }
 
