Send no interim answer to callers of HTTP/1.0

What callers saw: a caller of HTTP/1.0 that sends Expect: 100-continue got 'HTTP/1.1 100 Continue' before its answer. It knows no interim answers, so this is the answer for it, and the true one is lost behind it.

Cause: the expectation was heeded whatever the request's version. RFC 9110, 10.1.1: a server must ignore it in a request of HTTP/1.0.

Change: awaitsContinue() is false for HTTP/1.0.

Found by looking at what else callers of HTTP/1.0 could take for a whole answer. HttpSockets/OnlyHttp11IsToldToContinue failed for HTTP/1.0 before.

--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -867,6 +867,24 @@
   BOOST_TEST(Caller.Got.find("0\r\n\r\n") == std::string::npos);
 }
 
+// Guards against an interim answer to a caller of HTTP/1.0, which knows none
+// and takes it for the answer.
+BOOST_DATA_TEST_CASE(OnlyHttp11IsToldToContinue,
+                     data::make({"HTTP/1.1", "HTTP/1.0"}), Version) {
+  ServerFixture Of;
+  RawPeer Caller = RawPeer::dial(Of.Port);
+  Caller.send("POST /a " + std::string(Version) +
+              "\r\nHost: x\r\nExpect: 100-continue\r\n"
+              "Content-Length: 2\r\n\r\n");
+  BOOST_REQUIRE(Of.came("/a"));
+  Caller.send("ok");
+  BOOST_REQUIRE(turnUntil([&] { return !Of.Whole.empty(); }));
+  Of.answer("/a", "whole");
+  BOOST_REQUIRE(Caller.waitFor("whole"));
+  bool Told = Caller.Got.rfind("HTTP/1.1 100 ", 0) == 0;
+  BOOST_TEST(Told == (Version == std::string("HTTP/1.1")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace hickorylift
--- a/src/http/MessageParser.cpp
+++ b/src/http/MessageParser.cpp
@@ -115,7 +115,8 @@
 }
 
 bool RequestParser::awaitsContinue() const {
-  return sameWord(findHeader(this->Head.Headers, "Expect"), "100-continue");
+  return !this->isHttp10() &&
+         sameWord(findHeader(this->Head.Headers, "Expect"), "100-continue");
 }
 
 void RequestParser::on_request_impl(http::verb, View Method, View Target,
--- a/src/http/MessageParser.h
+++ b/src/http/MessageParser.h
@@ -43,6 +43,8 @@
   /// Whether the caller means to send more on this connection.
   bool keepsAlive() const { return this->keep_alive(); }
   bool isHttp10() const { return this->Version < 11; }
+  /// Whether the caller waits for an interim answer before it sends the body.
+  /// Never one of HTTP/1.0, which has no interim answers.
   bool awaitsContinue() const;
 
 private:
