Refuse answers in a transfer coding nobody asked for

What callers saw: an upstream that answers with Transfer-Encoding: gzip, or gzip and chunked, gave its callers a 200 with the coded bytes as the body and no field that says so.

Cause: the field concerns one connection and is not passed on, and the parser undoes chunks alone. A content coding was refused, a transfer coding was not.

Change: an answer whose transfer coding is not chunked alone counts as no answer, like any other that cannot be understood; 'identity' means none.

Why it works: no request of a node has a TE field, so that no upstream may choose such a coding (RFC 9112, 6.1 and 7.4).

Tests: two rows of HttpSockets/AnswersAreJudged failed before, with 'answered' and the coded bytes.

--- a/src/http/HttpSocketsTest.cpp
+++ b/src/http/HttpSocketsTest.cpp
@@ -75,6 +75,14 @@
     {"in a coding nobody asked for",
      answer("id-1", "abc", "Content-Encoding: gzip\r\n"), AfterAnswer::Nothing,
      "may have run", "", false},
+    {"in a transfer coding nobody asked for, to the close",
+     "HTTP/1.1 200 OK\r\nProof: p\r\nRequest-Id: id-1\r\n"
+     "Transfer-Encoding: gzip\r\n\r\nabc",
+     AfterAnswer::Close, "may have run", "", false},
+    {"in a transfer coding nobody asked for, in chunks",
+     "HTTP/1.1 200 OK\r\nProof: p\r\nRequest-Id: id-1\r\n"
+     "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+     AfterAnswer::Nothing, "may have run", "", false},
 };
 
 /// Bytes that are kept or passed over at most where a message goes on without
--- a/src/http/UpstreamClient.cpp
+++ b/src/http/UpstreamClient.cpp
@@ -30,6 +30,17 @@
 
 bool isChunked(const RequestHead &Head) { return Head.Length < 0; }
 
+/// Whether the body is coded for this connection in another way than in chunks.
+/// The field is not passed on, so that nobody behind could decode it.
+bool hasTransferCoding(const ResponseHead &Head) {
+  return std::any_of(Head.Headers.begin(), Head.Headers.end(),
+                     [](const HeaderField &One) {
+                       return isHeader(One, "Transfer-Encoding") &&
+                              strcasecmp(One.Value.c_str(), "chunked") != 0 &&
+                              strcasecmp(One.Value.c_str(), "identity") != 0;
+                     });
+}
+
 bool closes(const ResponseHead &Head) {
   return strcasecmp(findHeader(Head.Headers, "Connection").c_str(), "close") ==
          0;
@@ -373,6 +384,10 @@
     if (On->Stray)
       return true;
   }
+  if (hasTransferCoding(Head)) {
+    this->fail(On, Errc::BadMessage, "transfer coding nobody asked for", At);
+    return false;
+  }
   bool Success = Head.Status < FirstNotSuccess;
   bool Unproved = Success && !Names.UpstreamMark.empty() &&
                   findHeader(Head.Headers, Names.UpstreamMark).empty();
