--- a/src/base/HttpFetchTest.cpp
+++ b/src/base/HttpFetchTest.cpp
@@ -1,11 +1,10 @@
 #include "base/HttpFetch.h"
+#include "base/RawServerFixture.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include <gio/gio.h>
-
 namespace hickorylift {
 
 namespace {
@@ -43,57 +42,6 @@
     {"a body", "HTTP/1.1 200 OK\r\n\r\n", "x"},
 };
 
-/// A server that takes one connection, which the test writes to.
-class RawServer {
-public:
-  RawServer() : Service(g_socket_service_new()) {
-    GInetAddress *Loopback = g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
-    GSocketAddress *Any = g_inet_socket_address_new(Loopback, 0);
-    GSocketAddress *Bound = nullptr;
-    BOOST_REQUIRE(g_socket_listener_add_address(
-        G_SOCKET_LISTENER(this->Service), Any, G_SOCKET_TYPE_STREAM,
-        G_SOCKET_PROTOCOL_TCP, nullptr, &Bound, nullptr));
-    this->Port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(Bound));
-    g_object_unref(Bound);
-    g_object_unref(Any);
-    g_object_unref(Loopback);
-    g_signal_connect(this->Service, "incoming", G_CALLBACK(onIncoming), this);
-  }
-  RawServer(const RawServer &) = delete;
-  RawServer &operator=(const RawServer &) = delete;
-  ~RawServer() {
-    g_socket_service_stop(this->Service);
-    g_clear_object(&this->Connection);
-    g_object_unref(this->Service);
-  }
-
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(this->Port);
-  }
-  bool isConnected() const { return this->Connection != nullptr; }
-
-  /// Sends without waiting. Returns how many bytes the kernel has taken.
-  size_t send(std::string_view Bytes) {
-    GSocket *Socket = g_socket_connection_get_socket(this->Connection);
-    g_socket_set_blocking(Socket, FALSE);
-    gssize Sent =
-        g_socket_send(Socket, Bytes.data(), Bytes.size(), nullptr, nullptr);
-    return Sent > 0 ? static_cast<size_t>(Sent) : 0;
-  }
-
-private:
-  static gboolean onIncoming(GSocketService *, GSocketConnection *New,
-                             GObject *, gpointer Data) {
-    auto *Self = static_cast<RawServer *>(Data);
-    g_set_object(&Self->Connection, New);
-    return TRUE;
-  }
-
-  GSocketService *Service;
-  GSocketConnection *Connection = nullptr;
-  uint16_t Port = 0;
-};
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(HttpFetching)
