Let a command fail whose answer broke off

What callers saw: 'hickorylift drain' and 'hickorylift release' printed nothing and ended with 0 where the node's connection ended behind the status line of its answer.

Cause: the library takes that end for the end of the head, and a head without a length for a body that ends with the connection. The other commands read JSON, which an empty body is not.

Change: a node states the length of each answer to its operator, so an answer without one is an error ('answer broke off', code 3).

Why it works: the length is written by the library of the server for every answer, and one that is stated and not reached was an error before.

Tests: OperatorFetching/CutAnswersAreErrors failed at 2 of 62 cuts before.

--- a/src/cli/Http.cpp
+++ b/src/cli/Http.cpp
@@ -20,6 +20,9 @@
   GError *Why = nullptr;
   GBytes *Body = soup_session_send_and_read(Session, Message, nullptr, &Why);
   unsigned Status = soup_message_get_status(Message);
+  bool StatesLength = soup_message_headers_get_encoding(
+                          soup_message_get_response_headers(Message)) ==
+                      SOUP_ENCODING_CONTENT_LENGTH;
   g_object_unref(Message);
   g_object_unref(Session);
   if (!Body) {
@@ -31,6 +34,10 @@
   const char *At = static_cast<const char *>(g_bytes_get_data(Body, &Size));
   std::string Text(At ? At : "", Size);
   g_bytes_unref(Body);
+  // A node states the length of each answer. Where it is missing, the node's
+  // connection ended within the head, which the library takes for its end.
+  if (!StatesLength)
+    return Error{Errc::BadMessage, "operator", Address, "answer broke off"};
   if (Status != SOUP_STATUS_OK)
     return Error{
         Status == SOUP_STATUS_NOT_FOUND ? Errc::NotFound : Errc::Refused,
