--- a/scenario/Crowd.cpp
+++ b/scenario/Crowd.cpp
@@ -1,6 +1,7 @@
 #include "base/NetAddress.h"
 #include "calls/Message.h"
 #include "harness/Fleet.h"
+#include "scenario/Rows.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -650,20 +651,6 @@
   using namespace hickorylift;
   absl::ParseCommandLine(Argc, Argv);
   std::signal(SIGPIPE, SIG_IGN);
-  std::string Wanted = absl::GetFlag(FLAGS_crowd);
-  bool Good = true;
-  bool Known = Wanted.empty();
-  for (const CrowdCase &One : Crowds) {
-    if (absl::GetFlag(FLAGS_list)) {
-      std::cout << One.Name << "\n";
-      continue;
-    }
-    if (!Wanted.empty() && Wanted != One.Name)
-      continue;
-    Known = true;
-    Good = play(One) && Good;
-  }
-  if (!Known)
-    std::cerr << "no crowd " << Wanted << "\n";
-  return Good && Known ? 0 : 1;
+  return playRows(Crowds, absl::GetFlag(FLAGS_crowd), absl::GetFlag(FLAGS_list),
+                  play);
 }
--- a/scenario/Cuts.cpp
+++ b/scenario/Cuts.cpp
@@ -1,5 +1,6 @@
 #include "base/NetAddress.h"
 #include "harness/Fleet.h"
+#include "scenario/Rows.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -696,7 +697,7 @@
      }},
 };
 
-bool play(const CutCase &Of) {
+bool playRow(const CutCase &Of) {
   std::vector<Answer> Answers = Of.AnswersOf();
   CutRun Run(Answers);
   if (Run.start())
@@ -724,20 +725,6 @@
   using namespace hickorylift;
   absl::ParseCommandLine(Argc, Argv);
   std::signal(SIGPIPE, SIG_IGN);
-  std::string Wanted = absl::GetFlag(FLAGS_cut);
-  bool Good = true;
-  bool Known = Wanted.empty();
-  for (const CutCase &One : Cuts) {
-    if (absl::GetFlag(FLAGS_list)) {
-      std::cout << One.Name << "\n";
-      continue;
-    }
-    if (!Wanted.empty() && Wanted != One.Name)
-      continue;
-    Known = true;
-    Good = play(One) && Good;
-  }
-  if (!Known)
-    std::cerr << "no cut " << Wanted << "\n";
-  return Good && Known ? 0 : 1;
+  return playRows(Cuts, absl::GetFlag(FLAGS_cut), absl::GetFlag(FLAGS_list),
+                  playRow);
 }
